--- /dev/null
+++ b/src/main/java/tallyweir/Choice.java
@@ -0,0 +1,742 @@
+package tallyweir;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
+import tallyweir.ids.CallerId;
+import tallyweir.ids.QueryId;
+import tallyweir.ids.SubjectId;
+import tallyweir.ids.TenantId;
+import tallyweir.ids.TimerId;
+import tallyweir.ids.WorkloadId;
+import tallyweir.ring.Ring;
+
+/**
+ * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine, memory,
+ * workload, tenant, below, callers, duties), calls start, and from then on calls clock before each round of news
+ * and one method for each piece of news. What is decided leaves through Outgoing, beside this file. After each
+ * input the rules in the list of the constructor are gone through in order until none fires.
+ * Times are tenths of a millisecond; dues come rounded down, ages up.
+ */
+public final class Choice {
+    // The two readings of the source. The cut is where the lowest revenue starts to be shed, the end is where the
+    // highest is certain; the distinct revenues share the stretch between evenly.
+    static final double CPU_CUT = 0.90;
+    static final double CPU_END = 1.10;     // past 1: busy cores alone never turn all of the top revenue away
+    static final double LATE_CUT = 0.10;
+    static final double LATE_END = 0.70;
+    static final long LATE_SPAN = 30_000;   // a few seconds, as the source's reading
+    static final long GAUGE_EVERY = 1_000;
+    static final int BUCKETS = 12;
+    // The guards, as ratios to what the settings allow.
+    static final double CROWD_SAFE = 0.85;  // of the crowd survived now
+    static final double MEMORY_RUN = 0.95;  // of memory, to start a run
+    static final double MEMORY_HOLD = 0.85; // of memory, to take a query in
+    static final double MEMORY_KEYS = 0.30; // of memory, for entries of harmless queries
+    static final double BELOW_SAFE = 0.90;  // of this server's share of calls in hand
+    static final double CROWDED = 1.25;     // run queue over the cores at which the runs allowed shrink again
+    static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
+    static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
+    static final int CALL_TRIES = 3;
+
+    private record Rule(BooleanSupplier when, Runnable then) {}
+
+    private record Due(long at, long order, Query query) implements Comparable<Due> {
+        public int compareTo(Due o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    private final Outgoing out;
+    private final SplittableRandom chance;
+    private final long born;
+    private long now;
+    private final Map<WorkloadId, Workload> workloads = new HashMap<>();
+    private final TreeSet<Double> revenues = new TreeSet<>();
+    private final Map<TenantId, Tenant> tenants = new HashMap<>();
+    private final Map<QueryId, Query> live = new HashMap<>();
+    private final ArrayDeque<Query> hold = new ArrayDeque<>();
+    private final ArrayDeque<Query> atCall = new ArrayDeque<>();
+    private final ArrayDeque<Query> callLater = new ArrayDeque<>();
+    private final ArrayDeque<Query> reuses = new ArrayDeque<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>();
+    private final Ring late = new Ring(LATE_SPAN, BUCKETS);
+    private final Ring runs = new Ring(LATE_SPAN, BUCKETS);
+    private Query fresh;
+    private double draw;
+    private int held;
+    private long order;
+    private long wakeAt = Long.MAX_VALUE;
+    private boolean gaugeDue;
+    private double coresBusy;
+    private double runQueue;
+    private Crowd crowd;
+    private Memory memory;
+    private Below below;
+    private Halt halt = Halt.OFF;
+    private Said said = Said.OFF;
+    private long round = 1;
+    private long grace;
+    private long shareFor;
+    private long keepOffMost;
+    private double surplusWorth = 1;
+    private long draining = -1;
+    private long stopBy = Long.MAX_VALUE;
+    private final List<Rule> rules = new ArrayList<>();
+
+    public Choice(Outgoing out, long seed, long now) {
+        this.out = out;
+        this.chance = new SplittableRandom(seed);
+        this.born = now;
+        this.now = now;
+        // What is owed comes first, then what was just read, then what waits below, then the cores.
+        rule(this::somethingDue, this::answerDue);
+        rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
+        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(0, fresh.again));
+        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(0, fresh.again));
+        rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
+        rule(() -> fresh != null && fresh.leader != null, this::follow);
+        rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
+        rule(() -> !reuses.isEmpty(), this::reuse);
+        rule(this::callFails, this::giveUpCall);
+        rule(this::callFits, this::call);
+        rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != Query.State.HELD, hold::poll);
+        rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
+        rule(() -> held > 0 && crowd.fits(now) && memory.runs(now, hold.peek().size), this::begin);
+        rule(() -> gaugeDue, this::readGauges);
+        rule(() -> !dues.isEmpty() && dues.peek().at < wakeAt, this::setTimer);
+    }
+
+    private void rule(BooleanSupplier when, Runnable then) {
+        rules.add(new Rule(when, then));
+    }
+
+    private void settle() {
+        for (int i = 0; i < rules.size();) {
+            Rule rule = rules.get(i);
+            if (rule.when.getAsBoolean()) {
+                rule.then.run();
+                i = 0;
+            } else {
+                i++;
+            }
+        }
+    }
+
+    // ---- settings, each to the part that needs it
+
+    public void machine(int cores, double fallMultiple, boolean cold, double coldFrom, long coldFor, Halt halt) {
+        crowd = new Crowd(cores, fallMultiple, cold ? coldFrom : 1, born, coldFor);
+        this.halt = halt;
+    }
+
+    public void memory(double limitKb, double runFactor, double entryKb) {
+        memory = new Memory(limitKb, runFactor, entryKb);
+    }
+
+    public void below(double callsOut, long span, long linger) {
+        below = new Below(callsOut, span, linger);
+    }
+
+    public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue, double lateValue,
+            long window, double poorerValue) {
+        workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window, poorerValue,
+                new Ring(LATE_SPAN, BUCKETS)));
+        revenues.add(revenue);
+    }
+
+    public void tenant(TenantId id, double quotaPerSecond, int servers) {
+        tenants.put(id, new Tenant(quotaPerSecond / Math.max(1, servers)));
+    }
+
+    public void duties(long round, long grace, double surplusWorth) {
+        this.round = Math.max(1, round);
+        this.grace = grace;
+        this.surplusWorth = surplusWorth;
+    }
+
+    public void callers(Said said, long shareFor, long keepOffMost) {
+        this.said = said;
+        this.shareFor = shareFor;
+        this.keepOffMost = keepOffMost;
+    }
+
+    public void start() {
+        out.health(true, true);
+        out.wake(now + GAUGE_EVERY, GAUGES);
+    }
+
+    // ---- news
+
+    private static final TimerId GAUGES = new TimerId(1);
+    private static final TimerId DUES = new TimerId(2);
+
+    public void clock(long now) {
+        this.now = Math.max(this.now, now);
+    }
+
+    public void read(QueryId id, QueryId earlier, CallerId caller, SubjectId subject, WorkloadId workload,
+            double sizeKb, long age, double rank, long patience, boolean again, TenantId tenant, long predicted) {
+        Query q = new Query();
+        q.id = id;
+        q.workload = workloads.get(workload);
+        q.tenant = tenant == null ? null : tenants.get(tenant);
+        q.subject = subject;
+        q.arrived = now - age;
+        q.size = sizeKb;
+        q.again = again;
+        long due = patience > 0 ? now + patience : Math.max(now, q.arrived + q.workload.hard());
+        q.answerBy = Math.min(due, stopBy) - round;
+        q.useBy = q.workload.lateValue() > 0 ? q.answerBy : Math.min(q.answerBy, q.arrived + q.workload.expected());
+        if (earlier != null) {
+            q.leader = live.get(earlier);
+            if (q.leader == null) {
+                q.leader = new Query();  // known from before: its result stands, or the reuse says that it does not
+                q.leader.state = Query.State.OVER;
+            } else if (q.harmless() && q.leader.answered) {
+                q.leader = null;         // given up on, so nothing will come of it
+            }
+        }
+        if (q.tenant != null && !again) {
+            q.tenant.reads.add(now, 1);
+        }
+        live.put(id, q);
+        fresh = q;
+        draw = chance.nextDouble();
+        settle();
+    }
+
+    public void ended(QueryId id, Outcome how) {
+        Query q = live.get(id);
+        if (q == null || q.state == Query.State.HELD || q.state == Query.State.FOLLOWING) {
+            return;
+        }
+        if (q.state == Query.State.REPLAYING) {
+            over(q);
+        } else {
+            boolean wasAnswered = q.answered;
+            leaveCores(q, how);
+            if (how == Outcome.RECALLED && !wasAnswered) {
+                backToHold(q);
+            } else {
+                over(q);
+            }
+        }
+        settle();
+    }
+
+    public void standsAtCall(QueryId id) {
+        Query q = live.get(id);
+        if (q != null && q.state == Query.State.RUNNING) {
+            crowd.offCores(q);
+            q.state = Query.State.AT_CALL;
+            q.calls = 0;
+            atCall.add(q);
+            settle();
+        }
+    }
+
+    public void callEnded(QueryId id, Outcome how, long took) {
+        Query q = live.get(id);
+        if (q == null || q.state != Query.State.CALLING) {
+            return;
+        }
+        below.ended(now, q, how == Outcome.OVERDUE);
+        if (how == Outcome.COMPLETED) {
+            below.took.add(now, took);
+            q.state = Query.State.RUNNING;
+            crowd.onCores(q);
+        } else {
+            q.state = Query.State.AT_CALL;
+            boolean provenNotRun = how == Outcome.SATURATED || how == Outcome.REFUSED_CONN;
+            if (!q.harmless() && !provenNotRun) {
+                q.calls = CALL_TRIES;
+            }
+            callLater.add(q);
+        }
+        settle();
+    }
+
+    public void gone(QueryId id) {
+        Query q = live.get(id);
+        if (q == null) {
+            return;
+        }
+        boolean stop = q.state == Query.State.RUNNING && q.harmless() && halt != Halt.OFF && !q.answered;
+        q.answered = true;
+        if (q.state == Query.State.HELD || q.state == Query.State.FOLLOWING || q.state == Query.State.REPLAYING) {
+            over(q);
+        } else if (stop) {
+            out.stop(id);
+        }
+        settle();
+    }
+
+    public void drain(long left) {
+        draining = now;
+        stopBy = now + left;
+        for (Query q : live.values().stream().sorted((a, b) -> Long.compare(a.id.value(), b.id.value())).toList()) {
+            q.answerBy = Math.min(q.answerBy, stopBy - round);
+            q.useBy = Math.min(q.useBy, q.answerBy);
+            watch(q, q.useBy);
+        }
+        out.health(false, true);
+        settle();
+    }
+
+    public void gauges(double coresBusy, double runQueue, double memoryShare, double connections) {
+        this.coresBusy = coresBusy;
+        this.runQueue = runQueue;
+        gaugeDue = true;
+    }
+
+    public void timer(TimerId timer) {
+        if (timer.equals(GAUGES)) {
+            out.wake(now + GAUGE_EVERY, GAUGES);
+        } else {
+            gaugeDue = false;
+            wakeAt = Long.MAX_VALUE;
+        }
+        settle();
+    }
+
+    // ---- the mechanism: two readings, a rise for each band, the higher chance
+
+    private double chanceFor(Query q) {
+        double plain = bandChance(revenues.headSet(q.workload.revenue()).size());
+        double surplus = q.tenant == null || surplusWorth >= 1 ? 0 : q.tenant.surplus(now);
+        // A tenant's traffic past its share is worth little and unmarked: that part counts as a band under all.
+        return surplus <= 0 ? plain : surplus * bandChance(-1) + (1 - surplus) * plain;
+    }
+
+    private double bandChance(int band) {
+        double busy = runQueue > crowd.cores ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
+        double lateShare = late.sum(now) / Math.max(late.count(now), crowd.cores);
+        return Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band));
+    }
+
+    private double rise(double reading, double cut, double end, int band) {
+        double width = (end - cut) / revenues.size();
+        return Math.min(1, Math.max(0, (reading - cut - band * width) / width));
+    }
+
+    private void readGauges() {
+        gaugeDue = false;
+        crowd.adjust(now, held > 0, runQueue);
+        atCall.addAll(callLater);
+        callLater.clear();
+    }
+
+    // ---- what was just read
+
+    private boolean hopeless(Query q) {
+        return q.answerBy <= now || draining >= 0 && q.arrived > draining + grace;
+    }
+
+    private boolean needsKey(Query q) {
+        return q.workload.effect() == Effect.STAMPED && q.leader == null;
+    }
+
+    /** A repeat is served from its forerunner: at once when that has begun, else when it begins. */
+    private void follow() {
+        Query q = fresh;
+        takeFresh(Query.State.FOLLOWING);
+        if (q.leader.state == Query.State.HELD || q.leader.state == Query.State.FOLLOWING) {
+            q.leader.followers.add(q);
+        } else {
+            reuses.add(q);
+        }
+    }
+
+    private void deferFresh(long keepOff, boolean nowhereElse) {
+        Query q = fresh;
+        fresh = null;
+        defer(q, keepOff, nowhereElse);
+    }
+
+    private void takeFresh(Query.State as) {
+        Query q = fresh;
+        fresh = null;
+        memory.held += q.size;
+        q.state = as;
+        watch(q, q.useBy);
+        if (as == Query.State.FOLLOWING) {
+            return;
+        }
+        toHold(q);
+        boolean shared = q.harmless() && shareFor > 0 && q.subject != null;
+        if (q.workload.effect() == Effect.STAMPED) {
+            keep(q, q.workload.window());
+        } else if (shared && memory.keyFits(now)) {
+            keep(q, q.workload.expected() + shareFor);
+        }
+    }
+
+    private void keep(Query q, long span) {
+        q.kept = true;
+        memory.keep(now, span);
+        out.keep(q.id, span);
+    }
+
+    // ---- time left
+
+    private long runTime(Workload w) {
+        return w.runs().count(now) > 0 ? (long) (w.runs().sum(now) / w.runs().count(now)) : meanRun();
+    }
+
+    /** Mean length of a run; those still on the cores count with their age, so that a stall shows at once. */
+    private long meanRun() {
+        long ended = runs.count(now) > 0 ? (long) (runs.sum(now) / runs.count(now)) : 0;
+        return Math.max(ended, crowd.meanAge(now));
+    }
+
+    private long waitAhead() {
+        if (held == 0 && crowd.fits(now)) {
+            return 0;
+        }
+        return (long) ((held + 1) * meanRun() / Math.max(crowd.all, crowd.limit));
+    }
+
+    /** What can no longer be answered within its worth must not take space or cores. */
+    private boolean tooLate(Query q) {
+        return crowd.all > 0 && now + waitAhead() + runTime(q.workload) > q.useBy;
+    }
+
+    private boolean cannotMake(Query q) {
+        return crowd.all > 0 && now + (long) (NEEDS * runTime(q.workload)) > q.useBy;
+    }
+
+    // ---- answers
+
+    private void watch(Query q, long at) {
+        dues.add(new Due(at, order++, q));
+    }
+
+    private boolean somethingDue() {
+        return !dues.isEmpty() && (dues.peek().at <= now || !dues.peek().query.open());
+    }
+
+    private void answerDue() {
+        Query q = dues.poll().query;
+        if (!q.open()) {
+            return;
+        }
+        boolean lastMoment = q.answerBy <= now;
+        boolean canStop = q.harmless() && (q.state != Query.State.RUNNING || halt != Halt.OFF);
+        if (lastMoment || canStop || !q.ran) {
+            giveUp(q);
+        } else {
+            watch(q, q.answerBy);
+        }
+    }
+
+    private void giveUp(Query q) {
+        Query.State was = q.state;
+        if (q.ran && !q.harmless() || was == Query.State.REPLAYING) {
+            q.answered = true;
+            out.fail(q.id);
+            if (was == Query.State.REPLAYING) {
+                over(q);
+            }
+        } else {
+            defer(q, 0, true);
+        }
+        if (was == Query.State.RUNNING && q.harmless() && halt != Halt.OFF) {
+            out.stop(q.id);
+        }
+    }
+
+    private void defer(Query q, long keepOff, boolean nowhereElse) {
+        q.answered = true;
+        out.defer(q.id, draining >= 0 ? keepOffMost : Math.min(keepOff, keepOffMost), nowhereElse);
+        if (!q.ran) {
+            over(q);
+        }
+    }
+
+    private void over(Query q) {
+        if (q.inHold) {
+            held--;
+            q.inHold = false;
+            memory.held -= q.size;
+        } else if (q.state == Query.State.FOLLOWING || q.state == Query.State.REPLAYING) {
+            memory.held -= q.size;
+        }
+        q.state = Query.State.OVER;
+        live.remove(q.id);
+        if (q.kept && !q.ran) {
+            out.forget(q.id);
+        }
+        releaseFollowers(q);
+    }
+
+    private void releaseFollowers(Query q) {
+        for (Query f : q.followers) {
+            if (f.open() && q.ran) {
+                reuses.add(f);
+            } else if (f.open()) {
+                f.leader = null;
+                toHold(f);
+            }
+        }
+        q.followers.clear();
+    }
+
+    private void toHold(Query q) {
+        q.state = Query.State.HELD;
+        q.inHold = true;
+        hold.add(q);
+        held++;
+    }
+
+    private void reuse() {
+        Query q = reuses.poll();
+        if (q.open() && q.state == Query.State.FOLLOWING) {
+            q.state = Query.State.REPLAYING;
+            out.reuse(q.id);
+        }
+    }
+
+    // ---- the cores
+
+    private void begin() {
+        Query q = hold.poll();
+        held--;
+        q.inHold = false;
+        if (q.workload.effect() == Effect.STAMPED && !q.kept) {
+            keep(q, q.workload.window());
+        }
+        memory.held -= q.size;
+        memory.running += q.size * memory.runFactor;
+        q.ran = true;
+        q.began = now;
+        q.state = Query.State.RUNNING;
+        crowd.all++;
+        crowd.onCores(q);
+        out.run(q.id);
+        releaseFollowers(q);
+    }
+
+    private void leaveCores(Query q, Outcome how) {
+        if (q.state == Query.State.RUNNING) {
+            crowd.offCores(q);
+        } else if (q.state == Query.State.CALLING) {
+            below.ended(now, q, true);
+        }
+        crowd.all--;
+        memory.running -= q.size * memory.runFactor;
+        if (how != Outcome.SUPERSEDED) {
+            runs.add(now, now - q.began);
+            q.workload.runs().add(now, now - q.began);
+            late.add(now, now - q.arrived > q.workload.expected() ? 1 : 0);
+        }
+    }
+
+    private void backToHold(Query q) {
+        if (!q.harmless()) {
+            q.answered = true;
+            out.fail(q.id);
+            over(q);
+            return;
+        }
+        memory.held += q.size;
+        toHold(q);
+        watch(q, q.useBy);
+    }
+
+    // ---- calls below
+
+    private boolean callFails() {
+        return !atCall.isEmpty() && (atCall.peek().state != Query.State.AT_CALL || atCall.peek().answered
+                || atCall.peek().calls >= CALL_TRIES);
+    }
+
+    private void giveUpCall() {
+        Query q = atCall.poll();
+        if (q.state != Query.State.AT_CALL || q.answered) {
+            return;
+        }
+        if (q.workload.poorerValue() > 0) {
+            poorer(q);
+        } else {
+            q.answered = true;
+            out.fail(q.id);
+        }
+    }
+
+    private void poorer(Query q) {
+        q.state = Query.State.RUNNING;
+        crowd.onCores(q);
+        out.poorer(q.id);
+    }
+
+    private long timeOut(Query q) {
+        return Math.max(1, q.useBy - now);
+    }
+
+    private boolean callFits() {
+        return !atCall.isEmpty() && below.fits(now, timeOut(atCall.peek()));
+    }
+
+    private void call() {
+        Query q = atCall.poll();
+        q.calls++;
+        q.state = Query.State.CALLING;
+        q.called = now;
+        q.callUntil = now + timeOut(q);
+        below.begun(q);
+        out.call(q.id, timeOut(q));
+    }
+
+    // ---- timers
+
+    private void setTimer() {
+        wakeAt = Math.max(now + 1, dues.peek().at);
+        out.wake(wakeAt, DUES);
+    }
+
+    // ---- parts
+
+    /** The runs on the cores, and how many there may be. */
+    private static final class Crowd {
+        final int cores;
+        final double fallMultiple;
+        final double coldFrom;
+        final long born;
+        final long coldFor;
+        double limit;
+        int all;          // begun and not ended, wherever they stand
+        int on;           // of these, on the cores
+        double beganSum;
+
+        Crowd(int cores, double fallMultiple, double coldFrom, long born, long coldFor) {
+            this.cores = cores;
+            this.fallMultiple = fallMultiple;
+            this.coldFrom = coldFrom;
+            this.born = born;
+            this.coldFor = coldFor;
+            limit = cores;
+        }
+
+        double survived(long now) {
+            double warm = coldFor <= 0 ? 1 : Math.min(1, (now - born) / (double) coldFor);
+            return cores * (1 + (fallMultiple - 1) * (coldFrom + (1 - coldFrom) * warm));
+        }
+
+        boolean fits(long now) {
+            return on < limit && all + 1 <= survived(now) * CROWD_SAFE;
+        }
+
+        void adjust(long now, boolean waiting, double runQueue) {
+            if (waiting && runQueue < cores) {
+                limit += Math.max(1, cores - runQueue);
+            } else if (runQueue > cores * CROWDED) {
+                limit -= 1;
+            }
+            limit = Math.max(cores, Math.min(limit, survived(now)));
+        }
+
+        void onCores(Query q) {
+            on++;
+            beganSum += q.began;
+        }
+
+        void offCores(Query q) {
+            on--;
+            beganSum -= q.began;
+        }
+
+        long meanAge(long now) {
+            return on == 0 ? 0 : (long) (now - beganSum / on);
+        }
+    }
+
+    /** Memory of what is held, runs and is kept. */
+    private static final class Memory {
+        final double limit;
+        final double runFactor;
+        final double entry;
+        final PriorityQueue<Long> entries = new PriorityQueue<>();
+        double held;
+        double running;
+
+        Memory(double limit, double runFactor, double entry) {
+            this.limit = limit;
+            this.runFactor = runFactor;
+            this.entry = entry;
+        }
+
+        double used(long now) {
+            while (!entries.isEmpty() && entries.peek() < now) {
+                entries.poll();
+            }
+            return held + running + entries.size() * entry;
+        }
+
+        boolean holds(long now, double size, boolean withKey) {
+            return used(now) + size + (withKey ? entry : 0) <= limit * MEMORY_HOLD;
+        }
+
+        boolean runs(long now, double size) {
+            return used(now) + size * (runFactor - 1) <= limit * MEMORY_RUN;
+        }
+
+        boolean keyFits(long now) {
+            return used(now) + entry <= limit * MEMORY_HOLD && entries.size() * entry <= limit * MEMORY_KEYS;
+        }
+
+        void keep(long now, long span) {
+            entries.add(now + span);
+        }
+    }
+
+    /** Calls in hand below: time taken in the span, and all that those under way may yet take, stay under the share. */
+    private static final class Below {
+        final double most;
+        final long linger;
+        final Ring done;
+        final Ring took = new Ring(LATE_SPAN, BUCKETS);
+        double promised;
+
+        Below(double callsOut, long span, long linger) {
+            most = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
+            this.linger = linger;
+            done = new Ring(span, BUCKETS);
+        }
+
+        boolean fits(long now, long timeOut) {
+            return done.sum(now) + promised + timeOut + linger <= most;
+        }
+
+        void begun(Query q) {
+            promised += q.callUntil - q.called + linger;
+        }
+
+        void ended(long now, Query q, boolean lingers) {
+            promised -= q.callUntil - q.called + linger;
+            done.add(now, now - q.called + (lingers ? linger : 0));
+        }
+    }
+
+    /** A tenant's reads here against this server's part of its share. */
+    static final class Tenant {
+        final double perSecond;
+        final Ring reads = new Ring(LATE_SPAN, BUCKETS);
+
+        Tenant(double perSecond) {
+            this.perSecond = perSecond;
+        }
+
+        double surplus(long now) {
+            double fits = perSecond * LATE_SPAN / 10_000 * SHARE_SLACK;
+            long count = reads.count(now);
+            return count <= fits ? 0 : 1 - fits / count;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/Effect.java
@@ -0,0 +1,3 @@
+package tallyweir;
+
+public enum Effect { HARMLESS, STAMPED, ONE_SHOT }
--- /dev/null
+++ b/src/main/java/tallyweir/Halt.java
@@ -0,0 +1,3 @@
+package tallyweir;
+
+public enum Halt { OFF, ABORT, SUSPEND }
--- /dev/null
+++ b/src/main/java/tallyweir/Outcome.java
@@ -0,0 +1,3 @@
+package tallyweir;
+
+public enum Outcome { COMPLETED, ERRORED, SATURATED, OVERDUE, REFUSED_CONN, SEVERED, RECALLED, SUPERSEDED }
--- /dev/null
+++ b/src/main/java/tallyweir/Query.java
@@ -0,0 +1,40 @@
+package tallyweir;
+
+import java.util.ArrayList;
+import java.util.List;
+import tallyweir.ids.QueryId;
+import tallyweir.ids.SubjectId;
+
+/** What is known of one query that was read. */
+final class Query {
+    enum State { HELD, FOLLOWING, REPLAYING, RUNNING, AT_CALL, CALLING, OVER }
+
+    QueryId id;
+    Workload workload;
+    Choice.Tenant tenant;
+    SubjectId subject;
+    long arrived;
+    long answerBy;    // the last moment at which our answer still counts
+    long useBy;       // from then on an answer earns nothing
+    double size;
+    boolean again;
+    State state = State.HELD;
+    boolean answered; // nothing is owed any more, by our word or the caller's going
+    boolean inHold;
+    boolean ran;
+    boolean kept;
+    long began;
+    long called;
+    long callUntil;
+    int calls;
+    Query leader;
+    final List<Query> followers = new ArrayList<>(0);
+
+    boolean harmless() {
+        return workload.effect() == Effect.HARMLESS;
+    }
+
+    boolean open() {
+        return state != State.OVER && !answered;
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/Said.java
@@ -0,0 +1,3 @@
+package tallyweir;
+
+public enum Said { OFF, THRESHOLD, WINDOW, SHARE_OF }
--- /dev/null
+++ b/src/main/java/tallyweir/cli/Main.java
@@ -0,0 +1,24 @@
+package tallyweir.cli;
+
+import tallyweir.wirehost.WireHost;
+
+public final class Main {
+    private static final String USAGE = """
+            usage: java -jar tallyweir.jar SUBCOMMAND
+              wirehost   host decision instances on the simulator's wire (standard input and output)
+              help       print this text""";
+
+    private Main() {}
+
+    public static void main(String[] args) {
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "wirehost" -> System.exit(WireHost.serve(System.in, System.out, System.err));
+            case "help", "--help", "-h" -> System.out.println(USAGE);
+            default -> {
+                System.err.println(USAGE);
+                System.exit(2);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/ids/QueryId.java
@@ -0,0 +1,3 @@
+package tallyweir.ids;
+
+public record QueryId(long value) {}
--- /dev/null
+++ b/src/main/java/tallyweir/ids/TimerId.java
@@ -0,0 +1,3 @@
+package tallyweir.ids;
+
+public record TimerId(long value) {}
--- /dev/null
+++ b/src/main/java/tallyweir/ring/Ring.java
@@ -0,0 +1,59 @@
+package tallyweir.ring;
+
+/** Counts and sums over the last span, in fixed buckets of time that are used again. */
+public final class Ring {
+    private final long width;
+    private final long[] counts;
+    private final double[] sums;
+    private long head;
+    private long count;
+    private double sum;
+
+    public Ring(long span, int buckets) {
+        width = Math.max(1, (span + buckets - 1) / buckets);
+        counts = new long[buckets + 1];
+        sums = new double[buckets + 1];
+    }
+
+    public void add(long now, double value) {
+        turn(now);
+        int at = (int) (head % counts.length);
+        counts[at]++;
+        sums[at] += value;
+        count++;
+        sum += value;
+    }
+
+    public long count(long now) {
+        turn(now);
+        return count;
+    }
+
+    public double sum(long now) {
+        turn(now);
+        return sum;
+    }
+
+    private void turn(long now) {
+        long bucket = now / width;
+        if (bucket <= head) {
+            return;
+        }
+        if (bucket - head >= counts.length) {
+            java.util.Arrays.fill(counts, 0);
+            java.util.Arrays.fill(sums, 0);
+        } else {
+            for (long b = head + 1; b <= bucket; b++) {
+                counts[(int) (b % counts.length)] = 0;
+                sums[(int) (b % counts.length)] = 0;
+            }
+        }
+        head = bucket;
+        count = 0;
+        sum = 0;
+        for (int i = 0; i < counts.length; i++) {
+            count += counts[i];
+            sum += sums[i];
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/wirehost/WireHost.java
@@ -0,0 +1,165 @@
+package tallyweir.wirehost;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** Reads batches, hands each piece of news to its instance, and writes one reply a batch. */
+public final class WireHost {
+    private final JsonFactory json = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxStringLength(1 << 24).build()).build();
+    private final Map<Integer, Host> hosts = new HashMap<>();
+    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(1 << 16);
+    private final News news = new News();
+
+    private WireHost() {}
+
+    /** Serves until the input ends; the exit code is 0 then, 1 after a batch that cannot be taken. */
+    public static int serve(InputStream in, OutputStream out, PrintStream err) {
+        WireHost host = new WireHost();
+        Lines lines = new Lines(new BufferedInputStream(in, 1 << 16));
+        long number = 0;
+        try {
+            while (lines.next()) {
+                number++;
+                if (lines.blank()) {
+                    continue;
+                }
+                host.buffer.reset();
+                host.batch(lines.bytes(), lines.length());
+                host.buffer.write('\n');
+                host.buffer.writeTo(out);
+                out.flush();
+            }
+            return 0;
+        } catch (BadInput e) {
+            err.println("tallyweir: line " + number + ": " + e.getMessage());
+        } catch (JsonProcessingException e) {
+            err.println("tallyweir: line " + number + ": not a valid batch: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            err.println("tallyweir: " + e.getMessage());
+        }
+        return 1;
+    }
+
+    private void batch(byte[] line, int length) throws IOException {
+        try (JsonParser in = json.createParser(line, 0, length);
+                JsonGenerator reply = json.createGenerator(buffer)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new BadInput("a batch is an object");
+            }
+            reply.writeStartObject();
+            reply.writeArrayFieldStart("groups");
+            long wall = -1;
+            boolean groups = false;
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String name = in.currentName();
+                JsonToken value = in.nextToken();
+                if (name.equals("WallUs") && value == JsonToken.VALUE_NUMBER_INT) {
+                    wall = in.getLongValue();
+                } else if (name.equals("groups") && value == JsonToken.START_ARRAY) {
+                    groups = true;
+                    if (wall < 0) {
+                        wall = wallOf(line, length);
+                    }
+                    groups(in, reply, wall);
+                } else {
+                    in.skipChildren();
+                }
+            }
+            if (wall < 0) {
+                throw new BadInput("the batch lacks the time WallUs");
+            }
+            if (!groups) {
+                throw new BadInput("the batch lacks the array groups");
+            }
+            if (in.nextToken() != null) {
+                throw new BadInput("text after the batch");
+            }
+            reply.writeEndArray();
+            reply.writeEndObject();
+        }
+    }
+
+    /** The clock may stand behind the groups; only then is the line looked through for it first. */
+    private long wallOf(byte[] line, int length) throws IOException {
+        try (JsonParser in = json.createParser(line, 0, length)) {
+            in.nextToken();
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                if (in.currentName().equals("WallUs") && in.nextToken() == JsonToken.VALUE_NUMBER_INT) {
+                    return in.getLongValue();
+                }
+                in.nextToken();
+                in.skipChildren();
+            }
+        }
+        throw new BadInput("the batch lacks the time WallUs");
+    }
+
+    private void groups(JsonParser in, JsonGenerator reply, long wall) throws IOException {
+        Set<Integer> met = new HashSet<>();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            if (in.currentToken() != JsonToken.START_OBJECT) {
+                throw new BadInput("an entry of groups is not an object");
+            }
+            Host host = null;
+            boolean told = false;
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String name = in.currentName();
+                JsonToken value = in.nextToken();
+                if (name.equals("Backend") && value == JsonToken.VALUE_NUMBER_INT) {
+                    int backend = in.getIntValue();
+                    if (!met.add(backend)) {
+                        throw new BadInput("Backend " + backend + " stands twice in groups");
+                    }
+                    host = hosts.computeIfAbsent(backend, Host::new);
+                } else if (name.equals("news") && value == JsonToken.START_ARRAY) {
+                    if (host == null) {
+                        throw new BadInput("an entry of groups lacks Backend before its news");
+                    }
+                    told = true;
+                    host.open(reply);
+                    while (in.nextToken() != JsonToken.END_ARRAY) {
+                        if (in.currentToken() != JsonToken.START_OBJECT) {
+                            throw new BadInput("an entry of news is not an object");
+                        }
+                        news.read(in);
+                        tell(host, wall);
+                    }
+                    host.close();
+                } else {
+                    in.skipChildren();
+                }
+            }
+            if (host == null) {
+                throw new BadInput("an entry of groups lacks the number Backend");
+            }
+            if (!told) {
+                throw new BadInput("an entry of groups lacks the array news");
+            }
+        }
+    }
+
+    private void tell(Host host, long wall) {
+        try {
+            news.tell(host, wall);
+        } catch (BadInput e) {
+            throw e;
+        } catch (RuntimeException e) {
+            host.fault(e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+        }
+    }
+}
