Third reading: wait ahead of a query against the time it has to spare

Bands as for the other two. Cause: held work in arrival order reaches its expected time before the late share moves.

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -31,6 +31,8 @@
     static final double CPU_END = 1.10;     // past 1: busy cores alone never turn all of the top revenue away
     static final double LATE_CUT = 0.10;
     static final double LATE_END = 0.70;
+    static final double WAIT_CUT = 0.25;    // the third reading: wait ahead, of the time a query has to spare
+    static final double WAIT_END = 1.0;
     static final long LATE_SPAN = 30_000;   // a few seconds, as the source's reading
     static final long GAUGE_EVERY = 1_000;
     static final int BUCKETS = 12;
@@ -309,16 +311,18 @@
     // ---- the mechanism: two readings, a rise for each band, the higher chance
 
     private double chanceFor(Query q) {
-        double plain = bandChance(revenues.headSet(q.workload.revenue()).size());
+        double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q.workload));
+        double plain = bandChance(revenues.headSet(q.workload.revenue()).size(), wait);
         double surplus = q.tenant == null || surplusWorth >= 1 ? 0 : q.tenant.surplus(now);
         // A tenant's traffic past its share is worth little and unmarked: that part counts as a band under all.
-        return surplus <= 0 ? plain : surplus * bandChance(-1) + (1 - surplus) * plain;
+        return surplus <= 0 ? plain : surplus * bandChance(-1, wait) + (1 - surplus) * plain;
     }
 
-    private double bandChance(int band) {
+    private double bandChance(int band, double wait) {
         double busy = runQueue > crowd.cores ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
         double lateShare = late.sum(now) / Math.max(late.count(now), crowd.cores);
-        return Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band));
+        return Math.max(rise(wait, WAIT_CUT, WAIT_END, band),
+                Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band)));
     }
 
     private double rise(double reading, double cut, double end, int band) {
