--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -100,8 +100,8 @@
         // What is owed comes first, then what was just read, then what waits below, then the cores.
         rule(this::somethingDue, this::answerDue);
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
-        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(0, fresh.again));
-        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(0, fresh.again));
+        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh((long) (keepOffMost * chanceFor(fresh)), fresh.again));
+        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(keepOffMost, fresh.again));
         rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
