--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -100,7 +100,7 @@
         // What is owed comes first, then what was just read, then what waits below, then the cores.
         rule(this::somethingDue, this::answerDue);
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
-        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh((long) (keepOffMost * chanceFor(fresh)), fresh.again));
+        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(adviceFor(fresh), fresh.again));
         rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(keepOffMost, fresh.again));
         rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
@@ -330,6 +330,11 @@
         return Math.min(1, Math.max(0, (reading - cut - band * width) / width));
     }
 
+    private long adviceFor(Query q) {
+        double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q.workload));
+        return Math.max(0, waitAhead() - (long) (WAIT_CUT * (q.workload.expected() - runTime(q.workload))));
+    }
+
     private void readGauges() {
         gaugeDue = false;
         crowd.adjust(now, held > 0, runQueue);
