--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -29,8 +29,8 @@
     // highest is certain; the distinct revenues share the stretch between evenly.
     static final double CPU_CUT = 0.90;
     static final double CPU_END = 1.10;     // past 1: busy cores alone never turn all of the top revenue away
-    static final double LATE_CUT = 0.10;
-    static final double LATE_END = 0.70;
+    static final double LATE_CUT = 0.25;
+    static final double LATE_END = 1.0;
     static final double WAIT_CUT = 0.25;    // the third reading: wait ahead, of the time a query has to spare
     static final double WAIT_END = 1.0;
     static final long LATE_SPAN = 30_000;   // a few seconds, as the source's reading
@@ -249,7 +249,7 @@
         if (q == null || q.state != Query.State.CALLING) {
             return;
         }
-        below.ended(now, q, how == Outcome.OVERDUE);
+        below.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
         if (how == Outcome.COMPLETED) {
             below.took.add(now, took);
             q.state = Query.State.RUNNING;
@@ -464,7 +464,7 @@
     private void defer(Query q, long keepOff, boolean nowhereElse) {
         q.answered = true;
         out.defer(q.id, draining >= 0 ? keepOffMost : Math.min(keepOff, keepOffMost), nowhereElse);
-        if (!q.ran) {
+        if (!q.begun()) {
             over(q);
         }
     }
@@ -716,7 +716,7 @@
         Below(double callsOut, long span, long linger) {
             most = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
             this.linger = linger;
-            done = new Ring(span, BUCKETS);
+            done = new Ring(span + linger, BUCKETS);
         }
 
         boolean fits(long now, long timeOut) {
--- a/src/main/java/tallyweir/Query.java
+++ b/src/main/java/tallyweir/Query.java
@@ -34,6 +34,10 @@
         return workload.effect() == Effect.HARMLESS;
     }
 
+    boolean begun() {
+        return state == State.RUNNING || state == State.AT_CALL || state == State.CALLING;
+    }
+
     boolean open() {
         return state != State.OVER && !answered;
     }
--- /dev/null
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -0,0 +1,89 @@
+package tallyweir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import tallyweir.Model.Seen;
+
+/** One small test for each failure found on the bench or in the rules. */
+class FailuresTest {
+    private final Model m = new Model(7, false, Halt.ABORT, Said.OFF, 6, 10_000);
+
+    private long count(String action) {
+        return m.log.stream().filter(a -> a.startsWith(action)).count();
+    }
+
+    /** Fills the cores, and ends some runs after a while so that the length of a run is known. */
+    private List<Seen> busyServer(int more) {
+        List<Seen> all = new ArrayList<>();
+        for (int i = 0; i < Model.CORES; i++) {
+            all.add(m.read(0, 0, 40_000, 10, false, null));
+        }
+        m.pass(4_000, 1, Model.CORES);
+        for (Seen q : List.copyOf(all)) {
+            m.settled(q, Outcome.COMPLETED);
+        }
+        for (int i = 0; i < Model.CORES + more; i++) {
+            all.add(m.read(3, 0, 40_000, 10, false, null));
+        }
+        return all;
+    }
+
+    @Test
+    void aHoldThatGrowsShedsTheLowestRevenueFirst() {
+        busyServer(8);
+        long before = count("defer");
+        for (int i = 0; i < 10; i++) {
+            m.read(0, 0, 40_000, 10, false, null);
+        }
+        assertEquals(10, count("defer") - before, "the low band is certain");
+        long low = count("defer");
+        m.read(3, 0, 40_000, 10, false, null);
+        assertEquals(low, count("defer"), "the top band is not touched yet");
+    }
+
+    @Test
+    void workThatCannotBeInTimeIsDeferredAtOnce() {
+        busyServer(0);
+        long before = count("defer");
+        m.read(3, 0, 2_000, 10, false, null);
+        assertEquals(1, count("defer") - before);
+    }
+
+    @Test
+    void aRunPastItsUseIsAnsweredAndStopped() {
+        Seen q = m.read(0, 0, 40_000, 10, false, null);
+        m.pass(18_050, 0.2, 1);
+        assertTrue(q.answered);
+        assertEquals(List.of("defer " + q.id, "stop " + q.id), m.log.subList(m.log.size() - 2, m.log.size()));
+    }
+
+    @Test
+    void aRepeatOfHeldWorkWaitsAndIsServedFromIt() {
+        List<Seen> all = busyServer(1);
+        Seen last = all.get(all.size() - 1);
+        assertEquals("held", last.place);
+        Seen repeat = m.read(3, 0, 40_000, 10, false, last);
+        assertEquals("held", repeat.place);
+        m.settled(all.get(Model.CORES), Outcome.COMPLETED);
+        assertEquals("running", last.place);
+        assertEquals("waits on reuse", repeat.place);
+    }
+
+    /** The rules once went round for ever on work that was stopped, fell back and then ran out of time. */
+    @Test
+    void stoppedWorkThatFellBackIsAnsweredOnceInTime() {
+        List<Seen> all = busyServer(0);
+        Seen stopped = all.get(Model.CORES);
+        for (Seen q : all.subList(Model.CORES + 1, all.size())) {
+            m.needs(q);
+        }
+        m.settled(stopped, Outcome.RECALLED);
+        m.pass(45_000, 1, Model.CORES);
+        assertTrue(stopped.answered);
+        assertEquals(List.of(), m.wrong);
+    }
+}
