Ask callers not to try elsewhere when a fifth of the reads are further tries

Cause: a refused query walks on through the list and is read again, in vain when all servers turn away; the share of marked further tries is what one server sees of that. Guards against any retry storm; could harm where callers mark tries that others never saw (impatient second copies) while only this server is in trouble.

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -45,6 +45,7 @@
     static final double CROWDED = 1.25;     // run queue over the cores at which the runs allowed shrink again
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
+    static final double AGAIN_MANY = 0.20;  // of the reads: further tries, from which the whole fleet is in trouble
     static final int CALL_TRIES = 3;
 
     private record Rule(BooleanSupplier when, Runnable then) {}
@@ -70,6 +71,7 @@
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
     private final Ring late = new Ring(LATE_SPAN, BUCKETS);
     private final Ring runs = new Ring(LATE_SPAN, BUCKETS);
+    private final Ring tries = new Ring(LATE_SPAN, BUCKETS); // reads; summed: those that are further tries
     private Query fresh;
     private double draw;
     private int held;
@@ -100,8 +102,8 @@
         // What is owed comes first, then what was just read, then what waits below, then the cores.
         rule(this::somethingDue, this::answerDue);
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
-        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(adviceFor(fresh), fresh.again));
-        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(keepOffMost, fresh.again));
+        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(adviceFor(fresh), nowhereElse(fresh)));
+        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(keepOffMost, nowhereElse(fresh)));
         rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
@@ -208,6 +210,7 @@
         if (q.tenant != null && !again) {
             q.tenant.reads.add(now, 1);
         }
+        tries.add(now, again ? 1 : 0);
         live.put(id, q);
         fresh = q;
         draw = chance.nextDouble();
@@ -330,6 +333,11 @@
         return Math.min(1, Math.max(0, (reading - cut - band * width) / width));
     }
 
+    /** Further tries in numbers tell that the others turn away as well, so that one more would be read in vain. */
+    private boolean nowhereElse(Query q) {
+        return q.again || tries.sum(now) > AGAIN_MANY * Math.max(crowd.cores, tries.count(now));
+    }
+
     private long adviceFor(Query q) {
         double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q.workload));
         return Math.max(0, waitAhead() - (long) (WAIT_CUT * (q.workload.expected() - runTime(q.workload))));
