--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -71,6 +71,7 @@
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
     private final Ring late = new Ring(LATE_SPAN, BUCKETS);
     private final Ring runs = new Ring(LATE_SPAN, BUCKETS);
+    private final Ring turned = new Ring(LATE_SPAN, BUCKETS);
     private final Ring tries = new Ring(LATE_SPAN, BUCKETS); // reads; summed: those that are further tries
     private Query fresh;
     private double draw;
@@ -103,7 +104,7 @@
         rule(this::somethingDue, this::answerDue);
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
         rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(adviceFor(fresh), nowhereElse(fresh)));
-        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(keepOffMost, nowhereElse(fresh)));
+        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(adviceFor(fresh), nowhereElse(fresh)));
         rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
@@ -339,8 +340,7 @@
     }
 
     private long adviceFor(Query q) {
-        double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q.workload));
-        return Math.max(0, waitAhead() - (long) (WAIT_CUT * (q.workload.expected() - runTime(q.workload))));
+        return keepOffMost * turned.count(now) / Math.max(crowd.cores, tries.count(now));
     }
 
     private void readGauges() {
@@ -372,6 +372,7 @@
     }
 
     private void deferFresh(long keepOff, boolean nowhereElse) {
+        turned.add(now, 1);
         Query q = fresh;
         fresh = null;
         defer(q, keepOff, nowhereElse);
