Admit by the expected time; run length per workload, scaled down by a low hint

Cause: where late answers earn a little, work bound to be late was taken on servers that crawl; callers had gone elsewhere sooner had it been turned away.

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -152,7 +152,7 @@
     public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue, double lateValue,
             long window, double poorerValue) {
         workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window, poorerValue,
-                new Ring(LATE_SPAN, BUCKETS)));
+                new Ring(LATE_SPAN, BUCKETS), new Ring(LATE_SPAN, BUCKETS)));
         revenues.add(revenue);
     }
 
@@ -196,9 +196,11 @@
         q.arrived = now - age;
         q.size = sizeKb;
         q.again = again;
+        q.predicted = predicted;
         long due = patience > 0 ? now + patience : Math.max(now, q.arrived + q.workload.hard());
         q.answerBy = Math.min(due, stopBy) - round;
-        q.useBy = q.workload.lateValue() > 0 ? q.answerBy : Math.min(q.answerBy, q.arrived + q.workload.expected());
+        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected());
+        q.useBy = q.workload.lateValue() > 0 ? q.answerBy : q.goodBy;
         if (earlier != null) {
             q.leader = live.get(earlier);
             if (q.leader == null) {
@@ -315,7 +317,7 @@
     // ---- the mechanism: two readings, a rise for each band, the higher chance
 
     private double chanceFor(Query q) {
-        double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q.workload));
+        double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q));
         double plain = bandChance(revenues.headSet(q.workload.revenue()).size(), wait);
         double surplus = q.tenant == null || surplusWorth >= 1 ? 0 : q.tenant.surplus(now);
         // A tenant's traffic past its share is worth little and unmarked: that part counts as a band under all.
@@ -404,14 +406,16 @@
 
     // ---- time left
 
-    private long runTime(Workload w) {
-        return w.runs().count(now) > 0 ? (long) (w.runs().sum(now) / w.runs().count(now)) : meanRun();
+    private long runTime(Query q) {
+        Workload w = q.workload;
+        double mean = (w.runs().sum(now) + meanRun()) / (w.runs().count(now) + 1);
+        double usual = w.predicted().mean(now);
+        return (long) (q.predicted > 0 && usual > 0 ? mean * Math.min(1, q.predicted / usual) : mean);
     }
 
     /** Mean length of a run; those still on the cores count with their age, so that a stall shows at once. */
     private long meanRun() {
-        long ended = runs.count(now) > 0 ? (long) (runs.sum(now) / runs.count(now)) : 0;
-        return Math.max(ended, crowd.meanAge(now));
+        return Math.max((long) runs.mean(now), crowd.meanAge(now));
     }
 
     private long waitAhead() {
@@ -423,11 +427,11 @@
 
     /** What can no longer be answered within its worth must not take space or cores. */
     private boolean tooLate(Query q) {
-        return crowd.all > 0 && now + waitAhead() + runTime(q.workload) > q.useBy;
+        return crowd.all > 0 && now + waitAhead() + runTime(q) > q.goodBy;
     }
 
     private boolean cannotMake(Query q) {
-        return crowd.all > 0 && now + (long) (NEEDS * runTime(q.workload)) > q.useBy;
+        return crowd.all > 0 && now + (long) (NEEDS * runTime(q)) > q.goodBy;
     }
 
     // ---- answers
@@ -552,6 +556,7 @@
         if (how != Outcome.SUPERSEDED) {
             runs.add(now, now - q.began);
             q.workload.runs().add(now, now - q.began);
+            q.workload.predicted().add(now, q.predicted);
             late.add(now, now - q.arrived > q.workload.expected() ? 1 : 0);
         }
     }
--- a/src/main/java/tallyweir/Query.java
+++ b/src/main/java/tallyweir/Query.java
@@ -15,9 +15,11 @@
     SubjectId subject;
     long arrived;
     long answerBy;    // the last moment at which our answer still counts
-    long useBy;       // from then on an answer earns nothing
+    long goodBy;      // until then an answer earns its full revenue
+    long useBy;       // from then on it earns nothing
     double size;
     boolean again;
+    long predicted;
     State state = State.HELD;
     boolean answered; // nothing is owed any more, by our word or the caller's going
     boolean inHold;
--- a/src/main/java/tallyweir/ring/Ring.java
+++ b/src/main/java/tallyweir/ring/Ring.java
@@ -8,6 +8,7 @@
     private long head;
     private long count;
     private double sum;
+    private double last;
 
     public Ring(long span, int buckets) {
         width = Math.max(1, (span + buckets - 1) / buckets);
@@ -34,11 +35,20 @@
         return sum;
     }
 
+    /** The mean over the span, or the last one known when the span is empty; 0 before the first. */
+    public double mean(long now) {
+        turn(now);
+        return count > 0 ? sum / count : 0;
+    }
+
     private void turn(long now) {
         long bucket = now / width;
         if (bucket <= head) {
             return;
         }
+        if (count > 0) {
+            last = sum / count;
+        }
         if (bucket - head >= counts.length) {
             java.util.Arrays.fill(counts, 0);
             java.util.Arrays.fill(sums, 0);
