A tenant's surplus moves its queries down within one band, never below a lower revenue's

Cause: a query of ten times the revenue is worth more in expectation than any of the low band, even when its tenant is well over its share; treating part of it as below all shed a third of the top band.

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -318,20 +318,18 @@
 
     private double chanceFor(Query q) {
         double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q));
-        double plain = bandChance(revenues.headSet(q.workload.revenue()).size(), wait);
-        double surplus = q.tenant == null || surplusWorth >= 1 ? 0 : q.tenant.surplus(now);
-        // A tenant's traffic past its share is worth little and unmarked: that part counts as a band under all.
-        return surplus <= 0 ? plain : surplus * bandChance(-1, wait) + (1 - surplus) * plain;
+        double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * q.tenant.surplus(now);
+        return bandChance(revenues.headSet(q.workload.revenue()).size() - surplus, wait);
     }
 
-    private double bandChance(int band, double wait) {
+    private double bandChance(double band, double wait) {
         double busy = runQueue > crowd.cores ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
         double lateShare = late.sum(now) / Math.max(late.count(now), crowd.cores);
         return Math.max(rise(wait, WAIT_CUT, WAIT_END, band),
                 Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band)));
     }
 
-    private double rise(double reading, double cut, double end, int band) {
+    private double rise(double reading, double cut, double end, double band) {
         double width = (end - cut) / revenues.size();
         return Math.min(1, Math.max(0, (reading - cut - band * width) / width));
     }
