--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -104,7 +104,7 @@
         rule(this::somethingDue, this::answerDue);
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
         rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(adviceFor(fresh), nowhereElse(fresh)));
-        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(adviceFor(fresh), nowhereElse(fresh)));
+        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(adviceFor(fresh), !isTop(fresh) && nowhereElse(fresh)));
         rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
@@ -339,6 +339,11 @@
         return q.again || tries.sum(now) > AGAIN_MANY * Math.max(crowd.cores, tries.count(now));
     }
 
+    /** The top revenue is hardly ever shed, so one that only this server is too slow for finds room elsewhere. */
+    private boolean isTop(Query q) {
+        return q.workload.revenue() >= revenues.last();
+    }
+
     private long adviceFor(Query q) {
         return keepOffMost * turned.count(now) / Math.max(crowd.cores, tries.count(now));
     }
