Time below kept apart from time on the cores; poorer answers when calls fail; bookkeeping beside the module

Now the wait ahead counts time on the cores only, a workload's late runs at calls count against those that call, one query of a kind may always try, a call that can be left out gets half the time left, and when most calls fail answers go out without. Also guards against a crowded dependency; could harm when calls fail for a few subjects only (poorer answers for all).

--- /dev/null
+++ b/src/main/java/tallyweir/Calls.java
@@ -0,0 +1,33 @@
+package tallyweir;
+
+import tallyweir.ring.Ring;
+
+/** Counts the time that calls below took in the span, lingering included, and what those in hand may yet take. */
+final class Calls {
+    final Ring failures;
+    final long linger;
+    int inHand;
+    private final Ring done;
+    private double promised;
+
+    Calls(Ring done, Ring failures, long linger) {
+        this.done = done;
+        this.failures = failures;
+        this.linger = linger;
+    }
+
+    double taken(long now) {
+        return done.sum(now) + promised;
+    }
+
+    void begun(Query q) {
+        inHand++;
+        promised += q.callUntil - q.called + linger;
+    }
+
+    void ended(long now, Query q, boolean lingers) {
+        inHand--;
+        promised -= q.callUntil - q.called + linger;
+        done.add(now, now - q.called + (lingers ? linger : 0));
+    }
+}
--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
 import tallyweir.ids.CallerId;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.SubjectId;
@@ -33,8 +34,9 @@
     static final double LATE_END = 1.0;
     static final double WAIT_CUT = 0.25;    // the third reading: wait ahead, of the time a query has to spare
     static final double WAIT_END = 1.0;
-    static final long LATE_SPAN = 30_000;   // a few seconds, as the source's reading
-    static final long GAUGE_EVERY = 1_000;
+    static final long LATE_SPAN = 3 * 10_000;   // a few seconds, as the source's reading
+    static final long SECOND = 10_000;
+    static final long GAUGE_EVERY = SECOND / 10;
     static final int BUCKETS = 12;
     // The guards, as ratios to what the settings allow.
     static final double CROWD_SAFE = 0.85;  // of the crowd survived now
@@ -46,16 +48,11 @@
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, from which the whole fleet is in trouble
+    static final double BROKEN = 0.5;       // of the calls ended: failures, from which poorer answers go uncalled
     static final int CALL_TRIES = 3;
 
     private record Rule(BooleanSupplier when, Runnable then) {}
 
-    private record Due(long at, long order, Query query) implements Comparable<Due> {
-        public int compareTo(Due o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
-        }
-    }
-
     private final Outgoing out;
     private final SplittableRandom chance;
     private final long born;
@@ -70,6 +67,7 @@
     private final ArrayDeque<Query> reuses = new ArrayDeque<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
     private final Ring late = new Ring(LATE_SPAN, BUCKETS);
+    private final Ring lateBelow = new Ring(LATE_SPAN, BUCKETS); // of runs that called below
     private final Ring runs = new Ring(LATE_SPAN, BUCKETS);
     private final Ring turned = new Ring(LATE_SPAN, BUCKETS);
     private final Ring tries = new Ring(LATE_SPAN, BUCKETS); // reads; summed: those that are further tries
@@ -81,9 +79,13 @@
     private boolean gaugeDue;
     private double coresBusy;
     private double runQueue;
-    private Crowd crowd;
+    private final Crowd crowd = new Crowd();
     private Memory memory;
-    private Below below;
+    private Calls calls;
+    private int cores;
+    private double runsAllowed;   // on the cores at once
+    private DoubleSupplier survived;
+    private double callTime;      // that this server's calls in hand may take in the span
     private Halt halt = Halt.OFF;
     private Said said = Said.OFF;
     private long round = 1;
@@ -105,7 +107,7 @@
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
         rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh), () -> deferFresh(adviceFor(fresh), nowhereElse(fresh)));
         rule(() -> fresh != null && fresh.leader == null && tooLate(fresh), () -> deferFresh(adviceFor(fresh), !isTop(fresh) && nowhereElse(fresh)));
-        rule(() -> fresh != null && !memory.holds(now, fresh.size, needsKey(fresh)), () -> deferFresh(0, false));
+        rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
         rule(() -> !reuses.isEmpty(), this::reuse);
@@ -113,9 +115,9 @@
         rule(this::callFits, this::call);
         rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != Query.State.HELD, hold::poll);
         rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
-        rule(() -> held > 0 && crowd.fits(now) && memory.runs(now, hold.peek().size), this::begin);
+        rule(() -> held > 0 && coresFree() && fitsRun(hold.peek()), this::begin);
         rule(() -> gaugeDue, this::readGauges);
-        rule(() -> !dues.isEmpty() && dues.peek().at < wakeAt, this::setTimer);
+        rule(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
     }
 
     private void rule(BooleanSupplier when, Runnable then) {
@@ -137,8 +139,12 @@
     // ---- settings, each to the part that needs it
 
     public void machine(int cores, double fallMultiple, boolean cold, double coldFrom, long coldFor, Halt halt) {
-        crowd = new Crowd(cores, fallMultiple, cold ? coldFrom : 1, born, coldFor);
+        this.cores = cores;
         this.halt = halt;
+        runsAllowed = cores;
+        // It never warms more slowly than in even steps.
+        survived = () -> cores * (1 + (fallMultiple - 1) * (!cold || coldFor <= 0 ? 1
+                : coldFrom + (1 - coldFrom) * Math.min(1, (now - born) / (double) coldFor)));
     }
 
     public void memory(double limitKb, double runFactor, double entryKb) {
@@ -146,18 +152,19 @@
     }
 
     public void below(double callsOut, long span, long linger) {
-        below = new Below(callsOut, span, linger);
+        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(LATE_SPAN, BUCKETS), linger);
+        callTime = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
     }
 
     public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue, double lateValue,
-            long window, double poorerValue) {
-        workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window, poorerValue,
-                new Ring(LATE_SPAN, BUCKETS), new Ring(LATE_SPAN, BUCKETS)));
+            long window, boolean callsBelow, double poorerValue) {
+        workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window,
+                callsBelow, poorerValue, new Ring(LATE_SPAN, BUCKETS), new Ring(LATE_SPAN, BUCKETS)));
         revenues.add(revenue);
     }
 
     public void tenant(TenantId id, double quotaPerSecond, int servers) {
-        tenants.put(id, new Tenant(quotaPerSecond / Math.max(1, servers)));
+        tenants.put(id, new Tenant(quotaPerSecond / Math.max(1, servers), new Ring(LATE_SPAN, BUCKETS)));
     }
 
     public void duties(long round, long grace, double surplusWorth) {
@@ -197,10 +204,10 @@
         q.size = sizeKb;
         q.again = again;
         q.predicted = predicted;
-        long due = patience > 0 ? now + patience : Math.max(now, q.arrived + q.workload.hard());
+        long due = patience > 0 ? now + patience : Math.max(now, q.arrived + q.workload.hard);
         q.answerBy = Math.min(due, stopBy) - round;
-        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected());
-        q.useBy = q.workload.lateValue() > 0 ? q.answerBy : q.goodBy;
+        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected);
+        q.useBy = q.workload.lateValue > 0 ? q.answerBy : q.goodBy;
         if (earlier != null) {
             q.leader = live.get(earlier);
             if (q.leader == null) {
@@ -211,7 +218,7 @@
             }
         }
         if (q.tenant != null && !again) {
-            q.tenant.reads.add(now, 1);
+            q.tenant.reads().add(now, 1);
         }
         tries.add(now, again ? 1 : 0);
         live.put(id, q);
@@ -242,7 +249,7 @@
     public void standsAtCall(QueryId id) {
         Query q = live.get(id);
         if (q != null && q.state == Query.State.RUNNING) {
-            crowd.offCores(q);
+            crowd.offCores(now, q);
             q.state = Query.State.AT_CALL;
             q.calls = 0;
             atCall.add(q);
@@ -255,11 +262,11 @@
         if (q == null || q.state != Query.State.CALLING) {
             return;
         }
-        below.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
+        calls.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
+        calls.failures.add(now, how == Outcome.COMPLETED ? 0 : 1);
         if (how == Outcome.COMPLETED) {
-            below.took.add(now, took);
             q.state = Query.State.RUNNING;
-            crowd.onCores(q);
+            crowd.onCores(now, q);
         } else {
             q.state = Query.State.AT_CALL;
             boolean provenNotRun = how == Outcome.SATURATED || how == Outcome.REFUSED_CONN;
@@ -317,14 +324,22 @@
     // ---- the mechanism: two readings, a rise for each band, the higher chance
 
     private double chanceFor(Query q) {
-        double wait = waitAhead() / (double) Math.max(1, q.workload.expected() - runTime(q));
-        double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * q.tenant.surplus(now);
-        return bandChance(revenues.headSet(q.workload.revenue()).size() - surplus, wait);
+        double wait = waitAhead() / (double) Math.max(1, q.workload.expected - runTime(q));
+        double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
+        return bandChance(revenues.headSet(q.workload.revenue).size() - surplus, wait, q.workload.callsBelow);
+    }
+
+    /** The part of a tenant's reads here that is past this server's part of its share. */
+    private double surplus(Tenant tenant) {
+        double fits = tenant.perSecond() * LATE_SPAN / SECOND * SHARE_SLACK;
+        return Math.max(0, 1 - fits / Math.max(1, tenant.reads().count(now)));
     }
 
-    private double bandChance(double band, double wait) {
-        double busy = runQueue > crowd.cores ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
-        double lateShare = late.sum(now) / Math.max(late.count(now), crowd.cores);
+    private double bandChance(double band, double wait, boolean calls) {
+        double busy = runQueue > cores ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
+        // What lies below makes late only what calls it, so the rest is not shed for that.
+        double ended = late.count(now) + (calls ? lateBelow.count(now) : 0);
+        double lateShare = (late.sum(now) + (calls ? lateBelow.sum(now) : 0)) / Math.max(ended, cores);
         return Math.max(rise(wait, WAIT_CUT, WAIT_END, band),
                 Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band)));
     }
@@ -336,21 +351,26 @@
 
     /** Further tries in numbers tell that the others turn away as well, so that one more would be read in vain. */
     private boolean nowhereElse(Query q) {
-        return q.again || tries.sum(now) > AGAIN_MANY * Math.max(crowd.cores, tries.count(now));
+        return q.again || tries.sum(now) > AGAIN_MANY * Math.max(cores, tries.count(now));
     }
 
     /** The top revenue is hardly ever shed, so one that only this server is too slow for finds room elsewhere. */
     private boolean isTop(Query q) {
-        return q.workload.revenue() >= revenues.last();
+        return q.workload.revenue >= revenues.last();
     }
 
     private long adviceFor(Query q) {
-        return keepOffMost * turned.count(now) / Math.max(crowd.cores, tries.count(now));
+        return keepOffMost * turned.count(now) / Math.max(cores, tries.count(now));
     }
 
     private void readGauges() {
         gaugeDue = false;
-        crowd.adjust(now, held > 0, runQueue);
+        if (held > 0 && runQueue < cores) {
+            runsAllowed += Math.max(1, cores - runQueue);
+        } else if (runQueue > cores * CROWDED) {
+            runsAllowed -= 1;
+        }
+        runsAllowed = Math.max(cores, Math.min(runsAllowed, survived.getAsDouble()));
         atCall.addAll(callLater);
         callLater.clear();
     }
@@ -361,8 +381,22 @@
         return q.answerBy <= now || draining >= 0 && q.arrived > draining + grace;
     }
 
-    private boolean needsKey(Query q) {
-        return q.workload.effect() == Effect.STAMPED && q.leader == null;
+    private boolean fitsHold(Query q) {
+        double entry = q.workload.effect == Effect.STAMPED && q.leader == null ? memory.entry : 0;
+        return memory.used(now) + q.size + entry <= memory.limit * MEMORY_HOLD;
+    }
+
+    private boolean fitsKey() {
+        return memory.used(now) + memory.entry <= memory.limit * MEMORY_HOLD
+                && memory.kept(now) + memory.entry <= memory.limit * MEMORY_KEYS;
+    }
+
+    private boolean fitsRun(Query q) {
+        return memory.used(now) + q.size * (memory.runFactor - 1) <= memory.limit * MEMORY_RUN;
+    }
+
+    private boolean coresFree() {
+        return crowd.on < runsAllowed && crowd.all + 1 <= survived.getAsDouble() * CROWD_SAFE;
     }
 
     /** A repeat is served from its forerunner: at once when that has begun, else when it begins. */
@@ -394,10 +428,10 @@
         }
         toHold(q);
         boolean shared = q.harmless() && shareFor > 0 && q.subject != null;
-        if (q.workload.effect() == Effect.STAMPED) {
-            keep(q, q.workload.window());
-        } else if (shared && memory.keyFits(now)) {
-            keep(q, q.workload.expected() + shareFor);
+        if (q.workload.effect == Effect.STAMPED) {
+            keep(q, q.workload.window);
+        } else if (shared && fitsKey()) {
+            keep(q, q.workload.expected + shareFor);
         }
     }
 
@@ -411,8 +445,8 @@
 
     private long runTime(Query q) {
         Workload w = q.workload;
-        double mean = (w.runs().sum(now) + meanRun()) / (w.runs().count(now) + 1);
-        double usual = w.predicted().mean(now);
+        double mean = (w.runs.sum(now) + meanRun()) / (w.runs.count(now) + 1);
+        double usual = w.predicted.mean(now);
         return (long) (q.predicted > 0 && usual > 0 ? mean * Math.min(1, q.predicted / usual) : mean);
     }
 
@@ -422,15 +456,16 @@
     }
 
     private long waitAhead() {
-        if (held == 0 && crowd.fits(now)) {
+        if (held == 0 && coresFree()) {
             return 0;
         }
-        return (long) ((held + 1) * meanRun() / Math.max(crowd.all, crowd.limit));
+        return (long) ((held + 1) * meanRun() / Math.max(crowd.on, runsAllowed));
     }
 
-    /** What can no longer be answered within its worth must not take space or cores. */
+    /** What can no longer be answered within its worth must not take space or cores; one of a kind may try. */
     private boolean tooLate(Query q) {
-        return crowd.all > 0 && now + waitAhead() + runTime(q) > q.goodBy;
+        long wait = waitAhead();
+        return (wait > 0 || q.workload.begun > 0) && now + wait + runTime(q) > q.goodBy;
     }
 
     private boolean cannotMake(Query q) {
@@ -444,11 +479,11 @@
     }
 
     private boolean somethingDue() {
-        return !dues.isEmpty() && (dues.peek().at <= now || !dues.peek().query.open());
+        return !dues.isEmpty() && (dues.peek().at() <= now || !dues.peek().query().open());
     }
 
     private void answerDue() {
-        Query q = dues.poll().query;
+        Query q = dues.poll().query();
         if (!q.open()) {
             return;
         }
@@ -534,33 +569,36 @@
         Query q = hold.poll();
         held--;
         q.inHold = false;
-        if (q.workload.effect() == Effect.STAMPED && !q.kept) {
-            keep(q, q.workload.window());
+        if (q.workload.effect == Effect.STAMPED && !q.kept) {
+            keep(q, q.workload.window);
         }
         memory.held -= q.size;
         memory.running += q.size * memory.runFactor;
         q.ran = true;
         q.began = now;
+        q.onCores = 0;
         q.state = Query.State.RUNNING;
         crowd.all++;
-        crowd.onCores(q);
+        q.workload.begun++;
+        crowd.onCores(now, q);
         out.run(q.id);
         releaseFollowers(q);
     }
 
     private void leaveCores(Query q, Outcome how) {
         if (q.state == Query.State.RUNNING) {
-            crowd.offCores(q);
+            crowd.offCores(now, q);
         } else if (q.state == Query.State.CALLING) {
-            below.ended(now, q, true);
+            calls.ended(now, q, true);
         }
         crowd.all--;
+        q.workload.begun--;
         memory.running -= q.size * memory.runFactor;
         if (how != Outcome.SUPERSEDED) {
-            runs.add(now, now - q.began);
-            q.workload.runs().add(now, now - q.began);
-            q.workload.predicted().add(now, q.predicted);
-            late.add(now, now - q.arrived > q.workload.expected() ? 1 : 0);
+            runs.add(now, q.onCores);
+            q.workload.runs.add(now, now - q.began);
+            q.workload.predicted.add(now, q.predicted);
+            (q.calls > 0 ? lateBelow : late).add(now, now - q.arrived > q.workload.expected ? 1 : 0);
         }
     }
 
@@ -580,7 +618,8 @@
 
     private boolean callFails() {
         return !atCall.isEmpty() && (atCall.peek().state != Query.State.AT_CALL || atCall.peek().answered
-                || atCall.peek().calls >= CALL_TRIES);
+                || atCall.peek().calls >= CALL_TRIES
+                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0 || callsFail()));
     }
 
     private void giveUpCall() {
@@ -588,7 +627,7 @@
         if (q.state != Query.State.AT_CALL || q.answered) {
             return;
         }
-        if (q.workload.poorerValue() > 0) {
+        if (q.workload.poorerValue > 0) {
             poorer(q);
         } else {
             q.answered = true;
@@ -598,16 +637,22 @@
 
     private void poorer(Query q) {
         q.state = Query.State.RUNNING;
-        crowd.onCores(q);
+        crowd.onCores(now, q);
         out.poorer(q.id);
     }
 
     private long timeOut(Query q) {
-        return Math.max(1, q.useBy - now);
+        // A poorer answer wants its time too, and is worth more than a late one.
+        return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
+    }
+
+    /** Most of the calls fail: one at a time tells when that is over. */
+    private boolean callsFail() {
+        return calls.inHand > 0 && calls.failures.sum(now) > BROKEN * Math.max(BUCKETS, calls.failures.count(now));
     }
 
     private boolean callFits() {
-        return !atCall.isEmpty() && below.fits(now, timeOut(atCall.peek()));
+        return !atCall.isEmpty() && calls.taken(now) + timeOut(atCall.peek()) + calls.linger <= callTime;
     }
 
     private void call() {
@@ -616,153 +661,14 @@
         q.state = Query.State.CALLING;
         q.called = now;
         q.callUntil = now + timeOut(q);
-        below.begun(q);
+        calls.begun(q);
         out.call(q.id, timeOut(q));
     }
 
     // ---- timers
 
     private void setTimer() {
-        wakeAt = Math.max(now + 1, dues.peek().at);
+        wakeAt = Math.max(now + 1, dues.peek().at());
         out.wake(wakeAt, DUES);
     }
-
-    // ---- parts
-
-    /** The runs on the cores, and how many there may be. */
-    private static final class Crowd {
-        final int cores;
-        final double fallMultiple;
-        final double coldFrom;
-        final long born;
-        final long coldFor;
-        double limit;
-        int all;          // begun and not ended, wherever they stand
-        int on;           // of these, on the cores
-        double beganSum;
-
-        Crowd(int cores, double fallMultiple, double coldFrom, long born, long coldFor) {
-            this.cores = cores;
-            this.fallMultiple = fallMultiple;
-            this.coldFrom = coldFrom;
-            this.born = born;
-            this.coldFor = coldFor;
-            limit = cores;
-        }
-
-        double survived(long now) {
-            double warm = coldFor <= 0 ? 1 : Math.min(1, (now - born) / (double) coldFor);
-            return cores * (1 + (fallMultiple - 1) * (coldFrom + (1 - coldFrom) * warm));
-        }
-
-        boolean fits(long now) {
-            return on < limit && all + 1 <= survived(now) * CROWD_SAFE;
-        }
-
-        void adjust(long now, boolean waiting, double runQueue) {
-            if (waiting && runQueue < cores) {
-                limit += Math.max(1, cores - runQueue);
-            } else if (runQueue > cores * CROWDED) {
-                limit -= 1;
-            }
-            limit = Math.max(cores, Math.min(limit, survived(now)));
-        }
-
-        void onCores(Query q) {
-            on++;
-            beganSum += q.began;
-        }
-
-        void offCores(Query q) {
-            on--;
-            beganSum -= q.began;
-        }
-
-        long meanAge(long now) {
-            return on == 0 ? 0 : (long) (now - beganSum / on);
-        }
-    }
-
-    /** Memory of what is held, runs and is kept. */
-    private static final class Memory {
-        final double limit;
-        final double runFactor;
-        final double entry;
-        final PriorityQueue<Long> entries = new PriorityQueue<>();
-        double held;
-        double running;
-
-        Memory(double limit, double runFactor, double entry) {
-            this.limit = limit;
-            this.runFactor = runFactor;
-            this.entry = entry;
-        }
-
-        double used(long now) {
-            while (!entries.isEmpty() && entries.peek() < now) {
-                entries.poll();
-            }
-            return held + running + entries.size() * entry;
-        }
-
-        boolean holds(long now, double size, boolean withKey) {
-            return used(now) + size + (withKey ? entry : 0) <= limit * MEMORY_HOLD;
-        }
-
-        boolean runs(long now, double size) {
-            return used(now) + size * (runFactor - 1) <= limit * MEMORY_RUN;
-        }
-
-        boolean keyFits(long now) {
-            return used(now) + entry <= limit * MEMORY_HOLD && entries.size() * entry <= limit * MEMORY_KEYS;
-        }
-
-        void keep(long now, long span) {
-            entries.add(now + span);
-        }
-    }
-
-    /** Calls in hand below: time taken in the span, and all that those under way may yet take, stay under the share. */
-    private static final class Below {
-        final double most;
-        final long linger;
-        final Ring done;
-        final Ring took = new Ring(LATE_SPAN, BUCKETS);
-        double promised;
-
-        Below(double callsOut, long span, long linger) {
-            most = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
-            this.linger = linger;
-            done = new Ring(span + linger, BUCKETS);
-        }
-
-        boolean fits(long now, long timeOut) {
-            return done.sum(now) + promised + timeOut + linger <= most;
-        }
-
-        void begun(Query q) {
-            promised += q.callUntil - q.called + linger;
-        }
-
-        void ended(long now, Query q, boolean lingers) {
-            promised -= q.callUntil - q.called + linger;
-            done.add(now, now - q.called + (lingers ? linger : 0));
-        }
-    }
-
-    /** A tenant's reads here against this server's part of its share. */
-    static final class Tenant {
-        final double perSecond;
-        final Ring reads = new Ring(LATE_SPAN, BUCKETS);
-
-        Tenant(double perSecond) {
-            this.perSecond = perSecond;
-        }
-
-        double surplus(long now) {
-            double fits = perSecond * LATE_SPAN / 10_000 * SHARE_SLACK;
-            long count = reads.count(now);
-            return count <= fits ? 0 : 1 - fits / count;
-        }
-    }
 }
--- a/src/main/java/tallyweir/Query.java
+++ b/src/main/java/tallyweir/Query.java
@@ -11,7 +11,7 @@
 
     QueryId id;
     Workload workload;
-    Choice.Tenant tenant;
+    Tenant tenant;
     SubjectId subject;
     long arrived;
     long answerBy;    // the last moment at which our answer still counts
@@ -26,6 +26,8 @@
     boolean ran;
     boolean kept;
     long began;
+    long onSince;     // when the present stay on the cores would have begun, had there been no break
+    long onCores;     // time spent there up to the last break
     long called;
     long callUntil;
     int calls;
@@ -33,7 +35,7 @@
     final List<Query> followers = new ArrayList<>(0);
 
     boolean harmless() {
-        return workload.effect() == Effect.HARMLESS;
+        return workload.effect == Effect.HARMLESS;
     }
 
     boolean begun() {
--- a/src/main/java/tallyweir/wirehost/Host.java
+++ b/src/main/java/tallyweir/wirehost/Host.java
@@ -59,7 +59,7 @@
             Tree c = classes.get(i);
             made.workload(new WorkloadId(c.text("Name", "")), effect(c.text("Effect", "")), c.time("TargetUs"),
                     c.time("DeadlineUs"), c.number("Worth", 1), c.number("LateValue", 0),
-                    c.time("RepeatWindowUs") + 1, info.at("ClassSkipWorth", i));
+                    c.time("RepeatWindowUs") + 1, info.yesAt("ClassCalls", i), info.at("ClassSkipWorth", i));
         }
         for (Tree t : params.each("Projects")) {
             made.tenant(new TenantId(t.text("Name", "")), t.number("QuotaPerS", 0),
--- a/src/main/java/tallyweir/wirehost/Tree.java
+++ b/src/main/java/tallyweir/wirehost/Tree.java
@@ -73,6 +73,10 @@
                 && list.get(index) instanceof Double d ? d : 0;
     }
 
+    boolean yesAt(String name, int index) {
+        return fields.get(name) instanceof List<?> list && index < list.size() && Boolean.TRUE.equals(list.get(index));
+    }
+
     double number(String name, double absent) {
         return fields.get(name) instanceof Double d ? d : absent;
     }
--- a/src/test/java/tallyweir/Model.java
+++ b/src/test/java/tallyweir/Model.java
@@ -72,7 +72,7 @@
         Effect[] effects = {Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT, Effect.HARMLESS};
         for (int i = 0; i < NAMES.length; i++) {
             choice.workload(new WorkloadId(NAMES[i]), effects[i], 18_000, HARD, i == 3 ? 10 : 1, i == 2 ? 0.2 : 0,
-                    WINDOW, i == 0 ? 0.5 : 0);
+                    WINDOW, i < 3, i == 0 ? 0.5 : 0);
         }
         choice.tenant(new TenantId("a"), 40, 4);
         choice.duties(ROUND, GRACE, 0.05);
