Fewer calls in hand while the dependency is crowded, by revenue; poorer answers when calls are halved

Now calls are cut by a tenth at each reading of the gauges while they take three times the usual, waiting calls go by revenue. Also guards against a dependency slow on its own; harms when calls get long for good (the usual is the least second seen).

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +50,9 @@
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, from which the whole fleet is in trouble
     static final double BROKEN = 0.5;       // of the calls ended: failures, from which poorer answers go uncalled
+    static final double CALL_SLOW = 3;      // times the usual: length of calls from which fewer go out at once
+    static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
+    static final double CALLS_CUT = 0.9;    // each time the gauges are read
     static final int CALL_TRIES = 3;
 
     private record Rule(BooleanSupplier when, Runnable then) {}
@@ -62,7 +66,9 @@
     private final Map<TenantId, Tenant> tenants = new HashMap<>();
     private final Map<QueryId, Query> live = new HashMap<>();
     private final ArrayDeque<Query> hold = new ArrayDeque<>();
-    private final ArrayDeque<Query> atCall = new ArrayDeque<>();
+    // Where calls must wait for each other the higher revenue goes first.
+    private final PriorityQueue<Query> atCall = new PriorityQueue<>(
+            Comparator.comparingDouble((Query q) -> -q.workload.revenue).thenComparingLong(q -> q.order));
     private final ArrayDeque<Query> callLater = new ArrayDeque<>();
     private final ArrayDeque<Query> reuses = new ArrayDeque<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
@@ -85,6 +91,9 @@
     private int cores;
     private double runsAllowed;   // on the cores at once
     private DoubleSupplier survived;
+    private double callsShare;
+    private double callsAllowed;  // in hand at once
+    private double callUsual = Double.MAX_VALUE;
     private double callTime;      // that this server's calls in hand may take in the span
     private Halt halt = Halt.OFF;
     private Said said = Said.OFF;
@@ -152,7 +161,9 @@
     }
 
     public void below(double callsOut, long span, long linger) {
-        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(LATE_SPAN, BUCKETS), linger);
+        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(LATE_SPAN, BUCKETS), new Ring(SECOND, BUCKETS), linger);
+        callsShare = callsOut <= 0 ? Double.MAX_VALUE : callsOut;
+        callsAllowed = callsShare;
         callTime = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
     }
 
@@ -197,6 +208,7 @@
             double sizeKb, long age, double rank, long patience, boolean again, TenantId tenant, long predicted) {
         Query q = new Query();
         q.id = id;
+        q.order = order++;
         q.workload = workloads.get(workload);
         q.tenant = tenant == null ? null : tenants.get(tenant);
         q.subject = subject;
@@ -251,6 +263,7 @@
         if (q != null && q.state == Query.State.RUNNING) {
             crowd.offCores(now, q);
             q.state = Query.State.AT_CALL;
+            q.stood = true;
             q.calls = 0;
             atCall.add(q);
             settle();
@@ -265,6 +278,7 @@
         calls.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
         calls.failures.add(now, how == Outcome.COMPLETED ? 0 : 1);
         if (how == Outcome.COMPLETED) {
+            calls.took.add(now, took);
             q.state = Query.State.RUNNING;
             crowd.onCores(now, q);
         } else {
@@ -365,6 +379,11 @@
 
     private void readGauges() {
         gaugeDue = false;
+        double took = calls == null ? 0 : calls.took.mean(now);
+        callUsual = took > 0 && calls.took.count(now) > BUCKETS ? Math.min(callUsual, took) : callUsual;
+        // A crowded dependency gets less done, so fewer calls go out while they take far longer than they did.
+        callsAllowed = took > CALL_SLOW * callUsual ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
+                : Math.min(callsShare, callsAllowed / CALLS_CUT);
         if (held > 0 && runQueue < cores) {
             runsAllowed += Math.max(1, cores - runQueue);
         } else if (runQueue > cores * CROWDED) {
@@ -598,7 +617,7 @@
             runs.add(now, q.onCores);
             q.workload.runs.add(now, now - q.began);
             q.workload.predicted.add(now, q.predicted);
-            (q.calls > 0 ? lateBelow : late).add(now, now - q.arrived > q.workload.expected ? 1 : 0);
+            (q.stood ? lateBelow : late).add(now, now - q.arrived > q.workload.expected ? 1 : 0);
         }
     }
 
@@ -619,7 +638,7 @@
     private boolean callFails() {
         return !atCall.isEmpty() && (atCall.peek().state != Query.State.AT_CALL || atCall.peek().answered
                 || atCall.peek().calls >= CALL_TRIES
-                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0 || callsFail()));
+                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0 || callsFail() || callsAllowed < callsShare / 2 && !callFits()));
     }
 
     private void giveUpCall() {
@@ -652,7 +671,7 @@
     }
 
     private boolean callFits() {
-        return !atCall.isEmpty() && calls.taken(now) + timeOut(atCall.peek()) + calls.linger <= callTime;
+        return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed) && calls.taken(now) + timeOut(atCall.peek()) + calls.linger <= callTime;
     }
 
     private void call() {
--- a/src/main/java/tallyweir/Query.java
+++ b/src/main/java/tallyweir/Query.java
@@ -10,6 +10,7 @@
     enum State { HELD, FOLLOWING, REPLAYING, RUNNING, AT_CALL, CALLING, OVER }
 
     QueryId id;
+    long order;
     Workload workload;
     Tenant tenant;
     SubjectId subject;
@@ -25,6 +26,7 @@
     boolean inHold;
     boolean ran;
     boolean kept;
+    boolean stood;    // at a call, once
     long began;
     long onSince;     // when the present stay on the cores would have begun, had there been no break
     long onCores;     // time spent there up to the last break
