--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -53,6 +53,8 @@
     static final double CALL_SLOW = 3;      // times the usual: length of calls from which fewer go out at once
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
+    static final double WINDOW_OF = 2;      // callers are uneven: times an even part of what fits the expected time
+    static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final int CALL_TRIES = 3;
 
     private record Rule(BooleanSupplier when, Runnable then) {}
@@ -97,6 +99,9 @@
     private double callTime;      // that this server's calls in hand may take in the span
     private Halt halt = Halt.OFF;
     private Said said = Said.OFF;
+    private int callers = 1;
+    private double saidLast;
+    private long shortest = Long.MAX_VALUE; // expected time
     private long round = 1;
     private long grace;
     private long shareFor;
@@ -172,6 +177,7 @@
         workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window,
                 callsBelow, poorerValue, new Ring(LATE_SPAN, BUCKETS), new Ring(LATE_SPAN, BUCKETS)));
         revenues.add(revenue);
+        shortest = Math.min(shortest, expected);
     }
 
     public void tenant(TenantId id, double quotaPerSecond, int servers) {
@@ -184,8 +190,9 @@
         this.surplusWorth = surplusWorth;
     }
 
-    public void callers(Said said, long shareFor, long keepOffMost) {
+    public void callers(Said said, int callers, long shareFor, long keepOffMost) {
         this.said = said;
+        this.callers = Math.max(1, callers);
         this.shareFor = shareFor;
         this.keepOffMost = keepOffMost;
     }
@@ -390,10 +397,30 @@
             runsAllowed -= 1;
         }
         runsAllowed = Math.max(cores, Math.min(runsAllowed, survived.getAsDouble()));
+        saySoon();
         atCall.addAll(callLater);
         callLater.clear();
     }
 
+    /** Tells callers of overload in the way they know, so that what would be turned away is not sent. */
+    private void saySoon() {
+        double mean = meanRun();
+        if (said == Said.OFF || mean <= 0) {
+            return;
+        }
+        double wait = waitAhead() / Math.max(1, shortest - mean);
+        double shed = 0;
+        for (int band = 0; band < revenues.size(); band++) {
+            shed += bandChance(band, wait, true) / revenues.size();
+        }
+        double window = Math.max(1, runsAllowed * shortest / mean * WINDOW_OF / callers);
+        double value = said == Said.THRESHOLD ? shed : said == Said.SHARE_OF ? 1 - shed : window;
+        if (Math.abs(value - saidLast) > SAY_STEP * Math.max(value, saidLast)) {
+            saidLast = value;
+            out.say(value);
+        }
+    }
+
     // ---- what was just read
 
     private boolean hopeless(Query q) {
--- a/src/main/java/tallyweir/wirehost/Host.java
+++ b/src/main/java/tallyweir/wirehost/Host.java
@@ -67,7 +67,8 @@
         }
         made.duties((long) Math.ceil(params.number("RoundUs", 0) / 100), rules.time("DrainGraceUs"),
                 params.number("OverShareWorth", 1));
-        made.callers(said(info.text("Signal", "off")), info.time("ShareForUs"),
+        made.callers(said(info.text("Signal", "off")), (int) info.number("ClientsTotal", 1),
+                info.time("ShareForUs"),
                 permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0);
         choice = made;
         made.start();
--- a/src/test/java/tallyweir/Model.java
+++ b/src/test/java/tallyweir/Model.java
@@ -54,6 +54,7 @@
     final Choice choice;
     final boolean cold;
     final Halt halt;
+    final Said said;
     final double callsOut;
     long now = 1_000_000;
     long born = now;
@@ -64,6 +65,7 @@
     Model(long seed, boolean cold, Halt halt, Said said, double callsOut, long shareFor) {
         this.cold = cold;
         this.halt = halt;
+        this.said = said;
         this.callsOut = callsOut;
         choice = new Choice(this, seed, now);
         choice.machine(CORES, FALL, cold, COLD_FROM, COLD_FOR, halt);
@@ -76,7 +78,7 @@
         }
         choice.tenant(new TenantId("a"), 40, 4);
         choice.duties(ROUND, GRACE, 0.05);
-        choice.callers(said, shareFor, 10_000);
+        choice.callers(said, 3, shareFor, 10_000);
         choice.start();
     }
 
@@ -290,7 +292,7 @@
     @Override
     public void say(double value) {
         log.add("say " + value);
-        deny(value < 0, "said less than nothing");
+        deny(value < 0 || said == Said.OFF, "said " + value);
     }
 
     @Override
