--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -294,7 +294,7 @@
             if (!q.harmless() && !provenNotRun) {
                 q.calls = CALL_TRIES;
             }
-            callLater.add(q);
+            (q.workload.poorerValue > 0 ? atCall : callLater).add(q);
         }
         settle();
     }
@@ -345,7 +345,7 @@
     // ---- the mechanism: two readings, a rise for each band, the higher chance
 
     private double chanceFor(Query q) {
-        double wait = waitAhead() / (double) Math.max(1, q.workload.expected - runTime(q));
+        double wait = (now - q.arrived + waitAhead()) / (double) Math.max(1, q.workload.expected - runTime(q));
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
         return bandChance(revenues.headSet(q.workload.revenue).size() - surplus, wait, q.workload.callsBelow);
     }
@@ -511,7 +511,7 @@
     /** What can no longer be answered within its worth must not take space or cores; one of a kind may try. */
     private boolean tooLate(Query q) {
         long wait = waitAhead();
-        return (wait > 0 || q.workload.begun > 0) && now + wait + runTime(q) > q.goodBy;
+        return now >= q.goodBy || (wait > 0 || q.workload.begun > 0) && now + wait + runTime(q) > q.goodBy;
     }
 
     private boolean cannotMake(Query q) {
--- a/src/test/java/tallyweir/FailuresTest.java
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -86,4 +86,41 @@
         assertTrue(stopped.answered);
         assertEquals(List.of(), m.wrong);
     }
+
+    /** A crawling server once took queries that had lain unread past their expected time, for want of other work. */
+    @Test
+    void whatLayUnreadPastItsExpectedTimeIsDeferred() {
+        Seen q = m.read(3, 18_001, 20_000, 10, false, null);
+        assertEquals(List.of("defer " + q.id), m.log.subList(m.log.size() - 1, m.log.size()));
+    }
+
+    /** Late runs at calls once shed workloads that call nothing. */
+    @Test
+    void lateCallsDoNotShedWhatCallsNothing() {
+        for (int i = 0; i < 12; i++) {
+            Seen q = m.read(2, 0, 40_000, 10, false, null);
+            if (q.place.equals("running")) {
+                m.needs(q);
+            }
+        }
+        m.pass(19_000, 0.1, 0);
+        for (Seen q : m.at("calling")) {
+            m.called(q, Outcome.COMPLETED);
+            m.settled(q, Outcome.COMPLETED);
+        }
+        m.read(0, 0, 40_000, 10, false, null);
+        assertTrue(m.log.get(m.log.size() - 1).startsWith("defer"), "what calls is shed");
+        Seen top = m.read(3, 0, 40_000, 10, false, null);
+        assertEquals("running", top.place);
+    }
+
+    /** A call that could be left out was once waited for until no time was left for the poorer answer. */
+    @Test
+    void aCallThatFailsEndsInThePoorerAnswer() {
+        Seen q = m.read(0, 0, 40_000, 10, false, null);
+        m.needs(q);
+        assertEquals("calling", q.place);
+        m.pass(9_500, 0.1, 1);
+        assertEquals("poorer " + q.id, m.log.get(m.log.size() - 1));
+    }
 }
