--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -1,5 +1,13 @@
 package tallyweir;
 
+import static tallyweir.Query.State.AT_CALL;
+import static tallyweir.Query.State.CALLING;
+import static tallyweir.Query.State.FOLLOWING;
+import static tallyweir.Query.State.HELD;
+import static tallyweir.Query.State.OVER;
+import static tallyweir.Query.State.REPLAYING;
+import static tallyweir.Query.State.RUNNING;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -20,15 +28,15 @@
 import tallyweir.ring.Ring;
 
 /**
- * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine, memory,
- * workload, tenant, below, callers, duties), calls start, and from then on calls clock before each round of news
- * and one method for each piece of news. What is decided leaves through Outgoing, beside this file. After each
- * input the rules in the list of the constructor are gone through in order until none fires.
+ * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine,
+ * memory, below, workload, tenant, duties, callers), calls start, and from then on calls clock before each
+ * round of news and one method for each piece of news. What is decided leaves through Outgoing, beside this
+ * file. After each input the rules listed in the constructor are gone through in order until none fires.
  * Times are tenths of a millisecond; dues come rounded down, ages up.
  */
 public final class Choice {
-    // The source's two readings and ours. The cut is where the lowest revenue starts to be shed, the end is where the
-    // highest is certain; the distinct revenues share the stretch between evenly.
+    // The source's two readings and ours. The cut is where the lowest revenue starts to be shed, the end is
+    // where the highest is certain; the distinct revenues share the stretch between evenly.
     static final double CPU_CUT = 0.90;
     static final double CPU_END = 1.10;     // past 1: busy cores alone never turn all of the top revenue away
     static final double LATE_CUT = 0.25;
@@ -48,13 +56,13 @@
     static final double CROWDED = 1.25;     // run queue over the cores at which the runs allowed shrink again
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
-    static final double AGAIN_MANY = 0.20;  // of the reads: further tries, from which the whole fleet is in trouble
-    static final double BROKEN = 0.5;       // of the calls ended: failures, from which poorer answers go uncalled
-    static final double CALL_SLOW = 3;      // times the usual: length of calls from which fewer go out at once
+    static final double AGAIN_MANY = 0.20;  // of the reads: further tries, from which all the fleet is in trouble
+    static final double BROKEN = 0.5;       // of the calls ended: failures at which poorer answers go uncalled
+    static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
-    static final double CALLS_FEW = 0.5;    // of that share: calls allowed under which poorer answers do not wait
+    static final double CALLS_FEW = 0.5;    // of that share: calls allowed, under which poorer ones do not wait
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
-    static final double WINDOW_OF = 2;      // callers are uneven: times an even part of what fits the expected time
+    static final double WINDOW_OF = 2;      // times an even part of what fits the expected time: callers differ
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final int CALL_TRIES = 3;
 
@@ -126,11 +134,11 @@
                 () -> deferFresh(adviceFor(), !isTop(fresh) && nowhereElse(fresh)));
         rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
-        rule(() -> fresh != null, () -> takeFresh(Query.State.HELD));
+        rule(() -> fresh != null, () -> takeFresh(HELD));
         rule(() -> !reuses.isEmpty(), this::reuse);
         rule(this::callFails, this::giveUpCall);
         rule(this::callFits, this::call);
-        rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != Query.State.HELD, hold::poll);
+        rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != HELD, hold::poll);
         rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
         rule(() -> held > 0 && coresFree() && fitsRun(hold.peek()), this::begin);
         rule(() -> gaugeDue, this::readGauges);
@@ -155,7 +163,8 @@
 
     // ---- settings, each to the part that needs it
 
-    public void machine(int cores, double fallMultiple, boolean cold, double coldFrom, long coldFor, Halt halt) {
+    public void machine(int cores, double fallMultiple, boolean cold, double coldFrom, long coldFor,
+            Halt halt) {
         this.cores = cores;
         this.halt = halt;
         runsAllowed = cores;
@@ -176,8 +185,8 @@
         callTime = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
     }
 
-    public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue, double lateValue,
-            long window, boolean callsBelow, double poorerValue) {
+    public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue,
+            double lateValue, long window, boolean callsBelow, double poorerValue) {
         workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window,
                 callsBelow, poorerValue, new Ring(LATE_SPAN, BUCKETS), new Ring(LATE_SPAN, BUCKETS)));
         revenues.add(revenue);
@@ -216,7 +225,8 @@
     }
 
     public void read(QueryId id, QueryId earlier, CallerId caller, SubjectId subject, WorkloadId workload,
-            double sizeKb, long age, double rank, long patience, boolean again, TenantId tenant, long predicted) {
+            double sizeKb, long age, double rank, long patience, boolean again, TenantId tenant,
+            long predicted) {
         Query q = new Query();
         q.id = id;
         q.order = order++;
@@ -234,8 +244,8 @@
         if (earlier != null) {
             q.leader = live.get(earlier);
             if (q.leader == null) {
-                q.leader = new Query();  // known from before: its result stands, or the reuse says that it does not
-                q.leader.state = Query.State.OVER;
+                q.leader = new Query();  // known from before: the reuse tells whether its result stands
+                q.leader.state = OVER;
             } else if (q.harmless() && q.leader.answered) {
                 q.leader = null;         // given up on, so nothing will come of it
             }
@@ -252,10 +262,10 @@
 
     public void ended(QueryId id, Outcome how) {
         Query q = live.get(id);
-        if (q == null || q.state == Query.State.HELD || q.state == Query.State.FOLLOWING) {
+        if (q == null || q.state == HELD || q.state == FOLLOWING) {
             return;
         }
-        if (q.state == Query.State.REPLAYING) {
+        if (q.state == REPLAYING) {
             over(q);
         } else {
             boolean wasAnswered = q.answered;
@@ -271,9 +281,9 @@
 
     public void standsAtCall(QueryId id) {
         Query q = live.get(id);
-        if (q != null && q.state == Query.State.RUNNING) {
+        if (q != null && q.state == RUNNING) {
             crowd.offCores(now, q);
-            q.state = Query.State.AT_CALL;
+            q.state = AT_CALL;
             q.stood = true;
             q.calls = 0;
             atCall.add(q);
@@ -283,17 +293,17 @@
 
     public void callEnded(QueryId id, Outcome how, long took) {
         Query q = live.get(id);
-        if (q == null || q.state != Query.State.CALLING) {
+        if (q == null || q.state != CALLING) {
             return;
         }
         calls.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
         calls.failures.add(now, how == Outcome.COMPLETED ? 0 : 1);
         if (how == Outcome.COMPLETED) {
             calls.took.add(now, took);
-            q.state = Query.State.RUNNING;
+            q.state = RUNNING;
             crowd.onCores(now, q);
         } else {
-            q.state = Query.State.AT_CALL;
+            q.state = AT_CALL;
             boolean provenNotRun = how == Outcome.SATURATED || how == Outcome.REFUSED_CONN;
             if (!q.harmless() && !provenNotRun) {
                 q.calls = CALL_TRIES;
@@ -308,9 +318,9 @@
         if (q == null) {
             return;
         }
-        boolean stop = q.state == Query.State.RUNNING && q.harmless() && halt != Halt.OFF && !q.answered;
+        boolean stop = q.state == RUNNING && q.harmless() && halt != Halt.OFF && !q.answered;
         q.answered = true;
-        if (q.state == Query.State.HELD || q.state == Query.State.FOLLOWING || q.state == Query.State.REPLAYING) {
+        if (q.state == HELD || q.state == FOLLOWING || q.state == REPLAYING) {
             over(q);
         } else if (stop) {
             out.stop(id);
@@ -321,7 +331,7 @@
     public void drain(long left) {
         draining = now;
         stopBy = now + left;
-        for (Query q : live.values().stream().sorted((a, b) -> Long.compare(a.id.value(), b.id.value())).toList()) {
+        for (Query q : live.values().stream().sorted(Comparator.comparingLong(q -> q.order)).toList()) {
             q.answerBy = Math.min(q.answerBy, stopBy - round);
             q.useBy = Math.min(q.useBy, q.answerBy);
             q.goodBy = Math.min(q.goodBy, q.answerBy);
@@ -350,7 +360,8 @@
     // ---- the mechanism: two readings, a rise for each band, the higher chance
 
     private double chanceFor(Query q) {
-        double wait = (now - q.arrived + waitAhead()) / (double) Math.max(1, q.workload.expected - runTime(q));
+        double spare = Math.max(1, q.workload.expected - runTime(q));
+        double wait = (now - q.arrived + waitAhead()) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
         return bandChance(revenues.headSet(q.workload.revenue).size() - surplus, wait, q.workload.callsBelow);
     }
@@ -375,12 +386,12 @@
         return Math.min(1, Math.max(0, (reading - cut - band * width) / width));
     }
 
-    /** Further tries in numbers tell that the others turn away as well, so that one more would be read in vain. */
+    /** Further tries in numbers tell that the others turn away as well: one more would be read in vain. */
     private boolean nowhereElse(Query q) {
         return q.again || tries.sum(now) > AGAIN_MANY * Math.max(cores, tries.count(now));
     }
 
-    /** The top revenue is hardly ever shed, so one that only this server is too slow for finds room elsewhere. */
+    /** The top revenue is hardly shed: what only this server is too slow for finds room elsewhere. */
     private boolean isTop(Query q) {
         return q.workload.revenue >= revenues.last();
     }
@@ -393,8 +404,10 @@
         gaugeDue = false;
         double took = calls.took.mean(now);
         callUsual = took > 0 && calls.took.count(now) > BUCKETS ? Math.min(callUsual, took) : callUsual;
-        // A crowded dependency gets less done, so fewer calls go out while they take far longer than they did.
-        callsAllowed = took > CALL_SLOW * callUsual ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
+        // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
+        // Guards also against one that is slow by itself; harms where calls get longer for good.
+        callsAllowed = took > CALL_SLOW * callUsual
+                ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
                 : Math.min(callsShare, callsAllowed / CALLS_CUT);
         if (held > 0 && runQueue < cores) {
             runsAllowed += Math.max(1, cores - runQueue);
@@ -453,8 +466,8 @@
     /** A repeat is served from its forerunner: at once when that has begun, else when it begins. */
     private void follow() {
         Query q = fresh;
-        takeFresh(Query.State.FOLLOWING);
-        if (q.leader.state == Query.State.HELD || q.leader.state == Query.State.FOLLOWING) {
+        takeFresh(FOLLOWING);
+        if (q.leader.state == HELD || q.leader.state == FOLLOWING) {
             q.leader.followers.add(q);
         } else {
             reuses.add(q);
@@ -474,7 +487,7 @@
         memory.held += q.size;
         q.state = as;
         watch(q, q.useBy);
-        if (as == Query.State.FOLLOWING) {
+        if (as == FOLLOWING) {
             return;
         }
         toHold(q);
@@ -513,7 +526,7 @@
         return (long) ((held + 1) * meanRun() / Math.max(crowd.on, runsAllowed));
     }
 
-    /** What can no longer be answered within its worth must not take space or cores; one of a kind may try. */
+    /** What cannot be answered within its worth must not take space or cores; one of a kind may try. */
     private boolean tooLate(Query q) {
         long wait = waitAhead();
         return now >= q.goodBy || (wait > 0 || q.workload.begun > 0) && now + wait + runTime(q) > q.goodBy;
@@ -539,7 +552,7 @@
             return;
         }
         boolean lastMoment = q.answerBy <= now;
-        boolean canStop = q.harmless() && (q.state != Query.State.RUNNING || halt != Halt.OFF);
+        boolean canStop = q.harmless() && (q.state != RUNNING || halt != Halt.OFF);
         if (lastMoment || canStop || !q.ran) {
             giveUp(q);
         } else {
@@ -549,16 +562,16 @@
 
     private void giveUp(Query q) {
         Query.State was = q.state;
-        if (q.ran && !q.harmless() || was == Query.State.REPLAYING) {
+        if (q.ran && !q.harmless() || was == REPLAYING) {
             q.answered = true;
             out.fail(q.id);
-            if (was == Query.State.REPLAYING) {
+            if (was == REPLAYING) {
                 over(q);
             }
         } else {
             defer(q, 0, true);
         }
-        if (was == Query.State.RUNNING && q.harmless() && halt != Halt.OFF) {
+        if (was == RUNNING && q.harmless() && halt != Halt.OFF) {
             out.stop(q.id);
         }
     }
@@ -576,10 +589,10 @@
             held--;
             q.inHold = false;
             memory.held -= q.size;
-        } else if (q.state == Query.State.FOLLOWING || q.state == Query.State.REPLAYING) {
+        } else if (q.state == FOLLOWING || q.state == REPLAYING) {
             memory.held -= q.size;
         }
-        q.state = Query.State.OVER;
+        q.state = OVER;
         live.remove(q.id);
         if (q.kept && !q.ran) {
             out.forget(q.id);
@@ -587,7 +600,7 @@
         releaseFollowers(q);
     }
 
-    /** Once the forerunner has begun its repeats wait for its result; if it never will, the first takes its place. */
+    /** Repeats wait for the result of a forerunner that has begun; if it never will, the first is its heir. */
     private void releaseFollowers(Query q) {
         Query heir = null;
         for (Query f : q.followers) {
@@ -609,7 +622,7 @@
     }
 
     private void toHold(Query q) {
-        q.state = Query.State.HELD;
+        q.state = HELD;
         q.inHold = true;
         hold.add(q);
         held++;
@@ -617,8 +630,8 @@
 
     private void reuse() {
         Query q = reuses.poll();
-        if (q.open() && q.state == Query.State.FOLLOWING) {
-            q.state = Query.State.REPLAYING;
+        if (q.open() && q.state == FOLLOWING) {
+            q.state = REPLAYING;
             out.reuse(q.id);
         }
     }
@@ -634,7 +647,7 @@
         q.ran = true;
         q.began = now;
         q.onCores = 0;
-        q.state = Query.State.RUNNING;
+        q.state = RUNNING;
         crowd.all++;
         q.workload.begun++;
         crowd.onCores(now, q);
@@ -643,9 +656,9 @@
     }
 
     private void leaveCores(Query q, Outcome how) {
-        if (q.state == Query.State.RUNNING) {
+        if (q.state == RUNNING) {
             crowd.offCores(now, q);
-        } else if (q.state == Query.State.CALLING) {
+        } else if (q.state == CALLING) {
             calls.ended(now, q, true);
         }
         crowd.all--;
@@ -674,7 +687,7 @@
     // ---- calls below
 
     private boolean callFails() {
-        return !atCall.isEmpty() && (atCall.peek().state != Query.State.AT_CALL || atCall.peek().answered
+        return !atCall.isEmpty() && (atCall.peek().state != AT_CALL || atCall.peek().answered
                 || atCall.peek().calls >= CALL_TRIES
                 || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0 || callsFail()
                 || callsAllowed < callsShare * CALLS_FEW && !callFits()));
@@ -682,7 +695,7 @@
 
     private void giveUpCall() {
         Query q = atCall.poll();
-        if (q.state != Query.State.AT_CALL || q.answered) {
+        if (q.state != AT_CALL || q.answered) {
             return;
         }
         if (q.workload.poorerValue > 0) {
@@ -694,7 +707,7 @@
     }
 
     private void poorer(Query q) {
-        q.state = Query.State.RUNNING;
+        q.state = RUNNING;
         crowd.onCores(now, q);
         out.poorer(q.id);
     }
@@ -706,7 +719,8 @@
 
     /** Most of the calls fail: one at a time tells when that is over. */
     private boolean callsFail() {
-        return calls.inHand > 0 && calls.failures.sum(now) > BROKEN * Math.max(BUCKETS, calls.failures.count(now));
+        return calls.inHand > 0
+                && calls.failures.sum(now) > BROKEN * Math.max(BUCKETS, calls.failures.count(now));
     }
 
     private boolean callFits() {
@@ -717,7 +731,7 @@
     private void call() {
         Query q = atCall.poll();
         q.calls++;
-        q.state = Query.State.CALLING;
+        q.state = CALLING;
         q.called = now;
         q.callUntil = now + timeOut(q);
         calls.begun(q);
