--- a/src/main/java/tallyweir/Calls.java
+++ b/src/main/java/tallyweir/Calls.java
@@ -2,7 +2,7 @@
 
 import tallyweir.ring.Ring;
 
-/** Counts the time that calls below took in the span, lingering included, and what those in hand may yet take. */
+/** Counts the time of calls below in the span, lingering included, and what those in hand may yet take. */
 final class Calls {
     final Ring failures;
     final Ring took;
--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -56,13 +56,13 @@
     static final double CROWDED = 1.25;     // run queue over the cores at which the runs allowed shrink again
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
-    static final double AGAIN_MANY = 0.20;  // of the reads: further tries, from which all the fleet is in trouble
-    static final double BROKEN = 0.5;       // of the calls ended: failures at which poorer answers go uncalled
+    static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
+    static final double BROKEN = 0.5;       // of the calls ended: failures at which none is waited for
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
-    static final double CALLS_FEW = 0.5;    // of that share: calls allowed, under which poorer ones do not wait
+    static final double CALLS_FEW = 0.5;    // of that share: allowed calls, under which poorer ones go
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
-    static final double WINDOW_OF = 2;      // times an even part of what fits the expected time: callers differ
+    static final double WINDOW_OF = 2;      // times an even part of what is in time: callers differ
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final int CALL_TRIES = 3;
 
@@ -600,7 +600,7 @@
         releaseFollowers(q);
     }
 
-    /** Repeats wait for the result of a forerunner that has begun; if it never will, the first is its heir. */
+    /** Repeats wait for what a forerunner has begun; if it never will begin, the first is its heir. */
     private void releaseFollowers(Query q) {
         Query heir = null;
         for (Query f : q.followers) {
--- a/src/main/java/tallyweir/wirehost/Tree.java
+++ b/src/main/java/tallyweir/wirehost/Tree.java
@@ -74,7 +74,8 @@
     }
 
     boolean yesAt(String name, int index) {
-        return fields.get(name) instanceof List<?> list && index < list.size() && Boolean.TRUE.equals(list.get(index));
+        return fields.get(name) instanceof List<?> list && index < list.size()
+                && Boolean.TRUE.equals(list.get(index));
     }
 
     double number(String name, double absent) {
