Advice to keep off in proportion to how dear reading is

Now the time that queries lie unread, over the length of a run, tells whether keeping off saves work. Guards also against any server whose reading jams; could harm where a stall makes queries old (they then advise for three seconds).

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -64,6 +64,7 @@
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
     static final double WINDOW_OF = 2;      // times an even part of what is in time: callers differ
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
+    static final double DEAR = 5;           // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
 
     private record Rule(BooleanSupplier when, Runnable then) {}
@@ -86,6 +87,7 @@
     private final Ring late = new Ring(LATE_SPAN, BUCKETS);
     private final Ring lateBelow = new Ring(LATE_SPAN, BUCKETS); // of runs that called below
     private final Ring runs = new Ring(LATE_SPAN, BUCKETS);
+    private final Ring unread = new Ring(LATE_SPAN, BUCKETS);
     private final Ring turned = new Ring(LATE_SPAN, BUCKETS);
     private final Ring tries = new Ring(LATE_SPAN, BUCKETS); // reads; summed: those that are further tries
     private Query fresh;
@@ -254,6 +256,7 @@
             q.tenant.reads().add(now, 1);
         }
         tries.add(now, again ? 1 : 0);
+        unread.add(now, age);
         live.put(id, q);
         fresh = q;
         draw = chance.nextDouble();
@@ -397,7 +400,9 @@
     }
 
     private long adviceFor() {
-        return keepOffMost * turned.count(now) / Math.max(cores, tries.count(now));
+        // Where reading is quick next to a run, turning away costs little; keeping off costs top revenue.
+        double dear = Math.min(1, DEAR * unread.mean(now) / Math.max(1, meanRun()));
+        return (long) (keepOffMost * dear * turned.count(now) / Math.max(cores, tries.count(now)));
     }
 
     private void readGauges() {
--- a/src/test/java/tallyweir/FailuresTest.java
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -139,4 +139,16 @@
         assertEquals(List.of("running", "waits on reuse"), List.of(second.place, third.place));
         assertEquals(List.of(), m.wrong);
     }
+
+    /** Callers told to keep off where reading is quick once held back the top revenue too. */
+    @Test
+    void adviceGrowsWithTheTimeThatQueriesLieUnread() {
+        busyServer(8);
+        m.read(0, 0, 40_000, 10, false, null);
+        assertEquals(0, m.lastKeepOff);
+        for (int i = 0; i < 10; i++) {
+            m.read(0, 4_000, 40_000, 10, false, null);
+        }
+        assertTrue(m.lastKeepOff > 2_000, "" + m.lastKeepOff);
+    }
 }
--- a/src/test/java/tallyweir/Model.java
+++ b/src/test/java/tallyweir/Model.java
@@ -61,6 +61,7 @@
     long drainAt = -1;
     long stopAt = Long.MAX_VALUE;
     long ids = 100;
+    long lastKeepOff = -1;
 
     Model(long seed, boolean cold, Halt halt, Said said, double callsOut, long shareFor) {
         this.cold = cold;
@@ -235,6 +236,7 @@
     public void defer(QueryId id, long keepOff, boolean nowhereElse) {
         Seen q = known(id, "defer");
         deny(q.ran && !harmless(q), "deferred once run " + q.id);
+        lastKeepOff = keepOff;
         answer(q, "defer");
     }
 
