--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -242,7 +242,11 @@
         q.predicted = predicted;
         long due = patience > 0 ? now + patience : Math.max(now, q.arrived + q.workload.hard);
         q.answerBy = Math.min(due, stopBy) - round;
-        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected);
+        // A further try's patience is shorter by what went before; the expected time counts from the first.
+        // Harms if patience differs by caller: a short one then passes for a further try.
+        q.workload.patience = Math.max(q.workload.patience, patience + age);
+        long before = again && patience > 0 ? q.workload.patience - patience - age : 0;
+        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected - before);
         q.useBy = q.workload.lateValue > 0 ? q.answerBy : q.goodBy;
         if (earlier != null) {
             q.leader = live.get(earlier);
