--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -214,7 +214,7 @@
 
     public void start() {
         out.health(true, true);
-        out.closeIdle(3000);
+        out.closeIdle(30000);
         out.wake(now + GAUGE_EVERY, GAUGES);
     }
 
