--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -66,6 +66,9 @@
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final double DEAR = 5;           // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
+    static final double IDLE_COST = 3;      // connections opened that cost what one costs idle for the longest
+    static final int IDLE_STEPS = 5;        // idle spans looked at,
+    static final int IDLE_STEP = 4;         // each this part of the one before
 
     private record Rule(BooleanSupplier when, Runnable then) {}
 
@@ -90,6 +93,9 @@
     private final Ring unread = new Ring(LATE_SPAN, BUCKETS);
     private final Ring turned = new Ring(LATE_SPAN, BUCKETS);
     private final Ring tries = new Ring(LATE_SPAN, BUCKETS); // reads; summed: those that are further tries
+    private Returns returns;
+    private long idleMost;
+    private long idleFor;
     private Query fresh;
     private double draw;
     private int held;
@@ -212,9 +218,17 @@
         this.keepOffMost = keepOffMost;
     }
 
+    public void connections(long idleMost) {
+        this.idleMost = idleFor = Math.max(1, idleMost);
+        long[] spans = new long[IDLE_STEPS];
+        for (int i = 0; i < IDLE_STEPS; i++) {
+            spans[i] = Math.max(100, (long) (idleMost / Math.pow(IDLE_STEP, i)));
+        }
+        returns = new Returns(now, spans, idleMost / 2, BUCKETS);
+    }
+
     public void start() {
         out.health(true, true);
-        out.closeIdle(30000);
         out.wake(now + GAUGE_EVERY, GAUGES);
     }
 
@@ -242,11 +256,7 @@
         q.predicted = predicted;
         long due = patience > 0 ? now + patience : Math.max(now, q.arrived + q.workload.hard);
         q.answerBy = Math.min(due, stopBy) - round;
-        // A further try's patience is shorter by what went before; the expected time counts from the first.
-        // Harms if patience differs by caller: a short one then passes for a further try.
-        q.workload.patience = Math.max(q.workload.patience, patience + age);
-        long before = again && patience > 0 ? q.workload.patience - patience - age : 0;
-        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected - before);
+        q.goodBy = Math.min(q.answerBy, q.arrived + q.workload.expected);
         q.useBy = q.workload.lateValue > 0 ? q.answerBy : q.goodBy;
         if (earlier != null) {
             q.leader = live.get(earlier);
@@ -260,6 +270,7 @@
         if (q.tenant != null && !again) {
             q.tenant.reads().add(now, 1);
         }
+        returns.read(now, caller, IDLE_COST / idleMost);
         tries.add(now, again ? 1 : 0);
         unread.add(now, age);
         live.put(id, q);
@@ -426,6 +437,12 @@
         }
         runsAllowed = Math.max(cores, Math.min(runsAllowed, survived.getAsDouble()));
         saySoon();
+        // Callers that seldom come back fill the table with what is never used again, those that do save the
+        // opening. Guards also against tables filled by retries; harms where opening is dear beyond all.
+        if (idleFor != returns.best(now)) {
+            idleFor = returns.best(now);
+            out.closeIdle(idleFor);
+        }
         atCall.addAll(callLater);
         callLater.clear();
     }
--- a/src/main/java/tallyweir/wirehost/Host.java
+++ b/src/main/java/tallyweir/wirehost/Host.java
@@ -70,6 +70,7 @@
         made.callers(said(info.text("Signal", "off")), (int) info.number("ClientsTotal", 1),
                 info.time("ShareForUs"),
                 permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0);
+        made.connections(info.time("IdleUs"));
         choice = made;
         made.start();
     }
