--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -67,8 +67,8 @@
     static final double DEAR = 5;           // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
     static final double IDLE_COST = 3;      // connections opened that cost what one costs idle for the longest
-    static final int IDLE_STEPS = 5;        // idle spans looked at,
-    static final int IDLE_STEP = 4;         // each this part of the one before
+    static final int IDLE_STEPS = 6;        // idle spans looked at,
+    static final int IDLE_STEP = 5;         // each this part of the one before
 
     private record Rule(BooleanSupplier when, Runnable then) {}
 
@@ -219,16 +219,18 @@
     }
 
     public void connections(long idleMost) {
-        this.idleMost = idleFor = Math.max(1, idleMost);
+        this.idleMost = Math.max(1, idleMost);
         long[] spans = new long[IDLE_STEPS];
         for (int i = 0; i < IDLE_STEPS; i++) {
-            spans[i] = Math.max(100, (long) (idleMost / Math.pow(IDLE_STEP, i)));
+            spans[i] = Math.min(this.idleMost, Math.max(100, (long) (idleMost / Math.pow(IDLE_STEP, i))));
         }
         returns = new Returns(now, spans, idleMost / 2, BUCKETS);
+        idleFor = this.idleMost;
     }
 
     public void start() {
         out.health(true, true);
+        keepIdle();
         out.wake(now + GAUGE_EVERY, GAUGES);
     }
 
@@ -437,16 +439,23 @@
         }
         runsAllowed = Math.max(cores, Math.min(runsAllowed, survived.getAsDouble()));
         saySoon();
-        // Callers that seldom come back fill the table with what is never used again, those that do save the
-        // opening. Guards also against tables filled by retries; harms where opening is dear beyond all.
-        if (idleFor != returns.best(now)) {
-            idleFor = returns.best(now);
-            out.closeIdle(idleFor);
-        }
+        keepIdle();
         atCall.addAll(callLater);
         callLater.clear();
     }
 
+    /**
+     * Callers that seldom come back fill the table with what is not used again; those that do save the opening.
+     * Guards also against tables filled by retries; harms where opening is far dearer than keeping.
+     */
+    private void keepIdle() {
+        long best = returns.best(now);
+        if (idleFor != best) {
+            idleFor = best;
+            out.closeIdle(best);
+        }
+    }
+
     /** Tells callers of overload in the way they know, so that what would be turned away is not sent. */
     private void saySoon() {
         double mean = meanRun();
--- a/src/test/java/tallyweir/FailuresTest.java
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -151,4 +151,21 @@
         }
         assertTrue(m.lastKeepOff > 2_000, "" + m.lastKeepOff);
     }
+
+    /** Hundreds of callers that came once each kept a full table, and the others were turned back unseen. */
+    @Test
+    void connectionsOfCallersThatSeldomComeBackAreClosedSoon() {
+        for (m.caller = 1; m.caller < 40; m.caller++) {
+            m.read(3, 0, 40_000, 10, false, null);
+            m.pass(1_000, 0.1, 1);
+        }
+        assertEquals(List.of("closeIdle 100"), m.log.stream().filter(a -> a.startsWith("closeIdle")).toList());
+        Model few = new Model(7, false, Halt.ABORT, Said.OFF, 6, 0);
+        for (int i = 0; i < 40; i++) {
+            few.caller = i % 4;
+            few.read(3, 0, 40_000, 10, false, null);
+            few.pass(1_000, 0.1, 1);
+        }
+        assertTrue(few.log.lastIndexOf("closeIdle 12000") > few.log.lastIndexOf("closeIdle 100"));
+    }
 }
--- a/src/test/java/tallyweir/Model.java
+++ b/src/test/java/tallyweir/Model.java
@@ -62,6 +62,7 @@
     long stopAt = Long.MAX_VALUE;
     long ids = 100;
     long lastKeepOff = -1;
+    long caller = 1;
 
     Model(long seed, boolean cold, Halt halt, Said said, double callsOut, long shareFor) {
         this.cold = cold;
@@ -80,6 +81,7 @@
         choice.tenant(new TenantId("a"), 40, 4);
         choice.duties(ROUND, GRACE, 0.05);
         choice.callers(said, 3, shareFor, 10_000);
+        choice.connections(300_000);
         choice.start();
     }
 
@@ -94,7 +96,7 @@
         q.size = size;
         q.earlier = earlier;
         seen.put(q.id, q);
-        choice.read(new QueryId(q.id), earlier == null ? null : new QueryId(earlier.id), new CallerId(1),
+        choice.read(new QueryId(q.id), earlier == null ? null : new QueryId(earlier.id), new CallerId(caller),
                 new SubjectId("k" + workload), new WorkloadId(q.workload), size, age, 0.5, patience, again,
                 new TenantId("a"), 0);
         check();
