--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -57,6 +57,7 @@
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
+    static final double AGAIN_DOWN = 0.5;   // of a band's width, a further try below a first one
     static final double BROKEN = 0.5;       // of the calls ended: failures at which none is waited for
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
@@ -384,7 +385,9 @@
         double spare = Math.max(1, q.workload.expected - runTime(q));
         double wait = (now - q.arrived + waitAhead()) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
-        return bandChance(revenues.headSet(q.workload.revenue).size() - surplus, wait, q.workload.callsBelow);
+        // A further try is nearer to its end than a first one, and so are the tries that it still may bring.
+        double down = Math.max(surplus, q.again ? AGAIN_DOWN : 0);
+        return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
     }
 
     /** The part of a tenant's reads here that is past this server's part of its share. */
