--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -386,7 +386,7 @@
         double wait = (now - q.arrived + waitAhead()) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
         // A further try is nearer to its end than a first one, and so are the tries that it still may bring.
-        double down = Math.max(surplus, q.again ? AGAIN_DOWN : 0);
+        double down = Math.max(surplus, q.again && manyAgain() ? AGAIN_DOWN : 0);
         return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
     }
 
@@ -412,7 +412,11 @@
 
     /** Further tries in numbers tell that the others turn away as well: one more would be read in vain. */
     private boolean nowhereElse(Query q) {
-        return q.again || tries.sum(now) > AGAIN_MANY * Math.max(cores, tries.count(now));
+        return q.again || manyAgain();
+    }
+
+    private boolean manyAgain() {
+        return tries.sum(now) > AGAIN_MANY * Math.max(cores, tries.count(now));
     }
 
     /** The top revenue is hardly shed: what only this server is too slow for finds room elsewhere. */
