--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -57,7 +57,7 @@
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
-    static final double AGAIN_DOWN = 0.5;   // of a band's width, a further try below a first one
+    static final double AGAIN_DOWN = 3;      // bands lower for a further try, times how many they are past that
     static final double BROKEN = 0.5;       // of the calls ended: failures at which none is waited for
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
@@ -386,7 +386,7 @@
         double wait = (now - q.arrived + waitAhead()) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
         // A further try is nearer to its end than a first one, and so are the tries that it still may bring.
-        double down = Math.max(surplus, q.again && manyAgain() ? AGAIN_DOWN : 0);
+        double down = Math.max(surplus, q.again ? AGAIN_DOWN * manyAgain() : 0);
         return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
     }
 
@@ -412,11 +412,12 @@
 
     /** Further tries in numbers tell that the others turn away as well: one more would be read in vain. */
     private boolean nowhereElse(Query q) {
-        return q.again || manyAgain();
+        return q.again || manyAgain() > 0;
     }
 
-    private boolean manyAgain() {
-        return tries.sum(now) > AGAIN_MANY * Math.max(cores, tries.count(now));
+    /** How far the share of further tries in the reads is past what one server's trouble makes of it. */
+    private double manyAgain() {
+        return Math.max(0, tries.sum(now) / Math.max(cores, tries.count(now)) - AGAIN_MANY);
     }
 
     /** The top revenue is hardly shed: what only this server is too slow for finds room elsewhere. */
