--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -1,30 +1,11 @@
 package tallyweir;
 
-import static tallyweir.Query.State.AT_CALL;
-import static tallyweir.Query.State.CALLING;
-import static tallyweir.Query.State.FOLLOWING;
-import static tallyweir.Query.State.HELD;
-import static tallyweir.Query.State.OVER;
-import static tallyweir.Query.State.REPLAYING;
-import static tallyweir.Query.State.RUNNING;
-
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
-import java.util.TreeSet;
+import static tallyweir.Query.State.*;
+
+import java.util.*;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
-import tallyweir.ids.CallerId;
-import tallyweir.ids.QueryId;
-import tallyweir.ids.SubjectId;
-import tallyweir.ids.TenantId;
-import tallyweir.ids.TimerId;
-import tallyweir.ids.WorkloadId;
+import tallyweir.ids.*;
 import tallyweir.ring.Ring;
 
 /**
