--- a/src/main/java/tallyweir/Calls.java
+++ b/src/main/java/tallyweir/Calls.java
@@ -4,16 +4,14 @@
 
 /** Counts the time of calls below in the span, lingering included, and what those in hand may yet take. */
 final class Calls {
-    final Ring failures;
     final Ring took;
     final long linger;
     int inHand;
     private final Ring done;
     private double promised;
 
-    Calls(Ring done, Ring failures, Ring took, long linger) {
+    Calls(Ring done, Ring took, long linger) {
         this.done = done;
-        this.failures = failures;
         this.took = took;
         this.linger = linger;
     }
--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -39,7 +39,6 @@
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
     static final double AGAIN_DOWN = 3;      // bands lower for a further try, times how many they are past that
-    static final double BROKEN = 0.5;       // of the calls ended: failures at which none is waited for
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
     static final double CALLS_FEW = 0.5;    // of that share: allowed calls, under which poorer ones go
@@ -118,10 +117,8 @@
         // What is owed comes first, then what was just read, then what waits below, then the cores.
         rule(this::somethingDue, this::answerDue);
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
-        rule(() -> fresh != null && fresh.leader == null && draw < chanceFor(fresh),
+        rule(() -> fresh != null && fresh.leader == null && (draw < chanceFor(fresh) || tooLate(fresh)),
                 () -> deferFresh(adviceFor(), nowhereElse(fresh)));
-        rule(() -> fresh != null && fresh.leader == null && tooLate(fresh),
-                () -> deferFresh(adviceFor(), !isTop(fresh) && nowhereElse(fresh)));
         rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(0, false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(HELD));
@@ -168,8 +165,7 @@
     }
 
     public void below(double callsOut, long span, long linger) {
-        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(LATE_SPAN, BUCKETS),
-                new Ring(SECOND, BUCKETS), linger);
+        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(SECOND, BUCKETS), linger);
         callsShare = callsOut <= 0 ? Double.MAX_VALUE : callsOut;
         callsAllowed = callsShare;
         callTime = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
@@ -300,7 +296,6 @@
             return;
         }
         calls.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
-        calls.failures.add(now, how == Outcome.COMPLETED ? 0 : 1);
         if (how == Outcome.COMPLETED) {
             calls.took.add(now, took);
             q.state = RUNNING;
@@ -401,11 +396,6 @@
         return Math.max(0, tries.sum(now) / Math.max(cores, tries.count(now)) - AGAIN_MANY);
     }
 
-    /** The top revenue is hardly shed: what only this server is too slow for finds room elsewhere. */
-    private boolean isTop(Query q) {
-        return q.workload.revenue >= revenues.last();
-    }
-
     private long adviceFor() {
         // Where reading is quick next to a run, turning away costs little; keeping off costs top revenue.
         double dear = Math.min(1, DEAR * unread.mean(now) / Math.max(1, meanRun()));
@@ -714,7 +704,7 @@
     private boolean callFails() {
         return !atCall.isEmpty() && (atCall.peek().state != AT_CALL || atCall.peek().answered
                 || atCall.peek().calls >= CALL_TRIES
-                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0 || callsFail()
+                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0
                 || callsAllowed < callsShare * CALLS_FEW && !callFits()));
     }
 
@@ -742,12 +732,6 @@
         return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
     }
 
-    /** Most of the calls fail: one at a time tells when that is over. */
-    private boolean callsFail() {
-        return calls.inHand > 0
-                && calls.failures.sum(now) > BROKEN * Math.max(BUCKETS, calls.failures.count(now));
-    }
-
     private boolean callFits() {
         return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed)
                 && calls.taken(now) + timeOut(atCall.peek()) + calls.linger <= callTime;
--- a/src/main/java/tallyweir/ring/Ring.java
+++ b/src/main/java/tallyweir/ring/Ring.java
@@ -8,7 +8,6 @@
     private long head;
     private long count;
     private double sum;
-    private double last;
 
     public Ring(long span, int buckets) {
         width = Math.max(1, (span + buckets - 1) / buckets);
@@ -35,7 +34,7 @@
         return sum;
     }
 
-    /** The mean over the span, or the last one known when the span is empty; 0 before the first. */
+    /** The mean over the span, 0 when it is empty. */
     public double mean(long now) {
         turn(now);
         return count > 0 ? sum / count : 0;
@@ -46,9 +45,6 @@
         if (bucket <= head) {
             return;
         }
-        if (count > 0) {
-            last = sum / count;
-        }
         if (bucket - head >= counts.length) {
             java.util.Arrays.fill(counts, 0);
             java.util.Arrays.fill(sums, 0);
