--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -388,7 +388,7 @@
 
     /** Further tries in numbers tell that the others turn away as well: one more would be read in vain. */
     private boolean nowhereElse(Query q) {
-        return manyAgain() > 0.15;
+        return q.again || manyAgain() > 0;
     }
 
     /** How far the share of further tries in the reads is past what one server's trouble makes of it. */
