--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -47,7 +47,7 @@
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final double DEAR = 5;           // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
-    static final double IDLE_COST = 3;      // connections opened that cost what one costs idle for the longest
+    static final double IDLE_COST = 2;      // connections opened that cost what one costs idle for the longest
     static final int IDLE_STEPS = 6;        // idle spans looked at,
     static final int IDLE_STEP = 5;         // each this part of the one before
 
