--- a/src/test/java/tallyweir/FailuresTest.java
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -168,4 +168,37 @@
         }
         assertTrue(few.log.lastIndexOf("closeIdle 12000") > few.log.lastIndexOf("closeIdle 100"));
     }
+
+    /** Each further try opened a connection of its own, until the tries left few cores to the runs. */
+    @Test
+    void furtherTriesGoLastOnceTheyAreMany() {
+        List<Integer> taken = new ArrayList<>();
+        for (boolean again : new boolean[] {false, true}) {
+            Model many = new Model(7, false, Halt.ABORT, Said.OFF, 6, 0);
+            for (int i = 0; i < 60; i++) {
+                many.read(0, 0, 40_000, 10, true, null);
+            }
+            many.at("running").forEach(q -> many.settled(q, Outcome.COMPLETED));
+            many.log.clear();
+            for (int i = 0; i < 8; i++) {
+                many.read(0, 0, 40_000, 10, again, null);
+            }
+            taken.add(8 - (int) many.log.stream().filter(a -> a.startsWith("defer")).count());
+        }
+        assertTrue(taken.get(0) > taken.get(1), "" + taken);
+    }
+
+    /** A fleet told as none, an unknown tenant, a quota of 0 and no idle time are settings like others. */
+    @Test
+    void countsOfNoneAndUnknownTenantsBreakNothing() {
+        m.choice.tenant(new tallyweir.ids.TenantId("a"), 0, 0);
+        m.choice.callers(Said.WINDOW, 0, 0, 10_000);
+        m.choice.connections(0);
+        m.choice.below(0, 50_000, 2_000);
+        Seen q = m.read(0, 0, 40_000, 10, false, null);
+        m.needs(q);
+        m.pass(1_000, 0.1, 1);
+        assertEquals(List.of("call " + q.id), m.log.stream().filter(a -> a.startsWith("call")).toList());
+        assertEquals(List.of(), m.wrong);
+    }
 }
