--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -10,8 +10,8 @@
 
 /**
  * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine,
- * memory, below, workload, tenant, duties, callers), calls start, and from then on calls clock before each
- * round of news and one method for each piece of news. What is decided leaves through Outgoing, beside this
+ * memory, below, workload, tenant, duties, callers, connections), calls start, and from then on calls clock
+ * before each round of news and one method for each piece of news. What is decided leaves through Outgoing, beside this
  * file. After each input the rules listed in the constructor are gone through in order until none fires.
  * Times are tenths of a millisecond; dues come rounded down, ages up.
  */
@@ -38,7 +38,7 @@
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
-    static final double AGAIN_DOWN = 3;      // bands lower for a further try, times how many they are past that
+    static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
     static final double CALLS_FEW = 0.5;    // of that share: allowed calls, under which poorer ones go
@@ -47,7 +47,7 @@
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final double DEAR = 5;           // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
-    static final double IDLE_COST = 2;      // connections opened that cost what one costs idle for the longest
+    static final double IDLE_COST = 2;      // openings that cost what one idle for the longest does
     static final int IDLE_STEPS = 6;        // idle spans looked at,
     static final int IDLE_STEP = 5;         // each this part of the one before
 
@@ -339,7 +339,7 @@
         settle();
     }
 
-    public void gauges(double coresBusy, double runQueue, double memoryShare, double connections) {
+    public void gauges(double coresBusy, double runQueue) {
         this.coresBusy = coresBusy;
         this.runQueue = runQueue;
         gaugeDue = true;
@@ -424,8 +424,8 @@
     }
 
     /**
-     * Callers that seldom come back fill the table with what is not used again; those that do save the opening.
-     * Guards also against tables filled by retries; harms where opening is far dearer than keeping.
+     * Callers that seldom come back fill the table with what is not used again; those that do save an
+     * opening. Guards also against tables filled by retries; harms where opening is far dearer than keeping.
      */
     private void keepIdle() {
         long best = returns.best(now);
--- a/src/main/java/tallyweir/wirehost/News.java
+++ b/src/main/java/tallyweir/wirehost/News.java
@@ -36,8 +36,6 @@
     private Tree params;
     private double coresBusy;
     private double runQueue;
-    private double memoryShare;
-    private double connections;
 
     void read(JsonParser in) throws IOException {
         name = resource = grade = tenant = how = null;
@@ -46,7 +44,7 @@
         rank = 0;
         again = false;
         params = null;
-        coresBusy = runQueue = memoryShare = connections = 0;
+        coresBusy = runQueue = 0;
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String field = in.currentName();
             if (in.nextToken() == JsonToken.VALUE_NULL) {
@@ -95,8 +93,6 @@
             switch (gauge) {
                 case "core_use" -> coresBusy = in.getDoubleValue();
                 case "on_cores" -> runQueue = in.getDoubleValue();
-                case "heap_share" -> memoryShare = in.getDoubleValue();
-                case "links" -> connections = in.getDoubleValue();
                 default -> { }
             }
         }
@@ -132,7 +128,7 @@
             case "Quiesce" -> choice.drain(needed(budget, "BudgetUs") / 100);
             case "Fired" -> {
                 needed(ctx, "Ctx");
-                choice.gauges(coresBusy, runQueue, memoryShare, connections);
+                choice.gauges(coresBusy, runQueue);
                 choice.timer(new TimerId(ctx));
             }
             default -> { }
--- a/src/test/java/tallyweir/Model.java
+++ b/src/test/java/tallyweir/Model.java
@@ -157,7 +157,7 @@
             choice.clock(now);
             while (!timers.isEmpty() && timers.firstKey() <= now) {
                 for (long token : timers.pollFirstEntry().getValue()) {
-                    choice.gauges(busy, queue, 0.3, 20);
+                    choice.gauges(busy, queue);
                     choice.timer(new TimerId(token));
                 }
             }
