--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -11,8 +11,9 @@
 /**
  * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine,
  * memory, below, workload, tenant, duties, callers, connections), calls start, and from then on calls clock
- * before each round of news and one method for each piece of news. What is decided leaves through Outgoing, beside this
- * file. After each input the rules listed in the constructor are gone through in order until none fires.
+ * before each round of news and one method for each piece of news. What is decided leaves through Outgoing,
+ * beside this file. After each input the rules listed in the constructor are gone through in order until
+ * none fires.
  * Times are tenths of a millisecond; dues come rounded down, ages up.
  */
 public final class Choice {
