A tenant's surplus counts only past two deviations of what chance makes of a few reads

At a few reads a server a tenant inside its share looked over it. Guards also against callers that favour a server; harms where a tenant is a little over.

--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -38,6 +38,7 @@
     static final double CROWDED = 1.25;     // run queue over the cores at which the runs allowed shrink again
     static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
+    static final double CHANCE = 2;         // deviations of a count that chance alone may make
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
@@ -367,10 +368,10 @@
         return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
     }
 
-    /** The part of a tenant's reads here that is past this server's part of its share. */
+    /** The part of a tenant's reads here that is past this server's part of its share and past chance. */
     private double surplus(Tenant tenant) {
         double fits = tenant.perSecond() * LATE_SPAN / SECOND * SHARE_SLACK;
-        return Math.max(0, 1 - fits / Math.max(1, tenant.reads().count(now)));
+        return Math.max(0, 1 - (fits + CHANCE * Math.sqrt(fits)) / Math.max(1, tenant.reads().count(now)));
     }
 
     private double bandChance(double band, double wait, boolean calls) {
