--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -216,7 +216,7 @@
 
     // ---- news
 
-    private static final TimerId GAUGES = new TimerId(1);
+    public static final TimerId GAUGES = new TimerId(1);
     private static final TimerId DUES = new TimerId(2);
 
     public void clock(long now) {
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Backend.java
@@ -0,0 +1,114 @@
+package tallyweir.backend;
+
+import java.nio.ByteBuffer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import tallyweir.announce.Report;
+import tallyweir.backend.Counters.Count;
+import tallyweir.config.Config;
+
+/**
+ * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
+ * Links. All of it is called by one thread, with clock before each round. Nothing that fails in here gets out.
+ */
+public final class Backend {
+    private static final Logger LOG = Logger.getLogger(Backend.class.getName());
+    private static final long REPORT_EVERY = 10_000;  // the announce service drops what is silent for three
+    private static final int SOCKETS_APART = 8;       // one in so many is kept for other things than callers
+
+    private final Deadlines deadlines = new Deadlines();
+    private final Counters counters = new Counters();
+    private final Links links;
+    private final String name;
+    private final long stopAfter;
+    private final Queries queries;
+    private long now;
+
+    public Backend(Links links, Config config, long now, long wall) {
+        this.links = links;
+        this.now = now;
+        name = config.name;
+        stopAfter = config.stopAfter;
+        queries = new Queries(links, deadlines, counters, config.settings,
+                config.sockets - config.sockets / SOCKETS_APART, config.seed, now);
+        queries.clock(now, wall);
+    }
+
+    public void start() {
+        guard(() -> queries.kernel().connect());
+        guard(this::report);
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Both in tenths of a millisecond; the first only goes forward, the second is the Unix clock, rounded up. */
+    public void clock(long now, long wall) {
+        this.now = Math.max(this.now, now);
+        queries.clock(this.now, wall);
+    }
+
+    /** The moment at which pass has something to do. */
+    public long next() {
+        return deadlines.next();
+    }
+
+    /** Does all that is due. */
+    public void pass() {
+        for (Runnable due = deadlines.due(now); due != null; due = deadlines.due(now)) {
+            guard(due);
+        }
+    }
+
+    /** The slot of a new connection, -1 if it is to be closed. */
+    public int accepted() {
+        return queries.callers().accepted();
+    }
+
+    public void read(int caller, ByteBuffer bytes) {
+        guard(() -> queries.callers().read(caller, bytes));
+    }
+
+    public void closed(int caller) {
+        guard(() -> queries.callers().closed(caller));
+    }
+
+    public void up(Peer peer) {
+        guard(peer == Peer.KERNEL ? queries.kernel()::up : queries.store()::up);
+    }
+
+    public void down(Peer peer) {
+        guard(peer == Peer.KERNEL ? queries.kernel()::down : queries.store()::down);
+    }
+
+    public void read(Peer peer, ByteBuffer bytes) {
+        guard(() -> {
+            if (peer == Peer.KERNEL) {
+                queries.kernel().read(bytes);
+            } else {
+                queries.store().read(bytes);
+            }
+        });
+    }
+
+    public void drain() {
+        guard(() -> queries.drain(stopAfter));
+    }
+
+    private void report() {
+        deadlines.set(now + REPORT_EVERY, this::report);
+        links.report(Report.of(name, !queries.draining()));
+        counters.add(Count.REPORTS_SENT);
+    }
+
+    /** A fault in the handling of one thing leaves the rest as it was. */
+    private void guard(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            counters.add(Count.FAULTS);
+            LOG.log(Level.SEVERE, "a fault was passed over", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -0,0 +1,326 @@
+package tallyweir.backend;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.logging.Logger;
+import tallyweir.Effect;
+import tallyweir.backend.Counters.Count;
+import tallyweir.config.Settings;
+import tallyweir.fastcgi.Fields;
+import tallyweir.fastcgi.Reader;
+import tallyweir.fastcgi.Records;
+import tallyweir.ids.CallerId;
+import tallyweir.ids.SubjectId;
+import tallyweir.ids.TenantId;
+import tallyweir.ids.WorkloadId;
+
+/** The FastCGI front: connections in numbered slots, requests on them, health checks, idle closing. */
+final class Callers {
+    private static final Logger LOG = Logger.getLogger(Callers.class.getName());
+    private static final String RUN_PATH = "/do/";
+    private static final String CHECK_PATH = "/check";
+    private static final String COUNTERS_PATH = "/counters";
+    private static final int HALVES_MOST = 1_024;
+    private static final byte[] NONE = {};
+
+    private final Links links;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Queries queries;
+    private final Slots<Caller> slots = new Slots<>();
+    private final int most;
+    private final long halfFor;
+    private final boolean tenants;
+    private final boolean tellsPatience;
+    private long idleFor;
+    private int halves;
+    private boolean good = true;
+
+    Callers(Links links, Deadlines deadlines, Counters counters, Queries queries, Settings settings, int most) {
+        this.links = links;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        this.queries = queries;
+        this.most = most;
+        halfFor = Math.max(10_000, settings.longestHard());
+        idleFor = Math.max(10_000, settings.idleMost());
+        tenants = settings.tenants();
+        tellsPatience = settings.tellsPatience();
+    }
+
+    /** A connection was accepted: its slot, or -1 if there is no room for it. */
+    int accepted() {
+        if (slots.size() >= most && !closeOneIdle()) {
+            counters.add(Count.CONNECTIONS_TURNED_BACK);
+            return -1;
+        }
+        counters.add(Count.CONNECTIONS_ACCEPTED);
+        Caller c = new Caller();
+        c.slot = slots.add(c);
+        c.rest(halfFor);  // one that has sent nothing yet is about to
+        return c.slot;
+    }
+
+    void read(int slot, ByteBuffer bytes) {
+        Caller c = slots.get(slot);
+        if (c != null && !c.closing) {
+            c.read(bytes);
+        }
+    }
+
+    void closed(int slot) {
+        Caller c = slots.get(slot);
+        if (c != null) {
+            counters.add(Count.CONNECTIONS_ENDED);
+            slots.free(slot);
+            c.closed();
+        }
+    }
+
+    void health(boolean good) {
+        this.good = good;
+    }
+
+    void closeIdle(long span) {
+        idleFor = span;
+        for (Caller c : slots.all()) {
+            if (c.idle != null && c.used) {
+                c.rest(span - (queries.now() - c.idleSince));
+            }
+        }
+    }
+
+    int size() {
+        return slots.size();
+    }
+
+    /** Makes room for a new connection by closing the one that is idle longest. */
+    private boolean closeOneIdle() {
+        Caller longest = null;
+        for (Caller c : slots.all()) {
+            if (c.idle != null && (longest == null || c.idleSince < longest.idleSince)) {
+                longest = c;
+            }
+        }
+        if (longest != null) {
+            longest.closeIdle();
+        }
+        return longest != null;
+    }
+
+    /** One connection. */
+    private final class Caller implements Reader.Sink {
+        private final Reader reader = new Reader(this);
+        private final Map<Integer, Taken> taken = new HashMap<>();
+        private final Map<Integer, Deadlines.Deadline> half = new HashMap<>();
+        private Deadlines.Deadline idle;
+        private long idleSince;
+        private boolean used;
+        private boolean closing;
+        private int slot;
+
+        private void rest(long span) {
+            deadlines.cancel(idle);
+            idle = deadlines.set(queries.now() + Math.max(0, span), this::closeIdle);
+        }
+
+        private void stir() {
+            deadlines.cancel(idle);
+            idle = null;
+        }
+
+        private void restIfIdle() {
+            if (!closing && reader.open() == 0) {
+                idleSince = queries.now();
+                // Part of a record is on its way: the rest of it gets the time of a half request.
+                rest(reader.betweenRecords() ? idleFor : halfFor);
+            }
+        }
+
+        private void closeIdle() {
+            counters.add(Count.CONNECTIONS_CLOSED_IDLE);
+            close();
+        }
+
+        private void close() {
+            closing = true;
+            stir();
+            links.closeCaller(slot);
+        }
+
+        private void read(ByteBuffer bytes) {
+            used = true;
+            stir();
+            reader.read(bytes);
+            restIfIdle();
+        }
+
+        /** Nobody is there to take an answer any more. */
+        private void closed() {
+            closing = true;
+            stir();
+            half.values().forEach(deadlines::cancel);
+            halves -= half.size();
+            half.clear();
+            java.util.List.copyOf(taken.values()).forEach(queries::gone);
+            taken.clear();
+        }
+
+        private void write(int id, byte[] records, boolean keep) {
+            if (closing) {
+                counters.add(Count.ANSWERS_UNDELIVERABLE);
+                return;
+            }
+            taken.remove(id);
+            reader.done(id);
+            links.toCaller(slot, records);
+            if (!keep) {
+                close();
+            } else {
+                restIfIdle();
+            }
+        }
+
+        private void whole(int id) {
+            Deadlines.Deadline d = half.remove(id);
+            if (d != null) {
+                deadlines.cancel(d);
+                halves--;
+            }
+        }
+
+        @Override
+        public boolean begun(int id) {
+            half.put(id, deadlines.set(queries.now() + halfFor, () -> halfTooLong(id)));
+            halves++;
+            return halves <= HALVES_MOST;
+        }
+
+        private void halfTooLong(int id) {
+            whole(id);
+            counters.add(Count.QUERIES_HALF);
+            write(id, Records.answer(id, 408, "", NONE), true);
+        }
+
+        @Override
+        public void request(int id, Fields fields, byte[] body, boolean keep) {
+            whole(id);
+            String path = fields.text(Fields.PATH);
+            if (CHECK_PATH.equals(path)) {
+                counters.add(Count.CHECKS);
+                write(id, Records.answer(id, good ? 200 : 503, "", NONE), keep);
+            } else if (COUNTERS_PATH.equals(path)) {
+                write(id, Records.answer(id, 200, "Content-Type: text/plain\r\n", counters.text().getBytes(UTF_8)), keep);
+            } else {
+                query(id, fields, path == null ? "" : path, body, keep);
+            }
+        }
+
+        /** Only what is whole and known becomes a query; anything else gets one answer and nothing runs. */
+        private void query(int id, Fields fields, String path, byte[] body, boolean keep) {
+            Way way = new Way(this, id, keep);
+            Taken t;
+            try {
+                WorkloadId workload = new WorkloadId(path.startsWith(RUN_PATH) ? path.substring(RUN_PATH.length()) : "");
+                if (!queries.knows(workload)) {
+                    malformed(id, 404, "no workload at '" + path + "'", keep);
+                    return;
+                }
+                if (!"POST".equals(fields.text(Fields.METHOD))) {
+                    malformed(id, 405, "the method is not POST", keep);
+                    return;
+                }
+                String job = fields.text(fields.needed(Fields.ID));
+                if (!job.matches("[0-9a-fA-F]{16}")) {
+                    throw new IllegalArgumentException(Fields.ID + " is not 16 hex digits");
+                }
+                double size = fields.number(Fields.SIZE);
+                double rank = fields.number(Fields.RANK);
+                if (size <= 0 || rank >= 1) {
+                    throw new IllegalArgumentException(Fields.SIZE + " or " + Fields.RANK + " is out of range");
+                }
+                String tenant = tenants ? fields.text(fields.needed(Fields.TENANT)) : null;
+                long patience = tellsPatience ? fields.whole(Fields.PATIENCE) : fields.whole(Fields.PATIENCE, 0);
+                String subject = fields.text(Fields.SUBJECT);
+                String mark = subject;
+                if (queries.effect(workload) == Effect.STAMPED) {
+                    mark = fields.text(fields.needed(Fields.STAMP));
+                }
+                t = queries.read(way, job, workload, body, fields.whole(Fields.RECEIVED) * 10,
+                        new CallerId(fields.whole(Fields.CALLER)), subject == null ? null : new SubjectId(subject),
+                        mark == null ? null : new SubjectId(mark), tenant == null ? null : new TenantId(tenant), size,
+                        rank, patience * 10, "1".equals(fields.text(Fields.AGAIN)));
+            } catch (IllegalArgumentException e) {
+                malformed(id, 400, e.getMessage(), keep);
+                return;
+            }
+            if (t != null) {
+                taken.put(id, t);
+            }
+        }
+
+        private void malformed(int id, int status, String why, boolean keep) {
+            counters.add(Count.QUERIES_MALFORMED);
+            LOG.warning("a query was not taken, " + status + ": " + why);
+            write(id, Records.answer(id, status, "", NONE), keep);
+        }
+
+        @Override
+        public void refused(int id, Reader.Refusal why, boolean keep) {
+            whole(id);
+            switch (why) {
+                case OVERLOADED -> write(id, Records.overloaded(id), keep);
+                case ROLE -> write(id, Records.unknownRole(id), keep);
+                case TOO_BIG -> malformed(id, 413, "it is too big", keep);
+                default -> malformed(id, 400, "its parameters cannot be read", keep);
+            }
+        }
+
+        @Override
+        public void aborted(int id) {
+            whole(id);
+            Taken t = taken.remove(id);
+            if (t != null) {
+                queries.gone(t);
+            }
+            write(id, Records.ended(id), true);
+        }
+
+        @Override
+        public void reply(byte[] record) {
+            if (!closing) {
+                links.toCaller(slot, record);
+            }
+        }
+
+        @Override
+        public void bad(String why) {
+            counters.add(Count.CONNECTIONS_CLOSED_BAD);
+            LOG.warning("a connection is closed: " + why);
+            close();
+        }
+    }
+
+    /** The way back to a request of a connection. */
+    private record Way(Caller caller, int id, boolean keep) implements Answer {
+        @Override
+        public void handled(byte[] result) {
+            caller.write(id, Records.answer(id, 200, "", result), keep);
+        }
+
+        @Override
+        public void deferred(long keepOff, boolean nowhereElse) {
+            String headers = (keepOff >= 10 ? "Back-Off-Ms: " + keepOff / 10 + "\r\n" : "")
+                    + (nowhereElse ? "Final-Refusal: 1\r\n" : "");
+            caller.write(id, Records.answer(id, 503, headers, NONE), keep);
+        }
+
+        @Override
+        public void errored() {
+            caller.write(id, Records.answer(id, 500, "", NONE), keep);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Peer.java
@@ -0,0 +1,4 @@
+package tallyweir.backend;
+
+/** The parties that the backend itself connects to. */
+public enum Peer { KERNEL, STORE }
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -0,0 +1,430 @@
+package tallyweir.backend;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import tallyweir.Choice;
+import tallyweir.Effect;
+import tallyweir.Outcome;
+import tallyweir.Outgoing;
+import tallyweir.backend.Counters.Count;
+import tallyweir.config.Settings;
+import tallyweir.ids.CallerId;
+import tallyweir.ids.QueryId;
+import tallyweir.ids.SubjectId;
+import tallyweir.ids.TenantId;
+import tallyweir.ids.TimerId;
+import tallyweir.ids.WorkloadId;
+
+/**
+ * The queries of one backend between the fronts, the decisions, the kernel and the store. Each is answered
+ * once, in answer, and given back once, in release.
+ */
+final class Queries implements Outgoing {
+    private static final int SLOT_BITS = 20;
+
+    private final Links links;
+    private final Deadlines deadlines;
+    private final Counters counters;
+    private final Settings settings;
+    private final Map<WorkloadId, Effect> workloads;
+    private final Repeats repeats;
+    private final Kernel kernel;
+    private final Store store;
+    private final Callers callers;
+    private final long seed;
+    private final int coresBusyAt;
+    private final int runQueueAt;
+    private final Slots<Taken> slots = new Slots<>();
+    private final Map<String, Taken> jobs = new HashMap<>();
+    private Choice choice;     // from the kernel's first word on
+    private long serial;
+    private long now;
+    private long wall;
+    private long stopAt = Long.MAX_VALUE;
+    private Deadlines.Deadline gaugesDue;
+    private long gaugesAsked;
+
+    Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connections, long seed,
+            long now) {
+        this.links = links;
+        this.deadlines = deadlines;
+        this.counters = counters;
+        this.settings = settings;
+        this.seed = seed;
+        this.now = now;
+        workloads = settings.workloads();
+        coresBusyAt = settings.gauge("core_use");
+        runQueueAt = settings.gauge("on_cores");
+        repeats = new Repeats(deadlines, settings.shareFor());
+        kernel = new Kernel(links, deadlines, counters, this);
+        store = new Store(links, deadlines, counters, this);
+        callers = new Callers(links, deadlines, counters, this, settings, connections);
+    }
+
+    Kernel kernel() {
+        return kernel;
+    }
+
+    Store store() {
+        return store;
+    }
+
+    Callers callers() {
+        return callers;
+    }
+
+    void clock(long now, long wall) {
+        this.now = now;
+        this.wall = wall;
+        if (choice != null) {
+            choice.clock(now);
+        }
+    }
+
+    long now() {
+        return now;
+    }
+
+    boolean harmless(Taken t) {
+        return workloads.get(t.workload) == Effect.HARMLESS;
+    }
+
+    boolean draining() {
+        return stopAt != Long.MAX_VALUE;
+    }
+
+    // ---- from the fronts
+
+    boolean knows(WorkloadId workload) {
+        return workloads.containsKey(workload);
+    }
+
+    Effect effect(WorkloadId workload) {
+        return workloads.get(workload);
+    }
+
+    /** Takes a query in; null if it was answered at once. The wall's times are only used for what comes in. */
+    Taken read(Answer way, String job, WorkloadId workload, byte[] body, long receivedAt, CallerId caller,
+            SubjectId subject, SubjectId mark, TenantId tenant, double size, double rank, long patience,
+            boolean again) {
+        counters.add(Count.QUERIES_READ);
+        if (choice == null) {
+            // No kernel was there yet: nothing can run, so nothing has.
+            counters.add(Count.ANSWERED_DEFERRED);
+            way.deferred(0, false);
+            return null;
+        }
+        if (jobs.containsKey(job)) {
+            // Two of one name cannot be told apart on the links.
+            counters.add(Count.QUERIES_MALFORMED);
+            way.errored();
+            return null;
+        }
+        Taken t = new Taken(job, workload, body, way);
+        t.slot = slots.add(t);
+        t.id = new QueryId(++serial << SLOT_BITS | t.slot);
+        jobs.put(job, t);
+        // A clock that was set back must not make it younger than new, nor its caller more patient than told.
+        long age = Math.max(0, wall - receivedAt);
+        long left = patience <= 0 ? 0 : Math.max(1, Math.min(patience, receivedAt + patience - wall));
+        t.due = deadlines.set(now + (left > 0 ? left : settings.longestHard()), () -> overdue(t));
+        boolean stamped = effect(workload) == Effect.STAMPED;
+        QueryId earlier = mark != null && (stamped || settings.shareFor() > 0 && harmless(t))
+                ? repeats.earlier(t, mark, stamped, now) : null;
+        choice.read(t.id, earlier, caller, subject, workload, size, age, rank, left, again, tenant, 0);
+        return t.released ? null : t;
+    }
+
+    /** The caller does not wait any longer. */
+    void gone(Taken t) {
+        if (t.answered) {
+            return;
+        }
+        counters.add(Count.QUERIES_GONE);
+        t.answered = true;
+        choice.gone(t.id);
+        releaseIfDone(t);
+    }
+
+    /** Guards against a fault in the decisions: what they forgot is failed when it is due. */
+    private void overdue(Taken t) {
+        if (!t.answered) {
+            counters.add(Count.ANSWERED_BY_THE_LAST_GUARD);
+            errored(t);
+            choice.gone(t.id);
+        }
+    }
+
+    // ---- from the kernel
+
+    void kernelBooted(boolean fresh, long before) {
+        if (choice != null) {
+            return;
+        }
+        choice = new Choice(this, seed, now - before);
+        choice.clock(now);
+        settings.start(choice, fresh, false, false, false);
+        if (draining()) {
+            choice.drain(stopAt - now);
+        }
+    }
+
+    List<Taken> running() {
+        return slots.all().stream().filter(t -> t.running).toList();
+    }
+
+    void runEnded(String job, String how, byte[] result) {
+        Taken t = jobs.get(job);
+        if (t == null || !t.running) {
+            return;
+        }
+        Outcome outcome;
+        switch (how) {
+            case "good" -> {
+                counters.add(Count.RUNS_GOOD);
+                handled(t, result);
+                outcome = Outcome.COMPLETED;
+            }
+            case "cut" -> {
+                counters.add(Count.RUNS_CUT);
+                outcome = Outcome.RECALLED;
+            }
+            case "gone" -> {
+                counters.add(Count.RUNS_GONE);
+                errored(t);
+                outcome = Outcome.SUPERSEDED;
+            }
+            default -> {
+                counters.add(Count.RUNS_BAD);
+                errored(t);
+                outcome = Outcome.ERRORED;
+            }
+        }
+        leaveKernel(t, outcome, how.equals("good") ? result : null);
+    }
+
+    /** The kernel knows of no such query: it did not run, and will not if asked again. */
+    void runNotDone(String job) {
+        Taken t = jobs.get(job);
+        if (t != null && t.running) {
+            errored(t);
+            leaveKernel(t, Outcome.SUPERSEDED, null);
+        }
+    }
+
+    private void leaveKernel(Taken t, Outcome outcome, byte[] result) {
+        store.giveUp(t);
+        t.call = null;
+        t.running = false;
+        List<Taken> served = outcome == Outcome.RECALLED && !t.answered ? List.of() : repeats.ended(t, result, now);
+        choice.ended(t.id, outcome);
+        releaseIfDone(t);
+        served.forEach(this::serveRepeat);
+    }
+
+    void standsAtCall(String job, byte[] body) {
+        Taken t = jobs.get(job);
+        if (t != null && t.running) {
+            t.call = body;
+            choice.standsAtCall(t.id);
+        }
+    }
+
+    void gauges(double[] values) {
+        if (gaugesDue != null) {
+            choice.gauges(at(values, coresBusyAt), at(values, runQueueAt));
+            gaugesOver();
+        }
+    }
+
+    private static double at(double[] values, int index) {
+        return index >= 0 && index < values.length ? values[index] : 0;
+    }
+
+    // ---- from the store
+
+    void callEnded(Taken t, Outcome how, long took, byte[] reply) {
+        if (how == Outcome.COMPLETED) {
+            t.call = null;
+            kernel.reply(t, reply);
+        }
+        choice.callEnded(t.id, how, took);
+    }
+
+    // ---- answers
+
+    private void handled(Taken t, byte[] result) {
+        if (answer(t, Count.ANSWERED_HANDLED)) {
+            t.way.handled(result);
+        }
+    }
+
+    private void errored(Taken t) {
+        if (answer(t, Count.ANSWERED_ERRORED)) {
+            t.way.errored();
+        }
+    }
+
+    /** True once for each query. */
+    private boolean answer(Taken t, Count count) {
+        if (t.answered) {
+            return false;
+        }
+        t.answered = true;
+        counters.add(count);
+        releaseIfDone(t);
+        return true;
+    }
+
+    private void releaseIfDone(Taken t) {
+        if (t.answered && !t.running && !t.released) {
+            t.released = true;
+            deadlines.cancel(t.due);
+            jobs.remove(t.job);
+            slots.free(t.slot);
+        }
+    }
+
+    private Taken taken(QueryId id) {
+        Taken t = slots.get((int) (id.value() & (1 << SLOT_BITS) - 1));
+        return t != null && t.id.equals(id) ? t : null;
+    }
+
+    // ---- what the decisions ask for
+
+    @Override
+    public void run(QueryId query) {
+        Taken t = taken(query);
+        if (t != null) {
+            counters.add(Count.RUNS_ASKED);
+            t.running = true;
+            kernel.run(t);
+        }
+    }
+
+    @Override
+    public void defer(QueryId query, long keepOff, boolean nowhereElse) {
+        Taken t = taken(query);
+        if (t != null && answer(t, Count.ANSWERED_DEFERRED)) {
+            t.way.deferred(keepOff, nowhereElse);
+        }
+    }
+
+    @Override
+    public void fail(QueryId query) {
+        Taken t = taken(query);
+        if (t != null) {
+            errored(t);
+        }
+    }
+
+    @Override
+    public void stop(QueryId query) {
+        Taken t = taken(query);
+        if (t != null && t.running) {
+            counters.add(Count.RUNS_STOPPED);
+            kernel.stop(t);
+        }
+    }
+
+    @Override
+    public void call(QueryId query, long timeOut) {
+        Taken t = taken(query);
+        if (t != null && t.call != null) {
+            store.call(t, t.call, timeOut);
+        }
+    }
+
+    /** The kernel has no word for leaving a call out, so no workload is told to the decisions as one that may. */
+    @Override
+    public void poorer(QueryId query) {
+        fail(query);
+    }
+
+    @Override
+    public void keep(QueryId query, long span) {
+        Taken t = taken(query);
+        if (t != null) {
+            repeats.keep(t, now + span);
+        }
+    }
+
+    @Override
+    public void forget(QueryId query) {
+        Taken t = taken(query);
+        if (t != null) {
+            repeats.forget(t);
+        }
+    }
+
+    @Override
+    public void reuse(QueryId query) {
+        Taken t = taken(query);
+        if (t != null && repeats.over(t)) {
+            deadlines.set(now, () -> serveRepeat(t));  // the decisions are told only after this input
+        }
+    }
+
+    private void serveRepeat(Taken t) {
+        byte[] result = repeats.result(t);
+        if (t.answered) {
+            return;
+        }
+        if (result != null) {
+            handled(t, result);
+        } else {
+            errored(t);
+        }
+        choice.ended(t.id, result != null ? Outcome.COMPLETED : Outcome.ERRORED);
+    }
+
+    @Override
+    public void health(boolean good, boolean stored) {
+        callers.health(good);
+    }
+
+    /** Answers have no field for a value, so the decisions are told that there is none. */
+    @Override
+    public void say(double value) {}
+
+    @Override
+    public void closeIdle(long span) {
+        callers.closeIdle(span);
+    }
+
+    @Override
+    public void wake(long at, TimerId timer) {
+        if (timer.equals(Choice.GAUGES)) {
+            long every = at - now;
+            deadlines.set(at, () -> askGauges(every));
+        } else {
+            deadlines.set(at, () -> choice.timer(timer));
+        }
+    }
+
+    /** Gauges are asked for when they are due; the decisions go on without if they do not come in as long again. */
+    private void askGauges(long wait) {
+        kernel.askGauges();
+        gaugesDue = deadlines.set(now + wait, () -> {
+            counters.add(Count.GAUGES_MISSED);
+            gaugesOver();
+        });
+    }
+
+    private void gaugesOver() {
+        deadlines.cancel(gaugesDue);
+        gaugesDue = null;
+        choice.timer(Choice.GAUGES);
+    }
+
+    // ---- leaving
+
+    /** What is owed is answered by then, the slack that the rules allow left for the way. */
+    void drain(long stopAfter) {
+        stopAt = now + Math.max(0, stopAfter - settings.answerSlack());
+        if (choice != null) {
+            choice.drain(stopAt - now);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Repeats.java
@@ -0,0 +1,104 @@
+package tallyweir.backend;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import tallyweir.ids.QueryId;
+import tallyweir.ids.SubjectId;
+import tallyweir.ids.WorkloadId;
+
+/** The entries by which repeats are known, with results; each is given back at the end of its time. */
+final class Repeats {
+    private record Key(WorkloadId workload, SubjectId mark) {}
+
+    static final class Entry {
+        private final Key key;
+        private QueryId holder;
+        private boolean over;          // the holder's run has ended
+        private long endedAt;
+        private byte[] result;         // null unless that run was good
+        private Deadlines.Deadline end;
+        private final List<Taken> waiting = new ArrayList<>(0);
+
+        private Entry(Key key) {
+            this.key = key;
+        }
+    }
+
+    private final Deadlines deadlines;
+    private final long shareFor;
+    private final Map<Key, Entry> entries = new HashMap<>();
+
+    Repeats(Deadlines deadlines, long shareFor) {
+        this.deadlines = deadlines;
+        this.shareFor = shareFor;
+    }
+
+    /** Finds what a query of this mark repeats and ties it to the entry; null if it repeats nothing. */
+    QueryId earlier(Taken t, SubjectId mark, boolean stamped, long now) {
+        Key key = new Key(t.workload, mark);
+        Entry e = entries.get(key);
+        if (e != null && !stamped && e.over && (e.result == null || now - e.endedAt > shareFor)) {
+            drop(e);
+            e = null;
+        }
+        t.entry = e == null ? new Entry(key) : e;
+        return e == null ? null : e.holder;
+    }
+
+    void keep(Taken t, long until) {
+        if (t.entry == null) {
+            return;
+        }
+        Entry e = t.entry;
+        e.holder = t.id;
+        e.over = false;
+        e.result = null;
+        deadlines.cancel(e.end);
+        entries.put(e.key, e);
+        e.end = deadlines.set(until, () -> drop(e));
+    }
+
+    void forget(Taken t) {
+        if (t.entry != null && t.id.equals(t.entry.holder)) {
+            drop(t.entry);
+        }
+    }
+
+    /** A run has ended; those that waited for its result are returned. */
+    List<Taken> ended(Taken t, byte[] result, long now) {
+        Entry e = t.entry;
+        if (e == null || !t.id.equals(e.holder)) {
+            return List.of();
+        }
+        e.over = true;
+        e.endedAt = now;
+        e.result = result;
+        List<Taken> served = List.copyOf(e.waiting);
+        e.waiting.clear();
+        return served;
+    }
+
+    /** Whether the forerunner's run is over; else the query waits for it. */
+    boolean over(Taken t) {
+        if (t.entry != null && !t.entry.over && t.entry.holder != null) {
+            t.entry.waiting.add(t);
+            return false;
+        }
+        return true;
+    }
+
+    byte[] result(Taken t) {
+        return t.entry == null ? null : t.entry.result;
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    private void drop(Entry e) {
+        deadlines.cancel(e.end);
+        entries.remove(e.key, e);
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Slots.java
@@ -0,0 +1,41 @@
+package tallyweir.backend;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A table of numbered slots: the lowest freed number is used again last. */
+final class Slots<T> {
+    private final List<T> slots = new ArrayList<>();
+    private final ArrayDeque<Integer> free = new ArrayDeque<>();
+
+    int add(T value) {
+        if (free.isEmpty()) {
+            slots.add(value);
+            return slots.size() - 1;
+        }
+        int number = free.poll();
+        slots.set(number, value);
+        return number;
+    }
+
+    /** What stands in the slot, null if it is free. */
+    T get(int number) {
+        return number >= 0 && number < slots.size() ? slots.get(number) : null;
+    }
+
+    void free(int number) {
+        if (slots.set(number, null) != null) {
+            free.add(number);
+        }
+    }
+
+    int size() {
+        return slots.size() - free.size();
+    }
+
+    /** Those in use, as they are now. */
+    List<T> all() {
+        return slots.stream().filter(s -> s != null).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/backend/Taken.java
@@ -0,0 +1,28 @@
+package tallyweir.backend;
+
+import tallyweir.ids.QueryId;
+import tallyweir.ids.WorkloadId;
+
+/** One query that was read, from then until it is answered and nothing of it runs. */
+final class Taken {
+    final String job;          // its name on the links, as it came
+    final WorkloadId workload;
+    final byte[] body;         // as it came
+    final Answer way;
+    QueryId id;
+    int slot;
+    boolean answered;          // by us, or nothing is owed any more
+    boolean running;           // the kernel has it
+    boolean released;
+    int sentOn;                // the kernel link that its run was asked on
+    byte[] call;               // the body of the call that its run waits for
+    Deadlines.Deadline due;
+    Repeats.Entry entry;       // what its like share
+
+    Taken(String job, WorkloadId workload, byte[] body, Answer way) {
+        this.job = job;
+        this.workload = workload;
+        this.body = body;
+        this.way = way;
+    }
+}
--- a/src/main/java/tallyweir/cli/Main.java
+++ b/src/main/java/tallyweir/cli/Main.java
@@ -5,6 +5,7 @@
 public final class Main {
     private static final String USAGE = """
             usage: java -jar tallyweir.jar SUBCOMMAND
+              serve      one real backend on sockets, told by EDGE_CONFIG
               wirehost   host decision instances on the simulator's wire (standard input and output)
               help       print this text""";
 
@@ -13,6 +14,7 @@
     public static void main(String[] args) {
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
+            case "serve" -> System.exit(Serve.serve(System.getenv(), System.err));
             case "wirehost" -> System.exit(WireHost.serve(System.in, System.out, System.err));
             case "help", "--help", "-h" -> System.out.println(USAGE);
             default -> {
--- /dev/null
+++ b/src/main/java/tallyweir/cli/Serve.java
@@ -0,0 +1,59 @@
+package tallyweir.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import tallyweir.config.BadSetting;
+import tallyweir.config.Config;
+import tallyweir.net.Server;
+
+/** One real backend: starts it, and sees it off when it is told to leave. */
+final class Serve {
+    private static final long LAST_WORDS_MS = 100;  // before the stop: the counters are out by then
+    private static final long PAST_STOP_MS = 2_000; // for whoever sends the notice and never kills
+
+    private Serve() {}
+
+    /** Returns only where it cannot start: 2 for a faulty configuration, 1 for an address it cannot have. */
+    static int serve(Map<String, String> environment, PrintStream err) {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tH:%1$tM:%1$tS.%1$tL %4$s %5$s%6$s%n");
+        Config config;
+        try {
+            config = Config.read(environment);
+        } catch (BadSetting e) {
+            err.println("tallyweir: " + e.getMessage());
+            return 2;
+        }
+        Server server = new Server(config);
+        try {
+            server.bind();
+        } catch (IOException e) {
+            err.println("tallyweir: cannot listen on " + config.listen + ": " + e.getMessage());
+            return 1;
+        }
+        long stopMs = config.stopAfter / 10;
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err), "leave"));
+        err.println("tallyweir: " + config.name + " listens on " + config.listen);
+        server.run();
+        return 1;
+    }
+
+    /** The virtual machine waits for this; logging may have ended by now, so the last words are printed. */
+    private static void leave(Server server, long stopMs, PrintStream err) {
+        server.drain();
+        err.println("tallyweir: told to leave; " + server.counters());
+        long words = Math.max(0, stopMs - LAST_WORDS_MS);
+        pause(words);
+        err.println("tallyweir: at the stop; " + server.counters());
+        pause(stopMs - words + PAST_STOP_MS);
+    }
+
+    private static void pause(long milliseconds) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(milliseconds);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/config/Settings.java
@@ -0,0 +1,118 @@
+package tallyweir.config;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import tallyweir.Choice;
+import tallyweir.Effect;
+import tallyweir.Halt;
+import tallyweir.Said;
+import tallyweir.ids.TenantId;
+import tallyweir.ids.WorkloadId;
+
+/** The settings object, decoded here for both fronts; the few of each part go straight into its call. */
+public final class Settings {
+    private final Tree all;
+    private final Tree info;
+    private final Tree rules;
+
+    public Settings(Tree all) {
+        this.all = all;
+        info = all.in("FamilyInfo");
+        rules = all.in("Rules");
+    }
+
+    /** Hands the settings over, with what the front's protocol has no message for left out, and starts. */
+    public void start(Choice choice, boolean cold, boolean pauses, boolean poorer, boolean says) {
+        Halt halt = halt();
+        choice.machine(info.whole("Cpus", 1, 1 << 16), rules.number("FallMultiple", 1), cold,
+                rules.number("ColdFrom", 1), rules.time("ColdUs"),
+                halt == Halt.SUSPEND && !pauses ? Halt.OFF : halt);
+        choice.memory(info.number("MemLimitKb"), info.number("RunMemFactor", 1), info.number("EntryKb", 0));
+        choice.below(info.number("CallsOut", 0), info.time("ShareSpanUs"), info.time("LingerUs") + 1);
+        List<Tree> classes = all.each("Classes");
+        for (int i = 0; i < classes.size(); i++) {
+            Tree c = classes.get(i);
+            choice.workload(new WorkloadId(c.text("Name", "")), effect(c), c.time("TargetUs"),
+                    c.time("DeadlineUs"), c.number("Worth", 1), c.number("LateValue", 0),
+                    c.time("RepeatWindowUs") + 1, info.yesAt("ClassCalls", i),
+                    poorer ? info.numberAt("ClassSkipWorth", i) : 0);
+        }
+        for (Tree t : all.each("Projects")) {
+            choice.tenant(new TenantId(t.text("Name", "")), t.number("QuotaPerS", 0),
+                    (int) all.number("Servers", 1));
+        }
+        choice.duties((long) Math.ceil(all.number("RoundUs", 0) / 100), rules.time("DrainGraceUs"),
+                all.number("OverShareWorth", 1));
+        Tree permissions = all.in("Permissions");
+        choice.callers(says ? said() : Said.OFF, (int) info.number("ClientsTotal", 1), shareFor(),
+                permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0);
+        choice.connections(idleMost());
+        choice.start();
+    }
+
+    public boolean cold() {
+        return info.yes("Cold");
+    }
+
+    public long shareFor() {
+        return info.time("ShareForUs");
+    }
+
+    public long idleMost() {
+        return info.time("IdleUs");
+    }
+
+    public long answerSlack() {
+        return rules.time("AnswerSlackUs");
+    }
+
+    public boolean tellsPatience() {
+        return info.yes("PassesDeadline");
+    }
+
+    public boolean tenants() {
+        return !all.each("Projects").isEmpty();
+    }
+
+    public Map<WorkloadId, Effect> workloads() {
+        Map<WorkloadId, Effect> effects = new HashMap<>();
+        all.each("Classes").forEach(c -> effects.put(new WorkloadId(c.text("Name")), effect(c)));
+        return effects;
+    }
+
+    /** The longest time that any workload's caller waits in all. */
+    public long longestHard() {
+        return all.each("Classes").stream().mapToLong(c -> c.time("DeadlineUs")).max().orElse(0);
+    }
+
+    /** Where a gauge stands among those that come, -1 if it does not come. */
+    public int gauge(String name) {
+        return info.texts("Gauges").indexOf(name);
+    }
+
+    private static Effect effect(Tree workload) {
+        return switch (workload.text("Effect", "")) {
+            case "safe" -> Effect.HARMLESS;
+            case "keyed" -> Effect.STAMPED;
+            default -> Effect.ONE_SHOT;
+        };
+    }
+
+    private Halt halt() {
+        return switch (info.text("Halt", "off")) {
+            case "abort" -> Halt.ABORT;
+            case "suspend" -> Halt.SUSPEND;
+            default -> Halt.OFF;
+        };
+    }
+
+    private Said said() {
+        return switch (info.text("Signal", "off")) {
+            case "threshold" -> Said.THRESHOLD;
+            case "window" -> Said.WINDOW;
+            case "share_of" -> Said.SHARE_OF;
+            default -> Said.OFF;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/fastcgi/Records.java
@@ -0,0 +1,96 @@
+package tallyweir.fastcgi;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Set;
+
+/** FastCGI records as they are written; the numbers are those of its specification 1.0. */
+public final class Records {
+    static final int VERSION = 1;
+    static final int BEGIN = 1;
+    static final int ABORT = 2;
+    static final int END = 3;
+    static final int PARAMS = 4;
+    static final int STDIN = 5;
+    static final int STDOUT = 6;
+    static final int DATA = 8;
+    static final int GET_VALUES = 9;
+    static final int GET_VALUES_RESULT = 10;
+    static final int UNKNOWN_TYPE = 11;
+    static final int RESPONDER = 1;
+    private static final int COMPLETE = 0;
+    private static final int OVERLOADED = 2;
+    private static final int UNKNOWN_ROLE = 3;
+    private static final int RECORD_MOST = 0xffff;
+
+    private Records() {}
+
+    /** A whole answer: status, further header lines (each with its end), the body. */
+    public static byte[] answer(int id, int status, String headers, byte[] body) {
+        byte[] head = ("Status: " + status + "\r\n" + headers + "\r\n").getBytes(ISO_8859_1);
+        ByteArrayOutputStream out = new ByteArrayOutputStream(head.length + body.length + 40);
+        byte[] all = new byte[head.length + body.length];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        for (int at = 0; at < all.length; at += RECORD_MOST) {
+            int length = Math.min(RECORD_MOST, all.length - at);
+            header(out, STDOUT, id, length);
+            out.write(all, at, length);
+        }
+        header(out, STDOUT, id, 0);
+        end(out, id, COMPLETE);
+        return out.toByteArray();
+    }
+
+    /** An end without an answer, as after an abort. */
+    public static byte[] ended(int id) {
+        return end(id, COMPLETE);
+    }
+
+    public static byte[] overloaded(int id) {
+        return end(id, OVERLOADED);
+    }
+
+    public static byte[] unknownRole(int id) {
+        return end(id, UNKNOWN_ROLE);
+    }
+
+    private static byte[] end(int id, int status) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(16);
+        end(out, id, status);
+        return out.toByteArray();
+    }
+
+    private static void end(ByteArrayOutputStream out, int id, int status) {
+        header(out, END, id, 8);
+        out.writeBytes(new byte[] {0, 0, 0, 0, (byte) status, 0, 0, 0});
+    }
+
+    /** Of the values that may be asked for, the one that is fixed: a connection carries many requests. */
+    static byte[] values(Set<String> asked) {
+        String name = "FCGI_MPXS_CONNS";
+        ByteArrayOutputStream pairs = new ByteArrayOutputStream();
+        if (asked.contains(name)) {
+            pairs.write(name.length());
+            pairs.write(1);
+            pairs.writeBytes((name + "1").getBytes(ISO_8859_1));
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        header(out, GET_VALUES_RESULT, 0, pairs.size());
+        out.writeBytes(pairs.toByteArray());
+        return out.toByteArray();
+    }
+
+    static byte[] unknownType(int type) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        header(out, UNKNOWN_TYPE, 0, 8);
+        out.writeBytes(new byte[] {(byte) type, 0, 0, 0, 0, 0, 0, 0});
+        return out.toByteArray();
+    }
+
+    private static void header(ByteArrayOutputStream out, int type, int id, int length) {
+        out.writeBytes(new byte[] {VERSION, (byte) type, (byte) (id >> 8), (byte) id, (byte) (length >> 8),
+            (byte) length, 0, 0});
+    }
+}
--- /dev/null
+++ b/src/main/java/tallyweir/net/Server.java
@@ -0,0 +1,347 @@
+package tallyweir.net;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoConnector;
+import org.apache.mina.core.service.IoHandler;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.core.session.IoSessionConfig;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioDatagramConnector;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import tallyweir.backend.Backend;
+import tallyweir.backend.Links;
+import tallyweir.backend.Peer;
+import tallyweir.config.Config;
+
+/**
+ * The sockets round one backend. MINA's threads only put what arrived into a queue; one thread takes it out,
+ * reads the clocks once, hands it to the backend, does what is due and writes what came of it.
+ */
+public final class Server implements Links {
+    private static final Logger LOG = Logger.getLogger(Server.class.getName());
+    private static final AttributeKey SLOT = new AttributeKey(Server.class, "slot");
+    private static final AttributeKey PEER = new AttributeKey(Server.class, "peer");
+    private static final int ARRIVED_MOST = 1_024;
+    private static final int BATCH_MOST = 256;
+    private static final int READ_MOST = 8 << 10;        // with ARRIVED_MOST: 8 MiB unread here at the most
+    private static final int UNWRITTEN_MOST = 256 << 10; // of one connection, then its reader is too slow
+    private static final int WRITE_SECONDS = 10;
+    private static final int CONNECT_MILLIS = 2_000;
+    private static final int BACKLOG = 4_096;
+    private static final long FAR = 10_000;              // no sleep is longer than a second
+
+    private final Config config;
+    private final BlockingQueue<Runnable> arrived = new ArrayBlockingQueue<>(ARRIVED_MOST);
+    private final ArrayDeque<Runnable> own = new ArrayDeque<>();  // what the deciding thread told itself
+    private final Map<Integer, IoSession> callers = new HashMap<>();
+    private final Map<Peer, IoSession> peers = new HashMap<>();
+    private final Map<IoSession, ByteArrayOutputStream> toWrite = new LinkedHashMap<>();
+    private final Set<IoSession> toClose = new LinkedHashSet<>();
+    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
+    private final NioSocketConnector connector = new NioSocketConnector(processor);
+    private final NioDatagramConnector datagrams = new NioDatagramConnector(processor);
+    private final long startNanos = System.nanoTime();
+    private final long startWall = wall();
+    private final Thread deciding = Thread.currentThread();
+    private final Backend backend;
+    private IoSession reports;
+    private boolean reportsOpening;
+    private volatile boolean stopped;
+
+    /** Made and run by the thread that is to decide. */
+    public Server(Config config) {
+        this.config = config;
+        backend = new Backend(this, config, now(), startWall);
+    }
+
+    /** Listens; the address being taken is the one thing that ends the start. */
+    public void bind() throws IOException {
+        set(acceptor.getSessionConfig());
+        acceptor.getSessionConfig().setTcpNoDelay(true);
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setHandler(callerHandler());
+        set(connector.getSessionConfig());
+        connector.getSessionConfig().setTcpNoDelay(true);
+        connector.setConnectTimeoutMillis(CONNECT_MILLIS);
+        connector.setHandler(peerHandler());
+        datagrams.setHandler(reportHandler());
+        acceptor.bind(config.listen);
+    }
+
+    private static void set(IoSessionConfig of) {
+        of.setMaxReadBufferSize(READ_MOST);
+        of.setWriteTimeout(WRITE_SECONDS);
+    }
+
+    public void run() {
+        backend.start();
+        List<Runnable> batch = new ArrayList<>(BATCH_MOST);
+        while (!stopped) {
+            try {
+                round(batch);
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException | Error e) {
+                // Whatever fails here must not end the process, which others count on.
+                LOG.log(Level.SEVERE, "a round failed", e);
+            }
+        }
+    }
+
+    private void round(List<Runnable> batch) throws InterruptedException {
+        batch.clear();
+        long wait = own.isEmpty() ? Math.min(FAR, backend.next() - now()) : 0;
+        Runnable first = wait > 0 ? arrived.poll(wait * 100_000, TimeUnit.NANOSECONDS) : arrived.poll();
+        if (first != null) {
+            batch.add(first);
+            arrived.drainTo(batch, BATCH_MOST);
+        }
+        batch.addAll(own);
+        own.clear();
+        backend.clock(now(), wall());
+        for (Runnable news : batch) {
+            try {
+                news.run();
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "news was passed over", e);
+            }
+        }
+        backend.pass();
+        write();
+    }
+
+    private long now() {
+        return startWall + (System.nanoTime() - startNanos) / 100_000;
+    }
+
+    /** Tenths of a millisecond since 1970, rounded up: ages come rounded up, dues down. */
+    private static long wall() {
+        Instant t = Instant.now();
+        return t.getEpochSecond() * 10_000 + (t.getNano() + 99_999) / 100_000;
+    }
+
+    private void tell(Runnable news) {
+        if (Thread.currentThread() == deciding) {
+            own.add(news);
+            return;
+        }
+        try {
+            arrived.put(news);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write() {
+        toWrite.forEach((session, bytes) -> {
+            if (session.getScheduledWriteBytes() > UNWRITTEN_MOST) {
+                LOG.warning("a connection is closed: its other side does not read");
+                session.closeNow();
+            } else {
+                session.write(IoBuffer.wrap(bytes.toByteArray()));
+            }
+        });
+        toWrite.clear();
+        toClose.forEach(IoSession::closeOnFlush);
+        toClose.clear();
+    }
+
+    // ---- what MINA's threads tell
+
+    private abstract class Handler extends IoHandlerAdapter {
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            LOG.log(Level.FINE, "a connection is closed", cause);
+            session.closeNow();
+        }
+    }
+
+    private IoHandler callerHandler() {
+        return new Handler() {
+            @Override
+            public void sessionOpened(IoSession session) {
+                tell(() -> {
+                    int slot = backend.accepted();
+                    if (slot < 0) {
+                        session.closeNow();
+                        return;
+                    }
+                    session.setAttribute(SLOT, slot);
+                    callers.put(slot, session);
+                });
+            }
+
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                ByteBuffer bytes = ((IoBuffer) message).buf();
+                tell(() -> {
+                    if (session.getAttribute(SLOT) instanceof Integer slot) {
+                        backend.read(slot, bytes);
+                    }
+                });
+            }
+
+            @Override
+            public void sessionClosed(IoSession session) {
+                tell(() -> {
+                    if (session.removeAttribute(SLOT) instanceof Integer slot) {
+                        callers.remove(slot);
+                        backend.closed(slot);
+                    }
+                });
+            }
+        };
+    }
+
+    private IoHandler peerHandler() {
+        return new Handler() {
+            @Override
+            public void sessionOpened(IoSession session) {
+                tell(() -> {
+                    Peer peer = (Peer) session.getAttribute(PEER);
+                    IoSession before = peers.put(peer, session);
+                    if (before != null) {
+                        before.closeNow();
+                    }
+                    backend.up(peer);
+                });
+            }
+
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                ByteBuffer bytes = ((IoBuffer) message).buf();
+                tell(() -> {
+                    Peer peer = (Peer) session.getAttribute(PEER);
+                    if (peers.get(peer) == session) {
+                        backend.read(peer, bytes);
+                    }
+                });
+            }
+
+            @Override
+            public void sessionClosed(IoSession session) {
+                tell(() -> {
+                    Peer peer = (Peer) session.getAttribute(PEER);
+                    if (peers.remove(peer, session)) {
+                        backend.down(peer);
+                    }
+                });
+            }
+        };
+    }
+
+    private IoHandler reportHandler() {
+        return new Handler() {
+            @Override
+            public void sessionClosed(IoSession session) {
+                tell(() -> reports = reports == session ? null : reports);
+            }
+        };
+    }
+
+    // ---- what the core asks for
+
+    @Override
+    public void toCaller(int caller, byte[] bytes) {
+        to(callers.get(caller), bytes);
+    }
+
+    @Override
+    public void closeCaller(int caller) {
+        IoSession session = callers.get(caller);
+        if (session != null) {
+            toClose.add(session);
+        }
+    }
+
+    @Override
+    public void to(Peer peer, byte[] bytes) {
+        to(peers.get(peer), bytes);
+    }
+
+    private void to(IoSession session, byte[] bytes) {
+        if (session != null) {
+            toWrite.computeIfAbsent(session, s -> new ByteArrayOutputStream(bytes.length)).writeBytes(bytes);
+        }
+    }
+
+    @Override
+    public void connect(Peer peer) {
+        SocketAddress to = peer == Peer.KERNEL ? config.kernel : config.store;
+        open(connector, to, peer, () -> backend.down(peer));
+    }
+
+    private void open(IoConnector by, SocketAddress to, Peer peer, Runnable failed) {
+        by.connect(to, (session, future) -> session.setAttribute(PEER, peer)).addListener(future -> {
+            if (!((org.apache.mina.core.future.ConnectFuture) future).isConnected()) {
+                tell(failed);
+            }
+        });
+    }
+
+    @Override
+    public void drop(Peer peer) {
+        IoSession session = peers.remove(peer);
+        if (session != null) {
+            toWrite.remove(session);
+            session.closeNow();
+        }
+    }
+
+    /** A report that cannot go out now is left out; the next one follows within the second. */
+    @Override
+    public void report(byte[] datagram) {
+        if (reports != null) {
+            reports.write(IoBuffer.wrap(datagram));
+        } else if (!reportsOpening) {
+            reportsOpening = true;
+            datagrams.connect(config.announce).addListener(future -> tell(() -> {
+                reportsOpening = false;
+                reports = ((org.apache.mina.core.future.ConnectFuture) future).isConnected()
+                        ? ((org.apache.mina.core.future.ConnectFuture) future).getSession() : null;
+                if (reports != null) {
+                    reports.write(IoBuffer.wrap(datagram));
+                }
+            }));
+        }
+    }
+
+    // ---- leaving
+
+    /** From another thread: the notice to leave. Goes on accepting and answering to the very end. */
+    public void drain() {
+        tell(backend::drain);
+    }
+
+    /** From another thread: the counters as they are. */
+    public String counters() {
+        return backend.counters().line();
+    }
+}
--- a/src/main/java/tallyweir/wirehost/Host.java
+++ b/src/main/java/tallyweir/wirehost/Host.java
@@ -3,16 +3,12 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.List;
 import tallyweir.Choice;
-import tallyweir.Effect;
-import tallyweir.Halt;
 import tallyweir.Outgoing;
-import tallyweir.Said;
+import tallyweir.config.Settings;
+import tallyweir.config.Tree;
 import tallyweir.ids.QueryId;
-import tallyweir.ids.TenantId;
 import tallyweir.ids.TimerId;
-import tallyweir.ids.WorkloadId;
 
 /** One instance: its Choice, and its actions put into the reply. */
 final class Host implements Outgoing {
@@ -46,58 +42,9 @@
     }
 
     void configure(Tree params, long seed, long now) {
-        Tree info = params.in("FamilyInfo");
-        Tree rules = params.in("Rules");
-        Tree permissions = params.in("Permissions");
-        Choice made = new Choice(this, seed, now);
-        made.machine((int) info.needed("Cpus"), rules.number("FallMultiple", 1), info.yes("Cold"),
-                rules.number("ColdFrom", 1), rules.time("ColdUs"), halt(info.text("Halt", "off")));
-        made.memory(info.needed("MemLimitKb"), info.number("RunMemFactor", 1), info.number("EntryKb", 0));
-        made.below(info.number("CallsOut", 0), info.time("ShareSpanUs"), (info.time("LingerUs")) + 1);
-        List<Tree> classes = params.each("Classes");
-        for (int i = 0; i < classes.size(); i++) {
-            Tree c = classes.get(i);
-            made.workload(new WorkloadId(c.text("Name", "")), effect(c.text("Effect", "")), c.time("TargetUs"),
-                    c.time("DeadlineUs"), c.number("Worth", 1), c.number("LateValue", 0),
-                    c.time("RepeatWindowUs") + 1, info.yesAt("ClassCalls", i), info.at("ClassSkipWorth", i));
-        }
-        for (Tree t : params.each("Projects")) {
-            made.tenant(new TenantId(t.text("Name", "")), t.number("QuotaPerS", 0),
-                    (int) params.number("Servers", 1));
-        }
-        made.duties((long) Math.ceil(params.number("RoundUs", 0) / 100), rules.time("DrainGraceUs"),
-                params.number("OverShareWorth", 1));
-        made.callers(said(info.text("Signal", "off")), (int) info.number("ClientsTotal", 1),
-                info.time("ShareForUs"),
-                permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0);
-        made.connections(info.time("IdleUs"));
-        choice = made;
-        made.start();
-    }
-
-    private static Effect effect(String word) {
-        return switch (word) {
-            case "safe" -> Effect.HARMLESS;
-            case "keyed" -> Effect.STAMPED;
-            default -> Effect.ONE_SHOT;
-        };
-    }
-
-    private static Halt halt(String word) {
-        return switch (word) {
-            case "abort" -> Halt.ABORT;
-            case "suspend" -> Halt.SUSPEND;
-            default -> Halt.OFF;
-        };
-    }
-
-    private static Said said(String word) {
-        return switch (word) {
-            case "threshold" -> Said.THRESHOLD;
-            case "window" -> Said.WINDOW;
-            case "share_of" -> Said.SHARE_OF;
-            default -> Said.OFF;
-        };
+        Settings settings = new Settings(params);
+        choice = new Choice(this, seed, now);
+        settings.start(choice, settings.cold(), true, true, true);
     }
 
     void fault(String text) {
--- a/src/main/java/tallyweir/wirehost/News.java
+++ b/src/main/java/tallyweir/wirehost/News.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import tallyweir.Choice;
 import tallyweir.Outcome;
+import tallyweir.config.Tree;
 import tallyweir.ids.CallerId;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.SubjectId;
@@ -69,10 +70,7 @@
                 case "Ctx" -> ctx = whole(in, field);
                 case "Nonce64" -> seed = whole(in, field);
                 case "Params" -> {
-                    if (in.currentToken() != JsonToken.START_OBJECT) {
-                        throw new BadInput("Params is not an object");
-                    }
-                    params = Tree.read(in);
+                    params = Tree.read(in, "Params");
                 }
                 case "Telemetry" -> gauges(in);
                 default -> in.skipChildren();
--- a/src/main/java/tallyweir/wirehost/WireHost.java
+++ b/src/main/java/tallyweir/wirehost/WireHost.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import tallyweir.config.BadSetting;
 
 /** Reads batches, hands each piece of news to its instance, and writes one reply a batch. */
 public final class WireHost {
@@ -45,7 +46,7 @@
                 out.flush();
             }
             return 0;
-        } catch (BadInput e) {
+        } catch (BadInput | BadSetting e) {
             err.println("tallyweir: line " + number + ": " + e.getMessage());
         } catch (JsonProcessingException e) {
             err.println("tallyweir: line " + number + ": not a valid batch: " + e.getOriginalMessage());
@@ -156,7 +157,7 @@
     private void tell(Host host, long wall) {
         try {
             news.tell(host, wall);
-        } catch (BadInput e) {
+        } catch (BadInput | BadSetting e) {
             throw e;
         } catch (RuntimeException e) {
             host.fault(e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
