--- a/src/main/java/tallyweir/backend/Backend.java
+++ b/src/main/java/tallyweir/backend/Backend.java
@@ -106,7 +106,7 @@
     private void guard(Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException | StackOverflowError e) {
+        } catch (RuntimeException | Error e) {
             counters.add(Count.FAULTS);
             LOG.log(Level.SEVERE, "a fault was passed over", e);
         }
--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -4,6 +4,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.logging.Logger;
 import tallyweir.Effect;
@@ -165,7 +166,7 @@
             half.values().forEach(deadlines::cancel);
             halves -= half.size();
             half.clear();
-            java.util.List.copyOf(taken.values()).forEach(queries::gone);
+            List.copyOf(taken.values()).forEach(queries::gone);
             taken.clear();
         }
 
@@ -243,7 +244,7 @@
                     throw new IllegalArgumentException(Fields.SIZE + " or " + Fields.RANK + " is out of range");
                 }
                 String tenant = tenants ? fields.text(fields.needed(Fields.TENANT)) : null;
-                long patience = tellsPatience ? fields.whole(Fields.PATIENCE) : fields.whole(Fields.PATIENCE, 0);
+                long patience = tellsPatience ? fields.whole(Fields.PATIENCE) : fields.whole(Fields.PATIENCE, -1);
                 String subject = fields.text(Fields.SUBJECT);
                 String mark = subject;
                 if (queries.effect(workload) == Effect.STAMPED) {
--- a/src/main/java/tallyweir/backend/Counters.java
+++ b/src/main/java/tallyweir/backend/Counters.java
@@ -1,5 +1,10 @@
 package tallyweir.backend;
 
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.IntSupplier;
+
 /** What was taken in, sent and answered since the start; printed on request and at exit. */
 public final class Counters {
     enum Count {
@@ -13,32 +18,38 @@
     }
 
     private final long[] counts = new long[Count.values().length];
+    private final Map<String, IntSupplier> now = new LinkedHashMap<>();
 
     void add(Count what) {
         counts[what.ordinal()]++;
     }
 
-    long get(Count what) {
-        return counts[what.ordinal()];
+    /** How many of something there are now, beside what was counted. */
+    void now(String name, IntSupplier size) {
+        now.put(name, size);
+    }
+
+    /** Every name with its number. */
+    public Map<String, Long> all() {
+        Map<String, Long> all = new LinkedHashMap<>();
+        for (Count c : Count.values()) {
+            all.put(c.name().toLowerCase(Locale.ROOT), counts[c.ordinal()]);
+        }
+        now.forEach((name, size) -> all.put("now_" + name, (long) size.getAsInt()));
+        return all;
     }
 
     /** Name and number, a line each. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        for (Count c : Count.values()) {
-            text.append(c.name().toLowerCase(java.util.Locale.ROOT)).append(' ').append(get(c)).append('\n');
-        }
+        all().forEach((name, number) -> text.append(name).append(' ').append(number).append('\n'));
         return text.toString();
     }
 
     /** The same on one line, without what is zero. */
     public String line() {
         StringBuilder text = new StringBuilder();
-        for (Count c : Count.values()) {
-            if (get(c) != 0) {
-                text.append(c.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(get(c)).append(' ');
-            }
-        }
+        all().forEach((name, number) -> text.append(number == 0 ? "" : name + "=" + number + " "));
         return text.toString().strip();
     }
 }
--- a/src/main/java/tallyweir/backend/Kernel.java
+++ b/src/main/java/tallyweir/backend/Kernel.java
@@ -12,6 +12,7 @@
     private static final Logger LOG = Logger.getLogger(Kernel.class.getName());
     private static final int WAITING_MOST = 4_000;
     private static final long AGAIN_AFTER = 1_000;  // a tenth of a second
+    private static final int UNHEARD_MOST = 20;     // askings in a row; not a time, which a pause would use up
     private static final String RESUMED = "resumed";
 
     private final Links links;
@@ -20,11 +21,11 @@
     private final Queries queries;
     private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
     private Notices notices;
-    private boolean up;
     private boolean booted;  // on this link
     private int link;
     private long last;
     private long tag;
+    private int unheard;
 
     Kernel(Links links, Deadlines deadlines, Counters counters, Queries queries) {
         this.links = links;
@@ -39,26 +40,26 @@
 
     void up() {
         link++;
-        up = true;
+        unheard = 0;
         notices = new Notices(this);
         counters.add(Count.KERNEL_LINKS);
         links.to(Peer.KERNEL, Commands.open(last));
     }
 
     void down() {
-        up = false;
         booted = false;
         deadlines.set(queries.now() + AGAIN_AFTER, this::connect);
     }
 
     void read(ByteBuffer bytes) {
+        unheard = 0;
         notices.read(bytes);
     }
 
     // ---- commands
 
     void run(Taken t) {
-        t.sentOn = link;
+        t.sentOn = booted ? link : link + 1;
         send(Commands.run(t.job, t.workload.value(), t.body));
     }
 
@@ -70,12 +71,15 @@
         send(Commands.reply(t.job, body));
     }
 
-    /** Asks for the gauges; false if there is no link to ask on. */
-    boolean askGauges() {
+    /** Asks for the gauges where there is a link to ask on. */
+    void askGauges() {
+        // A link whose other end is gone without a word is opened again; nothing that was noticed is lost by it.
+        if (booted && ++unheard > UNHEARD_MOST) {
+            bad("nothing heard after " + UNHEARD_MOST + " askings");
+        }
         if (booted) {
             links.to(Peer.KERNEL, Commands.gauges("g" + ++tag));
         }
-        return booted;
     }
 
     private void send(byte[] command) {
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -23,7 +23,6 @@
 final class Queries implements Outgoing {
     private static final int SLOT_BITS = 20;
 
-    private final Links links;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Settings settings;
@@ -47,7 +46,6 @@
 
     Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connections, long seed,
             long now) {
-        this.links = links;
         this.deadlines = deadlines;
         this.counters = counters;
         this.settings = settings;
@@ -58,8 +56,12 @@
         runQueueAt = settings.gauge("on_cores");
         repeats = new Repeats(deadlines, settings.shareFor());
         kernel = new Kernel(links, deadlines, counters, this);
-        store = new Store(links, deadlines, counters, this);
+        store = new Store(links, deadlines, counters, this, settings.longestHard());
         callers = new Callers(links, deadlines, counters, this, settings, connections);
+        counters.now("connections", callers::size);
+        counters.now("queries", slots::size);
+        counters.now("entries", repeats::size);
+        counters.now("deadlines", deadlines::size);
     }
 
     Kernel kernel() {
@@ -127,7 +129,7 @@
         jobs.put(job, t);
         // A clock that was set back must not make it younger than new, nor its caller more patient than told.
         long age = Math.max(0, wall - receivedAt);
-        long left = patience <= 0 ? 0 : Math.max(1, Math.min(patience, receivedAt + patience - wall));
+        long left = patience < 0 ? 0 : Math.max(1, Math.min(patience, receivedAt + patience - wall));
         t.due = deadlines.set(now + (left > 0 ? left : settings.longestHard()), () -> overdue(t));
         boolean stamped = effect(workload) == Effect.STAMPED;
         QueryId earlier = mark != null && (stamped || settings.shareFor() > 0 && harmless(t))
--- a/src/main/java/tallyweir/backend/Store.java
+++ b/src/main/java/tallyweir/backend/Store.java
@@ -14,6 +14,8 @@
 final class Store implements Replies.Sink {
     private static final Logger LOG = Logger.getLogger(Store.class.getName());
 
+    private static final long NEVER = Long.MAX_VALUE;
+
     private enum Link { OFF, OPENING, UP }
 
     private static final class Call {
@@ -36,15 +38,18 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final Queries queries;
+    private final long silentMost;
     private final Map<String, Call> calls = new LinkedHashMap<>();
     private Link link = Link.OFF;
     private Replies replies;
+    private long unheardSince = NEVER;  // the first call sent since something was last heard
 
-    Store(Links links, Deadlines deadlines, Counters counters, Queries queries) {
+    Store(Links links, Deadlines deadlines, Counters counters, Queries queries, long silentMost) {
         this.links = links;
         this.deadlines = deadlines;
         this.counters = counters;
         this.queries = queries;
+        this.silentMost = silentMost;
     }
 
     void call(Taken t, byte[] body, long timeOut) {
@@ -72,6 +77,7 @@
 
     private void send(Call c) {
         c.sent = true;
+        unheardSince = Math.min(unheardSince, queries.now());
         counters.add(Count.CALLS_SENT);
         links.to(Peer.STORE, Calls.call(c.of.job, Math.max(1, (c.until - queries.now() + 9) / 10), c.body));
     }
@@ -90,6 +96,10 @@
     /** A call that was never sent has surely not run, whatever became of the link. */
     private void timedOut(Call c) {
         end(c);
+        // No reply to anything for as long as a call may take: the other end is gone without a word.
+        if (link == Link.UP && queries.now() - unheardSince >= silentMost) {
+            bad("nothing heard for " + silentMost / 10 + " ms");
+        }
         drop(c);
         counters.add(c.sent ? Count.CALLS_TIMED_OUT : Count.CALLS_NEVER_SENT);
         queries.callEnded(c.of, c.sent ? Outcome.OVERDUE : Outcome.REFUSED_CONN, queries.now() - c.since, null);
@@ -97,6 +107,7 @@
 
     void up() {
         link = Link.UP;
+        unheardSince = NEVER;
         replies = new Replies(this);
         counters.add(Count.STORE_LINKS);
         List.copyOf(calls.values()).forEach(this::send);
@@ -113,6 +124,7 @@
     }
 
     void read(ByteBuffer bytes) {
+        unheardSince = NEVER;
         replies.read(bytes);
     }
 
--- a/src/main/java/tallyweir/config/Config.java
+++ b/src/main/java/tallyweir/config/Config.java
@@ -66,7 +66,7 @@
         }
     }
 
-    static Config parse(byte[] json, Map<String, String> environment) {
+    public static Config parse(byte[] json, Map<String, String> environment) {
         try (JsonParser in = new JsonFactory().createParser(json)) {
             in.nextToken();
             return new Config(Tree.read(in, ""), environment);
--- a/src/main/java/tallyweir/fastcgi/Fields.java
+++ b/src/main/java/tallyweir/fastcgi/Fields.java
@@ -90,7 +90,7 @@
 
     public double number(String name) {
         String text = values.get(needed(name));
-        if (!text.matches("[0-9]{1,9}(\\.[0-9]{1,9})?")) {
+        if (!text.matches("[0-9]{1,9}(\\.[0-9]{1,20})?")) {
             throw new IllegalArgumentException(name + " is no number");
         }
         return Double.parseDouble(text);
--- a/src/main/java/tallyweir/net/Server.java
+++ b/src/main/java/tallyweir/net/Server.java
@@ -15,10 +15,12 @@
 import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoConnector;
 import org.apache.mina.core.service.IoHandler;
 import org.apache.mina.core.service.IoHandlerAdapter;
@@ -72,7 +74,6 @@
     private final Backend backend;
     private IoSession reports;
     private boolean reportsOpening;
-    private volatile boolean stopped;
 
     /** Made and run by the thread that is to decide. */
     public Server(Config config) {
@@ -100,10 +101,15 @@
         of.setWriteTimeout(WRITE_SECONDS);
     }
 
+    /** Where it listens. */
+    public SocketAddress address() {
+        return acceptor.getLocalAddress();
+    }
+
     public void run() {
         backend.start();
         List<Runnable> batch = new ArrayList<>(BATCH_MOST);
-        while (!stopped) {
+        while (true) {
             try {
                 round(batch);
             } catch (InterruptedException e) {
@@ -129,7 +135,7 @@
         for (Runnable news : batch) {
             try {
                 news.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.log(Level.SEVERE, "news was passed over", e);
             }
         }
@@ -300,7 +306,7 @@
 
     private void open(IoConnector by, SocketAddress to, Peer peer, Runnable failed) {
         by.connect(to, (session, future) -> session.setAttribute(PEER, peer)).addListener(future -> {
-            if (!((org.apache.mina.core.future.ConnectFuture) future).isConnected()) {
+            if (!((ConnectFuture) future).isConnected()) {
                 tell(failed);
             }
         });
@@ -324,8 +330,8 @@
             reportsOpening = true;
             datagrams.connect(config.announce).addListener(future -> tell(() -> {
                 reportsOpening = false;
-                reports = ((org.apache.mina.core.future.ConnectFuture) future).isConnected()
-                        ? ((org.apache.mina.core.future.ConnectFuture) future).getSession() : null;
+                reports = ((ConnectFuture) future).isConnected()
+                        ? ((ConnectFuture) future).getSession() : null;
                 if (reports != null) {
                     reports.write(IoBuffer.wrap(datagram));
                 }
@@ -342,6 +348,8 @@
 
     /** From another thread: the counters as they are. */
     public String counters() {
-        return backend.counters().line();
+        CompletableFuture<String> line = new CompletableFuture<>();
+        tell(() -> line.complete(backend.counters().line()));
+        return line.completeOnTimeout("no counters: the server is stuck", 1, TimeUnit.SECONDS).join();
     }
 }
--- /dev/null
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -0,0 +1,622 @@
+package tallyweir;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import tallyweir.Model.Answered;
+import tallyweir.backend.Backend;
+import tallyweir.backend.Links;
+import tallyweir.backend.Peer;
+import tallyweir.config.Config;
+
+/** The core between its links: a plain kernel, store and sidecars stand round it and say what is not allowed. */
+class BackendTest {
+    static final String CONFIG = """
+            {"name":"n3","listen":"127.0.0.1:0","kernel":"127.0.0.1:1","announce":"127.0.0.1:2","store":"127.0.0.1:3",
+             "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":192,"sockets":64},
+             "settings":{"Classes":[{"Name":"c","Effect":"safe","TargetUs":1800000,"DeadlineUs":4600000,"Worth":1},
+              {"Name":"k","Effect":"keyed","TargetUs":1800000,"DeadlineUs":4600000,"Worth":3,"RepeatWindowUs":5000000},
+              {"Name":"u","Effect":"unsafe","TargetUs":1800000,"DeadlineUs":4600000,"Worth":2}],
+              "FamilyInfo":{"Cpus":2,"MemLimitKb":9000,"RunMemFactor":4,"EntryKb":30,"Halt":"abort","IdleUs":30000000,
+               "Gauges":["core_use","on_cores"],"PassesDeadline":true,"CallsOut":4,"ShareSpanUs":5000000,
+               "LingerUs":200000,"ClassCalls":[true,true,true],"ShareForUs":1000000},
+              "Projects":[{"Name":"a","QuotaPerS":80}],"RoundUs":5000,"Servers":4,
+              "Permissions":{"RetryAfter":true,"MaxRetryAfterUs":1000000},
+              "Rules":{"AnswerSlackUs":60000,"DrainGraceUs":1000000,"FallMultiple":8,"FallUs":3000000}}}""";
+    static final long SLACK = 600 + 500;
+
+    /** A request as its sidecar knows it. */
+    private static final class Asked {
+        int conn;
+        int id;
+        String job;
+        String workload;
+        String body;
+        long due;
+        boolean whole;
+        boolean valid = true;
+        boolean aborted;
+        int answers;
+        Answered answer;
+        int ran;
+        boolean effectKept = true;  // no other call of it may have had its effect
+        String result;
+    }
+
+    /** Sidecars, kernel and store, each as plain as can be. */
+    private static final class Round implements Links {
+        final Backend backend = new Backend(this, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), 1_000_000, 0);
+        final Map<Integer, ByteArrayOutputStream> conns = new LinkedHashMap<>();
+        final Map<Integer, Integer> seen = new HashMap<>();
+        final List<Asked> asked = new ArrayList<>();
+        final Map<String, String> jobs = new LinkedHashMap<>();   // running or at call, by name
+        final Map<String, String> calls = new LinkedHashMap<>();  // bodies of calls in the store's hands
+        final Map<String, String> owed = new HashMap<>();         // replies that the kernel has to see
+        final List<String> log = new ArrayList<>();
+        final List<String> wrong = new ArrayList<>();
+        final List<Peer> wanted = new ArrayList<>();
+        long now = 1_000_000;
+        long n;
+        boolean kernelUp;
+        boolean storeUp;
+        final List<Integer> closing = new ArrayList<>();
+        String tag;
+
+        void clock() {
+            backend.clock(now, now + 5_000);
+        }
+
+        void boot() {
+            clock();
+            backend.start();
+            kernelUp();
+        }
+
+        void kernelUp() {
+            if (wanted.remove(Peer.KERNEL)) {
+                kernelUp = true;
+                backend.up(Peer.KERNEL);
+                kernel("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":5}");
+                kernel("{\"type\":\"INFO\",\"ref\":\"resumed\",\"gauges\":[]}");
+            }
+        }
+
+        void kernel(String line) {
+            clock();
+            backend.read(Peer.KERNEL, ByteBuffer.wrap((line + "\n").getBytes(UTF_8)));
+        }
+
+        void gauges() {
+            kernel("{\"type\":\"INFO\",\"ref\":\"" + tag + "\",\"gauges\":[0.1,1]}");
+        }
+
+        void reap(String job, String how, String result) {
+            jobs.remove(job);
+            calls.remove(job);
+            if (how.equals("good")) {
+                of(job).result = result;
+            }
+            notice("REAP", job, how, result);
+        }
+
+        void notice(String type, String job, String state, String data) {
+            kernel("{\"type\":\"" + type + "\",\"n\":" + ++n + ",\"job\":\"" + job + "\",\"state\":\"" + state
+                    + "\",\"took\":3,\"data\":\"" + Base64.getEncoder().encodeToString(data.getBytes(UTF_8)) + "\"}");
+        }
+
+        void store(String text) {
+            clock();
+            backend.read(Peer.STORE, ByteBuffer.wrap(text.getBytes(UTF_8)));
+        }
+
+        int open() {
+            clock();
+            int conn = backend.accepted();
+            if (conn >= 0) {
+                conns.put(conn, new ByteArrayOutputStream());
+                seen.put(conn, 0);
+            }
+            return conn;
+        }
+
+        Asked ask(int conn, String workload, String body, long patience, String mark, String... more) {
+            Asked a = new Asked();
+            a.conn = conn;
+            a.id = 1 + (int) asked.stream().filter(o -> o.conn == conn).count();
+            a.job = String.format("%016x", asked.size() + 1);
+            a.workload = workload;
+            a.body = body;
+            a.due = now + patience;
+            asked.add(a);
+            String[] fields = {"REQUEST_METHOD", "POST", "SCRIPT_NAME", "/do/" + workload, "HTTP_REQUEST_ID", a.job,
+                "HTTP_RECEIVED_AT", "" + (now + 5_000) / 10, "HTTP_SENT_BY", "4", "HTTP_ACCOUNT", "a",
+                "HTTP_BUDGET_MS", "" + patience / 10, "HTTP_FOOTPRINT_KB", "24.5", "HTTP_PRIORITY_RANK", "0.6250",
+                workload.equals("k") ? "HTTP_ONCE_KEY" : mark == null ? "X" : "HTTP_RESOURCE_KEY",
+                mark == null ? "" : mark};
+            fields = Arrays.copyOf(fields, fields.length + more.length);
+            System.arraycopy(more, 0, fields, fields.length - more.length, more.length);
+            send(conn, Model.request(a.id, body.getBytes(UTF_8), false, 3, fields));
+            a.whole = true;
+            return a;
+        }
+
+        void send(int conn, byte[] bytes) {
+            clock();
+            backend.read(conn, ByteBuffer.wrap(bytes));
+        }
+
+        void end(int conn) {
+            clock();
+            conns.remove(conn);
+            asked.stream().filter(a -> a.conn == conn).forEach(a -> a.aborted = true);
+            asked.stream().filter(a -> a.conn == conn).forEach(a -> a.conn = -1);
+            backend.closed(conn);
+        }
+
+        void pass(long span) {
+            for (long end = now + span; now < end;) {
+                now = Math.min(end, Math.max(now + 1, backend.next()));
+                clock();
+                backend.pass();
+                check();
+                closings();
+            }
+        }
+
+        void closings() {
+            List.copyOf(closing).forEach(this::end);
+            closing.clear();
+        }
+
+        Asked of(String job) {
+            return asked.stream().filter(a -> a.job.equals(job)).findFirst().orElseThrow();
+        }
+
+        List<Answered> answers(int conn) {
+            return Model.answers(conns.get(conn).toByteArray());
+        }
+
+        void check() {
+            conns.forEach((conn, bytes) -> {
+                List<Answered> all = answers(conn);
+                all.subList(seen.put(conn, all.size()), all.size()).forEach(w -> answered(conn, w));
+            });
+            asked.stream().filter(a -> a.whole && !a.aborted && a.answers == 0 && now > a.due + SLACK)
+                    .forEach(a -> deny(++a.answers == 1, "lost " + a.job));
+        }
+
+        void answered(int conn, Answered w) {
+            log.add("answered " + w.id() + " " + w.status());
+            for (Asked a : asked) {
+                if (a.conn == conn && a.id == w.id()) {
+                    a.answers++;
+                    a.answer = w;
+                    deny(a.answers > 1, "answered twice " + a.job);
+                    deny(w.status() == 200 && asked.stream().noneMatch(o -> o.workload.equals(a.workload)
+                            && w.body().equals(o.result)), "served with what no run made " + a.job);
+                    deny(w.status() == 503 && a.ran > 0 && !a.workload.equals("c"), "deferred once run " + a.job);
+                    deny(!a.valid && w.status() / 100 != 4, "taken though malformed " + a.job);
+                }
+            }
+        }
+
+        void deny(boolean broken, String what) {
+            if (broken) {
+                wrong.add(what + " at " + now);
+            }
+        }
+
+        long number(String counter) {
+            return backend.counters().all().get(counter);
+        }
+
+        @Override
+        public void toCaller(int caller, byte[] bytes) {
+            if (conns.containsKey(caller)) {
+                conns.get(caller).writeBytes(bytes);
+            }
+        }
+
+        @Override
+        public void closeCaller(int caller) {
+            log.add("close " + caller);
+            check();
+            closing.add(caller);
+        }
+
+        @Override
+        public void connect(Peer peer) {
+            wanted.add(peer);
+        }
+
+        @Override
+        public void to(Peer peer, byte[] bytes) {
+            String text = new String(bytes, ISO_8859_1);
+            log.add(peer + " " + text.strip());
+            if (peer == Peer.KERNEL) {
+                command(text);
+            } else if (text.startsWith("CALL")) {
+                String job = text.substring(5, 21);
+                String body = text.substring(text.indexOf("\r\n") + 2, text.length() - 2);
+                deny(!("call of " + job).equals(body), "a call's body was changed");
+                deny(!of(job).effectKept && !of(job).workload.equals("c"), "call repeated " + job);
+                of(job).effectKept = false;
+                calls.put(job, body);
+            } else {
+                calls.remove(text.substring(5, 21));
+            }
+        }
+
+        void command(String text) {
+            if (text.contains("SYSINFO")) {
+                tag = field(text, "ref");
+                return;
+            }
+            if (text.contains("OPEN")) {
+                deny(!text.contains("\"n\":" + n + "}"), "the last notice was another");
+                return;
+            }
+            String job = field(text, "job");
+            String data = new String(Base64.getDecoder().decode(field(text, "data")), UTF_8);
+            Asked a = of(job);
+            if (text.contains("SCHED") && !jobs.containsKey(job)) {
+                deny(!field(text, "kind").equals(a.workload) || !data.equals(a.body), "changed on its way " + job);
+                deny(!a.valid, "run though malformed " + job);
+                a.ran++;
+                deny(a.ran > 1 && !a.workload.equals("c"), "run twice " + job);
+                jobs.put(job, "runs");
+            } else if (text.contains("IODONE")) {
+                deny(!data.equals(owed.remove(job)), "a reply was changed or made up " + job);
+                jobs.replace(job, "runs");
+            }
+        }
+
+        static String field(String json, String name) {
+            int at = json.indexOf("\"" + name + "\":\"");
+            return at < 0 ? "" : json.substring(at + name.length() + 4, json.indexOf('"', at + name.length() + 4));
+        }
+
+        @Override
+        public void drop(Peer peer) {
+            log.add("drop " + peer);
+        }
+
+        @Override
+        public void report(byte[] datagram) {
+            log.add(new String(datagram, UTF_8));
+        }
+    }
+
+    private final Round r = new Round();
+
+    private Asked running(String workload) {
+        r.boot();
+        Asked a = r.ask(r.open(), workload, "b", 20_000, workload.equals("k") ? "m" : null);
+        assertEquals("runs", r.jobs.get(a.job));
+        return a;
+    }
+
+    private Answered only(Asked a) {
+        r.check();
+        assertEquals(List.of(), r.wrong);
+        assertEquals(1, a.answers);
+        return a.answer;
+    }
+
+    private long logged(String start) {
+        return r.log.stream().filter(l -> l.startsWith(start)).count();
+    }
+
+    /** Generated days: nothing is lost, answered twice, changed, run twice; all that was taken is given back. */
+    @Property(tries = 300, seed = "20261202", shrinking = ShrinkingMode.OFF)
+    void keepsTheRulesOnItsLinks(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        Round r = new Round();
+        r.boot();
+        for (int i = 0; i < 160; i++) {
+            step(r, chance);
+            r.check();
+            r.closings();
+        }
+        r.storeUp = true;
+        for (int i = 0; i < 80; i++) {
+            r.kernelUp();
+            List.copyOf(r.jobs.keySet()).forEach(job -> r.reap(job, "bad", ""));
+            r.pass(1_000);
+        }
+        List.copyOf(r.conns.keySet()).forEach(r::end);
+        r.pass(60_000);
+        assertEquals(List.of(), r.wrong.stream().limit(5).toList());
+        assertEquals(List.of(0L, 0L, 0L, 0L), List.of(r.number("faults"), r.number("now_connections"),
+                r.number("now_queries"), r.number("now_entries")));
+        assertTrue(r.number("now_deadlines") < 8, "" + r.number("now_deadlines"));
+    }
+
+    private static <T> T any(SplittableRandom chance, Iterable<T> from) {
+        List<T> all = new ArrayList<>();
+        from.forEach(all::add);
+        return all.isEmpty() ? null : all.get(chance.nextInt(all.size()));
+    }
+
+    private void step(Round r, SplittableRandom chance) {
+        Integer conn = any(chance, r.conns.keySet());
+        String job = any(chance, r.jobs.keySet());
+        String call = any(chance, r.calls.keySet());
+        int kind = chance.nextInt(100);
+        if (conn == null || kind < 5) {
+            r.open();
+        } else if (kind < 40) {
+            String workload = new String[] {"c", "c", "k", "u"}[chance.nextInt(4)];
+            Asked a = r.ask(conn, workload, "b" + chance.nextInt(1_000), 200 + chance.nextInt(20_000),
+                    workload.equals("u") ? null : "m" + chance.nextInt(6));
+            a.valid = true;
+        } else if (kind < 44) {
+            List<Asked> open = r.asked.stream().filter(a -> a.conn == conn && a.answers == 0).toList();
+            if (!open.isEmpty()) {
+                r.send(conn, Model.record(2, open.get(0).id, 0, new byte[0]));
+            }
+        } else if (kind < 46) {
+            r.end(conn);
+        } else if (kind < 50) {
+            r.send(conn, new byte[] {1, 2});  // part of a record; what follows cannot be read
+            r.end(conn);
+        } else if (kind < 75 && r.kernelUp && job != null) {
+            boolean runs = r.jobs.get(job).equals("runs");
+            if (runs && chance.nextInt(3) == 0) {
+                r.jobs.put(job, "at call");
+                r.of(job).effectKept = true;
+                r.notice("IOREQ", job, "", "call of " + job);
+            } else if (runs) {
+                boolean over = r.of(job).answers > 0 || r.of(job).aborted;
+                r.reap(job, new String[] {"good", "good", "bad", over ? "gone" : "good"}[chance.nextInt(4)],
+                        "made for " + job);
+            } else if (r.of(job).aborted || r.of(job).answers > 0) {
+                r.reap(job, "cut", "");
+            }
+        } else if (kind < 77 && r.kernelUp) {
+            r.kernelUp = false;
+            r.clock();
+            r.backend.down(Peer.KERNEL);
+        } else if (kind < 85) {
+            if (r.wanted.remove(Peer.STORE)) {
+                r.clock();
+                r.storeUp = chance.nextInt(4) > 0;
+                if (r.storeUp) {
+                    r.backend.up(Peer.STORE);
+                } else {
+                    r.backend.down(Peer.STORE);
+                }
+            } else if (r.storeUp && chance.nextInt(4) == 0) {
+                r.storeUp = false;
+                r.calls.clear();
+                r.clock();
+                r.backend.down(Peer.STORE);
+            }
+        } else if (kind < 93 && call != null) {
+            r.calls.remove(call);
+            String word = new String[] {"OK", "BUSY", "ERR", "VOID", "LATE", "OK"}[chance.nextInt(6)];
+            if (word.equals("OK")) {
+                r.owed.put(call, "reply to " + call);
+                r.store(call + " OK 25\r\nreply to " + call + "\r\n");
+            } else {
+                r.of(call).effectKept = word.equals("BUSY") || word.equals("VOID");
+                r.store(call + " " + word + "\r\n");
+            }
+        } else {
+            r.pass(chance.nextInt(2_500));
+            r.kernelUp();
+            if (r.kernelUp && r.tag != null) {
+                r.gauges();
+            }
+        }
+    }
+
+    @Test
+    void theKernelsResultLeavesUnchangedAndTheIdIsFreeAgain() {
+        Asked a = running("c");
+        r.reap(a.job, "good", "made\r\n\r\n\0");
+        Answered w = only(a);
+        assertEquals(List.of(200, "made\r\n\r\n\0", 0), List.of(w.status(), w.body(), w.end()));
+        assertEquals(0, r.number("now_queries"));
+    }
+
+    /** Two ends for one id would be the end of another request under the same id. */
+    @Test
+    void anAbortGetsOneEndAndTheRunIsStopped() {
+        Asked a = running("c");
+        r.send(a.conn, Model.record(2, a.id, 0, new byte[0]));
+        r.send(a.conn, Model.record(2, a.id, 0, new byte[0]));
+        r.reap(a.job, "good", "late");
+        assertEquals(0, only(a).status());
+        assertEquals(1, logged("KERNEL {\"type\":\"PREEMPT\""));
+    }
+
+    @Test
+    void whatIsMissingUnknownOrOutOfRangeGetsOneAnswerAndNothingRuns() {
+        r.boot();
+        int conn = r.open();
+        List<Integer> statuses = new ArrayList<>();
+        for (String[] wrongField : new String[][] {{"SCRIPT_NAME", "/do/x"}, {"SCRIPT_NAME", "/else"}, {"REQUEST_METHOD", "GET"},
+            {"HTTP_REQUEST_ID", "xyz"}, {"HTTP_RECEIVED_AT", "1e9"}, {"HTTP_FOOTPRINT_KB", "0"}, {"HTTP_PRIORITY_RANK", "1.0"},
+            {"HTTP_BUDGET_MS", "-1"}, {"HTTP_SENT_BY", ""}, {"HTTP_REQUEST_ID", "8".repeat(300)}}) {
+            Asked a = r.ask(conn, "c", "b", 20_000, null, wrongField);
+            a.valid = false;
+            statuses.add(only(a).status());
+        }
+        assertEquals(List.of(404, 404, 405, 400, 400, 400, 400, 400, 400, 400), statuses);
+        assertEquals(0, logged("KERNEL {\"type\":\"SCHED\""));
+    }
+
+    /** Half a request once would have stayed for ever. */
+    @Test
+    void halfARequestIsEndedAfterAWhile() {
+        r.boot();
+        int conn = r.open();
+        r.send(conn, Arrays.copyOf(Model.request(9, new byte[3], false, 0, "A", "b"), 30));
+        r.pass(200_000);
+        assertEquals(1, logged("answered 9 408"));
+        assertEquals(1, logged("close " + conn));
+    }
+
+    @Test
+    void aSpoiltStreamIsClosedAndItsQueriesAreGone() {
+        Asked a = running("c");
+        r.send(a.conn, new byte[] {7, 1, 0, 1, 0, 0, 0, 0});
+        assertEquals(1, logged("close " + a.conn));
+        r.closings();
+        assertEquals(1, r.number("queries_gone"));
+    }
+
+    /** A repeat of a run query gets its result, and a stamped one is not run again. */
+    @Test
+    void repeatsAreAnsweredFromTheFirst() {
+        Asked a = running("k");
+        Asked b = r.ask(a.conn, "k", "b", 20_000, "m");
+        r.reap(a.job, "good", "made");
+        Asked c = r.ask(a.conn, "k", "b", 20_000, "m");
+        r.pass(10);
+        assertEquals(List.of("made", "made", "made"), List.of(only(a).body(), only(b).body(), only(c).body()));
+        assertEquals(1, logged("KERNEL {\"type\":\"SCHED\""));
+    }
+
+    @Test
+    void noticesThatComeAgainAfterABreakCountOnce() {
+        Asked a = running("u");
+        r.notice("IOREQ", a.job, "", "call of " + a.job);
+        r.backend.down(Peer.KERNEL);
+        r.pass(2_000);
+        r.kernelUp();
+        r.n--;
+        r.notice("IOREQ", a.job, "", "call of " + a.job);
+        r.backend.up(Peer.STORE);
+        r.reap(a.job, "good", "made");
+        assertEquals(200, only(a).status());
+        assertEquals(1, logged("STORE CALL"));
+        assertEquals(1, r.number("kernel_notices_repeated"));
+    }
+
+    /** What was asked just before a break may not have come; only what may run twice is asked again. */
+    @Test
+    void afterABreakOnlyHarmlessRunsAreAskedForAgain() {
+        Asked a = running("c");
+        Asked b = r.ask(a.conn, "u", "b", 20_000, null);
+        r.backend.down(Peer.KERNEL);
+        r.pass(2_000);
+        r.kernelUp();
+        List<String> asked = r.log.stream().filter(l -> l.contains("SCHED")).map(l -> Round.field(l, "job")).toList();
+        assertEquals(List.of(a.job, b.job, a.job), asked);
+    }
+
+    @Test
+    void aRunThatTheKernelDoesNotKnowIsFailedAtOnce() {
+        Asked a = running("u");
+        r.kernel("{\"type\":\"EINVAL\",\"state\":\"SCHED\",\"job\":\"" + a.job + "\"}");
+        assertEquals(500, only(a).status());
+        assertEquals(0, r.number("now_queries"));
+    }
+
+    /** Gauges that did not come once would have ended the timer that asks for them. */
+    @Test
+    void gaugesThatDoNotComeAreAskedForAgainAndASilentLinkIsOpenedAnew() {
+        r.boot();
+        r.pass(60_000);
+        assertTrue(logged("KERNEL {\"type\":\"SYSINFO\"") > 15, r.log.toString());
+        assertEquals(1, logged("drop KERNEL"));
+        assertTrue(r.wanted.contains(Peer.KERNEL));
+    }
+
+    @Test
+    void aCallIsTimedHereAndDropped() {
+        Asked a = running("c");
+        r.notice("IOREQ", a.job, "", "call of " + a.job);
+        r.backend.up(Peer.STORE);
+        r.pass(21_000);
+        assertEquals(List.of(1L, 1L), List.of(logged("STORE CALL"), logged("STORE DROP")));
+        r.store(a.job + " OK 1\r\nx\r\n");
+        assertEquals(0, logged("KERNEL {\"type\":\"IODONE\""), "a reply that crossed the drop is nobody's");
+        assertEquals(503, only(a).status());
+    }
+
+    @Test
+    void aStoreThatRefusesProvesThatNothingRanAndABreakDoesNot() {
+        Asked a = running("u");
+        r.notice("IOREQ", a.job, "", "call of " + a.job);
+        r.wanted.remove(Peer.STORE);
+        r.backend.down(Peer.STORE);
+        r.pass(1_000);
+        r.gauges();
+        assertTrue(r.wanted.contains(Peer.STORE), "tried again");
+        r.backend.up(Peer.STORE);
+        assertEquals(1, logged("STORE CALL"));
+        r.backend.down(Peer.STORE);
+        r.pass(1_000);
+        r.gauges();
+        assertEquals(500, only(a).status());
+        assertEquals(1, logged("STORE CALL"));
+    }
+
+    /** The clock was set back by an hour, then forward by two: the due stays the caller's patience or comes at once. */
+    @Test
+    void aClockStepLosesNothing() {
+        r.boot();
+        int conn = r.open();
+        r.backend.clock(r.now, r.now + 5_000 - 36_000_000);
+        Asked a = r.ask(conn, "c", "b", 20_000, null);
+        Asked b = r.ask(conn, "c", "b", 20_000, null, "HTTP_RECEIVED_AT", "1");
+        assertEquals(503, only(b).status());
+        r.backend.clock(r.now, r.now + 72_000_000);
+        r.pass(21_000);
+        only(a);
+    }
+
+    @Test
+    void connectionsBeyondTheLimitTakeThePlaceOfIdleOnes() {
+        r.boot();
+        int first = r.open();
+        for (int i = 1; i < 56; i++) {
+            r.ask(r.open(), "c", "b", 20_000, null);
+        }
+        r.open();
+        assertEquals(1, logged("close " + first));
+        assertEquals(0, r.number("connections_turned_back"));
+    }
+
+    @Test
+    void underTheNoticeToLeaveAllIsAnsweredAndLateComersAreDeferred() {
+        Asked a = running("c");
+        r.backend.drain();
+        r.pass(11_000);
+        Asked late = r.ask(a.conn, "c", "b", 20_000, null);
+        assertEquals(503, only(late).status());
+        r.pass(21_000);
+        only(a);
+        assertTrue(r.log.contains("announce n3 true") && r.log.contains("announce n3 false"));
+    }
+
+    @Test
+    void checksAndCountersAreAnsweredBeforeTheKernelIsThere() {
+        int conn = r.open();
+        r.send(conn, Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+        r.send(conn, Model.request(2, new byte[0], false, 0, "SCRIPT_NAME", "/counters"));
+        Asked a = r.ask(conn, "c", "b", 20_000, null);
+        assertEquals(200, r.answers(conn).get(0).status());
+        assertTrue(r.answers(conn).get(1).body().contains("\nchecks 1\n"));
+        assertEquals(503, r.answers(conn).get(2).status(), "nothing can run yet: " + a.job);
+    }
+}
--- a/src/test/java/tallyweir/Model.java
+++ b/src/test/java/tallyweir/Model.java
@@ -313,4 +313,67 @@
         deny(at <= now, "a timer that is not ahead");
         timers.computeIfAbsent(at, t -> new ArrayList<>()).add(timer.value());
     }
+
+    // ---- FastCGI as a sidecar writes and reads it, from the specification
+
+    record Answered(int id, int end, int status, String headers, String body) {}
+
+    static byte[] record(int type, int id, int padding, byte[] content) {
+        byte[] r = new byte[8 + content.length + padding];
+        byte[] head = {1, (byte) type, (byte) (id >> 8), (byte) id, (byte) (content.length >> 8),
+            (byte) content.length, (byte) padding, 0};
+        System.arraycopy(head, 0, r, 0, 8);
+        System.arraycopy(content, 0, r, 8, content.length);
+        return r;
+    }
+
+    static byte[] join(byte[]... parts) {
+        java.io.ByteArrayOutputStream out = new java.io.ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            out.writeBytes(part);
+        }
+        return out.toByteArray();
+    }
+
+    static byte[] pair(String name, String value, boolean wide) {
+        byte[] lengths = wide || value.length() > 127
+                ? new byte[] {(byte) 0x80, 0, 0, (byte) name.length(), (byte) (0x80 | value.length() >> 24),
+                    (byte) (value.length() >> 16), (byte) (value.length() >> 8), (byte) value.length()}
+                : new byte[] {(byte) name.length(), (byte) value.length()};
+        return join(lengths, (name + value).getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+    }
+
+    /** A whole request; fields come as name, value, name, value. */
+    static byte[] request(int id, byte[] body, boolean wide, int padding, String... fields) {
+        byte[] params = {};
+        for (int i = 0; i < fields.length; i += 2) {
+            params = join(params, pair(fields[i], fields[i + 1], wide));
+        }
+        int half = params.length / 2;
+        return join(record(1, id, padding, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}),
+                record(4, id, padding, java.util.Arrays.copyOf(params, half)),
+                half == 0 ? params : record(4, id, 0, java.util.Arrays.copyOfRange(params, half, params.length)),
+                record(4, id, padding, new byte[0]), body.length == 0 ? body : record(5, id, padding, body),
+                record(5, id, 0, new byte[0]));
+    }
+
+    static List<Answered> answers(byte[] bytes) {
+        List<Answered> all = new ArrayList<>();
+        Map<Integer, String> out = new HashMap<>();
+        for (int at = 0; at < bytes.length;) {
+            int id = (bytes[at + 2] & 0xff) << 8 | bytes[at + 3] & 0xff;
+            int length = (bytes[at + 4] & 0xff) << 8 | bytes[at + 5] & 0xff;
+            String content = new String(bytes, at + 8, length, java.nio.charset.StandardCharsets.ISO_8859_1);
+            if (bytes[at + 1] == 6) {
+                out.merge(id, content, String::concat);
+            } else if (bytes[at + 1] == 3) {
+                String text = out.containsKey(id) ? out.remove(id) : "Status: 0\r\n\r\n";
+                int end = text.indexOf("\r\n\r\n");
+                all.add(new Answered(id, content.charAt(4), Integer.parseInt(text.substring(8, text.indexOf('\r'))),
+                        text.substring(0, end), text.substring(end + 4)));
+            }
+            at += 8 + length + (bytes[at + 6] & 0xff);
+        }
+        return all;
+    }
 }
--- /dev/null
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -0,0 +1,294 @@
+package tallyweir;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import tallyweir.fastcgi.Fields;
+import tallyweir.fastcgi.Reader;
+import tallyweir.kernel.Commands;
+import tallyweir.kernel.Notices;
+import tallyweir.store.Calls;
+import tallyweir.store.Replies;
+
+/** The parsers: the same comes out however the bytes are split, every length is limited, bad input is told. */
+class ParsersTest {
+    private final List<String> out = new ArrayList<>();
+
+    private static void split(byte[] bytes, long seed, Consumer<ByteBuffer> to) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int at = 0; at < bytes.length;) {
+            int take = Math.min(bytes.length - at, 1 + chance.nextInt(chance.nextInt(4) == 0 ? 400 : 9));
+            to.accept(ByteBuffer.wrap(bytes, at, take));
+            at += take;
+        }
+    }
+
+    // ---- FastCGI
+
+    private Reader reader(boolean answersAtOnce) {
+        Reader[] reader = {null};
+        reader[0] = new Reader(new Reader.Sink() {
+            @Override
+            public boolean begun(int id) {
+                return true;
+            }
+
+            @Override
+            public void request(int id, Fields fields, byte[] body, boolean keep) {
+                out.add("request " + id + " " + fields.text(Fields.PATH) + " " + new String(body, ISO_8859_1) + " " + keep);
+                done(id);
+            }
+
+            @Override
+            public void refused(int id, Reader.Refusal why, boolean keep) {
+                out.add("refused " + id + " " + why);
+                done(id);
+            }
+
+            @Override
+            public void aborted(int id) {
+                out.add("aborted " + id);
+                done(id);
+            }
+
+            private void done(int id) {
+                if (answersAtOnce) {
+                    reader[0].done(id);
+                }
+            }
+
+            @Override
+            public void reply(byte[] record) {
+                out.add("reply " + record[1] + " " + new String(record, 8, record.length - 8, ISO_8859_1).replace("\0", ""));
+            }
+
+            @Override
+            public void bad(String why) {
+                out.add("bad " + why);
+            }
+        });
+        return reader[0];
+    }
+
+    private List<String> of(byte[]... parts) {
+        out.clear();
+        split(Model.join(parts), 5, reader(true)::read);
+        return List.copyOf(out);
+    }
+
+    @Property(tries = 200, seed = "7", shrinking = ShrinkingMode.OFF)
+    void requestsComeOutWholeHoweverTheyAreSplit(@ForAll long seed, @ForAll boolean wide) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<String> expected = new ArrayList<>();
+        byte[] stream = {};
+        for (int i = 0; i < 5; i++) {
+            int id = 1 + chance.nextInt(0xffff);
+            String body = "b".repeat(chance.nextInt(3) == 0 ? 0 : chance.nextInt(Reader.BODY_MOST + 1));
+            stream = Model.join(stream, Model.request(id, body.getBytes(ISO_8859_1), wide, chance.nextInt(256),
+                    "SCRIPT_NAME", "/do/x" + i, "OTHER", "o".repeat(chance.nextInt(300))));
+            expected.add("request " + id + " /do/x" + i + " " + body + " true");
+        }
+        Reader r = reader(true);
+        out.clear();
+        split(stream, seed, r::read);
+        assertEquals(expected, out);
+        assertEquals(0, r.open());
+        assertTrue(r.betweenRecords());
+    }
+
+    @Property(tries = 300, seed = "11", shrinking = ShrinkingMode.OFF)
+    void spoiltStreamsThrowNothingAndKeepNoMoreThanTheirLimits(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        byte[] stream = {};
+        for (int i = 0; i < 6; i++) {
+            stream = Model.join(stream, Model.request(1 + chance.nextInt(3), new byte[chance.nextInt(3_000)], i % 2 == 0, i,
+                    "SCRIPT_NAME", "/do/x", "O", "o".repeat(chance.nextInt(9_000))));
+        }
+        for (int i = chance.nextInt(12); i > 0; i--) {
+            stream[chance.nextInt(stream.length)] = (byte) chance.nextInt();
+        }
+        Reader r = reader(chance.nextInt(2) == 0);
+        out.clear();
+        split(stream, seed, r::read);
+        assertTrue(r.open() <= Reader.OPEN_MOST);
+        assertTrue(out.stream().filter(o -> o.startsWith("bad")).count() <= 1, "nothing after the stream is lost");
+    }
+
+    @Test
+    void requestsOnOneConnectionMayBeInterleavedAndAborted() {
+        byte[] a = Model.request(1, "one".getBytes(UTF_8), false, 3, "SCRIPT_NAME", "/do/a");
+        byte[] b = Model.request(2, "two".getBytes(UTF_8), false, 0, "SCRIPT_NAME", "/do/b");
+        byte[] begun = Arrays.copyOf(a, 19);
+        assertEquals(List.of("request 2 /do/b two true", "request 1 /do/a one true"),
+                of(begun, b, Arrays.copyOfRange(a, 19, a.length)));
+        assertEquals(List.of("aborted 1", "request 1 /do/a one true"),
+                of(begun, Model.record(2, 1, 0, new byte[0]), Model.record(5, 1, 0, new byte[9]), a));
+    }
+
+    @Test
+    void whatIsTooBigOrUnreadableIsRefusedOnceAndTheNextGoesOn() {
+        byte[] next = Model.request(1, "x".getBytes(UTF_8), false, 0, "SCRIPT_NAME", "/do/a");
+        String fine = "request 1 /do/a x true";
+        assertEquals(List.of("refused 1 TOO_BIG", fine),
+                of(Model.request(1, new byte[Reader.BODY_MOST + 1], false, 9, "SCRIPT_NAME", "/do/a"), next));
+        assertEquals(List.of("refused 1 TOO_BIG", fine),
+                of(Model.request(1, new byte[0], true, 0, "A", "a".repeat(Reader.PARAMS_MOST)), next));
+        byte[] begin = Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0});
+        assertEquals(List.of("refused 1 PARAMS", fine), of(begin, Model.record(4, 1, 0, new byte[] {9, 9, 1}),
+                Model.record(4, 1, 0, new byte[0]), Model.record(5, 1, 0, new byte[0]), next));
+        assertEquals(List.of("refused 1 PARAMS", fine), of(begin, Model.record(5, 1, 0, new byte[0]), next));
+        assertEquals(List.of("refused 1 ROLE", fine),
+                of(Model.record(1, 1, 0, new byte[] {0, 2, 1, 0, 0, 0, 0, 0}), next));
+    }
+
+    @Test
+    void onlySoManyRequestsAreOpenOnAConnection() {
+        Reader r = reader(false);
+        for (int id = 1; id <= Reader.OPEN_MOST + 1; id++) {
+            r.read(ByteBuffer.wrap(Model.record(1, id, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0})));
+        }
+        assertEquals(List.of("refused " + (Reader.OPEN_MOST + 1) + " OVERLOADED"), out);
+    }
+
+    @Test
+    void managementRecordsAreAnswered() {
+        assertEquals(List.of("reply 10 \17\1FCGI_MPXS_CONNS1", "reply 11 \115"),
+                of(Model.record(9, 0, 1, Model.pair("FCGI_MPXS_CONNS", "", false)), Model.record(77, 0, 0, new byte[0])));
+    }
+
+    @Test
+    void aBadRecordEndsTheStream() {
+        byte[] begin = Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0});
+        byte[] version = begin.clone();
+        version[0] = 2;
+        assertEquals(List.of("bad a record of version 2"), of(version, begin, begin));
+        assertEquals(List.of("bad request 1 begins while it is open"), of(begin, begin, begin));
+        assertEquals(List.of("bad a begin record of 7 bytes"), of(Model.record(1, 1, 0, new byte[7])));
+        assertEquals(1, of(Model.record(9, 0, 0, new byte[] {50})).size());
+        assertEquals(1, of(Model.record(9, 0, 0, new byte[2_000])).size());
+        assertEquals(1, of(Model.record(4, 0, 0, new byte[2])).size());
+    }
+
+    // ---- the kernel
+
+    private final Notices notices = new Notices(new Notices.Sink() {
+        @Override
+        public void booted(boolean fresh, long before) {
+            out.add("booted " + fresh + " " + before);
+        }
+
+        @Override
+        public void ended(long n, String job, String how, long took, byte[] result) {
+            out.add("ended " + n + " " + job + " " + how + " " + took + " " + new String(result, UTF_8));
+        }
+
+        @Override
+        public void needs(long n, String job, byte[] body) {
+            out.add("needs " + n + " " + job + " " + new String(body, UTF_8));
+        }
+
+        @Override
+        public void gauges(String tag, double[] values) {
+            out.add("gauges " + tag + " " + Arrays.toString(values));
+        }
+
+        @Override
+        public void notDone(String command, String job) {
+            out.add("not done " + command + " " + job);
+        }
+
+        @Override
+        public void remark(long n, String text) {
+            out.add("remark " + n);
+        }
+
+        @Override
+        public void unknown(String why) {
+            out.add("unknown");
+        }
+
+        @Override
+        public void bad(String why) {
+            out.add("bad");
+        }
+    });
+
+    @Property(tries = 20, seed = "3", shrinking = ShrinkingMode.OFF)
+    void noticesComeOutHoweverTheyAreSplit(@ForAll long seed) {
+        String result = Base64.getEncoder().encodeToString("made".getBytes(UTF_8));
+        String lines = "{\"type\":\"BOOTED\",\"state\":\"new\",\"took\":12.34}\n"
+                + "{\"n\":1,\"new\":[{}],\"type\":\"REAP\",\"job\":\"j\",\"state\":\"good\",\"took\":3,\"data\":\"" + result + "\"}\r\n"
+                + "{\"type\":\"IOREQ\",\"n\":2,\"job\":\"k\",\"data\":\"" + result + "\"}\n"
+                + "{\"type\":\"INFO\",\"ref\":\"t\",\"gauges\":[0.5,3,1e-1]}\n"
+                + "{\"type\":\"EINVAL\",\"state\":\"SCHED\",\"job\":\"j\"}\n{\"type\":\"DMESG\",\"n\":3,\"state\":\"x\"}\n"
+                + "\n[]\n{\"type\":\n{\"type\":\"REAP\",\"data\":\"*\"}\n{\"type\":\"LATER\"}\n{\"type\":\"INFO\",\"gauges\":1}\n";
+        out.clear();
+        split(lines.getBytes(UTF_8), seed, notices::read);
+        assertEquals(List.of("booted true 124", "ended 1 j good 30 made", "needs 2 k made", "gauges t [0.5, 3.0, 0.1]",
+                "not done SCHED j", "remark 3", "unknown", "unknown", "unknown", "unknown", "unknown", "unknown"), out);
+    }
+
+    @Test
+    void aLineWithoutEndIsBadOnce() {
+        for (int i = 0; i < 40; i++) {
+            notices.read(ByteBuffer.wrap(new byte[5_000]));
+        }
+        assertEquals(List.of("bad"), out);
+    }
+
+    @Test
+    void commandsAreOneJsonLineEach() {
+        assertEquals("{\"type\":\"OPEN\",\"n\":7}\n", new String(Commands.open(7), UTF_8));
+        assertEquals("{\"type\":\"SCHED\",\"job\":\"a1\",\"kind\":\"c\\\"\",\"data\":\"/wA=\"}\n",
+                new String(Commands.run("a1", "c\"", new byte[] {-1, 0}), UTF_8));
+        assertEquals("{\"type\":\"IODONE\",\"job\":\"a1\",\"data\":\"\"}\n", new String(Commands.reply("a1", new byte[0]), UTF_8));
+    }
+
+    // ---- the store
+
+    private Replies replies() {
+        return new Replies(new Replies.Sink() {
+            @Override
+            public void replied(String job, String word, byte[] body) {
+                out.add(job + " " + word + " " + new String(body, ISO_8859_1));
+            }
+
+            @Override
+            public void bad(String why) {
+                out.add("bad");
+            }
+        });
+    }
+
+    @Property(tries = 20, seed = "5", shrinking = ShrinkingMode.OFF)
+    void repliesComeOutHoweverTheyAreSplit(@ForAll long seed) {
+        out.clear();
+        split("a1 OK 5\r\nx\r\ny \r\nb BUSY\r\na1 OK 0\r\n\r\nc VOID\r\nd ERR\r\ne LATE\r\nf WHAT\r\ng BUSY\r\n".getBytes(UTF_8), seed,
+                replies()::read);
+        assertEquals(List.of("a1 OK x\r\ny ", "b BUSY ", "a1 OK ", "c VOID ", "d ERR ", "e LATE ", "bad"), out);
+    }
+
+    @Test
+    void repliesThatAreTooLongOrDoNotEndAreBadOnce() {
+        Replies replies = replies();
+        replies.read(ByteBuffer.wrap("a OK 3\r\nabcde".getBytes(UTF_8)));
+        replies.read(ByteBuffer.wrap("b BUSY\r\n".getBytes(UTF_8)));
+        assertEquals(List.of("bad"), out);
+        assertArrayEquals("CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call("a1", 250, new byte[] {13, 10}));
+        assertArrayEquals("DROP a1\r\n".getBytes(UTF_8), Calls.drop("a1"));
+    }
+}
