--- a/src/main/java/tallyweir/config/Config.java
+++ b/src/main/java/tallyweir/config/Config.java
@@ -4,11 +4,14 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import tallyweir.Choice;
+import tallyweir.Outgoing;
 
 /** What one real backend is told at its start, read, checked and given defaults here alone. */
 public final class Config {
@@ -38,19 +41,18 @@
         check();
     }
 
-    /** Each part of the settings is decoded once, so that a faulty key shows at the start. */
+    /** The settings are decoded whole once, for decisions that lead nowhere, so that a faulty key shows at the start. */
     private void check() {
         if (settings.workloads().isEmpty()) {
             throw new BadSetting("settings.Classes is missing: a list with at least one class is needed");
         }
+        Outgoing nowhere = (Outgoing) Proxy.newProxyInstance(Outgoing.class.getClassLoader(),
+                new Class<?>[] {Outgoing.class}, (proxy, method, arguments) -> null);
+        settings.start(new Choice(nowhere, seed, 0), false, false, false, false);
         settings.longestHard();
-        settings.idleMost();
         settings.answerSlack();
-        settings.shareFor();
         settings.tellsPatience();
-        settings.tenants();
         settings.gauge("");
-        settings.cold();
     }
 
     /** Reads the file that EDGE_CONFIG names. */
--- /dev/null
+++ b/src/test/java/tallyweir/ServerTest.java
@@ -0,0 +1,168 @@
+package tallyweir;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import tallyweir.config.BadSetting;
+import tallyweir.config.Config;
+import tallyweir.net.Server;
+
+/** The configuration, and one server on loopback sockets with a kernel that this test plays. */
+class ServerTest {
+    private static final int PATIENCE_MS = 20_000;  // only so that a failure ends; nothing is timed
+
+    private static void faulty(String from, String to, String key) {
+        String text = BackendTest.CONFIG.replace(from, to);
+        assertTrue(!text.equals(BackendTest.CONFIG), from);
+        BadSetting e = assertThrows(BadSetting.class, () -> Config.parse(text.getBytes(UTF_8), Map.of()));
+        assertTrue(e.getMessage().contains(key), e.getMessage());
+    }
+
+    @Test
+    void aFaultyKeyIsNamed() {
+        faulty("\"name\":\"n3\"", "\"name\":\"a b\"", "name");
+        faulty("127.0.0.1:0", "here:80", "listen");
+        faulty("127.0.0.1:1", "127.0.0.1:99999", "kernel");
+        faulty("\"store\":\"127.0.0.1:3\",", "", "store");
+        faulty("\"announce\":\"127.0.0.1:2\"", "\"announce\":7", "announce");
+        faulty("8c1f30d27a5be964", "x", "seed");
+        faulty("3200", "-1", "stop_ms");
+        faulty("\"sockets\":64", "\"sockets\":6", "limits.sockets");
+        faulty("\"Classes\"", "\"Others\"", "settings.Classes");
+        faulty("\"TargetUs\":1800000", "\"TargetUs\":\"x\"", "settings.Classes[0].TargetUs");
+        faulty("\"Cpus\":2", "\"Cpus\":2.5", "settings.FamilyInfo.Cpus");
+        faulty("\"MemLimitKb\":9000,", "", "settings.FamilyInfo.MemLimitKb");
+        faulty("\"QuotaPerS\":80", "\"QuotaPerS\":[]", "settings.Projects[0].QuotaPerS");
+        faulty("\"Rules\":{", "\"Rules\":[{", "JSON");
+        BadSetting e = assertThrows(BadSetting.class, () -> Config.read(Map.of()));
+        assertTrue(e.getMessage().contains("EDGE_CONFIG"));
+    }
+
+    private static ServerSocket listener() throws IOException {
+        ServerSocket at = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+        at.setSoTimeout(PATIENCE_MS);
+        return at;
+    }
+
+    private static Server started(int kernelPort) throws Exception {
+        CompletableFuture<Server> bound = new CompletableFuture<>();
+        Thread deciding = new Thread(() -> {
+            Server server = new Server(Config.parse(BackendTest.CONFIG
+                    .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelPort + "\"").getBytes(UTF_8), Map.of()));
+            try {
+                server.bind();
+                bound.complete(server);
+                server.run();
+            } catch (IOException e) {
+                bound.completeExceptionally(e);
+            }
+        });
+        deciding.setDaemon(true);
+        deciding.start();
+        return bound.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private static Socket dial(Server server) throws IOException {
+        Socket s = new Socket();
+        s.connect((InetSocketAddress) server.address(), PATIENCE_MS);
+        s.setSoTimeout(PATIENCE_MS);
+        return s;
+    }
+
+    /** Reads records up to the next end of a request. */
+    private static Model.Answered answer(InputStream in) throws IOException {
+        byte[] all = {};
+        while (true) {
+            byte[] head = in.readNBytes(8);
+            assertEquals(8, head.length, "the connection ended early");
+            byte[] rest = in.readNBytes(((head[4] & 0xff) << 8 | head[5] & 0xff) + (head[6] & 0xff));
+            all = Model.join(all, head, rest);
+            if (head[1] == 3) {
+                return Model.answers(all).get(0);
+            }
+        }
+    }
+
+    private static byte[] query(int id, String job) {
+        return Model.request(id, "asked".getBytes(UTF_8), false, 0, "REQUEST_METHOD", "POST", "SCRIPT_NAME", "/do/c",
+                "HTTP_REQUEST_ID", job, "HTTP_RECEIVED_AT", "" + System.currentTimeMillis(), "HTTP_SENT_BY", "1",
+                "HTTP_ACCOUNT", "a", "HTTP_BUDGET_MS", "4600", "HTTP_FOOTPRINT_KB", "20", "HTTP_PRIORITY_RANK", "0.5");
+    }
+
+    private static String next(BufferedReader from, String type) throws IOException {
+        String line = from.readLine();
+        while (!line.contains("\"" + type + "\"")) {
+            line = from.readLine();
+        }
+        return line;
+    }
+
+    @Test
+    void aQueryGoesThroughToTheKernelAndItsResultBackAlsoUnderTheNoticeToLeave() throws Exception {
+        try (ServerSocket kernelAt = listener()) {
+            Server server = started(kernelAt.getLocalPort());
+            try (Socket kernel = kernelAt.accept(); Socket caller = dial(server); Socket spoilt = dial(server)) {
+                BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
+                assertEquals("{\"type\":\"OPEN\",\"n\":0}", commands.readLine());
+                kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
+                next(commands, "SYSINFO");
+                for (int i = 1; i < 3; i++) {
+                    String job = "000000000000000" + i;
+                    caller.getOutputStream().write(query(7, job));
+                    assertTrue(next(commands, "SCHED").contains("\"job\":\"" + job + "\",\"kind\":\"c\",\"data\":\"YXNrZWQ=\""));
+                    kernel.getOutputStream().write(("{\"type\":\"REAP\",\"n\":" + i + ",\"job\":\"" + job
+                            + "\",\"state\":\"good\",\"took\":1,\"data\":\"bWFkZQ==\"}\n").getBytes(UTF_8));
+                    Model.Answered w = answer(caller.getInputStream());
+                    assertEquals(List.of(7, 200, "made"), List.of(w.id(), w.status(), w.body()));
+                    server.drain();  // what comes within the grace still runs
+                }
+                spoilt.getOutputStream().write(new byte[8]);
+                assertEquals(-1, spoilt.getInputStream().read(), "closed after a bad record");
+                try (Socket late = dial(server)) {
+                    late.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+                    assertEquals(503, answer(late.getInputStream()).status(), "leaving");
+                }
+                assertTrue(server.counters().contains("answered_handled=2"), server.counters());
+            }
+        }
+    }
+
+    @Test
+    void theKernelMayComeLateAndComeBack() throws Exception {
+        int port;
+        try (ServerSocket free = listener()) {
+            port = free.getLocalPort();
+        }
+        Server server = started(port);
+        try (Socket caller = dial(server)) {
+            caller.getOutputStream().write(query(1, "00000000000000aa"));
+            assertEquals(503, answer(caller.getInputStream()).status());
+        }
+        try (ServerSocket kernelAt = new ServerSocket(port, 8, InetAddress.getByName("127.0.0.1"))) {
+            kernelAt.setSoTimeout(PATIENCE_MS);
+            for (int i = 0; i < 2; i++) {
+                try (Socket kernel = kernelAt.accept()) {
+                    kernel.setSoTimeout(PATIENCE_MS);
+                    byte[] first = kernel.getInputStream().readNBytes(22);
+                    assertEquals("{\"type\":\"OPEN\",\"n\":" + i + "}", new String(first, UTF_8).strip());
+                    kernel.getOutputStream().write("{\"type\":\"DMESG\",\"n\":1,\"state\":\"hello\"}\n".getBytes(UTF_8));
+                }
+            }
+        }
+    }
+}
