Out of descriptors the acceptor lives on; a table of half requests turns nobody back

Seen in a probe on loopback: with 90 descriptors and 150 connections nobody was accepted again, even after all had gone. Checked: MINA sleeps 50 ms at EMFILE and goes on, so not that; the log shows its thread ended by an Error out of java.util.logging, which loads tzdb.dat at the first line written. That line now comes at the start, before descriptors can run out (Serve). The test, with 100 descriptors and 150 connections, fails without it.

In the same probe 896 connections with half a request each left new ones turned back for the 4.6 s that a half may take (Callers.makeRoom): now the oldest half gives way when nothing is idle. A check while leaving is answered 503 also before the kernel is there.

--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -54,13 +54,14 @@
 
     /** A connection was accepted: its slot, or -1 if there is no room for it. */
     int accepted() {
-        if (slots.size() >= most && !closeOneIdle()) {
+        if (slots.size() >= most && !makeRoom()) {
             counters.add(Count.CONNECTIONS_TURNED_BACK);
             return -1;
         }
         counters.add(Count.CONNECTIONS_ACCEPTED);
         Caller c = new Caller();
         c.slot = slots.add(c);
+        c.idleSince = queries.now();
         c.rest(halfFor);  // one that has sent nothing yet is about to
         return c.slot;
     }
@@ -98,18 +99,22 @@
         return slots.size();
     }
 
-    /** Makes room for a new connection by closing the one that is idle longest. */
-    private boolean closeOneIdle() {
-        Caller longest = null;
+    /**
+     * Makes room for a new connection by closing one that owes and awaits no answer: the one idle longest, else
+     * the one whose last request was begun longest ago and is not whole yet. A table full of halves once turned
+     * everybody back until their time was over.
+     */
+    private boolean makeRoom() {
+        Caller best = null;
         for (Caller c : slots.all()) {
-            if (c.idle != null && (longest == null || c.idleSince < longest.idleSince)) {
-                longest = c;
+            if (!c.closing && c.taken.isEmpty() && (best == null || c.before(best))) {
+                best = c;
             }
         }
-        if (longest != null) {
-            longest.closeIdle();
+        if (best != null) {
+            best.closeIdle();
         }
-        return longest != null;
+        return best != null;
     }
 
     /** One connection. */
@@ -123,6 +128,10 @@
         private boolean closing;
         private int slot;
 
+        private boolean before(Caller o) {
+            return (idle != null) != (o.idle != null) ? idle != null : idleSince < o.idleSince;
+        }
+
         private void rest(long span) {
             deadlines.cancel(idle);
             idle = deadlines.set(queries.now() + Math.max(0, span), this::closeIdle);
@@ -197,6 +206,7 @@
         public boolean begun(int id) {
             half.put(id, deadlines.set(queries.now() + halfFor, () -> halfTooLong(id)));
             halves++;
+            idleSince = queries.now();
             return halves <= HALVES_MOST;
         }
 
@@ -212,7 +222,7 @@
             String path = fields.text(Fields.PATH);
             if (CHECK_PATH.equals(path)) {
                 counters.add(Count.CHECKS);
-                write(id, Records.answer(id, good ? 200 : 503, "", NONE), keep);
+                write(id, Records.answer(id, good && !queries.draining() ? 200 : 503, "", NONE), keep);
             } else if (COUNTERS_PATH.equals(path)) {
                 write(id, Records.answer(id, 200, "Content-Type: text/plain\r\n", counters.text().getBytes(UTF_8)), keep);
             } else {
--- a/src/main/java/tallyweir/cli/Serve.java
+++ b/src/main/java/tallyweir/cli/Serve.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
 import tallyweir.config.BadSetting;
 import tallyweir.config.Config;
 import tallyweir.net.Server;
@@ -34,7 +35,9 @@
         }
         long stopMs = config.stopAfter / 10;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err), "leave"));
-        err.println("tallyweir: " + config.name + " listens on " + config.listen);
+        // Logging loads what it needs at its first line. Where that came only once no descriptor was left, its
+        // failure ended the thread that accepts.
+        Logger.getLogger(Serve.class.getName()).info(config.name + " listens on " + server.address());
         server.run();
         return 1;
     }
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -597,6 +597,18 @@
         assertEquals(0, r.number("connections_turned_back"));
     }
 
+    @Test
+    void aTableFullOfHalfRequestsTurnsNobodyBack() {
+        r.boot();
+        Asked a = r.ask(r.open(), "c", "b", 20_000, null);
+        for (int i = 1; i < 57; i++) {
+            r.send(r.open(), Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
+            r.pass(1);
+        }
+        assertEquals(List.of(0L, 1L, 0L), List.of(r.number("connections_turned_back"), logged("close "),
+                logged("close " + a.conn)));
+    }
+
     @Test
     void underTheNoticeToLeaveAllIsAnsweredAndLateComersAreDeferred() {
         Asked a = running("c");
@@ -607,6 +619,9 @@
         r.pass(21_000);
         only(a);
         assertTrue(r.log.contains("announce n3 true") && r.log.contains("announce n3 false"));
+        r.send(r.open(), Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+        r.check();
+        assertEquals("answered 1 503", r.log.get(r.log.size() - 1));
     }
 
     @Test
--- a/src/test/java/tallyweir/ServerTest.java
+++ b/src/test/java/tallyweir/ServerTest.java
@@ -13,11 +13,15 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import tallyweir.config.BadSetting;
 import tallyweir.config.Config;
 import tallyweir.net.Server;
@@ -142,6 +146,42 @@
         }
     }
 
+    /** Out of descriptors, the first line of the log failed for want of one, and nobody was accepted again. */
+    @Test
+    void runningOutOfDescriptorsEndsWhenTheyAreGivenBack(@TempDir Path dir) throws Exception {
+        Path config = Files.writeString(dir.resolve("config.json"), BackendTest.CONFIG.replace("\"sockets\":64", "\"sockets\":1024"));
+        ProcessBuilder of = new ProcessBuilder("sh", "-c", "ulimit -n 100; exec \"$0\" -Xmx64m -cp \"$1\" tallyweir.cli.Main serve",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), System.getProperty("java.class.path"));
+        of.environment().put("EDGE_CONFIG", config.toString());
+        Process backend = of.redirectErrorStream(true).start();
+        try (BufferedReader log = backend.inputReader(UTF_8)) {
+            String line = log.readLine();
+            while (!line.contains("listens on")) {
+                line = log.readLine();
+            }
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+            List<Socket> crowd = new ArrayList<>();
+            for (int i = 0; i < 150; i++) {
+                crowd.add(new Socket());
+                crowd.get(i).connect(at, PATIENCE_MS);
+            }
+            while (!line.contains("Too many open files")) {
+                line = log.readLine();
+            }
+            for (Socket s : crowd) {
+                s.close();
+            }
+            try (Socket caller = new Socket()) {
+                caller.connect(at, PATIENCE_MS);
+                caller.setSoTimeout(PATIENCE_MS);
+                caller.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+                assertEquals(200, answer(caller.getInputStream()).status());
+            }
+        } finally {
+            backend.destroyForcibly();
+        }
+    }
+
     @Test
     void theKernelMayComeLateAndComeBack() throws Exception {
         int port;
