--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -89,7 +89,7 @@
     void closeIdle(long span) {
         idleFor = span;
         for (Caller c : slots.all()) {
-            if (c.idle != null && c.used) {
+            if (c.idle != null && c.used && c.reader.betweenRecords()) {
                 c.rest(span - (queries.now() - c.idleSince));
             }
         }
@@ -107,7 +107,7 @@
     private boolean makeRoom() {
         Caller best = null;
         for (Caller c : slots.all()) {
-            if (!c.closing && c.taken.isEmpty() && (best == null || c.before(best))) {
+            if (!c.closing && c.owed.isEmpty() && (best == null || c.before(best))) {
                 best = c;
             }
         }
@@ -120,7 +120,7 @@
     /** One connection. */
     private final class Caller implements Reader.Sink {
         private final Reader reader = new Reader(this);
-        private final Map<Integer, Taken> taken = new HashMap<>();
+        private final Map<Integer, Way> owed = new HashMap<>();
         private final Map<Integer, Deadlines.Deadline> half = new HashMap<>();
         private Deadlines.Deadline idle;
         private long idleSince;
@@ -175,8 +175,17 @@
             half.values().forEach(deadlines::cancel);
             halves -= half.size();
             half.clear();
-            List.copyOf(taken.values()).forEach(queries::gone);
-            taken.clear();
+            List<Way> nobodyThere = List.copyOf(owed.values());
+            owed.clear();
+            nobodyThere.forEach(this::gone);
+        }
+
+        /** Whatever becomes of the query, nothing of it goes this way any more: the id may be another's by then. */
+        private void gone(Way way) {
+            way.over = true;
+            if (way.taken != null) {
+                queries.gone(way.taken);
+            }
         }
 
         private void write(int id, byte[] records, boolean keep) {
@@ -184,7 +193,7 @@
                 counters.add(Count.ANSWERS_UNDELIVERABLE);
                 return;
             }
-            taken.remove(id);
+            owed.remove(id);
             reader.done(id);
             links.toCaller(slot, records);
             if (!keep) {
@@ -232,45 +241,49 @@
 
         /** Only what is whole and known becomes a query; anything else gets one answer and nothing runs. */
         private void query(int id, Fields fields, String path, byte[] body, boolean keep) {
-            Way way = new Way(this, id, keep);
-            Taken t;
+            WorkloadId workload = new WorkloadId(path.startsWith(RUN_PATH) ? path.substring(RUN_PATH.length()) : "");
+            if (!queries.knows(workload)) {
+                malformed(id, 404, "no workload at '" + path + "'", keep);
+                return;
+            }
+            if (!"POST".equals(fields.text(Fields.METHOD))) {
+                malformed(id, 405, "the method is not POST", keep);
+                return;
+            }
+            Effect effect = queries.effect(workload);
+            String job;
+            String tenant;
+            String subject;
+            String mark;
+            double size;
+            double rank;
+            long receivedAt;
+            long patience;
+            CallerId caller;
             try {
-                WorkloadId workload = new WorkloadId(path.startsWith(RUN_PATH) ? path.substring(RUN_PATH.length()) : "");
-                if (!queries.knows(workload)) {
-                    malformed(id, 404, "no workload at '" + path + "'", keep);
-                    return;
-                }
-                if (!"POST".equals(fields.text(Fields.METHOD))) {
-                    malformed(id, 405, "the method is not POST", keep);
-                    return;
-                }
-                String job = fields.text(fields.needed(Fields.ID));
-                if (!job.matches("[0-9a-fA-F]{16}")) {
-                    throw new IllegalArgumentException(Fields.ID + " is not 16 hex digits");
+                job = fields.text(fields.needed(Fields.ID));
+                tenant = tenants ? fields.text(fields.needed(Fields.TENANT)) : null;
+                subject = fields.text(Fields.SUBJECT);
+                mark = effect == Effect.STAMPED ? fields.text(fields.needed(Fields.STAMP)) : subject;
+                size = fields.number(Fields.SIZE);
+                rank = fields.number(Fields.RANK);
+                receivedAt = fields.whole(Fields.RECEIVED) * 10;
+                patience = tellsPatience ? fields.whole(Fields.PATIENCE) * 10 : -1;
+                caller = new CallerId(fields.whole(Fields.CALLER));
+                if (!job.matches("[0-9a-fA-F]{16}") || size <= 0 || rank >= 1) {
+                    throw new IllegalArgumentException(Fields.ID + ", " + Fields.SIZE + " or " + Fields.RANK
+                            + " is out of range");
                 }
-                double size = fields.number(Fields.SIZE);
-                double rank = fields.number(Fields.RANK);
-                if (size <= 0 || rank >= 1) {
-                    throw new IllegalArgumentException(Fields.SIZE + " or " + Fields.RANK + " is out of range");
-                }
-                String tenant = tenants ? fields.text(fields.needed(Fields.TENANT)) : null;
-                long patience = tellsPatience ? fields.whole(Fields.PATIENCE) : fields.whole(Fields.PATIENCE, -1);
-                String subject = fields.text(Fields.SUBJECT);
-                String mark = subject;
-                if (queries.effect(workload) == Effect.STAMPED) {
-                    mark = fields.text(fields.needed(Fields.STAMP));
-                }
-                t = queries.read(way, job, workload, body, fields.whole(Fields.RECEIVED) * 10,
-                        new CallerId(fields.whole(Fields.CALLER)), subject == null ? null : new SubjectId(subject),
-                        mark == null ? null : new SubjectId(mark), tenant == null ? null : new TenantId(tenant), size,
-                        rank, patience * 10, "1".equals(fields.text(Fields.AGAIN)));
             } catch (IllegalArgumentException e) {
                 malformed(id, 400, e.getMessage(), keep);
                 return;
             }
-            if (t != null) {
-                taken.put(id, t);
-            }
+            Way way = new Way(this, id, keep);
+            owed.put(id, way);
+            way.taken = queries.read(way, job, workload, body, receivedAt, caller,
+                    subject == null ? null : new SubjectId(subject), mark == null ? null : new SubjectId(mark),
+                    tenant == null ? null : new TenantId(tenant), size, rank, patience,
+                    "1".equals(fields.text(Fields.AGAIN)));
         }
 
         private void malformed(int id, int status, String why, boolean keep) {
@@ -293,9 +306,9 @@
         @Override
         public void aborted(int id) {
             whole(id);
-            Taken t = taken.remove(id);
-            if (t != null) {
-                queries.gone(t);
+            Way way = owed.remove(id);
+            if (way != null) {
+                gone(way);
             }
             write(id, Records.ended(id), true);
         }
@@ -315,23 +328,41 @@
         }
     }
 
-    /** The way back to a request of a connection. */
-    private record Way(Caller caller, int id, boolean keep) implements Answer {
+    /** The way back to a request of a connection, for one answer. */
+    private static final class Way implements Answer {
+        private final Caller caller;
+        private final int id;
+        private final boolean keep;
+        private Taken taken;
+        private boolean over;
+
+        private Way(Caller caller, int id, boolean keep) {
+            this.caller = caller;
+            this.id = id;
+            this.keep = keep;
+        }
+
         @Override
         public void handled(byte[] result) {
-            caller.write(id, Records.answer(id, 200, "", result), keep);
+            send(200, "", result);
         }
 
         @Override
         public void deferred(long keepOff, boolean nowhereElse) {
-            String headers = (keepOff >= 10 ? "Back-Off-Ms: " + keepOff / 10 + "\r\n" : "")
-                    + (nowhereElse ? "Final-Refusal: 1\r\n" : "");
-            caller.write(id, Records.answer(id, 503, headers, NONE), keep);
+            send(503, (keepOff >= 10 ? "Back-Off-Ms: " + keepOff / 10 + "\r\n" : "")
+                    + (nowhereElse ? "Final-Refusal: 1\r\n" : ""), NONE);
         }
 
         @Override
         public void errored() {
-            caller.write(id, Records.answer(id, 500, "", NONE), keep);
+            send(500, "", NONE);
+        }
+
+        private void send(int status, String headers, byte[] body) {
+            if (!over) {
+                over = true;
+                caller.write(id, Records.answer(id, status, headers, body), keep);
+            }
         }
     }
 }
--- a/src/main/java/tallyweir/backend/Kernel.java
+++ b/src/main/java/tallyweir/backend/Kernel.java
@@ -97,6 +97,7 @@
     @Override
     public void booted(boolean fresh, long before) {
         booted = true;
+        LOG.info("the kernel is up since " + before / 10 + " ms, " + (fresh ? "cold" : "warm") + " at its start");
         if (link > 1) {
             links.to(Peer.KERNEL, Commands.gauges(RESUMED));  // its reply stands behind all repeated notices
         }
@@ -129,7 +130,7 @@
     }
 
     @Override
-    public void ended(long n, String job, String how, long took, byte[] result) {
+    public void ended(long n, String job, String how, byte[] result) {
         if (isNew(n)) {
             queries.runEnded(job, how, result);
         }
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -301,6 +301,7 @@
         if (t != null) {
             counters.add(Count.RUNS_ASKED);
             t.running = true;
+            repeats.began(t);
             kernel.run(t);
         }
     }
--- a/src/main/java/tallyweir/backend/Repeats.java
+++ b/src/main/java/tallyweir/backend/Repeats.java
@@ -62,10 +62,19 @@
 
     void forget(Taken t) {
         if (t.entry != null && t.id.equals(t.entry.holder)) {
+            t.entry.over = true;
             drop(t.entry);
         }
     }
 
+    /** The heir of a query that came to nothing runs: what waits for a result waits for this one's. */
+    void began(Taken t) {
+        if (t.entry != null && t.entry.over && t.entry.result == null) {
+            t.entry.holder = t.id;
+            t.entry.over = false;
+        }
+    }
+
     /** A run has ended; those that waited for its result are returned. */
     List<Taken> ended(Taken t, byte[] result, long now) {
         Entry e = t.entry;
--- a/src/main/java/tallyweir/kernel/Notices.java
+++ b/src/main/java/tallyweir/kernel/Notices.java
@@ -18,7 +18,7 @@
     public interface Sink {
         void booted(boolean fresh, long before);
 
-        void ended(long n, String job, String how, long took, byte[] result);
+        void ended(long n, String job, String how, byte[] result);
 
         void needs(long n, String job, byte[] body);
 
@@ -92,10 +92,9 @@
             sink.unknown(e.getMessage());
             return;
         }
-        long tenths = (long) Math.ceil(took * 10);
         switch (type) {
-            case "BOOTED" -> sink.booted(state.equals("new"), tenths);
-            case "REAP" -> sink.ended(n, job, state, tenths, data);
+            case "BOOTED" -> sink.booted(state.equals("new"), (long) Math.ceil(took * 10));
+            case "REAP" -> sink.ended(n, job, state, data);
             case "IOREQ" -> sink.needs(n, job, data);
             case "INFO" -> sink.gauges(ref, gauges);
             case "EINVAL" -> sink.notDone(state, job);
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -495,6 +495,21 @@
         assertEquals(1, logged("KERNEL {\"type\":\"SCHED\""));
     }
 
+    /** What waited for the heir of a query that came to nothing was once failed though the heir ran. */
+    @Test
+    void theHeirOfAQueryThatCameToNothingServesItsLike() {
+        Asked first = running("u");
+        r.ask(first.conn, "u", "b", 20_000, null);
+        Asked gone = r.ask(first.conn, "c", "b", 20_000, "m");
+        Asked heir = r.ask(first.conn, "c", "b", 20_000, "m");
+        Asked like = r.ask(first.conn, "c", "b", 20_000, "m");
+        r.send(gone.conn, Model.record(2, gone.id, 0, new byte[0]));
+        r.reap(first.job, "good", "first");
+        assertEquals(List.of("runs", false), List.of(r.jobs.get(heir.job), r.jobs.containsKey(like.job)));
+        r.reap(heir.job, "good", "made");
+        assertEquals(List.of("made", "made"), List.of(only(heir).body(), only(like).body()));
+    }
+
     @Test
     void noticesThatComeAgainAfterABreakCountOnce() {
         Asked a = running("u");
--- a/src/test/java/tallyweir/ParsersTest.java
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -192,8 +192,8 @@
         }
 
         @Override
-        public void ended(long n, String job, String how, long took, byte[] result) {
-            out.add("ended " + n + " " + job + " " + how + " " + took + " " + new String(result, UTF_8));
+        public void ended(long n, String job, String how, byte[] result) {
+            out.add("ended " + n + " " + job + " " + how + " " + new String(result, UTF_8));
         }
 
         @Override
@@ -238,7 +238,7 @@
                 + "\n[]\n{\"type\":\n{\"type\":\"REAP\",\"data\":\"*\"}\n{\"type\":\"LATER\"}\n{\"type\":\"INFO\",\"gauges\":1}\n";
         out.clear();
         split(lines.getBytes(UTF_8), seed, notices::read);
-        assertEquals(List.of("booted true 124", "ended 1 j good 30 made", "needs 2 k made", "gauges t [0.5, 3.0, 0.1]",
+        assertEquals(List.of("booted true 124", "ended 1 j good made", "needs 2 k made", "gauges t [0.5, 3.0, 0.1]",
                 "not done SCHED j", "remark 3", "unknown", "unknown", "unknown", "unknown", "unknown", "unknown"), out);
     }
 
--- a/src/test/java/tallyweir/ServerTest.java
+++ b/src/test/java/tallyweir/ServerTest.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -63,11 +65,11 @@
         return at;
     }
 
-    private static Server started(int kernelPort) throws Exception {
+    private static Server started(int kernelPort, int announcePort) throws Exception {
         CompletableFuture<Server> bound = new CompletableFuture<>();
         Thread deciding = new Thread(() -> {
             Server server = new Server(Config.parse(BackendTest.CONFIG
-                    .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelPort + "\"").getBytes(UTF_8), Map.of()));
+                    .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelPort + "\"").replace("127.0.0.1:2\"", "127.0.0.1:" + announcePort + "\"").getBytes(UTF_8), Map.of()));
             try {
                 server.bind();
                 bound.complete(server);
@@ -118,8 +120,12 @@
 
     @Test
     void aQueryGoesThroughToTheKernelAndItsResultBackAlsoUnderTheNoticeToLeave() throws Exception {
-        try (ServerSocket kernelAt = listener()) {
-            Server server = started(kernelAt.getLocalPort());
+        try (ServerSocket kernelAt = listener(); DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+            Server server = started(kernelAt.getLocalPort(), announce.getLocalPort());
+            announce.setSoTimeout(PATIENCE_MS);
+            DatagramPacket report = new DatagramPacket(new byte[64], 64);
+            announce.receive(report);
+            assertEquals("announce n3 true", new String(report.getData(), 0, report.getLength(), UTF_8));
             try (Socket kernel = kernelAt.accept(); Socket caller = dial(server); Socket spoilt = dial(server)) {
                 BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
                 assertEquals("{\"type\":\"OPEN\",\"n\":0}", commands.readLine());
@@ -188,7 +194,7 @@
         try (ServerSocket free = listener()) {
             port = free.getLocalPort();
         }
-        Server server = started(port);
+        Server server = started(port, 2);
         try (Socket caller = dial(server)) {
             caller.getOutputStream().write(query(1, "00000000000000aa"));
             assertEquals(503, answer(caller.getInputStream()).status());
