--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -423,9 +423,9 @@
 
     // ---- leaving
 
-    /** What is owed is answered by then, the slack that the rules allow left for the way. */
+    /** What is owed is answered by then; twice the slack that the rules allow is left for the way. */
     void drain(long stopAfter) {
-        stopAt = now + Math.max(0, stopAfter - settings.answerSlack());
+        stopAt = now + Math.max(0, stopAfter - 2 * settings.answerSlack());
         if (choice != null) {
             choice.drain(stopAt - now);
         }
--- a/src/main/java/tallyweir/fastcgi/Reader.java
+++ b/src/main/java/tallyweir/fastcgi/Reader.java
@@ -150,7 +150,6 @@
             case Records.BEGIN -> begin();
             case Records.ABORT -> {
                 if (r != null) {
-                    r.told = true;
                     sink.aborted(id());
                 }
             }
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -346,6 +346,9 @@
         assertEquals(List.of(0L, 0L, 0L, 0L), List.of(r.number("faults"), r.number("now_connections"),
                 r.number("now_queries"), r.number("now_entries")));
         assertTrue(r.number("now_deadlines") < 8, "" + r.number("now_deadlines"));
+        assertEquals(r.number("queries_read"), r.number("answered_handled") + r.number("answered_deferred")
+                + r.number("answered_errored") + r.number("queries_gone"), "each query has one end");
+        assertEquals(0, r.number("answered_by_the_last_guard"));
     }
 
     private static <T> T any(SplittableRandom chance, Iterable<T> from) {
@@ -372,6 +375,7 @@
                 r.send(conn, Model.record(2, open.get(0).id, 0, new byte[0]));
             }
         } else if (kind < 46) {
+            r.send(conn, Model.record(1, 1_000 + r.asked.size(), 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
             r.end(conn);
         } else if (kind < 50) {
             r.send(conn, new byte[] {1, 2});  // part of a record; what follows cannot be read
@@ -429,8 +433,13 @@
 
     @Test
     void theKernelsResultLeavesUnchangedAndTheIdIsFreeAgain() {
-        Asked a = running("c");
+        r.boot();
+        int conn = r.open();
+        r.send(conn, Model.request(9, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+        long deadlines = r.number("now_deadlines");
+        Asked a = r.ask(conn, "c", "b", 20_000, null);
         r.reap(a.job, "good", "made\r\n\r\n\0");
+        assertEquals(deadlines, r.number("now_deadlines") - 1, "only the module's own timer is more");
         Answered w = only(a);
         assertEquals(List.of(200, "made\r\n\r\n\0", 0), List.of(w.status(), w.body(), w.end()));
         assertEquals(0, r.number("now_queries"));
@@ -474,6 +483,26 @@
         assertEquals(1, logged("close " + conn));
     }
 
+    @Test
+    void halfARequestGoesWithItsConnection() {
+        r.boot();
+        long deadlines = r.number("now_deadlines");
+        int conn = r.open();
+        r.send(conn, Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
+        r.end(conn);
+        assertEquals(deadlines, r.number("now_deadlines"));
+    }
+
+    /** Two queries of one name cannot be told apart by the kernel: the second is failed, the first goes on. */
+    @Test
+    void ofTwoQueriesOfOneNameTheSecondIsFailed() {
+        Asked a = running("u");
+        Asked b = r.ask(a.conn, "u", "other", 20_000, null, "HTTP_REQUEST_ID", a.job);
+        assertEquals(500, only(b).status());
+        r.reap(a.job, "good", "made");
+        assertEquals("made", only(a).body());
+    }
+
     @Test
     void aSpoiltStreamIsClosedAndItsQueriesAreGone() {
         Asked a = running("c");
@@ -568,6 +597,31 @@
         assertEquals(503, only(a).status());
     }
 
+    @Test
+    void theCallOfARunThatEndedIsDropped() {
+        Asked a = running("c");
+        r.notice("IOREQ", a.job, "", "call of " + a.job);
+        r.backend.up(Peer.STORE);
+        r.send(a.conn, Model.record(2, a.id, 0, new byte[0]));
+        r.reap(a.job, "cut", "");
+        assertEquals(List.of(1L, 1L), List.of(logged("STORE CALL"), logged("STORE DROP")));
+    }
+
+    @Test
+    void callsAreRepeatedOnlyWhereTheyProvablyNeverRan() {
+        Asked a = running("u");
+        r.backend.up(Peer.STORE);
+        r.notice("IOREQ", a.job, "", "call of " + a.job);
+        for (String word : new String[] {"BUSY", "VOID", "ERR"}) {
+            r.of(a.job).effectKept = !word.equals("ERR");
+            r.store(a.job + " " + word + "\r\n");
+            r.pass(1_000);
+            r.gauges();
+        }
+        assertEquals(3, logged("STORE CALL"));
+        assertEquals(500, only(a).status());
+    }
+
     @Test
     void aStoreThatRefusesProvesThatNothingRanAndABreakDoesNot() {
         Asked a = running("u");
@@ -592,7 +646,7 @@
         r.boot();
         int conn = r.open();
         r.backend.clock(r.now, r.now + 5_000 - 36_000_000);
-        Asked a = r.ask(conn, "c", "b", 20_000, null);
+        Asked a = r.ask(conn, "u", "b", 20_000, null);
         Asked b = r.ask(conn, "c", "b", 20_000, null, "HTTP_RECEIVED_AT", "1");
         assertEquals(503, only(b).status());
         r.backend.clock(r.now, r.now + 72_000_000);
