A kernel that starts alone loses no query: its notices count anew, its runs come back as stopped

Seen by reading: notices numbered from 1 again would all have been passed over as known (Kernel.isNew), and runs that were lost with the kernel would have held their slots for good. BOOTED tells when the kernel started; one that started later is another. Guards against any restart of the kernel without its backend; could harm where the Unix clock is not involved at all: nowhere, both ends count spans.

--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -233,7 +233,8 @@
                 counters.add(Count.CHECKS);
                 write(id, Records.answer(id, good && !queries.draining() ? 200 : 503, "", NONE), keep);
             } else if (COUNTERS_PATH.equals(path)) {
-                write(id, Records.answer(id, 200, "Content-Type: text/plain\r\n", counters.text().getBytes(UTF_8)), keep);
+                byte[] text = counters.text().getBytes(UTF_8);
+                write(id, Records.answer(id, 200, "Content-Type: text/plain\r\n", text), keep);
             } else {
                 query(id, fields, path == null ? "" : path, body, keep);
             }
--- a/src/main/java/tallyweir/backend/Kernel.java
+++ b/src/main/java/tallyweir/backend/Kernel.java
@@ -13,6 +13,7 @@
     private static final int WAITING_MOST = 4_000;
     private static final long AGAIN_AFTER = 1_000;  // a tenth of a second
     private static final int UNHEARD_MOST = 20;     // askings in a row; not a time, which a pause would use up
+    private static final long STARTS_APART = 10_000; // a second: the same start is told less exactly than this
     private static final String RESUMED = "resumed";
 
     private final Links links;
@@ -23,6 +24,7 @@
     private Notices notices;
     private boolean booted;  // on this link
     private int link;
+    private long started = Long.MAX_VALUE / 2;  // the kernel's start, by its own word
     private long last;
     private long tag;
     private int unheard;
@@ -98,6 +100,13 @@
     public void booted(boolean fresh, long before) {
         booted = true;
         LOG.info("the kernel is up since " + before / 10 + " ms, " + (fresh ? "cold" : "warm") + " at its start");
+        if (queries.now() - before > started + STARTS_APART) {
+            // Another kernel: its notices are numbered anew, and nothing that the one before ran is left.
+            last = 0;
+            waiting.clear();
+            queries.kernelLost();
+        }
+        started = queries.now() - before;
         if (link > 1) {
             links.to(Peer.KERNEL, Commands.gauges(RESUMED));  // its reply stands behind all repeated notices
         }
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -172,6 +172,11 @@
         }
     }
 
+    /** All runs are gone: the harmless go back to be run again, of the others it is not known what they did. */
+    void kernelLost() {
+        running().forEach(t -> leaveKernel(t, Outcome.RECALLED, null));
+    }
+
     List<Taken> running() {
         return slots.all().stream().filter(t -> t.running).toList();
     }
--- a/src/main/java/tallyweir/config/Config.java
+++ b/src/main/java/tallyweir/config/Config.java
@@ -41,7 +41,7 @@
         check();
     }
 
-    /** The settings are decoded whole once, for decisions that lead nowhere, so that a faulty key shows at the start. */
+    /** Decodes the settings whole once, for decisions that lead nowhere, so that a faulty key shows at the start. */
     private void check() {
         if (settings.workloads().isEmpty()) {
             throw new BadSetting("settings.Classes is missing: a list with at least one class is needed");
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -93,7 +93,7 @@
             if (wanted.remove(Peer.KERNEL)) {
                 kernelUp = true;
                 backend.up(Peer.KERNEL);
-                kernel("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":5}");
+                kernel("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":" + (now / 10 - 99_999) + "}");
                 kernel("{\"type\":\"INFO\",\"ref\":\"resumed\",\"gauges\":[]}");
             }
         }
@@ -568,6 +568,24 @@
         assertEquals(List.of(a.job, b.job, a.job), asked);
     }
 
+    /** A kernel that starts alone numbers its notices anew: all of them were once passed over as known. */
+    @Test
+    void anotherKernelRunsTheHarmlessAgainAndItsNoticesCount() {
+        Asked a = running("c");
+        Asked b = r.ask(a.conn, "u", "b", 20_000, null);
+        r.notice("DMESG", "", "", "");
+        r.backend.down(Peer.KERNEL);
+        r.pass(11_000);
+        r.jobs.clear();
+        r.wanted.remove(Peer.KERNEL);
+        r.backend.up(Peer.KERNEL);
+        r.n = 0;
+        r.kernel("{\"type\":\"BOOTED\",\"state\":\"new\",\"took\":5}");
+        assertEquals(500, only(b).status());
+        r.reap(a.job, "good", "made");
+        assertEquals(List.of(200, 2), List.of(only(a).status(), a.ran));
+    }
+
     @Test
     void aRunThatTheKernelDoesNotKnowIsFailedAtOnce() {
         Asked a = running("u");
