--- a/src/test/java/tallyweir/ParsersTest.java
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -288,6 +288,12 @@
         replies.read(ByteBuffer.wrap("a OK 3\r\nabcde".getBytes(UTF_8)));
         replies.read(ByteBuffer.wrap("b BUSY\r\n".getBytes(UTF_8)));
         assertEquals(List.of("bad"), out);
+        for (String line : new String[] {"a OK 99999999999\r\n", "a OK 65537\r\n", "a OK x\r\n", "a OK \r\n", "a OK 1\n", " BUSY\r\n",
+            "BUSY\r\n", "a BUSY\n", "\r\n"}) {
+            out.clear();
+            replies().read(ByteBuffer.wrap(line.getBytes(UTF_8)));
+            assertEquals(List.of("bad"), out, line);
+        }
         assertArrayEquals("CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call("a1", 250, new byte[] {13, 10}));
         assertArrayEquals("DROP a1\r\n".getBytes(UTF_8), Calls.drop("a1"));
     }
