Bad input in a flood warns once a second; the test of lost descriptors has one verdict

The one thread that decides wrote a line of log for each malformed query; a flood of them, with a slow reader of the log, would have held up all queries (Callers.malformed). Seldom bounds it and says how many were left out; the counters have the rest.

--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.logging.Logger;
 import tallyweir.Effect;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Settings;
@@ -20,7 +19,6 @@
 
 /** The FastCGI front: connections in numbered slots, requests on them, health checks, idle closing. */
 final class Callers {
-    private static final Logger LOG = Logger.getLogger(Callers.class.getName());
     private static final String RUN_PATH = "/do/";
     private static final String CHECK_PATH = "/check";
     private static final String COUNTERS_PATH = "/counters";
@@ -31,6 +29,7 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final Queries queries;
+    private final Seldom warnings;
     private final Slots<Caller> slots = new Slots<>();
     private final int most;
     private final long halfFor;
@@ -46,6 +45,7 @@
         this.counters = counters;
         this.queries = queries;
         this.most = most;
+        warnings = new Seldom(Callers.class, queries::now);
         halfFor = Math.max(10_000, settings.longestHard());
         idleFor = Math.max(10_000, settings.idleMost());
         tenants = settings.tenants();
@@ -289,7 +289,7 @@
 
         private void malformed(int id, int status, String why, boolean keep) {
             counters.add(Count.QUERIES_MALFORMED);
-            LOG.warning("a query was not taken, " + status + ": " + why);
+            warnings.warn("a query was not taken, " + status + ": " + why);
             write(id, Records.answer(id, status, "", NONE), keep);
         }
 
@@ -324,7 +324,7 @@
         @Override
         public void bad(String why) {
             counters.add(Count.CONNECTIONS_CLOSED_BAD);
-            LOG.warning("a connection is closed: " + why);
+            warnings.warn("a connection is closed: " + why);
             close();
         }
     }
--- a/src/main/java/tallyweir/backend/Kernel.java
+++ b/src/main/java/tallyweir/backend/Kernel.java
@@ -21,6 +21,7 @@
     private final Counters counters;
     private final Queries queries;
     private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
+    private final Seldom warnings;
     private Notices notices;
     private boolean booted;  // on this link
     private int link;
@@ -34,6 +35,7 @@
         this.deadlines = deadlines;
         this.counters = counters;
         this.queries = queries;
+        warnings = new Seldom(Kernel.class, queries::now);
     }
 
     void connect() {
@@ -90,7 +92,7 @@
         } else if (waiting.size() < WAITING_MOST) {
             waiting.add(command);
         } else {
-            LOG.warning("no link to the kernel and too many commands wait: one is left out");
+            warnings.warn("no link to the kernel and too many commands wait: one is left out");
         }
     }
 
@@ -165,7 +167,7 @@
     @Override
     public void notDone(String command, String job) {
         counters.add(Count.RUNS_NOT_DONE);
-        LOG.warning("kernel: " + command + " of " + job + " was not carried out");
+        warnings.warn("kernel: " + command + " of " + job + " was not carried out");
         if (command.equals("SCHED")) {
             queries.runNotDone(job);
         }
@@ -179,12 +181,12 @@
     @Override
     public void unknown(String why) {
         counters.add(Count.KERNEL_NOTICES_UNKNOWN);
-        LOG.warning("kernel: a line was passed over: " + why);
+        warnings.warn("kernel: a line was passed over: " + why);
     }
 
     @Override
     public void bad(String why) {
-        LOG.warning("kernel: " + why + "; the link is opened again");
+        warnings.warn("kernel: " + why + "; the link is opened again");
         links.drop(Peer.KERNEL);
         down();
     }
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -34,6 +34,7 @@
     private final long seed;
     private final int coresBusyAt;
     private final int runQueueAt;
+    private final Seldom warnings = new Seldom(Queries.class, this::now);
     private final Slots<Taken> slots = new Slots<>();
     private final Map<String, Taken> jobs = new HashMap<>();
     private Choice choice;     // from the kernel's first word on
@@ -153,6 +154,7 @@
     private void overdue(Taken t) {
         if (!t.answered) {
             counters.add(Count.ANSWERED_BY_THE_LAST_GUARD);
+            warnings.warn("the decisions forgot a query: it was failed when it was due");
             errored(t);
             choice.gone(t.id);
         }
--- a/src/main/java/tallyweir/backend/Store.java
+++ b/src/main/java/tallyweir/backend/Store.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.logging.Logger;
 import tallyweir.Outcome;
 import tallyweir.backend.Counters.Count;
 import tallyweir.store.Calls;
@@ -12,7 +11,6 @@
 
 /** Calls to the store: each is sent once, ends once, and is timed here. The link opens when a call wants it. */
 final class Store implements Replies.Sink {
-    private static final Logger LOG = Logger.getLogger(Store.class.getName());
 
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -39,6 +37,7 @@
     private final Counters counters;
     private final Queries queries;
     private final long silentMost;
+    private final Seldom warnings;
     private final Map<String, Call> calls = new LinkedHashMap<>();
     private Link link = Link.OFF;
     private Replies replies;
@@ -50,6 +49,7 @@
         this.counters = counters;
         this.queries = queries;
         this.silentMost = silentMost;
+        warnings = new Seldom(Store.class, queries::now);
     }
 
     void call(Taken t, byte[] body, long timeOut) {
@@ -152,7 +152,7 @@
 
     @Override
     public void bad(String why) {
-        LOG.warning("store: " + why + "; the link is dropped");
+        warnings.warn("store: " + why + "; the link is dropped");
         links.drop(Peer.STORE);
         down();
     }
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -15,6 +15,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -446,6 +449,34 @@
         assertEquals(0, r.number("now_queries"));
     }
 
+    /** A line of the log for each piece of bad input would have slowed the one thread that decides. */
+    @Test
+    void aFloodOfBadInputWarnsOnceASecond() {
+        List<String> lines = new ArrayList<>();
+        Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                lines.add(line.getMessage());
+            }
+
+            @Override
+            public void flush() {}
+
+            @Override
+            public void close() {}
+        };
+        Logger log = Logger.getLogger("tallyweir.backend.Callers");
+        log.addHandler(handler);
+        r.boot();
+        for (int i = 0; i < 40; i++) {
+            r.ask(r.open(), "nothing", "b", 20_000, null);
+            r.pass(i == 38 ? 10_010 : 10);
+        }
+        log.removeHandler(handler);
+        assertEquals(List.of("404: no workload at '/do/nothing'", "404: no workload at '/do/nothing' (and 38 warnings before it)"),
+                lines.stream().map(l -> l.substring(l.indexOf("404"))).toList());
+    }
+
     /** Two ends for one id would be the end of another request under the same id. */
     @Test
     void anAbortGetsOneEndAndTheRunIsStopped() {
--- a/src/test/java/tallyweir/ServerTest.java
+++ b/src/test/java/tallyweir/ServerTest.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -83,9 +84,16 @@
         return bound.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
-    private static Socket dial(Server server) throws IOException {
+    private static int check(SocketAddress at) throws IOException {
+        try (Socket s = dial(at)) {
+            s.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+            return answer(s.getInputStream()).status();
+        }
+    }
+
+    private static Socket dial(SocketAddress at) throws IOException {
         Socket s = new Socket();
-        s.connect((InetSocketAddress) server.address(), PATIENCE_MS);
+        s.connect(at, PATIENCE_MS);
         s.setSoTimeout(PATIENCE_MS);
         return s;
     }
@@ -126,7 +134,7 @@
             DatagramPacket report = new DatagramPacket(new byte[64], 64);
             announce.receive(report);
             assertEquals("announce n3 true", new String(report.getData(), 0, report.getLength(), UTF_8));
-            try (Socket kernel = kernelAt.accept(); Socket caller = dial(server); Socket spoilt = dial(server)) {
+            try (Socket kernel = kernelAt.accept(); Socket caller = dial(server.address()); Socket spoilt = dial(server.address())) {
                 BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
                 assertEquals("{\"type\":\"OPEN\",\"n\":0}", commands.readLine());
                 kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
@@ -143,10 +151,7 @@
                 }
                 spoilt.getOutputStream().write(new byte[8]);
                 assertEquals(-1, spoilt.getInputStream().read(), "closed after a bad record");
-                try (Socket late = dial(server)) {
-                    late.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
-                    assertEquals(503, answer(late.getInputStream()).status(), "leaving");
-                }
+                assertEquals(503, check(server.address()), "leaving");
                 assertTrue(server.counters().contains("answered_handled=2"), server.counters());
             }
         }
@@ -166,6 +171,7 @@
                 line = log.readLine();
             }
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+            assertEquals(200, check(at));  // loads the classes, which takes descriptors where they lie in a folder
             List<Socket> crowd = new ArrayList<>();
             for (int i = 0; i < 150; i++) {
                 crowd.add(new Socket());
@@ -177,12 +183,7 @@
             for (Socket s : crowd) {
                 s.close();
             }
-            try (Socket caller = new Socket()) {
-                caller.connect(at, PATIENCE_MS);
-                caller.setSoTimeout(PATIENCE_MS);
-                caller.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
-                assertEquals(200, answer(caller.getInputStream()).status());
-            }
+            assertEquals(200, check(at));
         } finally {
             backend.destroyForcibly();
         }
@@ -195,7 +196,7 @@
             port = free.getLocalPort();
         }
         Server server = started(port, 2);
-        try (Socket caller = dial(server)) {
+        try (Socket caller = dial(server.address())) {
             caller.getOutputStream().write(query(1, "00000000000000aa"));
             assertEquals(503, answer(caller.getInputStream()).status());
         }
