--- a/src/main/java/tallyweir/backend/Slots.java
+++ b/src/main/java/tallyweir/backend/Slots.java
@@ -4,7 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A table of numbered slots: the lowest freed number is used again last. */
+/** A table of numbered slots; of the freed numbers the one free longest is used again first. */
 final class Slots<T> {
     private final List<T> slots = new ArrayList<>();
     private final ArrayDeque<Integer> free = new ArrayDeque<>();
