--- a/src/main/java/tallyweir/backend/Backend.java
+++ b/src/main/java/tallyweir/backend/Backend.java
@@ -6,6 +6,7 @@
 import tallyweir.announce.Report;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
+import tallyweir.ids.ConnectionId;
 
 /**
  * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
@@ -61,16 +62,16 @@
         }
     }
 
-    /** The slot of a new connection, -1 if it is to be closed. */
-    public int accepted() {
+    /** The slot of a new connection, null if it is to be closed. */
+    public ConnectionId accepted() {
         return queries.callers().accepted();
     }
 
-    public void read(int caller, ByteBuffer bytes) {
+    public void read(ConnectionId caller, ByteBuffer bytes) {
         guard(() -> queries.callers().read(caller, bytes));
     }
 
-    public void closed(int caller) {
+    public void closed(ConnectionId caller) {
         guard(() -> queries.callers().closed(caller));
     }
 
--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -13,6 +13,8 @@
 import tallyweir.fastcgi.Reader;
 import tallyweir.fastcgi.Records;
 import tallyweir.ids.CallerId;
+import tallyweir.ids.ConnectionId;
+import tallyweir.ids.JobId;
 import tallyweir.ids.SubjectId;
 import tallyweir.ids.TenantId;
 import tallyweir.ids.WorkloadId;
@@ -52,32 +54,32 @@
         tellsPatience = settings.tellsPatience();
     }
 
-    /** A connection was accepted: its slot, or -1 if there is no room for it. */
-    int accepted() {
+    /** A connection was accepted: its slot, or null if there is no room for it. */
+    ConnectionId accepted() {
         if (slots.size() >= most && !makeRoom()) {
             counters.add(Count.CONNECTIONS_TURNED_BACK);
-            return -1;
+            return null;
         }
         counters.add(Count.CONNECTIONS_ACCEPTED);
         Caller c = new Caller();
-        c.slot = slots.add(c);
+        c.slot = new ConnectionId(slots.add(c));
         c.idleSince = queries.now();
         c.rest(halfFor);  // one that has sent nothing yet is about to
         return c.slot;
     }
 
-    void read(int slot, ByteBuffer bytes) {
-        Caller c = slots.get(slot);
+    void read(ConnectionId slot, ByteBuffer bytes) {
+        Caller c = slots.get(slot.value());
         if (c != null && !c.closing) {
             c.read(bytes);
         }
     }
 
-    void closed(int slot) {
-        Caller c = slots.get(slot);
+    void closed(ConnectionId slot) {
+        Caller c = slots.get(slot.value());
         if (c != null) {
             counters.add(Count.CONNECTIONS_ENDED);
-            slots.free(slot);
+            slots.free(slot.value());
             c.closed();
         }
     }
@@ -126,7 +128,7 @@
         private long idleSince;
         private boolean used;
         private boolean closing;
-        private int slot;
+        private ConnectionId slot;
 
         private boolean before(Caller o) {
             return (idle != null) != (o.idle != null) ? idle != null : idleSince < o.idleSince;
@@ -252,7 +254,7 @@
                 return;
             }
             Effect effect = queries.effect(workload);
-            String job;
+            JobId job;
             String tenant;
             String subject;
             String mark;
@@ -262,7 +264,7 @@
             long patience;
             CallerId caller;
             try {
-                job = fields.text(fields.needed(Fields.ID));
+                job = new JobId(fields.text(fields.needed(Fields.ID)));
                 tenant = tenants ? fields.text(fields.needed(Fields.TENANT)) : null;
                 subject = fields.text(Fields.SUBJECT);
                 mark = effect == Effect.STAMPED ? fields.text(fields.needed(Fields.STAMP)) : subject;
@@ -271,7 +273,7 @@
                 receivedAt = fields.whole(Fields.RECEIVED) * 10;
                 patience = tellsPatience ? fields.whole(Fields.PATIENCE) * 10 : -1;
                 caller = new CallerId(fields.whole(Fields.CALLER));
-                if (!job.matches("[0-9a-fA-F]{16}") || size <= 0 || rank >= 1) {
+                if (!job.value().matches("[0-9a-fA-F]{16}") || size <= 0 || rank >= 1) {
                     throw new IllegalArgumentException(Fields.ID + ", " + Fields.SIZE + " or " + Fields.RANK
                             + " is out of range");
                 }
--- a/src/main/java/tallyweir/backend/Kernel.java
+++ b/src/main/java/tallyweir/backend/Kernel.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.logging.Logger;
 import tallyweir.backend.Counters.Count;
+import tallyweir.ids.JobId;
 import tallyweir.kernel.Commands;
 import tallyweir.kernel.Notices;
 
@@ -141,14 +142,14 @@
     }
 
     @Override
-    public void ended(long n, String job, String how, byte[] result) {
+    public void ended(long n, JobId job, String how, byte[] result) {
         if (isNew(n)) {
             queries.runEnded(job, how, result);
         }
     }
 
     @Override
-    public void needs(long n, String job, byte[] body) {
+    public void needs(long n, JobId job, byte[] body) {
         if (isNew(n)) {
             queries.standsAtCall(job, body);
         }
@@ -165,9 +166,9 @@
     }
 
     @Override
-    public void notDone(String command, String job) {
+    public void notDone(String command, JobId job) {
         counters.add(Count.RUNS_NOT_DONE);
-        warnings.warn("kernel: " + command + " of " + job + " was not carried out");
+        warnings.warn("kernel: " + command + " of " + job.value() + " was not carried out");
         if (command.equals("SCHED")) {
             queries.runNotDone(job);
         }
--- a/src/main/java/tallyweir/backend/Links.java
+++ b/src/main/java/tallyweir/backend/Links.java
@@ -1,11 +1,13 @@
 package tallyweir.backend;
 
+import tallyweir.ids.ConnectionId;
+
 /** What the core asks of the sockets. None of these calls back before it returns. */
 public interface Links {
-    void toCaller(int caller, byte[] bytes);
+    void toCaller(ConnectionId caller, byte[] bytes);
 
     /** Closes a caller's connection, what was written before going out first; closed is told as for any end. */
-    void closeCaller(int caller);
+    void closeCaller(ConnectionId caller);
 
     /** Opens a link anew; up or down is told later. One before it is dropped untold. */
     void connect(Peer peer);
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -10,6 +10,7 @@
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Settings;
 import tallyweir.ids.CallerId;
+import tallyweir.ids.JobId;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.SubjectId;
 import tallyweir.ids.TenantId;
@@ -36,7 +37,7 @@
     private final int runQueueAt;
     private final Seldom warnings = new Seldom(Queries.class, this::now);
     private final Slots<Taken> slots = new Slots<>();
-    private final Map<String, Taken> jobs = new HashMap<>();
+    private final Map<JobId, Taken> jobs = new HashMap<>();
     private Choice choice;     // from the kernel's first word on
     private long serial;
     private long now;
@@ -108,7 +109,7 @@
     }
 
     /** Takes a query in; null if it was answered at once. The wall's times are only used for what comes in. */
-    Taken read(Answer way, String job, WorkloadId workload, byte[] body, long receivedAt, CallerId caller,
+    Taken read(Answer way, JobId job, WorkloadId workload, byte[] body, long receivedAt, CallerId caller,
             SubjectId subject, SubjectId mark, TenantId tenant, double size, double rank, long patience,
             boolean again) {
         counters.add(Count.QUERIES_READ);
@@ -183,7 +184,7 @@
         return slots.all().stream().filter(t -> t.running).toList();
     }
 
-    void runEnded(String job, String how, byte[] result) {
+    void runEnded(JobId job, String how, byte[] result) {
         Taken t = jobs.get(job);
         if (t == null || !t.running) {
             return;
@@ -214,7 +215,7 @@
     }
 
     /** The kernel knows of no such query: it did not run, and will not if asked again. */
-    void runNotDone(String job) {
+    void runNotDone(JobId job) {
         Taken t = jobs.get(job);
         if (t != null && t.running) {
             errored(t);
@@ -232,7 +233,7 @@
         served.forEach(this::serveRepeat);
     }
 
-    void standsAtCall(String job, byte[] body) {
+    void standsAtCall(JobId job, byte[] body) {
         Taken t = jobs.get(job);
         if (t != null && t.running) {
             t.call = body;
--- a/src/main/java/tallyweir/backend/Store.java
+++ b/src/main/java/tallyweir/backend/Store.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import tallyweir.Outcome;
 import tallyweir.backend.Counters.Count;
+import tallyweir.ids.JobId;
 import tallyweir.store.Calls;
 import tallyweir.store.Replies;
 
@@ -38,7 +39,7 @@
     private final Queries queries;
     private final long silentMost;
     private final Seldom warnings;
-    private final Map<String, Call> calls = new LinkedHashMap<>();
+    private final Map<JobId, Call> calls = new LinkedHashMap<>();
     private Link link = Link.OFF;
     private Replies replies;
     private long unheardSince = NEVER;  // the first call sent since something was last heard
@@ -129,7 +130,7 @@
     }
 
     @Override
-    public void replied(String job, String word, byte[] body) {
+    public void replied(JobId job, String word, byte[] body) {
         Call c = calls.get(job);
         if (c == null) {
             return;  // given up meanwhile
--- a/src/main/java/tallyweir/backend/Taken.java
+++ b/src/main/java/tallyweir/backend/Taken.java
@@ -1,11 +1,12 @@
 package tallyweir.backend;
 
+import tallyweir.ids.JobId;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.WorkloadId;
 
 /** One query that was read, from then until it is answered and nothing of it runs. */
 final class Taken {
-    final String job;          // its name on the links, as it came
+    final JobId job;          // its name on the links, as it came
     final WorkloadId workload;
     final byte[] body;         // as it came
     final Answer way;
@@ -19,7 +20,7 @@
     Deadlines.Deadline due;
     Repeats.Entry entry;       // what its like share
 
-    Taken(String job, WorkloadId workload, byte[] body, Answer way) {
+    Taken(JobId job, WorkloadId workload, byte[] body, Answer way) {
         this.job = job;
         this.workload = workload;
         this.body = body;
--- a/src/main/java/tallyweir/kernel/Commands.java
+++ b/src/main/java/tallyweir/kernel/Commands.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import tallyweir.ids.JobId;
 
 /** The commands to the kernel as they are written. */
 public final class Commands {
@@ -21,21 +22,21 @@
         return line("OPEN", g -> g.writeNumberField("n", n));
     }
 
-    public static byte[] run(String job, String kind, byte[] body) {
+    public static byte[] run(JobId job, String kind, byte[] body) {
         return line("SCHED", g -> {
-            g.writeStringField("job", job);
+            g.writeStringField("job", job.value());
             g.writeStringField("kind", kind);
             g.writeBinaryField("data", body);
         });
     }
 
-    public static byte[] stop(String job) {
-        return line("PREEMPT", g -> g.writeStringField("job", job));
+    public static byte[] stop(JobId job) {
+        return line("PREEMPT", g -> g.writeStringField("job", job.value()));
     }
 
-    public static byte[] reply(String job, byte[] body) {
+    public static byte[] reply(JobId job, byte[] body) {
         return line("IODONE", g -> {
-            g.writeStringField("job", job);
+            g.writeStringField("job", job.value());
             g.writeBinaryField("data", body);
         });
     }
--- a/src/main/java/tallyweir/kernel/Notices.java
+++ b/src/main/java/tallyweir/kernel/Notices.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Base64;
+import tallyweir.ids.JobId;
 
 /** Takes the kernel's notices, one JSON object a line, from bytes however they are split. */
 public final class Notices {
@@ -18,13 +19,13 @@
     public interface Sink {
         void booted(boolean fresh, long before);
 
-        void ended(long n, String job, String how, byte[] result);
+        void ended(long n, JobId job, String how, byte[] result);
 
-        void needs(long n, String job, byte[] body);
+        void needs(long n, JobId job, byte[] body);
 
         void gauges(String tag, double[] values);
 
-        void notDone(String command, String job);
+        void notDone(String command, JobId job);
 
         void remark(long n, String text);
 
@@ -62,7 +63,7 @@
 
     private void take(byte[] text) {
         String type = "";
-        String job = "";
+        JobId job = new JobId("");
         String state = "";
         String ref = "";
         byte[] data = NONE;
@@ -78,7 +79,7 @@
                 in.nextToken();
                 switch (field) {
                     case "type" -> type = in.getValueAsString("");
-                    case "job" -> job = in.getValueAsString("");
+                    case "job" -> job = new JobId(in.getValueAsString(""));
                     case "state" -> state = in.getValueAsString("");
                     case "ref" -> ref = in.getValueAsString("");
                     case "data" -> data = Base64.getDecoder().decode(in.getValueAsString(""));
--- a/src/main/java/tallyweir/net/Server.java
+++ b/src/main/java/tallyweir/net/Server.java
@@ -39,6 +39,7 @@
 import tallyweir.backend.Links;
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
+import tallyweir.ids.ConnectionId;
 
 /**
  * The sockets round one backend. MINA's threads only put what arrived into a queue; one thread takes it out,
@@ -60,7 +61,7 @@
     private final Config config;
     private final BlockingQueue<Runnable> arrived = new ArrayBlockingQueue<>(ARRIVED_MOST);
     private final ArrayDeque<Runnable> own = new ArrayDeque<>();  // what the deciding thread told itself
-    private final Map<Integer, IoSession> callers = new HashMap<>();
+    private final Map<ConnectionId, IoSession> callers = new HashMap<>();
     private final Map<Peer, IoSession> peers = new HashMap<>();
     private final Map<IoSession, ByteArrayOutputStream> toWrite = new LinkedHashMap<>();
     private final Set<IoSession> toClose = new LinkedHashSet<>();
@@ -194,8 +195,8 @@
             @Override
             public void sessionOpened(IoSession session) {
                 tell(() -> {
-                    int slot = backend.accepted();
-                    if (slot < 0) {
+                    ConnectionId slot = backend.accepted();
+                    if (slot == null) {
                         session.closeNow();
                         return;
                     }
@@ -208,7 +209,7 @@
             public void messageReceived(IoSession session, Object message) {
                 ByteBuffer bytes = ((IoBuffer) message).buf();
                 tell(() -> {
-                    if (session.getAttribute(SLOT) instanceof Integer slot) {
+                    if (session.getAttribute(SLOT) instanceof ConnectionId slot) {
                         backend.read(slot, bytes);
                     }
                 });
@@ -217,7 +218,7 @@
             @Override
             public void sessionClosed(IoSession session) {
                 tell(() -> {
-                    if (session.removeAttribute(SLOT) instanceof Integer slot) {
+                    if (session.removeAttribute(SLOT) instanceof ConnectionId slot) {
                         callers.remove(slot);
                         backend.closed(slot);
                     }
@@ -275,12 +276,12 @@
     // ---- what the core asks for
 
     @Override
-    public void toCaller(int caller, byte[] bytes) {
+    public void toCaller(ConnectionId caller, byte[] bytes) {
         to(callers.get(caller), bytes);
     }
 
     @Override
-    public void closeCaller(int caller) {
+    public void closeCaller(ConnectionId caller) {
         IoSession session = callers.get(caller);
         if (session != null) {
             toClose.add(session);
--- a/src/main/java/tallyweir/store/Replies.java
+++ b/src/main/java/tallyweir/store/Replies.java
@@ -1,6 +1,7 @@
 package tallyweir.store;
 
 import java.nio.ByteBuffer;
+import tallyweir.ids.JobId;
 
 /** Takes the store's replies from bytes however they are split. */
 public final class Replies {
@@ -10,7 +11,7 @@
 
     /** What comes out; the word is that of the reply, the body empty but for OK. */
     public interface Sink {
-        void replied(String job, String word, byte[] body);
+        void replied(JobId job, String word, byte[] body);
 
         /** The stream cannot be followed any more. */
         void bad(String why);
@@ -18,7 +19,7 @@
 
     private final Sink sink;
     private final StringBuilder line = new StringBuilder();
-    private String job;
+    private JobId job;
     private byte[] body;     // being read, with its line end; null between replies
     private int bodyRead;
     private boolean over;
@@ -54,14 +55,14 @@
         line.setLength(0);
         if (text.matches("[!-~]+ (BUSY|ERR|LATE|VOID)\r")) {
             int space = text.indexOf(' ');
-            sink.replied(text.substring(0, space), text.substring(space + 1, text.length() - 1), NONE);
+            sink.replied(new JobId(text.substring(0, space)), text.substring(space + 1, text.length() - 1), NONE);
         } else if (text.matches("[!-~]+ OK [0-9]{1,6}\r")) {
             int length = Integer.parseInt(text.substring(text.lastIndexOf(' ') + 1, text.length() - 1));
             if (length > BODY_MOST) {
                 bad("a reply of " + length + " bytes");
                 return;
             }
-            job = text.substring(0, text.indexOf(' '));
+            job = new JobId(text.substring(0, text.indexOf(' ')));
             body = new byte[length + 2];
             bodyRead = 0;
         } else {
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -27,6 +27,7 @@
 import tallyweir.backend.Links;
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
+import tallyweir.ids.ConnectionId;
 
 /** The core between its links: a plain kernel, store and sidecars stand round it and say what is not allowed. */
 class BackendTest {
@@ -131,8 +132,9 @@
 
         int open() {
             clock();
-            int conn = backend.accepted();
-            if (conn >= 0) {
+            ConnectionId slot = backend.accepted();
+            int conn = slot == null ? -1 : slot.value();
+            if (slot != null) {
                 conns.put(conn, new ByteArrayOutputStream());
                 seen.put(conn, 0);
             }
@@ -162,7 +164,7 @@
 
         void send(int conn, byte[] bytes) {
             clock();
-            backend.read(conn, ByteBuffer.wrap(bytes));
+            backend.read(new ConnectionId(conn), ByteBuffer.wrap(bytes));
         }
 
         void end(int conn) {
@@ -170,7 +172,7 @@
             conns.remove(conn);
             asked.stream().filter(a -> a.conn == conn).forEach(a -> a.aborted = true);
             asked.stream().filter(a -> a.conn == conn).forEach(a -> a.conn = -1);
-            backend.closed(conn);
+            backend.closed(new ConnectionId(conn));
         }
 
         void pass(long span) {
@@ -231,17 +233,17 @@
         }
 
         @Override
-        public void toCaller(int caller, byte[] bytes) {
-            if (conns.containsKey(caller)) {
-                conns.get(caller).writeBytes(bytes);
+        public void toCaller(ConnectionId caller, byte[] bytes) {
+            if (conns.containsKey(caller.value())) {
+                conns.get(caller.value()).writeBytes(bytes);
             }
         }
 
         @Override
-        public void closeCaller(int caller) {
-            log.add("close " + caller);
+        public void closeCaller(ConnectionId caller) {
+            log.add("close " + caller.value());
             check();
-            closing.add(caller);
+            closing.add(caller.value());
         }
 
         @Override
--- a/src/test/java/tallyweir/ParsersTest.java
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import tallyweir.fastcgi.Fields;
 import tallyweir.fastcgi.Reader;
+import tallyweir.ids.JobId;
 import tallyweir.kernel.Commands;
 import tallyweir.kernel.Notices;
 import tallyweir.store.Calls;
@@ -192,13 +193,13 @@
         }
 
         @Override
-        public void ended(long n, String job, String how, byte[] result) {
-            out.add("ended " + n + " " + job + " " + how + " " + new String(result, UTF_8));
+        public void ended(long n, JobId job, String how, byte[] result) {
+            out.add("ended " + n + " " + job.value() + " " + how + " " + new String(result, UTF_8));
         }
 
         @Override
-        public void needs(long n, String job, byte[] body) {
-            out.add("needs " + n + " " + job + " " + new String(body, UTF_8));
+        public void needs(long n, JobId job, byte[] body) {
+            out.add("needs " + n + " " + job.value() + " " + new String(body, UTF_8));
         }
 
         @Override
@@ -207,8 +208,8 @@
         }
 
         @Override
-        public void notDone(String command, String job) {
-            out.add("not done " + command + " " + job);
+        public void notDone(String command, JobId job) {
+            out.add("not done " + command + " " + job.value());
         }
 
         @Override
@@ -254,8 +255,8 @@
     void commandsAreOneJsonLineEach() {
         assertEquals("{\"type\":\"OPEN\",\"n\":7}\n", new String(Commands.open(7), UTF_8));
         assertEquals("{\"type\":\"SCHED\",\"job\":\"a1\",\"kind\":\"c\\\"\",\"data\":\"/wA=\"}\n",
-                new String(Commands.run("a1", "c\"", new byte[] {-1, 0}), UTF_8));
-        assertEquals("{\"type\":\"IODONE\",\"job\":\"a1\",\"data\":\"\"}\n", new String(Commands.reply("a1", new byte[0]), UTF_8));
+                new String(Commands.run(new JobId("a1"), "c\"", new byte[] {-1, 0}), UTF_8));
+        assertEquals("{\"type\":\"IODONE\",\"job\":\"a1\",\"data\":\"\"}\n", new String(Commands.reply(new JobId("a1"), new byte[0]), UTF_8));
     }
 
     // ---- the store
@@ -263,8 +264,8 @@
     private Replies replies() {
         return new Replies(new Replies.Sink() {
             @Override
-            public void replied(String job, String word, byte[] body) {
-                out.add(job + " " + word + " " + new String(body, ISO_8859_1));
+            public void replied(JobId job, String word, byte[] body) {
+                out.add(job.value() + " " + word + " " + new String(body, ISO_8859_1));
             }
 
             @Override
@@ -294,7 +295,7 @@
             replies().read(ByteBuffer.wrap(line.getBytes(UTF_8)));
             assertEquals(List.of("bad"), out, line);
         }
-        assertArrayEquals("CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call("a1", 250, new byte[] {13, 10}));
-        assertArrayEquals("DROP a1\r\n".getBytes(UTF_8), Calls.drop("a1"));
+        assertArrayEquals("CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call(new JobId("a1"), 250, new byte[] {13, 10}));
+        assertArrayEquals("DROP a1\r\n".getBytes(UTF_8), Calls.drop(new JobId("a1")));
     }
 }
