--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -15,6 +15,7 @@
 import tallyweir.ids.CallerId;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.JobId;
+import tallyweir.ids.RequestId;
 import tallyweir.ids.SubjectId;
 import tallyweir.ids.TenantId;
 import tallyweir.ids.WorkloadId;
@@ -122,8 +123,8 @@
     /** One connection. */
     private final class Caller implements Reader.Sink {
         private final Reader reader = new Reader(this);
-        private final Map<Integer, Way> owed = new HashMap<>();
-        private final Map<Integer, Deadlines.Deadline> half = new HashMap<>();
+        private final Map<RequestId, Way> owed = new HashMap<>();
+        private final Map<RequestId, Deadlines.Deadline> half = new HashMap<>();
         private Deadlines.Deadline idle;
         private long idleSince;
         private boolean used;
@@ -190,7 +191,7 @@
             }
         }
 
-        private void write(int id, byte[] records, boolean keep) {
+        private void write(RequestId id, byte[] records, boolean keep) {
             if (closing) {
                 counters.add(Count.ANSWERS_UNDELIVERABLE);
                 return;
@@ -205,7 +206,7 @@
             }
         }
 
-        private void whole(int id) {
+        private void whole(RequestId id) {
             Deadlines.Deadline d = half.remove(id);
             if (d != null) {
                 deadlines.cancel(d);
@@ -214,21 +215,21 @@
         }
 
         @Override
-        public boolean begun(int id) {
+        public boolean begun(RequestId id) {
             half.put(id, deadlines.set(queries.now() + halfFor, () -> halfTooLong(id)));
             halves++;
             idleSince = queries.now();
             return halves <= HALVES_MOST;
         }
 
-        private void halfTooLong(int id) {
+        private void halfTooLong(RequestId id) {
             whole(id);
             counters.add(Count.QUERIES_HALF);
             write(id, Records.answer(id, 408, "", NONE), true);
         }
 
         @Override
-        public void request(int id, Fields fields, byte[] body, boolean keep) {
+        public void request(RequestId id, Fields fields, byte[] body, boolean keep) {
             whole(id);
             String path = fields.text(Fields.PATH);
             if (CHECK_PATH.equals(path)) {
@@ -243,7 +244,7 @@
         }
 
         /** Only what is whole and known becomes a query; anything else gets one answer and nothing runs. */
-        private void query(int id, Fields fields, String path, byte[] body, boolean keep) {
+        private void query(RequestId id, Fields fields, String path, byte[] body, boolean keep) {
             WorkloadId workload = new WorkloadId(path.startsWith(RUN_PATH) ? path.substring(RUN_PATH.length()) : "");
             if (!queries.knows(workload)) {
                 malformed(id, 404, "no workload at '" + path + "'", keep);
@@ -289,14 +290,14 @@
                     "1".equals(fields.text(Fields.AGAIN)));
         }
 
-        private void malformed(int id, int status, String why, boolean keep) {
+        private void malformed(RequestId id, int status, String why, boolean keep) {
             counters.add(Count.QUERIES_MALFORMED);
             warnings.warn("a query was not taken, " + status + ": " + why);
             write(id, Records.answer(id, status, "", NONE), keep);
         }
 
         @Override
-        public void refused(int id, Reader.Refusal why, boolean keep) {
+        public void refused(RequestId id, Reader.Refusal why, boolean keep) {
             whole(id);
             switch (why) {
                 case OVERLOADED -> write(id, Records.overloaded(id), keep);
@@ -307,7 +308,7 @@
         }
 
         @Override
-        public void aborted(int id) {
+        public void aborted(RequestId id) {
             whole(id);
             Way way = owed.remove(id);
             if (way != null) {
@@ -334,12 +335,12 @@
     /** The way back to a request of a connection, for one answer. */
     private static final class Way implements Answer {
         private final Caller caller;
-        private final int id;
+        private final RequestId id;
         private final boolean keep;
         private Taken taken;
         private boolean over;
 
-        private Way(Caller caller, int id, boolean keep) {
+        private Way(Caller caller, RequestId id, boolean keep) {
             this.caller = caller;
             this.id = id;
             this.keep = keep;
--- a/src/main/java/tallyweir/fastcgi/Reader.java
+++ b/src/main/java/tallyweir/fastcgi/Reader.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
+import tallyweir.ids.RequestId;
 
 /**
  * Takes FastCGI records from the bytes of one connection, however they are split, and puts requests together.
@@ -17,14 +18,14 @@
     /** What comes out. Calls of done from within are allowed. */
     public interface Sink {
         /** False if there is no room for it. */
-        boolean begun(int id);
+        boolean begun(RequestId id);
 
-        void request(int id, Fields fields, byte[] body, boolean keepConnection);
+        void request(RequestId id, Fields fields, byte[] body, boolean keepConnection);
 
         /** Nothing of the request will be run; its answer is owed. */
-        void refused(int id, Refusal why, boolean keepConnection);
+        void refused(RequestId id, Refusal why, boolean keepConnection);
 
-        void aborted(int id);
+        void aborted(RequestId id);
 
         /** A management record's reply. */
         void reply(byte[] record);
@@ -45,7 +46,7 @@
     }
 
     private final Sink sink;
-    private final Map<Integer, Request> open = new HashMap<>();
+    private final Map<RequestId, Request> open = new HashMap<>();
     private final byte[] header = new byte[8];
     private int headerRead;
     private int contentLeft;
@@ -67,7 +68,7 @@
     }
 
     /** The request is answered: its id is free for another. */
-    public void done(int id) {
+    public void done(RequestId id) {
         open.remove(id);
     }
 
@@ -100,8 +101,8 @@
         return header[1] & 0xff;
     }
 
-    private int id() {
-        return (header[2] & 0xff) << 8 | header[3] & 0xff;
+    private RequestId id() {
+        return new RequestId((header[2] & 0xff) << 8 | header[3] & 0xff);
     }
 
     private int length() {
@@ -116,16 +117,16 @@
             bad("a record of version " + header[0]);
         } else if (type() == Records.BEGIN && length() != 8) {
             bad("a begin record of " + length() + " bytes");
-        } else if (id() == 0 && length() > MANAGEMENT_MOST) {
+        } else if (id().value() == 0 && length() > MANAGEMENT_MOST) {
             bad("a management record of " + length() + " bytes");
-        } else if (id() == 0 && type() >= Records.BEGIN && type() <= Records.DATA) {
+        } else if (id().value() == 0 && type() >= Records.BEGIN && type() <= Records.DATA) {
             bad("a record of type " + type() + " without a request");
         }
     }
 
     private void content(ByteBuffer in, int take) {
         Request r = open.get(id());
-        if (id() == 0 || type() == Records.BEGIN) {
+        if (id().value() == 0 || type() == Records.BEGIN) {
             whole.add(in, take);
         } else if (r != null && !r.told && type() == Records.PARAMS) {
             if (!r.params.add(in, take)) {
@@ -141,7 +142,7 @@
     }
 
     private void recordEnded() {
-        if (id() == 0) {
+        if (id().value() == 0) {
             managementEnded();
             return;
         }
@@ -179,7 +180,7 @@
     private void begin() {
         byte[] content = whole.copy();
         if (open.containsKey(id())) {
-            bad("request " + id() + " begins while it is open");
+            bad("request " + id().value() + " begins while it is open");
             return;
         }
         boolean full = open.size() >= OPEN_MOST;
--- a/src/main/java/tallyweir/fastcgi/Records.java
+++ b/src/main/java/tallyweir/fastcgi/Records.java
@@ -4,6 +4,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Set;
+import tallyweir.ids.RequestId;
 
 /** FastCGI records as they are written; the numbers are those of its specification 1.0. */
 public final class Records {
@@ -19,6 +20,7 @@
     static final int GET_VALUES_RESULT = 10;
     static final int UNKNOWN_TYPE = 11;
     static final int RESPONDER = 1;
+    private static final RequestId MANAGEMENT = new RequestId(0);
     private static final int COMPLETE = 0;
     private static final int OVERLOADED = 2;
     private static final int UNKNOWN_ROLE = 3;
@@ -27,7 +29,7 @@
     private Records() {}
 
     /** A whole answer: status, further header lines (each with its end), the body. */
-    public static byte[] answer(int id, int status, String headers, byte[] body) {
+    public static byte[] answer(RequestId id, int status, String headers, byte[] body) {
         byte[] head = ("Status: " + status + "\r\n" + headers + "\r\n").getBytes(ISO_8859_1);
         ByteArrayOutputStream out = new ByteArrayOutputStream(head.length + body.length + 40);
         byte[] all = new byte[head.length + body.length];
@@ -44,25 +46,25 @@
     }
 
     /** An end without an answer, as after an abort. */
-    public static byte[] ended(int id) {
+    public static byte[] ended(RequestId id) {
         return end(id, COMPLETE);
     }
 
-    public static byte[] overloaded(int id) {
+    public static byte[] overloaded(RequestId id) {
         return end(id, OVERLOADED);
     }
 
-    public static byte[] unknownRole(int id) {
+    public static byte[] unknownRole(RequestId id) {
         return end(id, UNKNOWN_ROLE);
     }
 
-    private static byte[] end(int id, int status) {
+    private static byte[] end(RequestId id, int status) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(16);
         end(out, id, status);
         return out.toByteArray();
     }
 
-    private static void end(ByteArrayOutputStream out, int id, int status) {
+    private static void end(ByteArrayOutputStream out, RequestId id, int status) {
         header(out, END, id, 8);
         out.writeBytes(new byte[] {0, 0, 0, 0, (byte) status, 0, 0, 0});
     }
@@ -77,20 +79,20 @@
             pairs.writeBytes((name + "1").getBytes(ISO_8859_1));
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        header(out, GET_VALUES_RESULT, 0, pairs.size());
+        header(out, GET_VALUES_RESULT, MANAGEMENT, pairs.size());
         out.writeBytes(pairs.toByteArray());
         return out.toByteArray();
     }
 
     static byte[] unknownType(int type) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        header(out, UNKNOWN_TYPE, 0, 8);
+        header(out, UNKNOWN_TYPE, MANAGEMENT, 8);
         out.writeBytes(new byte[] {(byte) type, 0, 0, 0, 0, 0, 0, 0});
         return out.toByteArray();
     }
 
-    private static void header(ByteArrayOutputStream out, int type, int id, int length) {
-        out.writeBytes(new byte[] {VERSION, (byte) type, (byte) (id >> 8), (byte) id, (byte) (length >> 8),
+    private static void header(ByteArrayOutputStream out, int type, RequestId id, int length) {
+        out.writeBytes(new byte[] {VERSION, (byte) type, (byte) (id.value() >> 8), (byte) id.value(), (byte) (length >> 8),
             (byte) length, 0, 0});
     }
 }
--- a/src/test/java/tallyweir/ParsersTest.java
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -20,6 +20,7 @@
 import tallyweir.fastcgi.Fields;
 import tallyweir.fastcgi.Reader;
 import tallyweir.ids.JobId;
+import tallyweir.ids.RequestId;
 import tallyweir.kernel.Commands;
 import tallyweir.kernel.Notices;
 import tallyweir.store.Calls;
@@ -44,29 +45,29 @@
         Reader[] reader = {null};
         reader[0] = new Reader(new Reader.Sink() {
             @Override
-            public boolean begun(int id) {
+            public boolean begun(RequestId id) {
                 return true;
             }
 
             @Override
-            public void request(int id, Fields fields, byte[] body, boolean keep) {
-                out.add("request " + id + " " + fields.text(Fields.PATH) + " " + new String(body, ISO_8859_1) + " " + keep);
+            public void request(RequestId id, Fields fields, byte[] body, boolean keep) {
+                out.add("request " + id.value() + " " + fields.text(Fields.PATH) + " " + new String(body, ISO_8859_1) + " " + keep);
                 done(id);
             }
 
             @Override
-            public void refused(int id, Reader.Refusal why, boolean keep) {
-                out.add("refused " + id + " " + why);
+            public void refused(RequestId id, Reader.Refusal why, boolean keep) {
+                out.add("refused " + id.value() + " " + why);
                 done(id);
             }
 
             @Override
-            public void aborted(int id) {
-                out.add("aborted " + id);
+            public void aborted(RequestId id) {
+                out.add("aborted " + id.value());
                 done(id);
             }
 
-            private void done(int id) {
+            private void done(RequestId id) {
                 if (answersAtOnce) {
                     reader[0].done(id);
                 }
