--- a/src/main/java/tallyweir/backend/Backend.java
+++ b/src/main/java/tallyweir/backend/Backend.java
@@ -7,6 +7,7 @@
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
 import tallyweir.ids.ConnectionId;
+import tallyweir.ids.LinkId;
 
 /**
  * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
@@ -15,7 +16,8 @@
 public final class Backend {
     private static final Logger LOG = Logger.getLogger(Backend.class.getName());
     private static final long REPORT_EVERY = 10_000;  // the announce service drops what is silent for three
-    private static final int SOCKETS_APART = 8;       // one in so many is kept for other things than callers
+    private static final int SOCKETS_APART = 4;       // one in so many is kept for other things than callers,
+    private static final int SOCKETS_STORE = 8;       // one in so many of all for links to the store
 
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -31,7 +33,7 @@
         name = config.name;
         stopAfter = config.stopAfter;
         queries = new Queries(links, deadlines, counters, config.settings,
-                config.sockets - config.sockets / SOCKETS_APART, config.seed, now);
+                config.sockets - config.sockets / SOCKETS_APART, config.sockets / SOCKETS_STORE, config.seed, now);
         queries.clock(now, wall);
     }
 
@@ -75,24 +77,37 @@
         guard(() -> queries.callers().closed(caller));
     }
 
-    public void up(Peer peer) {
-        guard(peer == Peer.KERNEL ? queries.kernel()::up : queries.store()::up);
+    public void up(LinkId link) {
+        guard(() -> {
+            if (!queries.kernel().up(link)) {
+                queries.store().up(link);
+            }
+        });
     }
 
-    public void down(Peer peer) {
-        guard(peer == Peer.KERNEL ? queries.kernel()::down : queries.store()::down);
+    public void down(LinkId link) {
+        guard(() -> {
+            if (!queries.kernel().down(link)) {
+                queries.store().down(link);
+            }
+        });
     }
 
-    public void read(Peer peer, ByteBuffer bytes) {
+    public void read(LinkId link, ByteBuffer bytes) {
         guard(() -> {
-            if (peer == Peer.KERNEL) {
-                queries.kernel().read(bytes);
-            } else {
-                queries.store().read(bytes);
+            if (!queries.kernel().read(link, bytes)) {
+                queries.store().read(link, bytes);
             }
         });
     }
 
+    /** The peers have other addresses: what opens from now on opens there. */
+    public void moved() {
+        guard(() -> queries.kernel().moved());
+        guard(() -> queries.store().moved());
+        guard(() -> links.report(Report.of(name, !queries.draining())));
+    }
+
     public void drain() {
         guard(() -> queries.drain(stopAfter));
     }
--- a/src/main/java/tallyweir/backend/Kernel.java
+++ b/src/main/java/tallyweir/backend/Kernel.java
@@ -2,9 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.function.LongSupplier;
 import java.util.logging.Logger;
 import tallyweir.backend.Counters.Count;
 import tallyweir.ids.JobId;
+import tallyweir.ids.LinkId;
 import tallyweir.kernel.Commands;
 import tallyweir.kernel.Notices;
 
@@ -14,25 +16,31 @@
     private static final int WAITING_MOST = 4_000;
     private static final long AGAIN_AFTER = 1_000;  // a tenth of a second
     private static final int UNHEARD_MOST = 20;     // askings in a row; not a time, which a pause would use up
+    private static final long MAYBE_LOST = 2_000;   // what was sent so shortly before a break may not have come
     private static final long STARTS_APART = 10_000; // a second: the same start is told less exactly than this
     private static final String RESUMED = "resumed";
 
     private final Links links;
+    private final LongSupplier numbers;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Queries queries;
     private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
     private final Seldom warnings;
     private Notices notices;
-    private boolean booted;  // on this link
-    private int link;
+    private LinkId link;       // the one that is up
+    private LinkId opening;    // the one that is to take its place
+    private boolean booted;    // on the link that is up
+    private int turn;          // how many links there have been
+    private long lastUp;       // when the link before was last seen up
     private long started = Long.MAX_VALUE / 2;  // the kernel's start, by its own word
     private long last;
     private long tag;
     private int unheard;
 
-    Kernel(Links links, Deadlines deadlines, Counters counters, Queries queries) {
+    Kernel(Links links, LongSupplier numbers, Deadlines deadlines, Counters counters, Queries queries) {
         this.links = links;
+        this.numbers = numbers;
         this.deadlines = deadlines;
         this.counters = counters;
         this.queries = queries;
@@ -40,56 +48,114 @@
     }
 
     void connect() {
-        links.connect(Peer.KERNEL);
+        if (opening == null) {
+            opening = new LinkId(numbers.getAsLong());
+            links.connect(opening, Peer.KERNEL);
+        }
+    }
+
+    /** The kernel has another address: the link up stays in use until the new one is there to take its place. */
+    void moved() {
+        if (opening != null) {
+            links.drop(opening);
+            opening = null;
+        }
+        connect();
     }
 
-    void up() {
-        link++;
+    /** False for a link that is none of ours; so with the next two. */
+    boolean up(LinkId id) {
+        if (!id.equals(opening)) {
+            return false;
+        }
+        if (link != null) {
+            links.drop(link);
+            lastUp = queries.now();
+        }
+        link = opening;
+        opening = null;
+        turn++;
         unheard = 0;
+        booted = false;
         notices = new Notices(this);
         counters.add(Count.KERNEL_LINKS);
-        links.to(Peer.KERNEL, Commands.open(last));
+        links.to(link, Commands.open(last));
+        return true;
+    }
+
+    boolean down(LinkId id) {
+        if (id.equals(opening)) {
+            opening = null;
+            deadlines.set(queries.now() + AGAIN_AFTER, this::connect);
+        } else if (id.equals(link)) {
+            lost();
+        } else {
+            return false;
+        }
+        return true;
     }
 
-    void down() {
+    /** Opened again at once: a link that breaks says nothing of the kernel, whose runs go on. */
+    private void lost() {
+        boolean atOnce = booted;
+        link = null;
         booted = false;
-        deadlines.set(queries.now() + AGAIN_AFTER, this::connect);
+        lastUp = queries.now();
+        if (atOnce) {
+            connect();
+        } else {
+            deadlines.set(queries.now() + AGAIN_AFTER, this::connect);
+        }
     }
 
-    void read(ByteBuffer bytes) {
+    boolean read(LinkId id, ByteBuffer bytes) {
+        if (!id.equals(link)) {
+            return false;
+        }
         unheard = 0;
         notices.read(bytes);
+        return true;
     }
 
     // ---- commands
 
     void run(Taken t) {
-        t.sentOn = booted ? link : link + 1;
+        t.sentOn = next();
         send(Commands.run(t.job, t.workload.value(), t.body));
     }
 
     void stop(Taken t) {
+        t.stopAt = queries.now();
+        t.stopOn = next();
         send(Commands.stop(t.job));
     }
 
     void reply(Taken t, byte[] body) {
+        t.reply = body;
+        t.replyAt = queries.now();
+        t.replyOn = next();
         send(Commands.reply(t.job, body));
     }
 
+    /** The link on which the next command goes. */
+    private int next() {
+        return booted ? turn : turn + 1;
+    }
+
     /** Asks for the gauges where there is a link to ask on. */
     void askGauges() {
         // A link whose other end is gone without a word is opened again; nothing that was noticed is lost by it.
-        if (booted && ++unheard > UNHEARD_MOST) {
+        if (link != null && ++unheard > UNHEARD_MOST) {
             bad("nothing heard after " + UNHEARD_MOST + " askings");
         }
         if (booted) {
-            links.to(Peer.KERNEL, Commands.gauges("g" + ++tag));
+            links.to(link, Commands.gauges("g" + ++tag));
         }
     }
 
     private void send(byte[] command) {
         if (booted) {
-            links.to(Peer.KERNEL, command);
+            links.to(link, command);
         } else if (waiting.size() < WAITING_MOST) {
             waiting.add(command);
         } else {
@@ -110,21 +176,30 @@
             queries.kernelLost();
         }
         started = queries.now() - before;
-        if (link > 1) {
-            links.to(Peer.KERNEL, Commands.gauges(RESUMED));  // its reply stands behind all repeated notices
+        if (turn > 1) {
+            links.to(link, Commands.gauges(RESUMED));  // its reply stands behind all repeated notices
         }
         while (!waiting.isEmpty()) {
-            links.to(Peer.KERNEL, waiting.poll());
+            links.to(link, waiting.poll());
         }
         queries.kernelBooted(fresh, before);
     }
 
-    /** What was asked shortly before a link broke may never have come: the harmless is asked for again. */
+    /**
+     * What was asked shortly before a link broke may never have come. The harmless is asked for again, which does
+     * nothing to what runs already; so do a stop and the reply to a call, without which a run would stand for good.
+     */
     private void resumed() {
         for (Taken t : queries.running()) {
-            if (t.sentOn < link && t.call == null && queries.harmless(t)) {
+            if (t.call == null && t.sentOn < turn && queries.harmless(t)) {
                 run(t);
             }
+            if (t.reply != null && t.replyOn < turn && t.replyAt >= lastUp - MAYBE_LOST) {
+                reply(t, t.reply);
+            }
+            if (t.stopOn > 0 && t.stopOn < turn && t.stopAt >= lastUp - MAYBE_LOST) {
+                stop(t);
+            }
         }
     }
 
@@ -188,7 +263,7 @@
     @Override
     public void bad(String why) {
         warnings.warn("kernel: " + why + "; the link is opened again");
-        links.drop(Peer.KERNEL);
-        down();
+        links.drop(link);
+        lost();
     }
 }
--- a/src/main/java/tallyweir/backend/Links.java
+++ b/src/main/java/tallyweir/backend/Links.java
@@ -1,6 +1,7 @@
 package tallyweir.backend;
 
 import tallyweir.ids.ConnectionId;
+import tallyweir.ids.LinkId;
 
 /** What the core asks of the sockets. None of these calls back before it returns. */
 public interface Links {
@@ -9,13 +10,13 @@
     /** Closes a caller's connection, what was written before going out first; closed is told as for any end. */
     void closeCaller(ConnectionId caller);
 
-    /** Opens a link anew; up or down is told later. One before it is dropped untold. */
-    void connect(Peer peer);
+    /** Opens a link to where the peer is now; up or down is told later. */
+    void connect(LinkId link, Peer peer);
 
-    void to(Peer peer, byte[] bytes);
+    void to(LinkId link, byte[] bytes);
 
-    /** Drops a link; nothing more is told of it. */
-    void drop(Peer peer);
+    /** Drops a link, also one that is opening; nothing more is told of it. */
+    void drop(LinkId link);
 
     void report(byte[] datagram);
 }
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import tallyweir.Choice;
 import tallyweir.Effect;
 import tallyweir.Outcome;
@@ -46,8 +48,8 @@
     private Deadlines.Deadline gaugesDue;
     private long gaugesAsked;
 
-    Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connections, long seed,
-            long now) {
+    Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connections, int storeLinks,
+            long seed, long now) {
         this.deadlines = deadlines;
         this.counters = counters;
         this.settings = settings;
@@ -57,13 +59,15 @@
         coresBusyAt = settings.gauge("core_use");
         runQueueAt = settings.gauge("on_cores");
         repeats = new Repeats(deadlines, settings.shareFor());
-        kernel = new Kernel(links, deadlines, counters, this);
-        store = new Store(links, deadlines, counters, this, settings.longestHard());
+        LongSupplier linkNumbers = new AtomicLong()::incrementAndGet;
+        kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
+        store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
         callers = new Callers(links, deadlines, counters, this, settings, connections);
         counters.now("connections", callers::size);
         counters.now("queries", slots::size);
         counters.now("entries", repeats::size);
         counters.now("deadlines", deadlines::size);
+        counters.now("store_links", store::size);
     }
 
     Kernel kernel() {
@@ -237,6 +241,7 @@
         Taken t = jobs.get(job);
         if (t != null && t.running) {
             t.call = body;
+            t.reply = null;
             choice.standsAtCall(t.id);
         }
     }
@@ -309,6 +314,8 @@
         if (t != null) {
             counters.add(Count.RUNS_ASKED);
             t.running = true;
+            t.reply = null;
+            t.stopOn = 0;
             repeats.began(t);
             kernel.run(t);
         }
--- a/src/main/java/tallyweir/backend/Store.java
+++ b/src/main/java/tallyweir/backend/Store.java
@@ -1,27 +1,33 @@
 package tallyweir.backend;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import tallyweir.Outcome;
 import tallyweir.backend.Counters.Count;
 import tallyweir.ids.JobId;
+import tallyweir.ids.LinkId;
 import tallyweir.store.Calls;
 import tallyweir.store.Replies;
 
-/** Calls to the store: each is sent once, ends once, and is timed here. The link opens when a call wants it. */
-final class Store implements Replies.Sink {
-
-    private static final long NEVER = Long.MAX_VALUE;
-
-    private enum Link { OFF, OPENING, UP }
+/**
+ * Calls to the store: each is sent once, ends once, and is timed here. A link carries one call at a time, and is
+ * used again only after a whole reply to it: whatever is spoilt, late or broken costs that one call.
+ */
+final class Store {
+    // A store may forget an idle link and reset it at the next call, which then is lost: none waits as long.
+    private static final long IDLE_MOST = 5_000;
 
     private static final class Call {
         final Taken of;
         final byte[] body;
         final long until;
         final long since;
+        Line line;
         boolean sent;
         Deadlines.Deadline end;
 
@@ -34,127 +40,224 @@
     }
 
     private final Links links;
+    private final LongSupplier numbers;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Queries queries;
-    private final long silentMost;
+    private final int most;
     private final Seldom warnings;
     private final Map<JobId, Call> calls = new LinkedHashMap<>();
-    private Link link = Link.OFF;
-    private Replies replies;
-    private long unheardSince = NEVER;  // the first call sent since something was last heard
+    private final Map<LinkId, Line> lines = new HashMap<>();
+    private final ArrayDeque<Line> idle = new ArrayDeque<>();    // the one used last comes first
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>(); // for a link, the table being full
 
-    Store(Links links, Deadlines deadlines, Counters counters, Queries queries, long silentMost) {
+    Store(Links links, LongSupplier numbers, Deadlines deadlines, Counters counters, Queries queries, int most) {
         this.links = links;
+        this.numbers = numbers;
         this.deadlines = deadlines;
         this.counters = counters;
         this.queries = queries;
-        this.silentMost = silentMost;
+        this.most = most;
         warnings = new Seldom(Store.class, queries::now);
     }
 
+    int size() {
+        return lines.size();
+    }
+
     void call(Taken t, byte[] body, long timeOut) {
         counters.add(Count.CALLS_ASKED);
-        long now = queries.now();
-        Call c = new Call(t, body, now, now + timeOut);
+        Call c = new Call(t, body, queries.now(), queries.now() + timeOut);
         calls.put(t.job, c);
         c.end = deadlines.set(c.until, () -> timedOut(c));
-        if (link == Link.UP) {
-            send(c);
-        } else if (link == Link.OFF) {
-            link = Link.OPENING;
-            links.connect(Peer.STORE);
+        place(c);
+    }
+
+    /**
+     * A second copy of a reply may still come on the link that brought the first. It would be taken for the reply
+     * to a later call of the same query, so that goes another way.
+     */
+    private void place(Call c) {
+        Line free = idle.stream().filter(l -> !c.of.calledOn.contains(l.id)).findFirst().orElse(null);
+        if (free != null) {
+            free.take(c);
+            free.send();
+        } else if (lines.size() < most || makeRoom()) {
+            new Line().open(c);
+        } else {
+            waiting.add(c);
         }
     }
 
+    private boolean makeRoom() {
+        if (!idle.isEmpty()) {
+            idle.peekLast().drop();
+        }
+        return lines.size() < most;
+    }
+
     /** The run that called has ended: whatever the store still does for it is not wanted. */
     void giveUp(Taken t) {
         Call c = calls.get(t.job);
         if (c != null && c.of == t) {
             end(c);
-            drop(c);
-        }
-    }
-
-    private void send(Call c) {
-        c.sent = true;
-        unheardSince = Math.min(unheardSince, queries.now());
-        counters.add(Count.CALLS_SENT);
-        links.to(Peer.STORE, Calls.call(c.of.job, Math.max(1, (c.until - queries.now() + 9) / 10), c.body));
-    }
-
-    private void drop(Call c) {
-        if (c.sent && link == Link.UP) {
-            links.to(Peer.STORE, Calls.drop(c.of.job));
         }
     }
 
+    /** A link whose call has not had its reply is closed, which also gives the call up at the store. */
     private void end(Call c) {
         calls.remove(c.of.job);
         deadlines.cancel(c.end);
+        waiting.remove(c);
+        if (c.line != null) {
+            c.line.drop();
+        }
+        next();
+    }
+
+    private void next() {
+        while (!waiting.isEmpty() && (lines.size() < most || !idle.isEmpty())) {
+            place(waiting.poll());
+        }
     }
 
     /** A call that was never sent has surely not run, whatever became of the link. */
     private void timedOut(Call c) {
+        end(c, Count.CALLS_TIMED_OUT, Outcome.OVERDUE);
+    }
+
+    private void end(Call c, Count count, Outcome how) {
         end(c);
-        // No reply to anything for as long as a call may take: the other end is gone without a word.
-        if (link == Link.UP && queries.now() - unheardSince >= silentMost) {
-            bad("nothing heard for " + silentMost / 10 + " ms");
-        }
-        drop(c);
-        counters.add(c.sent ? Count.CALLS_TIMED_OUT : Count.CALLS_NEVER_SENT);
-        queries.callEnded(c.of, c.sent ? Outcome.OVERDUE : Outcome.REFUSED_CONN, queries.now() - c.since, null);
+        counters.add(c.sent ? count : Count.CALLS_NEVER_SENT);
+        queries.callEnded(c.of, c.sent ? how : Outcome.REFUSED_CONN, queries.now() - c.since, null);
     }
 
-    void up() {
-        link = Link.UP;
-        unheardSince = NEVER;
-        replies = new Replies(this);
-        counters.add(Count.STORE_LINKS);
-        List.copyOf(calls.values()).forEach(this::send);
+    void up(LinkId id) {
+        Line line = lines.get(id);
+        if (line != null) {
+            counters.add(Count.STORE_LINKS);
+            line.send();
+        }
     }
 
     /** Refused or broken: what was sent may have run, what was not has not. */
-    void down() {
-        link = Link.OFF;
-        for (Call c : List.copyOf(calls.values())) {
-            end(c);
-            counters.add(c.sent ? Count.CALLS_BROKEN : Count.CALLS_NEVER_SENT);
-            queries.callEnded(c.of, c.sent ? Outcome.SEVERED : Outcome.REFUSED_CONN, queries.now() - c.since, null);
+    void down(LinkId id) {
+        Line line = lines.get(id);
+        if (line != null) {
+            line.broken();
         }
     }
 
-    void read(ByteBuffer bytes) {
-        unheardSince = NEVER;
-        replies.read(bytes);
+    void read(LinkId id, ByteBuffer bytes) {
+        Line line = lines.get(id);
+        if (line != null) {
+            line.replies.read(bytes);
+        }
     }
 
-    @Override
-    public void replied(JobId job, String word, byte[] body) {
-        Call c = calls.get(job);
-        if (c == null) {
-            return;  // given up meanwhile
+    /** The store has another address: a call in hand may still end on its old link, no other begins there. */
+    void moved() {
+        for (Line line : List.copyOf(lines.values())) {
+            Call c = line.call;
+            if (c != null && c.sent) {
+                line.old = true;
+            } else {
+                line.drop();
+                if (c != null) {
+                    new Line().open(c);
+                }
+            }
+        }
+    }
+
+    /** One link; it is given back in drop and nowhere else. */
+    private final class Line implements Replies.Sink {
+        private final LinkId id = new LinkId(numbers.getAsLong());
+        private final Replies replies = new Replies(this);
+        private Call call;
+        private boolean old;
+        private Deadlines.Deadline idleEnd;
+
+        private void open(Call c) {
+            lines.put(id, this);
+            take(c);
+            links.connect(id, Peer.STORE);
+        }
+
+        private void take(Call c) {
+            idle.remove(this);
+            deadlines.cancel(idleEnd);
+            call = c;
+            c.line = this;
+            c.of.calledOn.add(id);
+        }
+
+        private void send() {
+            call.sent = true;
+            counters.add(Count.CALLS_SENT);
+            links.to(id, Calls.call(call.of.job, Math.max(1, (call.until - queries.now() + 9) / 10), call.body));
+        }
+
+        private void drop() {
+            links.drop(id);
+            release();
+        }
+
+        private void release() {
+            lines.remove(id);
+            idle.remove(this);
+            deadlines.cancel(idleEnd);
+            if (call != null) {
+                call.line = null;
+                call = null;
+            }
+        }
+
+        private void broken() {
+            Call c = call;
+            release();
+            if (c != null) {
+                end(c, Count.CALLS_BROKEN, Outcome.SEVERED);
+            }
+        }
+
+        /** What belongs to no call of this link, an unknown id or a second copy, is passed over. */
+        @Override
+        public void replied(JobId job, String word, byte[] body) {
+            Call c = call;
+            if (c == null || !c.sent || !c.of.job.equals(job)) {
+                counters.add(Count.REPLIES_OF_NOTHING);
+                return;
+            }
+            call = null;
+            c.line = null;
+            if (old) {
+                drop();
+            } else {
+                idle.addFirst(this);
+                idleEnd = deadlines.set(queries.now() + IDLE_MOST, this::drop);
+            }
+            switch (word) {
+                case "OK" -> over(c, Count.CALLS_OK, Outcome.COMPLETED, body);
+                case "BUSY" -> over(c, Count.CALLS_BUSY, Outcome.SATURATED, body);
+                case "VOID" -> over(c, Count.CALLS_VOID, Outcome.REFUSED_CONN, body);
+                case "LATE" -> over(c, Count.CALLS_LATE, Outcome.OVERDUE, body);
+                default -> over(c, Count.CALLS_ERR, Outcome.ERRORED, body);
+            }
+        }
+
+        private void over(Call c, Count count, Outcome how, byte[] body) {
+            Store.this.end(c);
+            counters.add(count);
+            queries.callEnded(c.of, how, queries.now() - c.since, body);
+        }
+
+        @Override
+        public void bad(String why) {
+            counters.add(Count.REPLIES_SPOILT);
+            warnings.warn("store: " + why + "; its link is dropped");
+            links.drop(id);
+            broken();
         }
-        end(c);
-        Outcome how = switch (word) {
-            case "OK" -> counted(Count.CALLS_OK, Outcome.COMPLETED);
-            case "BUSY" -> counted(Count.CALLS_BUSY, Outcome.SATURATED);
-            case "VOID" -> counted(Count.CALLS_VOID, Outcome.REFUSED_CONN);
-            case "LATE" -> counted(Count.CALLS_LATE, Outcome.OVERDUE);
-            default -> counted(Count.CALLS_ERR, Outcome.ERRORED);
-        };
-        queries.callEnded(c.of, how, queries.now() - c.since, body);
-    }
-
-    private Outcome counted(Count count, Outcome how) {
-        counters.add(count);
-        return how;
-    }
-
-    @Override
-    public void bad(String why) {
-        warnings.warn("store: " + why + "; the link is dropped");
-        links.drop(Peer.STORE);
-        down();
     }
 }
--- a/src/main/java/tallyweir/backend/Taken.java
+++ b/src/main/java/tallyweir/backend/Taken.java
@@ -1,6 +1,9 @@
 package tallyweir.backend;
 
+import java.util.ArrayList;
+import java.util.List;
 import tallyweir.ids.JobId;
+import tallyweir.ids.LinkId;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.WorkloadId;
 
@@ -17,6 +20,12 @@
     boolean released;
     int sentOn;                // the kernel link that its run was asked on
     byte[] call;               // the body of the call that its run waits for
+    byte[] reply;              // the reply to its last call, until the kernel shows that it has it
+    int replyOn;               // the kernel link that took it,
+    long replyAt;              // and when
+    int stopOn;                // the kernel link that took its stop, 0 for none,
+    long stopAt;               // and when
+    final List<LinkId> calledOn = new ArrayList<>(0);  // links that carried calls of it
     Deadlines.Deadline due;
     Repeats.Entry entry;       // what its like share
 
--- a/src/main/java/tallyweir/cli/Serve.java
+++ b/src/main/java/tallyweir/cli/Serve.java
@@ -5,12 +5,14 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import sun.misc.Signal;
 import tallyweir.config.BadSetting;
 import tallyweir.config.Config;
 import tallyweir.net.Server;
 
 /** One real backend: starts it, and sees it off when it is told to leave. */
 final class Serve {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
     private static final long LAST_WORDS_MS = 100;  // before the stop: the counters are out by then
     private static final long PAST_STOP_MS = 2_000; // for whoever sends the notice and never kills
 
@@ -33,15 +35,31 @@
             err.println("tallyweir: cannot listen on " + config.listen + ": " + e.getMessage());
             return 1;
         }
+        Signal.handle(new Signal("HUP"), signal -> reload(server, environment));
         long stopMs = config.stopAfter / 10;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err), "leave"));
         // Logging loads what it needs at its first line. Where that came only once no descriptor was left, its
         // failure ended the thread that accepts.
-        Logger.getLogger(Serve.class.getName()).info(config.name + " listens on " + server.address());
+        LOG.info(config.name + " listens on " + server.address());
         server.run();
         return 1;
     }
 
+    /**
+     * On a thread of its own, so that reading the file holds up no decision. What is faulty changes nothing. One at
+     * a time, so that of two notices the one that read the newer file comes last.
+     */
+    private static synchronized void reload(Server server, Map<String, String> environment) {
+        try {
+            Config config = Config.read(environment);
+            server.move(config);
+            LOG.info("told to read the configuration again: kernel " + config.kernel + ", store " + config.store
+                    + ", announce service " + config.announce);
+        } catch (BadSetting e) {
+            LOG.warning("told to read the configuration again, the old one stays in force: " + e.getMessage());
+        }
+    }
+
     /** The virtual machine waits for this; logging may have ended by now, so the last words are printed. */
     private static void leave(Server server, long stopMs, PrintStream err) {
         server.drain();
--- a/src/main/java/tallyweir/net/Server.java
+++ b/src/main/java/tallyweir/net/Server.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,7 +22,6 @@
 import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
-import org.apache.mina.core.service.IoConnector;
 import org.apache.mina.core.service.IoHandler;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
@@ -40,6 +40,7 @@
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
 import tallyweir.ids.ConnectionId;
+import tallyweir.ids.LinkId;
 
 /**
  * The sockets round one backend. MINA's threads only put what arrived into a queue; one thread takes it out,
@@ -48,7 +49,7 @@
 public final class Server implements Links {
     private static final Logger LOG = Logger.getLogger(Server.class.getName());
     private static final AttributeKey SLOT = new AttributeKey(Server.class, "slot");
-    private static final AttributeKey PEER = new AttributeKey(Server.class, "peer");
+    private static final AttributeKey LINK = new AttributeKey(Server.class, "link");
     private static final int ARRIVED_MOST = 1_024;
     private static final int BATCH_MOST = 256;
     private static final int READ_MOST = 8 << 10;        // with ARRIVED_MOST: 8 MiB unread here at the most
@@ -58,11 +59,12 @@
     private static final int BACKLOG = 4_096;
     private static final long FAR = 10_000;              // no sleep is longer than a second
 
-    private final Config config;
+    private Config config;
     private final BlockingQueue<Runnable> arrived = new ArrayBlockingQueue<>(ARRIVED_MOST);
     private final ArrayDeque<Runnable> own = new ArrayDeque<>();  // what the deciding thread told itself
     private final Map<ConnectionId, IoSession> callers = new HashMap<>();
-    private final Map<Peer, IoSession> peers = new HashMap<>();
+    private final Set<LinkId> opening = new HashSet<>();
+    private final Map<LinkId, IoSession> peers = new HashMap<>();
     private final Map<IoSession, ByteArrayOutputStream> toWrite = new LinkedHashMap<>();
     private final Set<IoSession> toClose = new LinkedHashSet<>();
     private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
@@ -232,12 +234,13 @@
             @Override
             public void sessionOpened(IoSession session) {
                 tell(() -> {
-                    Peer peer = (Peer) session.getAttribute(PEER);
-                    IoSession before = peers.put(peer, session);
-                    if (before != null) {
-                        before.closeNow();
+                    LinkId link = (LinkId) session.getAttribute(LINK);
+                    if (opening.remove(link)) {
+                        peers.put(link, session);
+                        backend.up(link);
+                    } else {
+                        session.closeNow();  // dropped meanwhile
                     }
-                    backend.up(peer);
                 });
             }
 
@@ -245,9 +248,9 @@
             public void messageReceived(IoSession session, Object message) {
                 ByteBuffer bytes = ((IoBuffer) message).buf();
                 tell(() -> {
-                    Peer peer = (Peer) session.getAttribute(PEER);
-                    if (peers.get(peer) == session) {
-                        backend.read(peer, bytes);
+                    LinkId link = (LinkId) session.getAttribute(LINK);
+                    if (peers.containsKey(link)) {
+                        backend.read(link, bytes);
                     }
                 });
             }
@@ -255,9 +258,9 @@
             @Override
             public void sessionClosed(IoSession session) {
                 tell(() -> {
-                    Peer peer = (Peer) session.getAttribute(PEER);
-                    if (peers.remove(peer, session)) {
-                        backend.down(peer);
+                    LinkId link = (LinkId) session.getAttribute(LINK);
+                    if (peers.remove(link) != null) {
+                        backend.down(link);
                     }
                 });
             }
@@ -289,8 +292,8 @@
     }
 
     @Override
-    public void to(Peer peer, byte[] bytes) {
-        to(peers.get(peer), bytes);
+    public void to(LinkId link, byte[] bytes) {
+        to(peers.get(link), bytes);
     }
 
     private void to(IoSession session, byte[] bytes) {
@@ -300,54 +303,72 @@
     }
 
     @Override
-    public void connect(Peer peer) {
+    public void connect(LinkId link, Peer peer) {
+        opening.add(link);
         SocketAddress to = peer == Peer.KERNEL ? config.kernel : config.store;
-        open(connector, to, peer, () -> backend.down(peer));
-    }
-
-    private void open(IoConnector by, SocketAddress to, Peer peer, Runnable failed) {
-        by.connect(to, (session, future) -> session.setAttribute(PEER, peer)).addListener(future -> {
+        connector.connect(to, (session, future) -> session.setAttribute(LINK, link)).addListener(future -> {
             if (!((ConnectFuture) future).isConnected()) {
-                tell(failed);
+                tell(() -> {
+                    if (opening.remove(link)) {
+                        backend.down(link);
+                    }
+                });
             }
         });
     }
 
     @Override
-    public void drop(Peer peer) {
-        IoSession session = peers.remove(peer);
+    public void drop(LinkId link) {
+        opening.remove(link);
+        IoSession session = peers.remove(link);
         if (session != null) {
             toWrite.remove(session);
             session.closeNow();
         }
     }
 
-    /** A report that cannot go out now is left out; the next one follows within the second. */
+    /** A report that cannot go out now is left out; the next one follows soon. */
     @Override
     public void report(byte[] datagram) {
         if (reports != null) {
             reports.write(IoBuffer.wrap(datagram));
         } else if (!reportsOpening) {
             reportsOpening = true;
-            datagrams.connect(config.announce).addListener(future -> tell(() -> {
+            SocketAddress to = config.announce;
+            datagrams.connect(to).addListener(future -> tell(() -> {
                 reportsOpening = false;
-                reports = ((ConnectFuture) future).isConnected()
-                        ? ((ConnectFuture) future).getSession() : null;
-                if (reports != null) {
+                IoSession opened = ((ConnectFuture) future).isConnected() ? ((ConnectFuture) future).getSession() : null;
+                if (opened != null && !to.equals(config.announce)) {
+                    opened.closeNow();  // the service has moved meanwhile
+                    report(datagram);
+                } else if (opened != null) {
+                    reports = opened;
                     reports.write(IoBuffer.wrap(datagram));
                 }
             }));
         }
     }
 
-    // ---- leaving
+    // ---- from other threads
+
+    /** Where the kernel, the store and the announce service are from now on; all else stays as at the start. */
+    public void move(Config to) {
+        tell(() -> {
+            config = to;
+            if (reports != null) {
+                reports.closeNow();
+                reports = null;
+            }
+            backend.moved();
+        });
+    }
 
-    /** From another thread: the notice to leave. Goes on accepting and answering to the very end. */
+    /** The notice to leave. Goes on accepting and answering to the very end. */
     public void drain() {
         tell(backend::drain);
     }
 
-    /** From another thread: the counters as they are. */
+    /** The counters as they are. */
     public String counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
         tell(() -> line.complete(backend.counters().line()));
