--- a/src/main/java/tallyweir/backend/Backend.java
+++ b/src/main/java/tallyweir/backend/Backend.java
@@ -15,7 +15,9 @@
  */
 public final class Backend {
     private static final Logger LOG = Logger.getLogger(Backend.class.getName());
-    private static final long REPORT_EVERY = 10_000;  // the announce service drops what is silent for three
+    // The announce service drops what is silent for three seconds, and reports get lost on their way: a dozen in
+    // a row has to.
+    private static final long REPORT_EVERY = 2_500;
     private static final int SOCKETS_APART = 4;       // one in so many is kept for other things than callers,
     private static final int SOCKETS_STORE = 8;       // one in so many of all for links to the store
 
--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -36,6 +36,7 @@
     private final Slots<Caller> slots = new Slots<>();
     private final int most;
     private final long halfFor;
+    private final long idleMost;
     private final boolean tenants;
     private final boolean tellsPatience;
     private long idleFor;
@@ -50,7 +51,8 @@
         this.most = most;
         warnings = new Seldom(Callers.class, queries::now);
         halfFor = Math.max(10_000, settings.longestHard());
-        idleFor = Math.max(10_000, settings.idleMost());
+        idleMost = Math.max(10_000, settings.idleMost());
+        idleFor = idleMost;
         tenants = settings.tenants();
         tellsPatience = settings.tellsPatience();
     }
@@ -93,11 +95,20 @@
         idleFor = span;
         for (Caller c : slots.all()) {
             if (c.idle != null && c.used && c.reader.betweenRecords()) {
-                c.rest(span - (queries.now() - c.idleSince));
+                c.idleOver();
             }
         }
     }
 
+    /**
+     * How long a connection may be idle. A request that lies unread when its connection is closed is lost, and the
+     * shortest spans of the decisions are less than a round takes on a busy core; so none is closed within the time
+     * that a caller waits, nor before the longest span while there is room.
+     */
+    private long idleFor() {
+        return slots.size() > most / 2 ? Math.max(idleFor, halfFor) : idleMost;
+    }
+
     int size() {
         return slots.size();
     }
@@ -137,7 +148,7 @@
 
         private void rest(long span) {
             deadlines.cancel(idle);
-            idle = deadlines.set(queries.now() + Math.max(0, span), this::closeIdle);
+            idle = deadlines.set(queries.now() + Math.max(0, span), this::idleOver);
         }
 
         private void stir() {
@@ -149,7 +160,16 @@
             if (!closing && reader.open() == 0) {
                 idleSince = queries.now();
                 // Part of a record is on its way: the rest of it gets the time of a half request.
-                rest(reader.betweenRecords() ? idleFor : halfFor);
+                rest(reader.betweenRecords() ? idleFor() : halfFor);
+            }
+        }
+
+        private void idleOver() {
+            long left = used && reader.betweenRecords() ? idleSince + idleFor() - queries.now() : 0;
+            if (left > 0) {
+                rest(left);
+            } else {
+                closeIdle();
             }
         }
 
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -831,6 +831,31 @@
         only(a);
     }
 
+    /** Closed after the decisions' shortest span, connections went with requests that lay unread on them. */
+    @Test
+    void anIdleConnectionStaysWhileACallerMayWaitAndWhileThereIsRoom() {
+        r.boot();
+        for (int i = 0; i < 25; i++) {
+            r.send(r.open(), Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+        }
+        r.pass(45_000);
+        assertEquals(0, logged("close "));
+        r.pass(2_000);
+        assertEquals(1, logged("close 24"), "the one past half of the table");
+        r.pass(250_000);
+        assertEquals(1, logged("close "));
+        r.pass(10_000);
+        assertEquals(25, logged("close "));
+    }
+
+    /** Reports get lost on their way; of one a second, three in a row soon were. */
+    @Test
+    void aFewLostReportsInARowDoNotEndTheListing() {
+        r.boot();
+        r.pass(30_000);
+        assertTrue(logged("announce n3 true") >= 12, r.log.toString());
+    }
+
     @Test
     void connectionsBeyondTheLimitTakeThePlaceOfIdleOnes() {
         r.boot();
