--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import tallyweir.Effect;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Settings;
@@ -25,6 +26,7 @@
     private static final String RUN_PATH = "/do/";
     private static final String CHECK_PATH = "/check";
     private static final String COUNTERS_PATH = "/counters";
+    private static final double SIZE_MOST = 2_000;  // KB, by the protocol
     private static final int HALVES_MOST = 1_024;
     private static final byte[] NONE = {};
 
@@ -37,7 +39,8 @@
     private final int most;
     private final long halfFor;
     private final long idleMost;
-    private final boolean tenants;
+    private final long longestHard;
+    private final Set<String> tenants;
     private final boolean tellsPatience;
     private long idleFor;
     private int halves;
@@ -50,7 +53,8 @@
         this.queries = queries;
         this.most = most;
         warnings = new Seldom(Callers.class, queries::now);
-        halfFor = Math.max(10_000, settings.longestHard());
+        longestHard = settings.longestHard();
+        halfFor = Math.max(10_000, longestHard);
         idleMost = Math.max(10_000, settings.idleMost());
         idleFor = idleMost;
         tenants = settings.tenants();
@@ -114,9 +118,10 @@
     }
 
     /**
-     * Makes room for a new connection by closing one that owes and awaits no answer: the one idle longest, else
-     * the one whose last request was begun longest ago and is not whole yet. A table full of halves once turned
-     * everybody back until their time was over.
+     * Makes room for a new connection by closing one that owes and awaits no answer: of those that never sent a
+     * whole request the one silent longest, else the one idle longest, else the one whose last request was begun
+     * longest ago and is not whole yet. A table full of halves once turned everybody back until their time was
+     * over, and silent connections by hundreds would have closed the idle ones of callers in use.
      */
     private boolean makeRoom() {
         Caller best = null;
@@ -138,12 +143,14 @@
         private final Map<RequestId, Deadlines.Deadline> half = new HashMap<>();
         private Deadlines.Deadline idle;
         private long idleSince;
-        private boolean used;
+        private boolean used;      // something came
+        private boolean asked;     // a whole request came
         private boolean closing;
         private ConnectionId slot;
 
         private boolean before(Caller o) {
-            return (idle != null) != (o.idle != null) ? idle != null : idleSince < o.idleSince;
+            return asked != o.asked ? !asked
+                    : (idle != null) != (o.idle != null) ? idle != null : idleSince < o.idleSince;
         }
 
         private void rest(long span) {
@@ -251,6 +258,7 @@
         @Override
         public void request(RequestId id, Fields fields, byte[] body, boolean keep) {
             whole(id);
+            asked = true;
             String path = fields.text(Fields.PATH);
             if (CHECK_PATH.equals(path)) {
                 counters.add(Count.CHECKS);
@@ -286,7 +294,7 @@
             CallerId caller;
             try {
                 job = new JobId(fields.text(fields.needed(Fields.ID)));
-                tenant = tenants ? fields.text(fields.needed(Fields.TENANT)) : null;
+                tenant = !tenants.isEmpty() ? fields.text(fields.needed(Fields.TENANT)) : null;
                 subject = fields.text(Fields.SUBJECT);
                 mark = effect == Effect.STAMPED ? fields.text(fields.needed(Fields.STAMP)) : subject;
                 size = fields.number(Fields.SIZE);
@@ -294,10 +302,12 @@
                 receivedAt = fields.whole(Fields.RECEIVED) * 10;
                 patience = tellsPatience ? fields.whole(Fields.PATIENCE) * 10 : -1;
                 caller = new CallerId(fields.whole(Fields.CALLER));
-                if (!job.value().matches("[0-9a-fA-F]{16}") || size <= 0 || rank >= 1) {
-                    throw new IllegalArgumentException(Fields.ID + ", " + Fields.SIZE + " or " + Fields.RANK
-                            + " is out of range");
-                }
+                inRange(Fields.ID, job.value().matches("[0-9a-fA-F]{16}"));
+                inRange(Fields.SIZE, size > 0 && size < SIZE_MOST);
+                inRange(Fields.RANK, rank < 1);
+                inRange(Fields.PATIENCE, patience <= longestHard);
+                inRange(Fields.RECEIVED, !queries.farAhead(receivedAt));
+                inRange(Fields.TENANT, tenant == null || tenants.contains(tenant));
             } catch (IllegalArgumentException e) {
                 malformed(id, 400, e.getMessage(), keep);
                 return;
@@ -310,6 +320,12 @@
                     "1".equals(fields.text(Fields.AGAIN)));
         }
 
+        private static void inRange(String field, boolean is) {
+            if (!is) {
+                throw new IllegalArgumentException(field + " is out of range");
+            }
+        }
+
         private void malformed(RequestId id, int status, String why, boolean keep) {
             counters.add(Count.QUERIES_MALFORMED);
             warnings.warn("a query was not taken, " + status + ": " + why);
--- a/src/main/java/tallyweir/backend/Queries.java
+++ b/src/main/java/tallyweir/backend/Queries.java
@@ -25,6 +25,7 @@
  */
 final class Queries implements Outgoing {
     private static final int SLOT_BITS = 20;
+    private static final long DAY = 24 * 3_600 * 10_000L;
 
     private final Deadlines deadlines;
     private final Counters counters;
@@ -94,6 +95,11 @@
         return now;
     }
 
+    /** Past any step of a clock: a time that no caller means. */
+    boolean farAhead(long time) {
+        return time - wall > DAY;
+    }
+
     boolean harmless(Taken t) {
         return workloads.get(t.workload) == Effect.HARMLESS;
     }
--- a/src/main/java/tallyweir/backend/Rehearsal.java
+++ b/src/main/java/tallyweir/backend/Rehearsal.java
@@ -25,6 +25,8 @@
 
     private final Backend backend;
     private final List<String> workloads;
+    private final String tenant;
+    private final long patience;
     private final ArrayDeque<Runnable> news = new ArrayDeque<>();
     private long now;
     private long notices;
@@ -32,6 +34,8 @@
     private Rehearsal(Config config) {
         backend = new Backend(this, config, now, 0);
         workloads = config.settings.workloads().keySet().stream().map(w -> w.value()).sorted().toList();
+        tenant = config.settings.tenants().stream().findFirst().orElse("");
+        patience = config.settings.longestHard();
     }
 
     /** Returns the counters of what was played. */
@@ -67,7 +71,7 @@
         return Records.query(1 + i % 32, "asked".getBytes(ISO_8859_1),
                 "REQUEST_METHOD", "POST", "SCRIPT_NAME", "/do/" + workloads.get(i % workloads.size()),
                 "HTTP_REQUEST_ID", String.format("%016x", i + 1), "HTTP_RECEIVED_AT", "" + now / 10,
-                "HTTP_SENT_BY", "" + i % 8, "HTTP_ACCOUNT", "a", "HTTP_BUDGET_MS", "1000",
+                "HTTP_SENT_BY", "" + i % 8, "HTTP_ACCOUNT", tenant, "HTTP_BUDGET_MS", "" + patience / 10,
                 "HTTP_FOOTPRINT_KB", "1.5", "HTTP_PRIORITY_RANK", "0.5", "HTTP_ONCE_KEY", "k" + i);
     }
 
--- a/src/main/java/tallyweir/config/Settings.java
+++ b/src/main/java/tallyweir/config/Settings.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import tallyweir.Choice;
 import tallyweir.Effect;
 import tallyweir.Halt;
@@ -71,8 +73,8 @@
         return info.yes("PassesDeadline");
     }
 
-    public boolean tenants() {
-        return !all.each("Projects").isEmpty();
+    public Set<String> tenants() {
+        return all.each("Projects").stream().map(t -> t.text("Name", "")).collect(Collectors.toSet());
     }
 
     public Map<WorkloadId, Effect> workloads() {
--- a/src/main/java/tallyweir/fastcgi/Reader.java
+++ b/src/main/java/tallyweir/fastcgi/Reader.java
@@ -14,6 +14,7 @@
     public static final int BODY_MOST = 2 << 10;
     public static final int OPEN_MOST = 32;
     private static final int MANAGEMENT_MOST = 1 << 10;
+    static final int PASSED_MOST = 64 << 20;
 
     /** What comes out. Calls of done from within are allowed. */
     public interface Sink {
@@ -47,11 +48,12 @@
 
     private final Sink sink;
     private final Map<RequestId, Request> open = new HashMap<>();
-    private final byte[] header = new byte[8];
+    private final byte[] header = new byte[Records.HEADER];
     private int headerRead;
     private int contentLeft;
     private int paddingLeft;
     private final Bytes whole = new Bytes(MANAGEMENT_MOST); // a record that is taken only whole
+    private long passed;  // bytes in a row that belong to no request, or to one refused
     private boolean over;
 
     public Reader(Sink sink) {
@@ -74,11 +76,11 @@
 
     public void read(ByteBuffer in) {
         while (!over && in.hasRemaining()) {
-            if (headerRead < 8) {
-                int take = Math.min(8 - headerRead, in.remaining());
+            if (headerRead < Records.HEADER) {
+                int take = Math.min(Records.HEADER - headerRead, in.remaining());
                 in.get(header, headerRead, take);
                 headerRead += take;
-                if (headerRead == 8) {
+                if (headerRead == Records.HEADER) {
                     headerEnded();
                 }
             } else if (contentLeft > 0) {
@@ -90,7 +92,7 @@
                 in.position(in.position() + take);
                 paddingLeft -= take;
             }
-            if (!over && headerRead == 8 && contentLeft == 0 && paddingLeft == 0) {
+            if (!over && headerRead == Records.HEADER && contentLeft == 0 && paddingLeft == 0) {
                 headerRead = 0;
                 recordEnded();
             }
@@ -138,6 +140,7 @@
             }
         } else {
             in.position(in.position() + take);
+            passed += take;
         }
     }
 
@@ -146,6 +149,11 @@
             managementEnded();
             return;
         }
+        passed += Records.HEADER;
+        if (passed > PASSED_MOST) {
+            bad("over " + PASSED_MOST + " bytes that belong to no request");  // one that never ends
+            return;
+        }
         Request r = open.get(id());
         switch (type()) {
             case Records.BEGIN -> begin();
@@ -210,6 +218,7 @@
             return;
         }
         r.told = true;
+        passed = 0;
         byte[] body = r.body.copy();
         r.body.clear();
         sink.request(id(), r.fields, body, r.keep);
--- a/src/main/java/tallyweir/fastcgi/Records.java
+++ b/src/main/java/tallyweir/fastcgi/Records.java
@@ -8,6 +8,7 @@
 
 /** FastCGI records as they are written; the numbers are those of its specification 1.0. */
 public final class Records {
+    static final int HEADER = 8;
     static final int VERSION = 1;
     static final int BEGIN = 1;
     static final int ABORT = 2;
--- a/src/main/java/tallyweir/net/Server.java
+++ b/src/main/java/tallyweir/net/Server.java
@@ -14,8 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -43,16 +41,16 @@
 import tallyweir.ids.LinkId;
 
 /**
- * The sockets round one backend. MINA's threads only put what arrived into a queue; one thread takes it out,
+ * The sockets round one backend. MINA's threads only lay down what arrived; one thread takes it up,
  * reads the clocks once, hands it to the backend, does what is due and writes what came of it.
  */
 public final class Server implements Links {
     private static final Logger LOG = Logger.getLogger(Server.class.getName());
     private static final AttributeKey SLOT = new AttributeKey(Server.class, "slot");
     private static final AttributeKey LINK = new AttributeKey(Server.class, "link");
-    private static final int ARRIVED_MOST = 1_024;
-    private static final int BATCH_MOST = 256;
-    private static final int READ_MOST = 8 << 10;        // with ARRIVED_MOST: 8 MiB unread here at the most
+    private static final AttributeKey INBOX = new AttributeKey(Server.class, "inbox");
+    private static final int READ_MOST = 8 << 10;        // a piece; a few of each caller lie here at the most
+    private static final int SOCKETS_APART = 8;          // past all but one in so many a caller is not let in
     private static final int UNWRITTEN_MOST = 256 << 10; // of one connection, then its reader is too slow
     private static final int WRITE_SECONDS = 10;
     private static final int CONNECT_MILLIS = 2_000;
@@ -60,17 +58,19 @@
     private static final long FAR = 10_000;              // no sleep is longer than a second
 
     private Config config;
-    private final BlockingQueue<Runnable> arrived = new ArrayBlockingQueue<>(ARRIVED_MOST);
+    private final Arrivals arrived = new Arrivals();
     private final ArrayDeque<Runnable> own = new ArrayDeque<>();  // what the deciding thread told itself
     private final Map<ConnectionId, IoSession> callers = new HashMap<>();
     private final Set<LinkId> opening = new HashSet<>();
     private final Map<LinkId, IoSession> peers = new HashMap<>();
     private final Map<IoSession, ByteArrayOutputStream> toWrite = new LinkedHashMap<>();
     private final Set<IoSession> toClose = new LinkedHashSet<>();
-    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
-    private final NioSocketConnector connector = new NioSocketConnector(processor);
-    private final NioDatagramConnector datagrams = new NioDatagramConnector(processor);
+    // Peers have a thread of their own, so that no flood of callers stands before them.
+    private final IoProcessor<NioSession> callersProcessor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private final IoProcessor<NioSession> peersProcessor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(callersProcessor);
+    private final NioSocketConnector connector = new NioSocketConnector(peersProcessor);
+    private final NioDatagramConnector datagrams = new NioDatagramConnector(peersProcessor);
     private final long startNanos = System.nanoTime();
     private final long startWall = wall();
     private final Thread deciding = Thread.currentThread();
@@ -111,7 +111,7 @@
 
     public void run() {
         backend.start();
-        List<Runnable> batch = new ArrayList<>(BATCH_MOST);
+        List<Runnable> batch = new ArrayList<>();
         while (true) {
             try {
                 round(batch);
@@ -127,11 +127,7 @@
     private void round(List<Runnable> batch) throws InterruptedException {
         batch.clear();
         long wait = own.isEmpty() ? Math.min(FAR, backend.next() - now()) : 0;
-        Runnable first = wait > 0 ? arrived.poll(wait * 100_000, TimeUnit.NANOSECONDS) : arrived.poll();
-        if (first != null) {
-            batch.add(first);
-            arrived.drainTo(batch, BATCH_MOST);
-        }
+        arrived.take(batch, wait * 100_000);
         batch.addAll(own);
         own.clear();
         backend.clock(now(), wall());
@@ -159,15 +155,22 @@
     private void tell(Runnable news) {
         if (Thread.currentThread() == deciding) {
             own.add(news);
-            return;
-        }
-        try {
+        } else {
             arrived.put(news);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
+    /** What a caller's connection tells, in its turn. */
+    private void tell(IoSession caller, Runnable news) {
+        arrived.put((Arrivals.Inbox) caller.getAttribute(INBOX), news);
+    }
+
+    /** MINA's thread sees only at its next turn that it may read again, so it is woken. */
+    private void resume(IoSession caller) {
+        caller.resumeRead();
+        callersProcessor.flush((NioSession) caller);
+    }
+
     private void write() {
         toWrite.forEach((session, bytes) -> {
             if (session.getScheduledWriteBytes() > UNWRITTEN_MOST) {
@@ -194,9 +197,18 @@
 
     private IoHandler callerHandler() {
         return new Handler() {
+            @Override
+            public void sessionCreated(IoSession session) {
+                session.setAttribute(INBOX, new Arrivals.Inbox(session::suspendRead, () -> resume(session)));
+            }
+
             @Override
             public void sessionOpened(IoSession session) {
-                tell(() -> {
+                if (acceptor.getManagedSessionCount() > config.sockets - config.sockets / SOCKETS_APART) {
+                    session.closeNow();  // what is left is for the peers
+                    return;
+                }
+                tell(session, () -> {
                     ConnectionId slot = backend.accepted();
                     if (slot == null) {
                         session.closeNow();
@@ -210,7 +222,7 @@
             @Override
             public void messageReceived(IoSession session, Object message) {
                 ByteBuffer bytes = ((IoBuffer) message).buf();
-                tell(() -> {
+                tell(session, () -> {
                     if (session.getAttribute(SLOT) instanceof ConnectionId slot) {
                         backend.read(slot, bytes);
                     }
@@ -219,7 +231,7 @@
 
             @Override
             public void sessionClosed(IoSession session) {
-                tell(() -> {
+                tell(session, () -> {
                     if (session.removeAttribute(SLOT) instanceof ConnectionId slot) {
                         callers.remove(slot);
                         backend.closed(slot);
--- a/src/main/java/tallyweir/store/Replies.java
+++ b/src/main/java/tallyweir/store/Replies.java
@@ -66,7 +66,7 @@
             body = new byte[length + 2];
             bodyRead = 0;
         } else {
-            bad("a line that is no reply: " + text.strip());
+            bad("a line that is no reply: " + text.strip().replaceAll("[^ -~]", "?"));
         }
     }
 
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -529,12 +529,14 @@
         List<Integer> statuses = new ArrayList<>();
         for (String[] wrongField : new String[][] {{"SCRIPT_NAME", "/do/x"}, {"SCRIPT_NAME", "/else"}, {"REQUEST_METHOD", "GET"},
             {"HTTP_REQUEST_ID", "xyz"}, {"HTTP_RECEIVED_AT", "1e9"}, {"HTTP_FOOTPRINT_KB", "0"}, {"HTTP_PRIORITY_RANK", "1.0"},
-            {"HTTP_BUDGET_MS", "-1"}, {"HTTP_SENT_BY", ""}, {"HTTP_REQUEST_ID", "8".repeat(300)}}) {
+            {"HTTP_BUDGET_MS", "-1"}, {"HTTP_SENT_BY", ""}, {"HTTP_REQUEST_ID", "8".repeat(300)}, {"HTTP_PRIORITY_RANK", "NaN"},
+            {"HTTP_BUDGET_MS", "4601"}, {"HTTP_FOOTPRINT_KB", "2000"}, {"HTTP_ACCOUNT", "b"},
+            {"HTTP_RECEIVED_AT", "999999999999999"}}) {
             Asked a = r.ask(conn, "c", "b", 20_000, null, wrongField);
             a.valid = false;
             statuses.add(only(a).status());
         }
-        assertEquals(List.of(404, 404, 405, 400, 400, 400, 400, 400, 400, 400), statuses);
+        assertEquals(List.of(404, 404, 405, 400, 400, 400, 400, 400, 400, 400, 400, 400, 400, 400, 400), statuses);
         assertEquals(0, logged("KERNEL {\"type\":\"SCHED\""));
     }
 
@@ -878,6 +880,20 @@
         assertEquals(0, r.number("connections_turned_back"));
     }
 
+    /** The connections of callers in use were closed for those that connect by hundreds and say nothing. */
+    @Test
+    void silentConnectionsGiveWayBeforeThoseInUse() {
+        r.boot();
+        int used = r.open();
+        r.send(used, Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+        for (int i = 0; i < 200; i++) {
+            r.pass(10);
+            r.open();
+            r.closings();
+        }
+        assertEquals(List.of(0L, 153L, 0L), List.of(logged("close " + used), logged("close "), r.number("connections_turned_back")));
+    }
+
     @Test
     void aTableFullOfHalfRequestsTurnsNobodyBack() {
         r.boot();
--- a/src/test/java/tallyweir/FailuresTest.java
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -188,6 +188,26 @@
         assertTrue(taken.get(0) > taken.get(1), "" + taken);
     }
 
+    /** Callers with ever new numbers filled the memory; what is forgotten of them changes no span. */
+    @Test
+    void callersThatStayAwayAreForgottenWithoutLoss() {
+        long[] spans = {1_000, 200, 40};
+        Returns kept = new Returns(0, spans, 4_000, 12);
+        ring(kept, 1_000, 0);
+        ring(kept, 3_000, 10_000);
+        assertEquals(1_002, kept.known(), "those of the longest span, and the one that comes back");
+        assertEquals(200, kept.best(13_000), "the one that comes back after 100 decides");
+    }
+
+    private static void ring(Returns of, int reads, long from) {
+        for (int i = 0; i < reads; i++) {
+            of.read(from + i, new tallyweir.ids.CallerId(from + i), 0);
+            if (i % 100 == 0) {
+                of.read(from + i, new tallyweir.ids.CallerId(-1), 0);
+            }
+        }
+    }
+
     /** A fleet told as none, an unknown tenant, a quota of 0 and no idle time are settings like others. */
     @Test
     void countsOfNoneAndUnknownTenantsBreakNothing() {
--- a/src/test/java/tallyweir/ParsersTest.java
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -157,6 +157,24 @@
                 of(Model.record(1, 1, 0, new byte[] {0, 2, 1, 0, 0, 0, 0, 0}), next));
     }
 
+    /** Bytes without end once kept a connection for ever; 60 MB of a body are passed over and keep nothing. */
+    @Test
+    void whatBelongsToNoRequestIsPassedOverButNotForEver() {
+        Reader r = reader(true);
+        byte[] piece = Model.record(5, 1, 0, new byte[60_000]);
+        r.read(ByteBuffer.wrap(Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0})));
+        for (int i = 0; i < 1_000; i++) {
+            r.read(ByteBuffer.wrap(piece));
+        }
+        r.read(ByteBuffer.wrap(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/do/a")));
+        assertEquals(List.of("refused 1 TOO_BIG", "request 1 /do/a  true"), out);
+        for (int i = 0; i < 1_200; i++) {
+            r.read(ByteBuffer.wrap(piece));
+        }
+        assertEquals(3, out.size());
+        assertTrue(out.get(2).startsWith("bad over"), out.get(2));
+    }
+
     @Test
     void onlySoManyRequestsAreOpenOnAConnection() {
         Reader r = reader(false);
