--- a/src/main/java/tallyweir/Choice.java
+++ b/src/main/java/tallyweir/Choice.java
@@ -9,11 +9,9 @@
 import tallyweir.ring.Ring;
 
 /**
- * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine,
- * memory, below, workload, tenant, duties, callers, connections), calls start, and from then on calls clock
- * before each round of news and one method for each piece of news. What is decided leaves through Outgoing,
- * beside this file. After each input the rules listed in the constructor are gone through in order until
- * none fires.
+ * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine to
+ * connections), calls start, then clock before each round of news and a method for each piece. Decisions leave
+ * through Outgoing. After each input the rules of the constructor are gone through in order until none fires.
  * Times are tenths of a millisecond; dues come rounded down, ages up.
  */
 public final class Choice {
@@ -363,8 +361,9 @@
         double spare = Math.max(1, q.workload.expected - runTime(q));
         double wait = (now - q.arrived + waitAhead()) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
-        // A further try is nearer to its end than a first one, and so are the tries that it still may bring.
-        double down = Math.max(surplus, q.again ? AGAIN_DOWN * manyAgain() : 0);
+        // A further try is nearer to its end than a first one; turned away by an idle server it only brings more.
+        double use = Math.min(1, Math.max(dear(), runQueue / cores));
+        double down = Math.max(surplus, q.again ? AGAIN_DOWN * manyAgain() * use : 0);
         return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
     }
 
@@ -398,10 +397,13 @@
         return Math.max(0, tries.sum(now) / Math.max(cores, tries.count(now)) - AGAIN_MANY);
     }
 
+    /** Where reading is quick next to a run, turning away costs little; keeping off costs top revenue. */
+    private double dear() {
+        return DEAR * unread.mean(now) / Math.max(1, meanRun());
+    }
+
     private long adviceFor() {
-        // Where reading is quick next to a run, turning away costs little; keeping off costs top revenue.
-        double dear = Math.min(1, DEAR * unread.mean(now) / Math.max(1, meanRun()));
-        return (long) (keepOffMost * dear * turned.count(now) / Math.max(cores, tries.count(now)));
+        return (long) (keepOffMost * Math.min(1, dear()) * turned.count(now) / Math.max(cores, tries.count(now)));
     }
 
     private void readGauges() {
--- a/src/test/java/tallyweir/FailuresTest.java
+++ b/src/test/java/tallyweir/FailuresTest.java
@@ -179,6 +179,7 @@
                 many.read(0, 0, 40_000, 10, true, null);
             }
             many.at("running").forEach(q -> many.settled(q, Outcome.COMPLETED));
+            many.choice.gauges(0.5, Model.CORES);
             many.log.clear();
             for (int i = 0; i < 8; i++) {
                 many.read(0, 0, 40_000, 10, again, null);
@@ -188,6 +189,18 @@
         assertTrue(taken.get(0) > taken.get(1), "" + taken);
     }
 
+    /** After a burst an idle server went on turning its further tries away, which brought more of them. */
+    @Test
+    void furtherTriesInNumbersAreTakenByAnIdleServer() {
+        for (int i = 0; i < 40; i++) {
+            Seen q = m.read(0, 0, 40_000, 10, true, null);
+            m.pass(100, 0.3, 0);
+            assertEquals("running", q.place, "" + i);
+            m.settled(q, Outcome.COMPLETED);
+        }
+        assertEquals(0, count("defer"));
+    }
+
     /** Callers with ever new numbers filled the memory; what is forgotten of them changes no span. */
     @Test
     void callersThatStayAwayAreForgottenWithoutLoss() {
