--- a/src/main/java/tallyweir/backend/Callers.java
+++ b/src/main/java/tallyweir/backend/Callers.java
@@ -27,6 +27,7 @@
     private static final String CHECK_PATH = "/check";
     private static final String COUNTERS_PATH = "/counters";
     private static final double SIZE_MOST = 2_000;  // KB, by the protocol
+    private static final long HALF_MOST = 20_000;   // a silent or half sent thing is told so within three seconds
     private static final int HALVES_MOST = 1_024;
     private static final byte[] NONE = {};
 
@@ -54,7 +55,7 @@
         this.most = most;
         warnings = new Seldom(Callers.class, queries::now);
         longestHard = settings.longestHard();
-        halfFor = Math.max(10_000, longestHard);
+        halfFor = Math.min(HALF_MOST, Math.max(HALF_MOST / 2, longestHard));
         idleMost = Math.max(10_000, settings.idleMost());
         idleFor = idleMost;
         tenants = settings.tenants();
@@ -110,7 +111,7 @@
      * that a caller waits, nor before the longest span while there is room.
      */
     private long idleFor() {
-        return slots.size() > most / 2 ? Math.max(idleFor, halfFor) : idleMost;
+        return slots.size() > most / 2 ? Math.max(idleFor, longestHard) : idleMost;
     }
 
     int size() {
--- a/src/main/java/tallyweir/backend/Store.java
+++ b/src/main/java/tallyweir/backend/Store.java
@@ -170,7 +170,7 @@
         }
     }
 
-    /** One link; it is given back in drop and nowhere else. */
+    /** One link; it is given back in release and nowhere else. */
     private final class Line implements Replies.Sink {
         private final LinkId id = new LinkId(numbers.getAsLong());
         private final Replies replies = new Replies(this);
--- a/src/main/java/tallyweir/store/Calls.java
+++ b/src/main/java/tallyweir/store/Calls.java
@@ -17,8 +17,4 @@
         out.write('\n');
         return out.toByteArray();
     }
-
-    public static byte[] drop(JobId job) {
-        return ("DROP " + job.value() + "\r\n").getBytes(ISO_8859_1);
-    }
 }
--- a/src/test/java/tallyweir/BackendTest.java
+++ b/src/test/java/tallyweir/BackendTest.java
@@ -546,7 +546,10 @@
         r.boot();
         int conn = r.open();
         r.send(conn, Arrays.copyOf(Model.request(9, new byte[3], false, 0, "A", "b"), 30));
-        r.pass(200_000);
+        int silent = r.open();
+        r.pass(21_000);
+        assertEquals(1, logged("close " + silent));
+        r.pass(300_000);
         assertEquals(1, logged("answered 9 408"));
         assertEquals(1, logged("close " + conn));
     }
--- a/src/test/java/tallyweir/ParsersTest.java
+++ b/src/test/java/tallyweir/ParsersTest.java
@@ -315,6 +315,5 @@
             assertEquals(List.of("bad"), out, line);
         }
         assertArrayEquals("CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call(new JobId("a1"), 250, new byte[] {13, 10}));
-        assertArrayEquals("DROP a1\r\n".getBytes(UTF_8), Calls.drop(new JobId("a1")));
     }
 }
