One build of two modules: core (the decisions) and daemon (the backend); moves only

Need: the embedded store, the results and the tools that follow each want a module of their own, and the decisions must not be able to use any of them. Change: Maven reactor; Choice, its vocabulary, ids and ring in core (no library), all else in daemon, by git mv. The tests' plain model is core's test jar. deploy/balancer.toml, archive.sh and README name the new places.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -1,18 +1,18 @@
 #!/bin/sh
-# Writes target/tallyweir.jsa, the class-data archive that `run` starts from. A backend is started on
+# Writes daemon/target/tallyweir.jsa, the class-data archive that `run` starts from. A backend is started on
 # deploy/example.json and told to leave, so that the classes of a start are in it. Without the file a backend
 # starts as well, only more slowly.
 cd "$(dirname "$0")/.." || exit 1
-rm -f target/tallyweir.jsa
-EDGE_CONFIG=deploy/example.json java -XX:+UseSerialGC -Xlog:disable -XX:ArchiveClassesAtExit=target/tallyweir.jsa \
-    -jar target/tallyweir.jar serve > target/archive.log 2>&1 &
+rm -f daemon/target/tallyweir.jsa
+EDGE_CONFIG=deploy/example.json java -XX:+UseSerialGC -Xlog:disable -XX:ArchiveClassesAtExit=daemon/target/tallyweir.jsa \
+    -jar daemon/target/tallyweir.jar serve > daemon/target/archive.log 2>&1 &
 backend=$!
 tries=0
-until grep -q listens target/archive.log || [ $tries -ge 100 ]; do
+until grep -q listens daemon/target/archive.log || [ $tries -ge 100 ]; do
     tries=$((tries + 1))
     sleep 0.1
 done
 sleep 0.5
 kill -TERM $backend
 wait $backend
-[ -s target/tallyweir.jsa ] || echo "tallyweir: no class-data archive was written" >&2
+[ -s daemon/target/tallyweir.jsa ] || echo "tallyweir: no class-data archive was written" >&2
