Embedded store, first part: log in two copies, index, opening, compaction, simulated disk

Need: keyed results, traces and the last good configuration must survive a power cut (the users' first wish).

--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/Compaction.java
@@ -0,0 +1,88 @@
+package tallyweir.durable;
+
+import java.io.IOException;
+
+/**
+ * Moves what is current of one segment to the newest, a frame at a time, and then takes the segment away. Stopped
+ * anywhere, nothing is lost: the segment goes only once the log says on the disk that it is gone, in or behind the frame
+ * with the last of what it held.
+ */
+final class Compaction {
+    private final Log log;
+    private final Segment victim;
+    private final Walk walk;
+    private boolean more;
+
+    Compaction(Log log, Segment victim) throws IOException {
+        this.log = log;
+        this.victim = victim;
+        walk = new Walk(log, victim, 0, victim.firstFrame, victim.endFrame);
+        more = walk.next();
+    }
+
+    Segment victim() {
+        return victim;
+    }
+
+    /**
+     * Puts what the next frames still hold into a group, about as many bytes as given; true once all is through and
+     * the group says that the segment is gone.
+     */
+    boolean fill(Group g, long bytes, long now) throws IOException {
+        long read = 0;
+        while (more && g.contentLength() < bytes && read < 4 * bytes) {
+            if (walk.start() > 0) {
+                read += walk.contentLength();
+                frame(g, now);
+            }
+            more = walk.next();
+        }
+        if (!more) {
+            walk.finish();
+            g.dropped(victim.number);
+        }
+        return !more;
+    }
+
+    private void frame(Group g, long now) {
+        int end = walk.content() + walk.contentLength();
+        for (int at = walk.content(); at < end;) {
+            Format.Rec r = new Format.Rec(walk.buffer(), at);
+            if (!r.whole(end, log.has(Defence.CHECKSUM))) {
+                return;
+            }
+            if (r.type() == Format.PUT) {
+                value(g, r, walk.contentPlace() + at - walk.content(), now);
+            } else if (r.type() == Format.DELETE) {
+                tombstone(g, r);
+            }
+            at += r.length();
+        }
+    }
+
+    private void value(Group g, Format.Rec r, long place, long now) {
+        byte[] key = Index.key(r.namespace(), r.key());
+        Index.Entry e = g.index().get(key);
+        boolean current = e != null && e.segment() == victim.number && e.offset() == place;
+        boolean over = r.expires() != 0 && r.expires() <= now;
+        if (current && !over) {
+            g.move(r);
+            log.figures().add(Figures.Of.MOVED_BYTES, r.length());
+        } else if (over && (current || e == null)) {
+            // An older version that never expires must not come back when this one is no longer read.
+            if (log.has(Defence.EXPIRY_TOMBSTONE) && Upkeep.needed(r.stamp(), victim, log.segments())) {
+                g.tombstone(r.namespace(), r.key(), r.stamp());
+            } else if (current) {
+                g.forget(key);
+            }
+            log.figures().add(Figures.Of.EXPIRED, current ? 1 : 0);
+        }
+    }
+
+    private void tombstone(Group g, Format.Rec r) {
+        Index.Entry e = g.index().get(Index.key(r.namespace(), r.key()));
+        if ((e == null || e.stamp() < r.stamp()) && Upkeep.needed(r.stamp(), victim, log.segments())) {
+            g.tombstone(r.namespace(), r.key(), r.stamp());
+        }
+    }
+}
--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/Durable.java
@@ -0,0 +1,553 @@
+package tallyweir.durable;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import tallyweir.durable.Refused.Cause;
+
+/**
+ * The embedded store. What {@link #commit} has returned without a refusal is on the disk in two copies and is found by
+ * every later opening, whichever one file is damaged in between; what was not is found whole, by batches, or not at
+ * all. One thread at a time writes or keeps up ({@link Committer} is such a thread); any number read meanwhile and
+ * never wait for it.
+ */
+public final class Durable implements AutoCloseable {
+    private static final long SWEEP_AT_BOUND = 10_000;  // not more often than once a second
+
+    private final Log log;
+    private final Both both;
+    private final LongSupplier clock;
+    private final Executor aside;
+    private final Figures figures = new Figures();
+    private final List<Closeable> locks = new ArrayList<>();
+    private final Map<String, Integer> numbers = new HashMap<>();
+    private final ConcurrentLinkedQueue<Integer> damaged = new ConcurrentLinkedQueue<>();
+    private final Upkeep upkeep;
+    private final Scrub scrub;
+    private final boolean openedFromSnapshot;
+    private Namespace[] namespaces;
+    private Compaction compaction;
+    private byte[] sweptTo;
+    private long sweptAtBound = Long.MIN_VALUE / 2;
+    private volatile boolean snapshotInHand;
+    private volatile State state;
+    private volatile long retirements;
+    private volatile boolean closed;
+
+    /**
+     * Opens a store, or makes one where there is none. Opening is recovery.
+     *
+     * @param first one copy of the log, and the index snapshots
+     * @param second the other copy; best on another disk
+     * @param both how the two are written
+     * @param segmentBytes where a segment ends and the next begins, 4,096 to 1 GiB
+     * @param sector bytes that the disk writes as one, 512 to 65,536; not to change once there is a store
+     * @param deadShare the share of all bytes that may be dead before segments are compacted, above 0 and under 1
+     * @param scrubEvery the time between scrubs, tenths of a millisecond, 0 for none
+     * @param opened the namespaces that may be written; others that are there can be read
+     * @param seed of the chance by which a new store is named
+     * @param clock the time, tenths of a millisecond since 1970; it may step
+     * @param aside runs what takes long beside the writing, as writing an index snapshot
+     * @param without defences that are off, for drills only
+     * @throws Refused IN_USE, NEWER_FORMAT
+     * @throws IOException where neither copy of something can be read
+     */
+    public Durable(Disk first, Disk second, Both both, int segmentBytes, int sector, double deadShare,
+            long scrubEvery, List<Namespace> opened, long seed, LongSupplier clock, Executor aside,
+            Set<Defence> without) throws IOException {
+        this.both = both;
+        this.clock = clock;
+        this.aside = aside;
+        log = new Log(first, second, both, segmentBytes, sector, without, figures);
+        upkeep = new Upkeep(deadShare, segmentBytes, scrubEvery, 600_000, clock.getAsLong());
+        scrub = new Scrub(log);
+        locks.add(first.lock());
+        try {
+            locks.add(second.lock());
+            Opening opening = new Opening(log);
+            opening.run(new SplittableRandom(seed).nextLong());
+            openedFromSnapshot = opening.fromSnapshot();
+            name(opened);
+            state = state(opening.index());
+        } catch (IOException | RuntimeException e) {
+            log.close();
+            unlock();
+            throw e;
+        }
+    }
+
+    private void name(List<Namespace> opened) {
+        List<String> names = log.names();
+        for (Namespace n : opened) {
+            if (!names.contains(n.name())) {
+                names.add(n.name());
+            }
+        }
+        namespaces = new Namespace[names.size()];
+        for (int i = 0; i < namespaces.length; i++) {
+            namespaces[i] = new Namespace(names.get(i), Long.MAX_VALUE, false);
+        }
+        for (Namespace n : opened) {
+            numbers.put(n.name(), names.indexOf(n.name()));
+            namespaces[names.indexOf(n.name())] = n;
+        }
+    }
+
+    private State state(Index index) {
+        long[] used = new long[namespaces.length];
+        long[] keys = new long[namespaces.length];
+        boolean[] dropOldest = new boolean[1];
+        index.each((namespace, stamp, segment, length, expires) -> {
+            used[namespace] += length;
+            keys[namespace]++;
+            dropOldest[0] |= namespaces[namespace].dropOldest();
+        });
+        List<Index.Entry> ages = new ArrayList<>();
+        for (Index.Entry e = dropOldest[0] ? index.atOrAfter(new byte[0]) : null; e != null; e = index.after(e.key())) {
+            if (namespaces[e.namespace()].dropOldest()) {
+                ages.add(new Index.Entry(State.age(e.key(), e.stamp()), e.stamp(), 0, 0, 0, 0));
+            }
+        }
+        ages.sort((a, b) -> Arrays.compareUnsigned(a.key(), b.key()));
+        return new State(index, Index.ofSorted(ages), used, keys, log.lastStamp());
+    }
+
+    /** The time that expiry goes by: it never goes back behind the last write. */
+    public long now() {
+        return Math.max(clock.getAsLong(), Stamp.time(state.lastStamp()));
+    }
+
+    public Figures figures() {
+        return figures;
+    }
+
+    /** Whether this opening went by an index snapshot. */
+    public boolean openedFromSnapshot() {
+        return openedFromSnapshot;
+    }
+
+    /** How often the store has been opened for writing, this time included. */
+    public long opening() {
+        return log.opening();
+    }
+
+    // ---- writing
+
+    /**
+     * Writes batches, as many of them at once as fit one frame. When it returns, each is on the disk, or has its
+     * refusal at its place in what is returned; null there is an acknowledgement.
+     */
+    public synchronized List<Refused> commit(List<Batch> batches) {
+        Refused[] answers = new Refused[batches.size()];
+        for (int from = 0; from < batches.size();) {
+            int to = from;
+            long bytes = 0;
+            while (to < batches.size() && (to == from || bytes + batches.get(to).bytes() <= Format.GROUP_MOST)) {
+                bytes += batches.get(to).bytes();
+                to++;
+            }
+            frame(batches, from, to, Math.min(bytes, Format.BATCH_MOST), answers);
+            from = to;
+        }
+        return Arrays.asList(answers);
+    }
+
+    /** Writes one batch; returns once it is on the disk. */
+    public void commit(Batch batch) throws Refused {
+        Refused answer = commit(List.of(batch)).get(0);
+        if (answer != null) {
+            throw answer;
+        }
+    }
+
+    private void frame(List<Batch> batches, int from, int to, long bytes, Refused[] answers) {
+        try {
+            if (closed) {
+                throw figures.count(new Refused(Cause.CLOSED, "the store is closed"));
+            }
+            Group g = new Group(state, log.room(bytes), namespaces, bytes + 2 * Format.FRAME);
+            long now = now();
+            for (int i = from; i < to; i++) {
+                answers[i] = add(g, batches.get(i), now);
+                if (answers[i] != null && answers[i].why() == Cause.AT_BOUND && mayBeSwept(now)) {
+                    if (g.records() == 0) {
+                        sweepAll(now);
+                        g = new Group(state, log.room(bytes), namespaces, bytes + 2 * Format.FRAME);
+                        answers[i] = add(g, batches.get(i), now);
+                    } else {
+                        sweptAtBound = Long.MIN_VALUE / 2;  // its turn is the next group's
+                    }
+                }
+            }
+            write(g);
+            for (int i = from; i < to; i++) {
+                if (answers[i] == null) {
+                    figures.add(Figures.Of.BATCHES);
+                    figures.add(Figures.Of.RECORDS, batches.get(i).writes.size());
+                    figures.add(Figures.Of.RECORD_BYTES, batches.get(i).bytes());
+                } else {
+                    figures.count(answers[i]);
+                }
+            }
+        } catch (Refused r) {
+            for (int i = from; i < to; i++) {
+                answers[i] = answers[i] == null ? r : answers[i];
+            }
+        }
+    }
+
+    /** Puts a frame on the disk and shows what it changes. */
+    private void write(Group g) throws Refused {
+        if (g.records() > 0) {
+            log.append(g.bytes(log.sector()), g.contentLength());
+            upkeep.written(g.contentLength());
+            figures.add(Figures.Of.GROUPS);
+        }
+        g.settle(log);
+        state = g.state();
+    }
+
+    private Refused add(Group g, Batch b, long now) {
+        Refused wrong = wrong(b);
+        if (wrong != null) {
+            return wrong;
+        }
+        g.mark();
+        long[] before = new long[namespaces.length];
+        Set<Integer> touched = new LinkedHashSet<>();
+        long first = Stamp.next(g.lastStamp(), now);
+        for (Batch.Write w : b.writes) {
+            int n = numbers.get(w.namespace());
+            if (touched.add(n)) {
+                before[n] = g.used(n);
+            }
+            if (w.isDelete()) {
+                g.delete(n, w.key(), now);
+            } else {
+                g.put(n, w.key(), w.value(), w.expires(), now);
+            }
+        }
+        for (int n : touched) {
+            while (g.used(n) > namespaces[n].boundBytes() && g.used(n) > before[n]) {
+                byte[] oldest = namespaces[n].dropOldest() ? g.oldest(n, first) : null;
+                if (oldest == null) {
+                    g.back();
+                    return new Refused(Cause.AT_BOUND, "namespace " + namespaces[n].name() + " holds "
+                            + before[n] + " of " + namespaces[n].boundBytes() + " bytes and would pass them");
+                }
+                g.delete(n, oldest, now);
+                figures.add(Figures.Of.DROPPED_OLDEST);
+            }
+        }
+        return null;
+    }
+
+    private Refused wrong(Batch b) {
+        String what = b.bytes() > Format.BATCH_MOST ? "a batch of " + b.bytes() + " bytes, the most is "
+                + Format.BATCH_MOST : null;
+        for (Batch.Write w : b.writes) {
+            if (!numbers.containsKey(w.namespace())) {
+                what = "namespace " + w.namespace() + " was not opened";
+            } else if (w.key().length > Format.KEY_MOST) {
+                what = "a key of " + w.key().length + " bytes, the most is " + Format.KEY_MOST;
+            } else if (!w.isDelete() && w.value().length > Format.VALUE_MOST) {
+                what = "a value of " + w.value().length + " bytes, the most is " + Format.VALUE_MOST;
+            }
+        }
+        return what == null ? null : new Refused(Cause.TOO_LONG, what);
+    }
+
+    // ---- reading
+
+    /** Null if there is no such key, or its time is over. Never waits for a write. */
+    public Found get(String namespace, byte[] key) throws Refused {
+        while (true) {
+            Integer n = numbers.get(namespace);
+            int number = n != null ? n : log.names().indexOf(namespace);
+            Index.Entry e = number < 0 ? null : state.index().get(Index.key(number, key));
+            if (e == null || e.expires() != 0 && e.expires() <= now()) {
+                return null;
+            }
+            Segment s = log.segment(e.segment());
+            if (s == null || !s.pin()) {
+                if (closed) {
+                    throw figures.count(new Refused(Cause.CLOSED, "the store is closed"));
+                }
+                continue;  // compacted away just now: the next look finds it where it was moved to
+            }
+            try {
+                long second = figures.get(Figures.Of.SECOND_READS);
+                Found f = View.found(log, s, e, List.of(), figures);
+                if (figures.get(Figures.Of.SECOND_READS) != second) {
+                    damaged.add(s.number);
+                }
+                return f;
+            } catch (Refused r) {
+                damaged.add(s.number);
+                throw r;
+            } finally {
+                s.unpin();
+            }
+        }
+    }
+
+    /** The store as it is now, to be read while writes go on; to be closed. */
+    public View view() {
+        while (true) {
+            long before = retirements;
+            State seen = state;
+            List<Segment> pinned = new ArrayList<>();
+            for (Segment s : log.segments()) {
+                if (s.pin()) {
+                    pinned.add(s);
+                }
+            }
+            if (before == retirements) {
+                return new View(log, seen, pinned, now(), figures);
+            }
+            pinned.forEach(Segment::unpin);
+        }
+    }
+
+    /** How many namespaces hold how much, and the state of the log, for operators; in a fixed order. */
+    public synchronized Map<String, Object> info() {
+        Map<String, Object> info = new java.util.LinkedHashMap<>();
+        info.put("store", String.format("%016x", log.storeId()));
+        info.put("openings", log.opening());
+        info.put("opened_from_snapshot", openedFromSnapshot);
+        info.put("keys", state.index().size());
+        long size = 0;
+        long live = 0;
+        long tombstones = 0;
+        int segments = 0;
+        for (Segment s : log.segments()) {
+            segments++;
+            size += s.end;
+            live += s.live;
+            tombstones += s.tombstones;
+        }
+        info.put("segments", segments);
+        info.put("bytes_of_each_copy", size);
+        info.put("live_bytes", live);
+        info.put("tombstone_bytes", tombstones);
+        info.put("live_share", size == 0 ? 1.0 : Math.round(1_000.0 * (live + tombstones) / size) / 1_000.0);
+        List<Map<String, Object>> spaces = new ArrayList<>();
+        for (int i = 0; i < namespaces.length; i++) {
+            Map<String, Object> of = new java.util.LinkedHashMap<>();
+            of.put("namespace", namespaces[i].name());
+            of.put("keys", state.keys()[i]);
+            of.put("bytes", state.used()[i]);
+            if (namespaces[i].boundBytes() < Long.MAX_VALUE) {
+                of.put("bound_bytes", namespaces[i].boundBytes());
+                of.put("at_bound", namespaces[i].dropOldest() ? "drop_oldest" : "refuse");
+            }
+            spaces.add(of);
+        }
+        info.put("namespaces", spaces);
+        return info;
+    }
+
+    // ---- upkeep
+
+    /**
+     * Does one step of what is due: deleting, mending, compacting, sweeping, snapshots, scrubbing.
+     *
+     * @param bytes about how many to read and write in the step
+     * @return whether there was anything to do
+     */
+    public synchronized boolean upkeep(long bytes) throws IOException {
+        if (closed) {
+            return false;
+        }
+        long now = now();
+        switch (upkeep.next(now, log.segments(), log.active(), log.hasRetired(), !damaged.isEmpty(),
+                compaction != null)) {
+            case DELETE -> log.deleteRetired();
+            case MEND -> mend(damaged.poll());
+            case COMPACT -> compact(bytes, now);
+            case CHOOSE -> compaction = new Compaction(log, upkeep.worst(log.segments(), log.active(), false));
+            case SWEEP -> upkeep.sweep(sweep((int) Math.max(1, bytes / 256), now));
+            case SNAPSHOT -> snapshot();
+            case SCRUB -> scrub(bytes);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void mend(int segment) throws IOException {
+        damaged.removeIf(d -> d == segment);
+        Segment s = log.segment(segment);
+        if (s != null) {
+            walk(s);
+        }
+    }
+
+    private void walk(Segment s) throws IOException {
+        Walk walk = new Walk(log, s, 0, s.firstFrame, s.endFrame);
+        while (walk.next()) {
+            figures.add(Figures.Of.SCRUBBED_BYTES, Format.FRAME + walk.contentLength());
+        }
+        walk.finish();
+    }
+
+    private void scrub(long bytes) throws IOException {
+        try {
+            upkeep.scrub(scrub.step(bytes));
+        } catch (IOException e) {
+            scrub.skip();
+            throw e;
+        }
+    }
+
+    private void compact(long bytes, long now) throws IOException {
+        try {
+            Group g = new Group(state, log.room(bytes), namespaces, bytes);
+            boolean through = compaction.fill(g, bytes, now);
+            write(g);
+            if (through) {
+                retire(compaction.victim());
+                compaction = null;
+            }
+        } catch (IOException e) {
+            compaction = null;  // begins anew when there is room; what was moved stays moved
+            throw e;
+        }
+    }
+
+    private void retire(Segment s) {
+        log.retire(s);
+        retirements++;
+        figures.add(Figures.Of.COMPACTED);
+        log.deleteRetired();
+    }
+
+    private boolean mayBeSwept(long now) {
+        boolean may = now - sweptAtBound >= SWEEP_AT_BOUND;
+        sweptAtBound = may ? now : sweptAtBound;
+        return may;
+    }
+
+    private void sweepAll(long now) {
+        sweptTo = null;
+        while (sweep(1_000, now)) {
+            continue;
+        }
+    }
+
+    /** Forgets what has expired among the next keys; false after the last. */
+    private boolean sweep(int keys, long now) {
+        Group g = new Group(state, null, namespaces, 0);
+        Index.Entry e = state.index().atOrAfter(sweptTo == null ? new byte[0] : sweptTo);
+        int gone = 0;
+        for (int i = 0; e != null && i < keys; i++) {
+            if (e.expires() != 0 && e.expires() <= now) {
+                g.forget(e.key());
+                gone++;
+            }
+            e = state.index().after(e.key());
+        }
+        sweptTo = e == null ? null : e.key();
+        if (gone > 0) {
+            g.settle(log);
+            state = g.state();
+            figures.add(Figures.Of.EXPIRED, gone);
+        }
+        return e != null;
+    }
+
+    /** Compacts every segment in which anything is dead, until none is left; for operators. */
+    public synchronized void compactAll() throws IOException {
+        sweepAll(now());
+        long until = log.nextFrame();
+        log.room(Integer.MAX_VALUE);
+        for (Segment s : log.segments()) {
+            if (s.firstFrame < until && s != log.active()) {
+                compaction = new Compaction(log, s);
+                while (compaction != null) {
+                    compact(Format.GROUP_MOST, now());
+                }
+            }
+        }
+    }
+
+    /** Compares the copies of everything and mends what is damaged in one; for operators. */
+    public synchronized void scrubAll() throws IOException {
+        for (Segment s : log.segments()) {
+            walk(s);
+        }
+        figures.add(Figures.Of.SCRUBS);
+    }
+
+    /** Writes down the index as it is now, beside the writing; nothing if the last is still being written. */
+    public synchronized void snapshot() {
+        if (snapshotInHand) {
+            return;
+        }
+        snapshotInHand = true;
+        Map<Integer, IndexFile.Of> segments = new HashMap<>();
+        for (Segment s : log.segments()) {
+            segments.put(s.number, new IndexFile.Of(s.endFrame, s.end, s.puts, s.tombstones, s.lastTombstone));
+        }
+        Log.Last last = log.last();
+        IndexFile f = new IndexFile(log.nextFrame(), log.lastStamp(), last.segment(), last.place(), last.sum(),
+                segments, state.index().leaves());
+        upkeep.snapshot(state.index().size() * 48);
+        aside.execute(() -> {
+            try {
+                f.write(log.disk(0), log.storeId());
+                figures.add(Figures.Of.SNAPSHOTS);
+            } catch (IOException e) {
+                // It only helps; the next opening reads the log.
+                figures.add(Figures.Of.SNAPSHOTS_DISTRUSTED);
+            } finally {
+                snapshotInHand = false;
+            }
+        });
+    }
+
+    /** Writes down the index and ends. Views that are open end with it. */
+    @Override
+    public synchronized void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (log.nextFrame() > 1) {
+            snapshot();
+        }
+        end();
+    }
+
+    /** Ends without a word to the disk, as a cut would; for drills. */
+    synchronized void end() {
+        closed = true;
+        while (snapshotInHand) {
+            Thread.onSpinWait();
+        }
+        log.close();
+        unlock();
+    }
+
+    private void unlock() {
+        for (Closeable lock : locks) {
+            try {
+                lock.close();
+            } catch (IOException e) {
+                continue;  // the process's end gives it back
+            }
+        }
+        locks.clear();
+    }
+}
--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/Head.java
@@ -0,0 +1,89 @@
+package tallyweir.durable;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The first frame of a segment: what holds for the store from there on. It lists every older segment that is still
+ * part of the store, with its end, so that what stands behind an end is void and what is not listed is gone.
+ *
+ * @param storeId drawn when the store was made; part of every checksum
+ * @param segment its own number
+ * @param firstFrame the number of the first frame after it
+ * @param lastStamp the last stamp given before it
+ * @param opening how often the store had been opened for writing, this one included
+ * @param names of the namespaces, each at its number
+ * @param older the older segments that count
+ */
+record Head(long storeId, int segment, long firstFrame, long lastStamp, long opening, List<String> names,
+        List<Older> older) {
+    /** A segment that counts, up to and without this end. */
+    record Older(int segment, long firstFrame, long created, long endFrame, long end) {}
+
+    byte[] bytes() {
+        try {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            DataOutputStream out = new DataOutputStream(bytes);
+            out.writeInt(Format.VERSION);
+            out.writeLong(storeId);
+            out.writeInt(segment);
+            out.writeLong(firstFrame);
+            out.writeLong(lastStamp);
+            out.writeLong(opening);
+            out.writeInt(names.size());
+            for (String name : names) {
+                byte[] n = name.getBytes(StandardCharsets.US_ASCII);
+                out.writeByte(n.length);
+                out.write(n);
+            }
+            out.writeInt(older.size());
+            for (Older o : older) {
+                out.writeInt(o.segment);
+                out.writeLong(o.firstFrame);
+                out.writeLong(o.created);
+                out.writeLong(o.endFrame);
+                out.writeLong(o.end);
+            }
+            return bytes.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Null if it is none, as may be without checksums; refused if it is of a newer format. */
+    static Head of(byte[] content) throws Refused {
+        try {
+            ByteBuffer in = ByteBuffer.wrap(content);
+            int version = in.getInt();
+            if (version > Format.VERSION) {
+                throw new Refused(Refused.Cause.NEWER_FORMAT, "the store is of format " + version
+                        + ", this program knows formats up to " + Format.VERSION + ": use the program that wrote it");
+            }
+            long id = in.getLong();
+            int segment = in.getInt();
+            long firstFrame = in.getLong();
+            long lastStamp = in.getLong();
+            long opening = in.getLong();
+            List<String> names = new ArrayList<>();
+            for (int n = in.getInt(); n > 0; n--) {
+                byte[] name = new byte[in.get() & 0xff];
+                in.get(name);
+                names.add(new String(name, StandardCharsets.US_ASCII));
+            }
+            List<Older> older = new ArrayList<>();
+            for (int n = in.getInt(); n > 0; n--) {
+                older.add(new Older(in.getInt(), in.getLong(), in.getLong(), in.getLong(), in.getLong()));
+            }
+            return new Head(id, segment, firstFrame, lastStamp, opening, names, older);
+        } catch (BufferUnderflowException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/SimDisk.java
@@ -0,0 +1,338 @@
+package tallyweir.durable;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * A directory in memory that keeps only what it must. When the power is cut, each sector that was not forced is the old
+ * one, the new one or half of each, each name that was not forced has come, gone or not, and files are as long as they
+ * were or became. Faults can be ordered: a force that fails and drops what it covered, no room, short reads and writes,
+ * a directory that cannot be written. Not for several threads, but for those that {@link Both} starts.
+ */
+public final class SimDisk implements Disk {
+    /** What the disks of one machine share: the count of I/O operations, the moment of the cut, the faults. */
+    public static final class Power {
+        private final SplittableRandom chance;
+        private long operations;
+        private long cutAt = Long.MAX_VALUE;
+        private long forces;
+        private long failForce = Long.MAX_VALUE;
+        private long room = Long.MAX_VALUE;
+        private boolean shortIo;
+        private boolean readOnly;
+
+        public Power(long seed) {
+            chance = new SplittableRandom(seed);
+        }
+
+        /** I/O operations that change something, so far. */
+        public synchronized long operations() {
+            return operations;
+        }
+
+        /** Cuts the power within the nth operation from the start, counted from 1. */
+        public synchronized void cutAt(long operation) {
+            cutAt = operation;
+        }
+
+        /** The nth force from now fails, counted from 1, and its file's changes never reach the disk. */
+        public synchronized void failForce(long n) {
+            failForce = forces + n;
+        }
+
+        /** Bytes that may still be written before the disks are full. */
+        public synchronized void room(long bytes) {
+            room = bytes;
+        }
+
+        /** Whether reads and writes may do less than asked. */
+        public synchronized void shortIo(boolean may) {
+            shortIo = may;
+        }
+
+        /** Whether nothing can be written. */
+        public synchronized void readOnly(boolean is) {
+            readOnly = is;
+        }
+
+        private synchronized boolean step() throws IOException {
+            if (operations >= cutAt) {
+                throw new PowerCut();
+            }
+            operations++;
+            if (readOnly) {
+                throw new IOException("Read-only file system");
+            }
+            return operations == cutAt;
+        }
+
+        private synchronized int part(int length) {
+            return shortIo && length > 1 ? chance.nextInt(1, length + 1) : length;
+        }
+
+        private synchronized int taken(int length) throws IOException {
+            if (room <= 0) {
+                throw new IOException("No space left on device");
+            }
+            int taken = (int) Math.min(room, length);
+            room -= taken;
+            return taken;
+        }
+
+        private synchronized boolean forceFails() {
+            return ++forces == failForce;
+        }
+    }
+
+    /** The power is gone: nothing that was running goes on. */
+    public static final class PowerCut extends Error {
+        private static final long serialVersionUID = 1L;
+
+        PowerCut() {
+            super("the power was cut", null, false, false);
+        }
+    }
+
+    private static final class Content {
+        private byte[] seen = new byte[0];
+        private int size;
+        private byte[] safe = new byte[0];
+        private int safeSize;
+        private final Set<Integer> dirty = new HashSet<>();
+
+        private void grow(int to) {
+            if (to > seen.length) {
+                seen = Arrays.copyOf(seen, Math.max(to, seen.length * 2));
+            }
+            size = Math.max(size, to);
+        }
+    }
+
+    private record Change(String name, Content to) {}
+
+    private final Power power;
+    private final int sector;
+    private final String where;
+    private final Map<String, Content> files = new TreeMap<>();
+    private final Map<String, Content> safe = new HashMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private boolean locked;
+
+    public SimDisk(Power power, int sector, String where) {
+        this.power = power;
+        this.sector = sector;
+        this.where = where;
+    }
+
+    /** What is there once the power is back. */
+    public synchronized SimDisk afterCut(Power next, SplittableRandom chance) {
+        SimDisk left = new SimDisk(next, sector, where);
+        Map<String, Content> names = new TreeMap<>(safe);
+        for (Change c : changes) {
+            if (chance.nextBoolean()) {
+                if (c.to == null) {
+                    names.remove(c.name);
+                } else {
+                    names.put(c.name, c.to);
+                }
+            }
+        }
+        names.forEach((name, content) -> left.load(name, survivor(content, chance)));
+        return left;
+    }
+
+    private byte[] survivor(Content c, SplittableRandom chance) {
+        int size = chance.nextBoolean() ? c.size : c.safeSize;
+        byte[] b = Arrays.copyOf(c.safe, Math.max(c.size, c.safeSize));
+        for (int s : c.dirty.stream().sorted().toList()) {
+            int from = s * sector;
+            int to = Math.min(from + sector, c.size);
+            int fate = chance.nextInt(3);
+            if (fate > 0 && from < to) {
+                System.arraycopy(c.seen, from, b, from, fate == 1 ? to - from : chance.nextInt(to - from));
+                size = Math.max(size, to);
+            }
+        }
+        return Arrays.copyOf(b, size);
+    }
+
+    /** Puts a file there as if it had long been. */
+    public synchronized void load(String name, byte[] bytes) {
+        Content c = new Content();
+        c.seen = bytes.clone();
+        c.size = bytes.length;
+        c.safe = bytes.clone();
+        c.safeSize = bytes.length;
+        files.put(name, c);
+        safe.put(name, c);
+    }
+
+    /** What a file holds now; null if there is none. */
+    public synchronized byte[] content(String name) {
+        Content c = files.get(name);
+        return c == null ? null : Arrays.copyOf(c.seen, c.size);
+    }
+
+    /** Takes a file away as if it had never been. */
+    public synchronized void lose(String name) {
+        files.remove(name);
+        safe.remove(name);
+    }
+
+    @Override
+    public synchronized List<String> names() {
+        return List.copyOf(files.keySet());
+    }
+
+    @Override
+    public synchronized Handle open(String name) throws IOException {
+        Content c = files.get(name);
+        if (c == null) {
+            throw new IOException(where + "/" + name + ": no such file");
+        }
+        return new File(c);
+    }
+
+    @Override
+    public synchronized Handle create(String name) throws IOException {
+        boolean cut = power.step();
+        Content c = new Content();
+        files.put(name, c);
+        changes.add(new Change(name, c));
+        if (cut) {
+            throw new PowerCut();
+        }
+        return new File(c);
+    }
+
+    @Override
+    public synchronized void delete(String name) throws IOException {
+        boolean cut = power.step();
+        if (files.remove(name) != null) {
+            changes.add(new Change(name, null));
+        }
+        if (cut) {
+            throw new PowerCut();
+        }
+    }
+
+    @Override
+    public synchronized void forceNames() throws IOException {
+        if (power.step()) {
+            throw new PowerCut();
+        }
+        if (power.forceFails()) {
+            throw new IOException("Input/output error");
+        }
+        changes.clear();
+        safe.clear();
+        safe.putAll(files);
+    }
+
+    @Override
+    public synchronized Closeable lock() throws IOException {
+        if (locked) {
+            throw new Refused(Refused.Cause.IN_USE, where + " is in use");
+        }
+        locked = true;
+        return () -> locked = false;
+    }
+
+    @Override
+    public String where() {
+        return where;
+    }
+
+    private final class File implements Handle {
+        private final Content c;
+
+        File(Content c) {
+            this.c = c;
+        }
+
+        @Override
+        public int read(long at, ByteBuffer into) {
+            synchronized (SimDisk.this) {
+                if (at >= c.size) {
+                    return -1;
+                }
+                int length = power.part((int) Math.min(into.remaining(), c.size - at));
+                into.put(c.seen, (int) at, length);
+                return length;
+            }
+        }
+
+        @Override
+        public int write(long at, ByteBuffer from) throws IOException {
+            synchronized (SimDisk.this) {
+                boolean cut = power.step();
+                int length = power.taken(power.part(from.remaining()));
+                c.grow((int) at + length);
+                from.get(c.seen, (int) at, length);
+                for (long s = at / sector; length > 0 && s <= (at + length - 1) / sector; s++) {
+                    c.dirty.add((int) s);
+                }
+                if (cut) {
+                    throw new PowerCut();
+                }
+                return length;
+            }
+        }
+
+        @Override
+        public void force() throws IOException {
+            synchronized (SimDisk.this) {
+                if (power.step()) {
+                    throw new PowerCut();
+                }
+                boolean fails = power.forceFails();
+                if (!fails) {
+                    c.safe = Arrays.copyOf(c.safe, Math.max(c.safe.length, c.size));
+                    for (int s : c.dirty) {
+                        int from = s * sector;
+                        if (from < c.size) {
+                            System.arraycopy(c.seen, from, c.safe, from, Math.min(sector, c.size - from));
+                        }
+                    }
+                    c.safeSize = c.size;
+                }
+                c.dirty.clear();  // where it fails, the system takes the pages for clean all the same
+                if (fails) {
+                    throw new IOException("Input/output error");
+                }
+            }
+        }
+
+        @Override
+        public long size() {
+            synchronized (SimDisk.this) {
+                return c.size;
+            }
+        }
+
+        @Override
+        public void truncate(long size) throws IOException {
+            synchronized (SimDisk.this) {
+                if (power.step()) {
+                    throw new PowerCut();
+                }
+                c.size = (int) Math.min(c.size, size);
+            }
+        }
+
+        @Override
+        public void close() {
+            // nothing is held
+        }
+    }
+}
--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/View.java
@@ -0,0 +1,160 @@
+package tallyweir.durable;
+
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.NoSuchElementException;
+
+/**
+ * The store as it was at one moment, while writes go on. Segments that were compacted away meanwhile keep their files
+ * until it is closed. Any thread may use it.
+ */
+public final class View implements AutoCloseable {
+    private final Log log;
+    private final State state;
+    private final List<Segment> pinned;
+    private final long now;
+    private final List<String> names;
+    private final Figures figures;
+    private boolean closed;
+
+    View(Log log, State state, List<Segment> pinned, long now, Figures figures) {
+        this.log = log;
+        this.state = state;
+        this.pinned = pinned;
+        this.now = now;
+        this.names = List.copyOf(log.names());
+        this.figures = figures;
+    }
+
+    /** The names of all namespaces that were ever written. */
+    public List<String> namespaces() {
+        return names;
+    }
+
+    /** How many records a namespace has, those counted that have expired and were not yet swept away. */
+    public long keys(String namespace) {
+        int n = names.indexOf(namespace);
+        return n < 0 || n >= state.keys().length ? 0 : state.keys()[n];
+    }
+
+    /** Bytes of these records. */
+    public long bytes(String namespace) {
+        int n = names.indexOf(namespace);
+        return n < 0 || n >= state.used().length ? 0 : state.used()[n];
+    }
+
+    /** Null if there is none, or its time is over. */
+    public Found get(String namespace, byte[] key) throws Refused {
+        int n = names.indexOf(namespace);
+        Index.Entry e = n < 0 ? null : state.index().get(Index.key(n, key));
+        return e == null || isOver(e) ? null : found(e);
+    }
+
+    private boolean isOver(Index.Entry e) {
+        return e.expires() != 0 && e.expires() <= now;
+    }
+
+    private Found found(Index.Entry e) throws Refused {
+        return found(log, log.segment(e.segment()), e, pinned, figures);
+    }
+
+    static Found found(Log log, Segment s, Index.Entry e, List<Segment> pinned, Figures figures) throws Refused {
+        Segment of = s;
+        for (int i = 0; of == null && i < pinned.size(); i++) {
+            of = pinned.get(i).number == e.segment() ? pinned.get(i) : null;
+        }
+        Format.Rec r = of == null ? null : log.read(of, e);
+        if (r == null) {
+            throw figures.count(new Refused(Refused.Cause.DAMAGED, "a record of segment " + e.segment() + " at "
+                    + e.offset() + " can be read in neither copy"));
+        }
+        return new Found(r.key(), r.value(), r.stamp(), r.expires());
+    }
+
+    /**
+     * The records of a namespace in the order of their keys (compared byte by byte, unsigned), from a key on and up to
+     * and without another, or to the end where that is null. A record that can be read in neither copy makes
+     * {@code next} throw; it may be called again for the one after it.
+     */
+    public Iterator<Found> range(String namespace, byte[] from, byte[] to) {
+        int n = names.indexOf(namespace);
+        byte[] end = to == null ? null : Index.key(n, to);
+        return new Iterator<>() {
+            private Index.Entry e = n < 0 ? null : seek(state.index().atOrAfter(Index.key(n, from)));
+
+            private Index.Entry seek(Index.Entry at) {
+                Index.Entry next = at;
+                while (next != null && isOver(next)) {
+                    next = state.index().after(next.key());
+                }
+                return next == null || next.namespace() != n
+                        || end != null && Arrays.compareUnsigned(next.key(), end) >= 0 ? null : next;
+            }
+
+            @Override
+            public boolean hasNext() {
+                return e != null;
+            }
+
+            @Override
+            public Found next() {
+                if (e == null) {
+                    throw new NoSuchElementException();
+                }
+                Index.Entry here = e;
+                e = seek(state.index().after(here.key()));
+                return read(here);
+            }
+        };
+    }
+
+    /**
+     * The records of a namespace written from a time on and before another (tenths of a millisecond since 1970), in
+     * the order of writing. Takes memory for the places of those that match.
+     */
+    public Iterator<Found> between(String namespace, long from, long to) {
+        int n = names.indexOf(namespace);
+        long first = Stamp.first(from);
+        long end = Stamp.first(to);
+        List<Index.Entry> all = new ArrayList<>();
+        for (Index.Entry e = n < 0 ? null : state.index().atOrAfter(Index.key(n, new byte[0]));
+                e != null && e.namespace() == n; e = state.index().after(e.key())) {
+            if (e.stamp() >= first && e.stamp() < end && !isOver(e)) {
+                all.add(e);
+            }
+        }
+        all.sort(Comparator.comparingLong(Index.Entry::stamp));
+        Iterator<Index.Entry> in = all.iterator();
+        return new Iterator<>() {
+            @Override
+            public boolean hasNext() {
+                return in.hasNext();
+            }
+
+            @Override
+            public Found next() {
+                return read(in.next());
+            }
+        };
+    }
+
+    private Found read(Index.Entry e) {
+        try {
+            return found(e);
+        } catch (Refused r) {
+            throw new UncheckedIOException(r);
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        if (!closed) {
+            closed = true;
+            pinned.forEach(Segment::unpin);
+        }
+    }
+}
