Embedded store: cuts at every operation, damage at every offset, failing forces, each defence shown

Need: a store that loses nothing acknowledged must be seen to do so under the faults it is for. Change: History (writes from a seed beside a plain model), Drill (cuts, faults, old versions, damage), and a test that switches each of the six defences off and wants the drill to fail.

--- a/durable/src/main/java/tallyweir/durable/Disk.java
+++ b/durable/src/main/java/tallyweir/durable/Disk.java
@@ -44,8 +44,6 @@
 
         long size() throws IOException;
 
-        void truncate(long size) throws IOException;
-
         /** Reads until the buffer is full or the file ends; how many bytes came. */
         default int readFully(long at, ByteBuffer into) throws IOException {
             int before = into.position();
--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/Drill.java
@@ -0,0 +1,481 @@
+package tallyweir.durable;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Plays the faults that the store is there for and counts what went wrong. */
+public final class Drill {
+    static final int SECTOR = 512;
+    static final int SEGMENT = 4_096;
+    private static final double DEAD = 0.4;
+
+    /** What a part of the drill saw. */
+    public static final class Tally {
+        private long openings;
+        private long lost;
+        private long torn;
+        private long failed;
+        private long cutInOpening;
+        private final List<String> wrong = new ArrayList<>();
+
+        /** How often the store was opened. */
+        public synchronized long openings() {
+            return openings;
+        }
+
+        /** Acknowledged records that were not found as written. */
+        public synchronized long lost() {
+            return lost;
+        }
+
+        /** Records that were returned and should not have been. */
+        public synchronized long torn() {
+            return torn;
+        }
+
+        /** Openings that failed. */
+        public synchronized long failed() {
+            return failed;
+        }
+
+        /** The first things that went wrong, in words. */
+        public synchronized List<String> wrong() {
+            return List.copyOf(wrong);
+        }
+
+        public synchronized boolean good() {
+            return lost == 0 && torn == 0 && failed == 0;
+        }
+
+        public synchronized void add(Tally t) {
+            openings += t.openings;
+            lost += t.lost;
+            torn += t.torn;
+            failed += t.failed;
+            cutInOpening += t.cutInOpening;
+            t.wrong.forEach(this::say);
+        }
+
+        private synchronized void say(String what) {
+            if (wrong.size() < 20) {
+                wrong.add(what);
+            }
+        }
+
+        /** How many of the openings were themselves cut. */
+        public synchronized long cutInOpening() {
+            return cutInOpening;
+        }
+
+        private synchronized void countCutInOpening() {
+            cutInOpening++;
+        }
+
+        private synchronized void opened() {
+            openings++;
+        }
+
+        private synchronized void failed(String what) {
+            failed++;
+            say(what);
+        }
+
+        private synchronized void take(List<String> off, String when) {
+            for (String w : off) {
+                if (w.startsWith("lost")) {
+                    lost++;
+                } else {
+                    torn++;
+                }
+                say(when + ": " + w);
+            }
+        }
+
+        private synchronized void take(History h, String when) {
+            lost += h.lost();
+            torn += h.torn();
+            h.wrong().forEach(w -> say(when + ": " + w));
+        }
+    }
+
+    private Drill() {}
+
+    /** The two directories of one simulated machine. */
+    private static final class Machine {
+        private SimDisk first;
+        private SimDisk second;
+        private SimDisk.Power power;
+
+        Machine(long seed) {
+            power = new SimDisk.Power(seed);
+            first = new SimDisk(power, SECTOR, "first");
+            second = new SimDisk(power, SECTOR, "second");
+        }
+
+        void cut(SplittableRandom chance) {
+            power = new SimDisk.Power(chance.nextLong());
+            first = first.afterCut(power, chance);
+            second = second.afterCut(power, chance);
+        }
+
+        History history(long seed, Tally t, Set<Defence> without) {
+            History[] h = new History[1];
+            h[0] = new History(seed, () -> {
+                t.opened();
+                return open(first, second, h[0]::clock, seed, without);
+            });
+            return h[0];
+        }
+    }
+
+    static Durable open(Disk first, Disk second, java.util.function.LongSupplier clock, long seed, Set<Defence> without)
+            throws IOException {
+        return new Durable(first, second, Both.IN_TURN, SEGMENT, SECTOR, DEAD, 10_000, History.SPACES, seed, clock,
+                Runnable::run, without);
+    }
+
+    /**
+     * Plays a history until the power is cut within an operation, for every one in turn; then opens what is left, with
+     * a further cut within the opening every other time, and compares.
+     *
+     * @param steps of the history
+     * @param every which operations: 1 for all, 2 for every other
+     * @param fates how often each cut is played, the disks keeping other things each time
+     */
+    public static Tally cuts(long seed, int steps, int every, int fates, Set<Defence> without) {
+        Tally t = new Tally();
+        for (long at = 1;; at += every) {
+            boolean through = false;
+            for (int fate = 0; fate < fates; fate++) {
+                through |= cut(seed, steps, at, fate, t, without);
+            }
+            if (through || !t.good() && t.wrong().size() >= 20) {
+                return t;
+            }
+        }
+    }
+
+    /** True if the history was over before the cut. */
+    private static boolean cut(long seed, int steps, long at, int fate, Tally t, Set<Defence> without) {
+        String when = "seed " + seed + ", cut " + at + ", fate " + fate;
+        SplittableRandom chance = new SplittableRandom(seed * 1_000_003 + at * 31 + fate);
+        Machine m = new Machine(chance.nextLong());
+        m.power.shortIo(fate % 2 == 1);
+        History h = m.history(seed, t, without);
+        boolean through = false;
+        try {
+            m.power.cutAt(at);
+            try {
+                h.open();
+                h.play(steps);
+                through = true;
+            } catch (SimDisk.PowerCut cut) {
+                through = false;
+            }
+            m.cut(chance);
+            if (fate > 0) {
+                m.power.cutAt(chance.nextLong(1, 12));
+                try {
+                    h.open();
+                    h.store().upkeep(SEGMENT);
+                    h.store().close();
+                } catch (SimDisk.PowerCut cut) {
+                    t.countCutInOpening();
+                }
+                m.cut(chance);
+            }
+            h.open();
+            h.check();
+            h.play(6);
+            h.store().close();
+            h.open();
+            h.check();
+        } catch (IOException | RuntimeException e) {
+            t.failed(when + ": " + e);
+        }
+        t.take(h, when);
+        return through;
+    }
+
+    /**
+     * Plays histories on disks that fail otherwise than by a cut: forces fail, the room ends, nothing can be written for
+     * a while; a cut follows each.
+     */
+    public static Tally faults(long seed, int rounds, Set<Defence> without) {
+        Tally t = new Tally();
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int round = 0; round < rounds && t.wrong().size() < 20; round++) {
+            String when = "seed " + seed + ", round " + round;
+            Machine m = new Machine(chance.nextLong());
+            History h = m.history(chance.nextLong(), t, without);
+            try {
+                h.open();
+                for (int i = 0; i < 6; i++) {
+                    h.play(3);
+                    fault(m, h, chance);
+                }
+                m.cut(chance);
+                h.open();
+                h.check();
+                h.play(4);
+                h.store().close();
+                h.open();
+                h.check();
+            } catch (IOException | RuntimeException e) {
+                t.failed(when + ": " + e);
+            }
+            t.take(h, when);
+        }
+        return t;
+    }
+
+    private static void fault(Machine m, History h, SplittableRandom chance) {
+        switch (chance.nextInt(3)) {
+            case 0 -> m.power.failForce(chance.nextInt(1, 4));
+            case 1 -> m.power.room(chance.nextInt(0, 3_000));
+            default -> m.power.readOnly(true);
+        }
+        for (int n = chance.nextInt(1, 4); n > 0; n--) {
+            h.write();
+        }
+        m.power.room(Long.MAX_VALUE);
+        m.power.readOnly(false);
+        if (chance.nextBoolean()) {
+            h.write();
+        }
+    }
+
+    /**
+     * A key is written for good, then again for a while or deleted, in another segment, which is compacted while the
+     * segment of the first version stays: however the store is opened then, the first version must not come back.
+     */
+    public static Tally oldVersions(long seed, int rounds, Set<Defence> without) {
+        Tally t = new Tally();
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int round = 0; round < rounds && t.wrong().size() < 20; round++) {
+            try {
+                oldVersion(chance, t, without, "seed " + seed + ", round " + round);
+            } catch (IOException | RuntimeException e) {
+                t.failed("seed " + seed + ", round " + round + ": " + e);
+            }
+        }
+        return t;
+    }
+
+    private static void oldVersion(SplittableRandom chance, Tally t, Set<Defence> without, String when)
+            throws IOException {
+        Machine m = new Machine(chance.nextLong());
+        long[] clock = {17_000_000_000_000L};
+        byte[] key = {(byte) chance.nextInt(256)};
+        byte[] filler = new byte[chance.nextInt(300, 700)];
+        long seed = chance.nextLong();
+        Durable d = open(m.first, m.second, () -> clock[0], seed, without);
+        t.opened();
+        d.commit(new Batch().put("plain", key, new byte[] {1}));
+        fill(d, "stays", filler, chance.nextInt(8, 24));
+        if (chance.nextBoolean()) {
+            d.commit(new Batch().delete("plain", key));
+        } else {
+            d.commit(new Batch().put("plain", key, new byte[] {2}, clock[0] + 1_000));
+        }
+        int goes = chance.nextInt(8, 24);
+        fill(d, "goes", filler, goes);
+        for (int i = 0; i < goes; i++) {
+            d.commit(new Batch().delete("plain", ("goes" + i).getBytes()));
+        }
+        clock[0] += 2_000;
+        for (int i = 0; i < 200 && d.upkeep(SEGMENT); i++) {
+            if (chance.nextInt(20) == 0) {
+                clock[0] += 601_000;
+            }
+        }
+        for (int opening = 0; opening < 3; opening++) {
+            if (d.get("plain", key) != null) {
+                t.take(List.of("returned: an old version of a key"), when + ", opening " + opening);
+            }
+            if (opening < 2) {
+                if (chance.nextBoolean()) {
+                    d.end();
+                    m.first.names().stream().filter(n -> n.endsWith(".idx")).toList().forEach(m.first::lose);
+                } else {
+                    d.close();
+                }
+                d = open(m.first, m.second, () -> clock[0], seed, without);
+                t.opened();
+                for (int i = chance.nextInt(20); i > 0; i--) {
+                    d.upkeep(SEGMENT);
+                }
+            }
+        }
+        d.end();
+    }
+
+    private static void fill(Durable d, String name, byte[] value, int many) throws IOException {
+        for (int i = 0; i < many; i++) {
+            d.commit(new Batch().put("plain", (name + i).getBytes(), value));
+        }
+    }
+
+    /**
+     * Writes a history, ends it, and then for each file of the store: cuts it off at every offset, and changes the byte
+     * at every offset; each time the store is opened and compared with the history.
+     *
+     * @param dir where copies of the store are laid, one for each thread; null for disks in memory
+     * @param steps of the history
+     * @param every which offsets: 1 for all
+     */
+    public static Tally damage(Path dir, long seed, int steps, int every, int threads, Set<Defence> without)
+            throws IOException {
+        Tally t = new Tally();
+        Machine m = new Machine(seed);
+        History h = m.history(seed, t, without);
+        h.open();
+        h.play(steps);
+        h.store().close();
+        h.open();
+        h.write();
+        h.store().snapshot();
+        h.write();
+        h.store().end();
+        List<Case> cases = new ArrayList<>();
+        for (int copy = 0; copy < 2; copy++) {
+            SimDisk disk = copy == 0 ? m.first : m.second;
+            for (String name : disk.names()) {
+                int size = disk.content(name).length;
+                cases.add(new Case(copy, name, -1, 0));
+                for (int at = 0; at < size; at += every) {
+                    cases.add(new Case(copy, name, at, 0));
+                    cases.add(new Case(copy, name, at, 1 + (at * 37 + (int) seed & 0x7f)));
+                }
+            }
+        }
+        ExecutorService pool = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<?>> parts = new ArrayList<>();
+            for (int n = 0; n < threads; n++) {
+                int part = n;
+                parts.add(pool.submit(() -> {
+                    Rig rig = new Rig(m, dir == null ? null : dir.resolve("part-" + part));
+                    for (int i = part; i < cases.size() && t.wrong().size() < 20; i += threads) {
+                        play(rig, cases.get(i), h, t, without);
+                    }
+                    return null;
+                }));
+            }
+            for (Future<?> part : parts) {
+                part.get();
+            }
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            pool.shutdownNow();
+        }
+        return t;
+    }
+
+    /** One damage: a file gone (at is -1), cut off at an offset (flip is 0), or a byte changed there. */
+    private record Case(int copy, String name, int at, int flip) {
+        byte[] of(byte[] whole) {
+            if (flip == 0) {
+                return Arrays.copyOf(whole, at);
+            }
+            byte[] b = whole.clone();
+            b[at] ^= (byte) flip;
+            return b;
+        }
+
+        @Override
+        public String toString() {
+            return (copy == 0 ? "first/" : "second/") + name + (at < 0 ? " gone" : flip == 0 ? " cut off at " + at
+                    : " changed at " + at);
+        }
+    }
+
+    private static void play(Rig rig, Case c, History h, Tally t, Set<Defence> without) throws IOException {
+        Disk[] disks = rig.with(c);
+        try {
+            t.opened();
+            Durable d = open(disks[0], disks[1], h::clock, 1, without);
+            try {
+                t.take(h.compare(d), c.toString());
+            } finally {
+                d.end();
+            }
+        } catch (IOException | RuntimeException e) {
+            t.failed(c + ": " + e);
+        }
+    }
+
+    /** A copy of a store's files in which one at a time is damaged. */
+    private static final class Rig {
+        private final List<Map<String, byte[]>> files = new ArrayList<>();
+        private final Path dir;
+
+        Rig(Machine m, Path dir) throws IOException {
+            this.dir = dir;
+            for (SimDisk disk : List.of(m.first, m.second)) {
+                Map<String, byte[]> of = new TreeMap<>();
+                disk.names().forEach(name -> of.put(name, disk.content(name)));
+                files.add(of);
+            }
+        }
+
+        Disk[] with(Case c) throws IOException {
+            Disk[] disks = new Disk[2];
+            for (int copy = 0; copy < 2; copy++) {
+                disks[copy] = dir == null ? memory(copy, c) : directory(copy, c);
+            }
+            return disks;
+        }
+
+        private Disk memory(int copy, Case c) {
+            SimDisk disk = new SimDisk(new SimDisk.Power(1), SECTOR, "memory");
+            files.get(copy).forEach((name, bytes) -> {
+                if (copy != c.copy || !name.equals(c.name)) {
+                    disk.load(name, bytes);
+                } else if (c.at >= 0) {
+                    disk.load(name, c.of(bytes));
+                }
+            });
+            return disk;
+        }
+
+        /** Files are written only where they are not as they should be. */
+        private Disk directory(int copy, Case c) throws IOException {
+            Path to = dir.resolve(copy == 0 ? "first" : "second");
+            FileDisk disk = new FileDisk(to);
+            for (String there : disk.names()) {
+                if (!files.get(copy).containsKey(there) && !there.equals("lock")) {
+                    Files.delete(to.resolve(there));
+                }
+            }
+            for (Map.Entry<String, byte[]> f : files.get(copy).entrySet()) {
+                Path file = to.resolve(f.getKey());
+                boolean damaged = copy == c.copy && f.getKey().equals(c.name);
+                if (damaged && c.at < 0) {
+                    Files.deleteIfExists(file);
+                    continue;
+                }
+                byte[] wanted = damaged ? c.of(f.getValue()) : f.getValue();
+                if (!Files.exists(file) || !Arrays.equals(Files.readAllBytes(file), wanted)) {
+                    Files.write(file, wanted);
+                }
+            }
+            return disk;
+        }
+    }
+}
--- a/durable/src/main/java/tallyweir/durable/FileDisk.java
+++ b/durable/src/main/java/tallyweir/durable/FileDisk.java
@@ -121,11 +121,6 @@
             return channel.size();
         }
 
-        @Override
-        public void truncate(long size) throws IOException {
-            channel.truncate(size);
-        }
-
         @Override
         public void close() throws IOException {
             channel.close();
--- a/durable/src/main/java/tallyweir/durable/Log.java
+++ b/durable/src/main/java/tallyweir/durable/Log.java
@@ -153,8 +153,7 @@
                 close(files[c]);
                 takeAway(c, number);
             }
-            throw figures.count(new Refused(e instanceof ForceFailed ? Cause.UNKNOWN : Cause.NO_ROOM,
-                    "no new segment can be started: " + e.getMessage(), e));
+            throw figures.count(new Refused(Cause.NO_ROOM, "no new segment can be started: " + e.getMessage(), e));
         }
         Segment s = new Segment(number, nextFrame, lastStamp, files[0], files[1]);
         s.endFrame = nextFrame;
@@ -233,7 +232,7 @@
                 active = null;
                 figures.add(Figures.Of.ABANDONED);
             }
-            throw figures.count(e instanceof ForceFailed
+            throw figures.count(e instanceof ForceFailed || !wiped(s)
                     ? new Refused(Cause.UNKNOWN, "the disk did not confirm the records: " + e.getMessage(), e)
                     : new Refused(Cause.NO_ROOM, "the records cannot be written: " + e.getMessage(), e));
         }
@@ -243,6 +242,21 @@
         s.endFrame = nextFrame;
     }
 
+    /** Sees to it that what was written of a frame is none, also after a restart; false where that is not sure. */
+    private boolean wiped(Segment s) {
+        try {
+            for (int c = 0; c < copies(); c++) {
+                if (s.copies[c].size() > s.end) {
+                    s.copies[c].writeFully(s.end, ByteBuffer.allocate((int) Math.min(sector, s.copies[c].size() - s.end)));
+                    force(s.copies[c]);
+                }
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /**
      * The record at a place, from whichever copy has it whole as it is known: null if neither has. The segment is
      * pinned.
--- a/durable/src/main/java/tallyweir/durable/SimDisk.java
+++ b/durable/src/main/java/tallyweir/durable/SimDisk.java
@@ -320,16 +320,6 @@
             }
         }
 
-        @Override
-        public void truncate(long size) throws IOException {
-            synchronized (SimDisk.this) {
-                if (power.step()) {
-                    throw new PowerCut();
-                }
-                c.size = (int) Math.min(c.size, size);
-            }
-        }
-
         @Override
         public void close() {
             // nothing is held
--- /dev/null
+++ b/durable/src/test/java/tallyweir/durable/CutTest.java
@@ -0,0 +1,74 @@
+package tallyweir.durable;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The faults that the store is there for, and that each defence is what answers them. */
+class CutTest {
+    private static final int SEEDS = 6;
+
+    @Test
+    void thePowerIsCutWithinEveryOperationOfShortHistories() {
+        Drill.Tally all = new Drill.Tally();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            all.add(Drill.cuts(seed, 40, 1, 3, Set.of()));
+        }
+        assertEquals(List.of(), all.wrong());
+        assertTrue(all.openings() > 5_000, "only " + all.openings() + " openings");
+        assertTrue(all.cutInOpening() > 500, "only " + all.cutInOpening() + " cut in the opening");
+    }
+
+    @Test
+    void forcesFailRoomEndsNothingCanBeWritten() {
+        Drill.Tally all = new Drill.Tally();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            all.add(Drill.faults(seed, 80, Set.of()));
+        }
+        assertEquals(List.of(), all.wrong());
+    }
+
+    @Test
+    void oldVersionsDoNotComeBack() {
+        assertEquals(List.of(), Drill.oldVersions(1, 400, Set.of()).wrong());
+    }
+
+    @Test
+    void eachFileIsCutOffAndChangedAtEveryOffset() throws IOException {
+        Drill.Tally t = Drill.damage(null, 3, 60, 1, 4, Set.of());
+        assertEquals(List.of(), t.wrong());
+        assertTrue(t.openings() > 20_000, "only " + t.openings() + " openings");
+    }
+
+    @Test
+    void theSameOnFiles(@TempDir Path dir) throws IOException {
+        Drill.Tally t = Drill.damage(dir, 4, 30, 41, 4, Set.of());
+        assertEquals(List.of(), t.wrong());
+        assertTrue(t.openings() > 200, "only " + t.openings() + " openings");
+    }
+
+    /** What no test can break is not known to be needed. */
+    @ParameterizedTest
+    @EnumSource(Defence.class)
+    void withoutOneOfItsDefencesTheStoreFails(Defence defence) throws IOException {
+        Set<Defence> without = EnumSet.of(defence);
+        Drill.Tally all = new Drill.Tally();
+        for (int seed = 0; seed < SEEDS && all.good(); seed++) {
+            all.add(Drill.damage(null, seed, 60, 7, 4, without));
+            all.add(Drill.cuts(seed, 40, 1, 3, without));
+            all.add(Drill.faults(seed, 80, without));
+            all.add(Drill.oldVersions(seed, 100, without));
+        }
+        assertFalse(all.good(), "nothing went wrong without " + defence);
+    }
+}
