Command line bin/tallyweir: serve, wirehost, durable; JSON logs; operators' file for the store

Need: one command for people, and a store that operators can look at, verify, repair, back up and drill. Change: module tool (picocli; SLF4J 2 with logback's JSON lines). The daemon logs through SLF4J 2 with key-values and keeps java.util.logging as the binding. config.Operators reads, checks and defaults the store's settings; without EDGE_OPERATORS the store is off.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -1,8 +1,8 @@
 package tallyweir.backend;
 
 import java.nio.ByteBuffer;
-import java.util.logging.Level;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tallyweir.announce.Report;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
@@ -14,7 +14,7 @@
  * Links. All of it is called by one thread, with clock before each round. Nothing that fails in here gets out.
  */
 public final class Backend {
-    private static final Logger LOG = Logger.getLogger(Backend.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Backend.class);
     // The announce service drops what is silent for three seconds, and reports get lost on their way: a dozen in
     // a row has to.
     private static final long REPORT_EVERY = 2_500;
@@ -126,7 +126,7 @@
             work.run();
         } catch (RuntimeException | Error e) {
             counters.add(Count.FAULTS);
-            LOG.log(Level.SEVERE, "a fault was passed over", e);
+            LOG.error("a fault was passed over", e);
         }
     }
 }
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -3,7 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.function.LongSupplier;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tallyweir.backend.Counters.Count;
 import tallyweir.ids.JobId;
 import tallyweir.ids.LinkId;
@@ -12,7 +13,7 @@
 
 /** The link to the kernel: numbers of notices, commands that wait for a link, opening it again. */
 final class Kernel implements Notices.Sink {
-    private static final Logger LOG = Logger.getLogger(Kernel.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Kernel.class);
     private static final int WAITING_MOST = 4_000;
     private static final long AGAIN_AFTER = 1_000;  // a tenth of a second
     private static final int UNHEARD_MOST = 20;     // askings in a row; not a time, which a pause would use up
@@ -168,7 +169,8 @@
     @Override
     public void booted(boolean fresh, long before) {
         booted = true;
-        LOG.info("the kernel is up since " + before / 10 + " ms, " + (fresh ? "cold" : "warm") + " at its start");
+        LOG.atInfo().addKeyValue("since_ms", before / 10).addKeyValue("at_start", fresh ? "cold" : "warm")
+                .log("the kernel is up");
         if (queries.now() - before > started + STARTS_APART) {
             // Another kernel: its notices are numbered anew, and nothing that the one before ran is left.
             last = 0;
--- a/daemon/src/main/java/tallyweir/backend/Seldom.java
+++ b/daemon/src/main/java/tallyweir/backend/Seldom.java
@@ -1,7 +1,8 @@
 package tallyweir.backend;
 
 import java.util.function.LongSupplier;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Warnings, one a second at the most: whoever sends bad input in a flood must not fill the log or slow us down. */
 final class Seldom {
@@ -13,7 +14,7 @@
     private long leftOut;
 
     Seldom(Class<?> of, LongSupplier now) {
-        log = Logger.getLogger(of.getName());
+        log = LoggerFactory.getLogger(of);
         this.now = now;
     }
 
@@ -23,7 +24,11 @@
             return;
         }
         next = now.getAsLong() + EVERY;
-        log.warning(leftOut > 0 ? text + " (and " + leftOut + " warnings before it)" : text);
+        if (leftOut > 0) {
+            log.atWarn().addKeyValue("left_out", leftOut).log(text);
+        } else {
+            log.warn(text);
+        }
         leftOut = 0;
     }
 }
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -4,31 +4,39 @@
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 import tallyweir.backend.Rehearsal;
 import tallyweir.config.BadSetting;
 import tallyweir.config.Config;
+import tallyweir.config.Operators;
+import tallyweir.durable.FileStore;
 import tallyweir.net.Server;
 
 /** One real backend: starts it, and sees it off when it is told to leave. */
-final class Serve {
-    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+public final class Serve {
+    private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
     private static final long LAST_WORDS_MS = 100;  // before the stop: the counters are out by then
     private static final long PAST_STOP_MS = 2_000; // for whoever sends the notice and never kills
 
     private Serve() {}
 
     /** Returns only where it cannot start: 2 for a faulty configuration, 1 for an address it cannot have. */
-    static int serve(Map<String, String> environment, PrintStream err) {
+    public static int serve(Map<String, String> environment, PrintStream err) {
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tH:%1$tM:%1$tS.%1$tL %4$s %5$s%6$s%n");
         Config config;
+        Operators operators;
         try {
             config = Config.read(environment);
+            operators = Operators.read(environment);
         } catch (BadSetting e) {
             err.println("tallyweir: " + e.getMessage());
             return 2;
         }
+        if (!keep(operators, err)) {
+            return 1;
+        }
         Rehearsal.play(config);
         Server server = new Server(config);
         try {
@@ -42,11 +50,28 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err), "leave"));
         // Logging loads what it needs at its first line. Where that came only once no descriptor was left, its
         // failure ended the thread that accepts.
-        LOG.info(config.name + " listens on " + server.address());
+        LOG.atInfo().addKeyValue("name", config.name).addKeyValue("address", server.address()).log("listens");
         server.run();
         return 1;
     }
 
+    /** Opens the store, if there is to be one, and closes it when the process ends. */
+    private static boolean keep(Operators operators, PrintStream err) {
+        if (!operators.hasDurable()) {
+            return true;
+        }
+        try {
+            FileStore store = operators.openDurable();
+            Runtime.getRuntime().addShutdownHook(new Thread(store::close, "durable"));
+            LOG.atInfo().addKeyValue("keys", store.store().keys()).addKeyValue("opening", store.store().opening())
+                    .addKeyValue("from_snapshot", store.store().openedFromSnapshot()).log("the store is open");
+            return true;
+        } catch (IOException e) {
+            err.println("tallyweir: the store cannot be opened: " + e.getMessage());
+            return false;
+        }
+    }
+
     /**
      * On a thread of its own, so that reading the file holds up no decision. What is faulty changes nothing. One at
      * a time, so that of two notices the one that read the newer file comes last.
@@ -55,10 +80,11 @@
         try {
             Config config = Config.read(environment);
             server.move(config);
-            LOG.info("told to read the configuration again: kernel " + config.kernel + ", store " + config.store
-                    + ", announce service " + config.announce);
+            LOG.atInfo().addKeyValue("kernel", config.kernel).addKeyValue("store", config.store)
+                    .addKeyValue("announce", config.announce).log("told to read the configuration again");
         } catch (BadSetting e) {
-            LOG.warning("told to read the configuration again, the old one stays in force: " + e.getMessage());
+            LOG.atWarn().addKeyValue("fault", e.getMessage())
+                    .log("told to read the configuration again, the old one stays in force");
         }
     }
 
--- a/daemon/src/main/java/tallyweir/config/Tree.java
+++ b/daemon/src/main/java/tallyweir/config/Tree.java
@@ -154,6 +154,25 @@
         return needed(as(String.class, "a text", fields.get(name), name), "a text", name);
     }
 
+    /** Refuses keys that mean nothing here, so that a slip of the pen is not taken for a default. */
+    public void only(String... names) {
+        for (String name : fields.keySet()) {
+            if (!List.of(names).contains(name)) {
+                throw new BadSetting(key(name) + " is unknown here: known are " + String.join(", ", names));
+            }
+        }
+    }
+
+    /** Whether there is an object of this name. */
+    public boolean has(String name) {
+        return fields.get(name) != null;
+    }
+
+    /** A whole number that has to lie between the two, or is absent. */
+    public int whole(String name, int least, int most, int absent) {
+        return has(name) ? whole(name, least, most) : absent;
+    }
+
     public boolean yes(String name) {
         return Boolean.TRUE.equals(as(Boolean.class, "true or false", fields.get(name), name));
     }
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -16,8 +16,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandler;
@@ -33,6 +31,8 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import tallyweir.backend.Backend;
 import tallyweir.backend.Links;
 import tallyweir.backend.Peer;
@@ -45,7 +45,7 @@
  * reads the clocks once, hands it to the backend, does what is due and writes what came of it.
  */
 public final class Server implements Links {
-    private static final Logger LOG = Logger.getLogger(Server.class.getName());
+    private static final Logger LOG = LoggerFactory.getLogger(Server.class);
     private static final AttributeKey SLOT = new AttributeKey(Server.class, "slot");
     private static final AttributeKey LINK = new AttributeKey(Server.class, "link");
     private static final AttributeKey INBOX = new AttributeKey(Server.class, "inbox");
@@ -119,7 +119,7 @@
                 return;
             } catch (RuntimeException | Error e) {
                 // Whatever fails here must not end the process, which others count on.
-                LOG.log(Level.SEVERE, "a round failed", e);
+                LOG.error("a round failed", e);
             }
         }
     }
@@ -135,7 +135,7 @@
             try {
                 news.run();
             } catch (RuntimeException | Error e) {
-                LOG.log(Level.SEVERE, "news was passed over", e);
+                LOG.error("news was passed over", e);
             }
         }
         backend.pass();
@@ -174,7 +174,7 @@
     private void write() {
         toWrite.forEach((session, bytes) -> {
             if (session.getScheduledWriteBytes() > UNWRITTEN_MOST) {
-                LOG.warning("a connection is closed: its other side does not read");
+                LOG.warn("a connection is closed: its other side does not read");
                 session.closeNow();
             } else {
                 session.write(IoBuffer.wrap(bytes.toByteArray()));
@@ -190,7 +190,7 @@
     private abstract class Handler extends IoHandlerAdapter {
         @Override
         public void exceptionCaught(IoSession session, Throwable cause) {
-            LOG.log(Level.FINE, "a connection is closed", cause);
+            LOG.debug("a connection is closed", cause);
             session.closeNow();
         }
     }
--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -166,8 +166,9 @@
         of.environment().put("EDGE_CONFIG", config.toString());
         Process backend = of.redirectErrorStream(true).start();
         try (BufferedReader log = backend.inputReader(UTF_8)) {
-            String line = logged(log, "listens on");
-            InetSocketAddress at = new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+            String line = logged(log, "listens");
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1",
+                    Integer.parseInt(line.replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
             assertEquals(200, check(at));  // loads the classes, which takes descriptors where they lie in a folder
             List<Socket> crowd = new ArrayList<>();
             for (int i = 0; i < 150; i++) {
--- a/durable/src/main/java/tallyweir/durable/Drill.java
+++ b/durable/src/main/java/tallyweir/durable/Drill.java
@@ -83,16 +83,16 @@
             cutInOpening++;
         }
 
-        private synchronized void opened() {
+        synchronized void opened() {
             openings++;
         }
 
-        private synchronized void failed(String what) {
+        synchronized void failed(String what) {
             failed++;
             say(what);
         }
 
-        private synchronized void take(List<String> off, String when) {
+        synchronized void take(List<String> off, String when) {
             for (String w : off) {
                 if (w.startsWith("lost")) {
                     lost++;
@@ -307,7 +307,7 @@
             }
             if (opening < 2) {
                 if (chance.nextBoolean()) {
-                    d.end();
+                    d.abandon();
                     m.first.names().stream().filter(n -> n.endsWith(".idx")).toList().forEach(m.first::lose);
                 } else {
                     d.close();
@@ -319,7 +319,7 @@
                 }
             }
         }
-        d.end();
+        d.abandon();
     }
 
     private static void fill(Durable d, String name, byte[] value, int many) throws IOException {
@@ -348,7 +348,7 @@
         h.write();
         h.store().snapshot();
         h.write();
-        h.store().end();
+        h.store().abandon();
         List<Case> cases = new ArrayList<>();
         for (int copy = 0; copy < 2; copy++) {
             SimDisk disk = copy == 0 ? m.first : m.second;
@@ -413,7 +413,7 @@
             try {
                 t.take(h.compare(d), c.toString());
             } finally {
-                d.end();
+                d.abandon();
             }
         } catch (IOException | RuntimeException e) {
             t.failed(c + ": " + e);
--- a/durable/src/main/java/tallyweir/durable/Durable.java
+++ b/durable/src/main/java/tallyweir/durable/Durable.java
@@ -267,8 +267,23 @@
         return what == null ? null : new Refused(Cause.TOO_LONG, what);
     }
 
+    /** Writes records of another store as they were there, stamps and all. */
+    synchronized void take(String namespace, List<Found> records, long bytes) throws Refused {
+        Group g = new Group(state, log.room(bytes), namespaces, bytes + 2 * Format.FRAME);
+        int n = numbers.get(namespace);
+        for (Found f : records) {
+            g.take(n, f);
+        }
+        write(g);
+    }
+
     // ---- reading
 
+    /** How many keys there are in all, those counted that have expired and were not yet swept away. */
+    public long keys() {
+        return state.index().size();
+    }
+
     /** Null if there is no such key, or its time is over. Never waits for a write. */
     public Found get(String namespace, byte[] key) throws Refused {
         while (true) {
@@ -527,11 +542,11 @@
         if (log.nextFrame() > 1) {
             snapshot();
         }
-        end();
+        abandon();
     }
 
-    /** Ends without a word to the disk, as a cut would; for drills. */
-    synchronized void end() {
+    /** Ends without another word to the disk, as a cut of the power would. */
+    public synchronized void abandon() {
         closed = true;
         while (snapshotInHand) {
             Thread.onSpinWait();
--- a/durable/src/main/java/tallyweir/durable/Group.java
+++ b/durable/src/main/java/tallyweir/durable/Group.java
@@ -121,6 +121,12 @@
         place(r.namespace(), r.key(), r.value(), r.stamp(), r.expires());
     }
 
+    /** A record of another store. */
+    void take(int namespace, Found f) {
+        lastStamp = Math.max(lastStamp, f.stamp());
+        place(namespace, f.key(), f.value(), f.stamp(), f.expires());
+    }
+
     private void place(int namespace, byte[] key, byte[] value, long stamp, long expires) {
         int from = write(Format.PUT, namespace, stamp, expires, key, value);
         int length = at - from;
--- /dev/null
+++ b/durable/src/main/java/tallyweir/durable/ReadOnly.java
@@ -0,0 +1,80 @@
+package tallyweir.durable;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/** A directory in which nothing is changed: whatever would is refused. For looking at a store as it lies there. */
+public final class ReadOnly implements Disk {
+    private final Disk disk;
+
+    public ReadOnly(Disk disk) {
+        this.disk = disk;
+    }
+
+    private static IOException refused() {
+        return new IOException("nothing is changed here");
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        return disk.names();
+    }
+
+    @Override
+    public Handle open(String name) throws IOException {
+        Handle file = disk.open(name);
+        return new Handle() {
+            @Override
+            public int read(long at, ByteBuffer into) throws IOException {
+                return file.read(at, into);
+            }
+
+            @Override
+            public int write(long at, ByteBuffer from) throws IOException {
+                throw refused();
+            }
+
+            @Override
+            public void force() throws IOException {
+                throw refused();
+            }
+
+            @Override
+            public long size() throws IOException {
+                return file.size();
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        };
+    }
+
+    @Override
+    public Handle create(String name) throws IOException {
+        throw refused();
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        throw refused();
+    }
+
+    @Override
+    public void forceNames() throws IOException {
+        throw refused();
+    }
+
+    @Override
+    public Closeable lock() throws IOException {
+        return disk.lock();
+    }
+
+    @Override
+    public String where() {
+        return disk.where();
+    }
+}
--- a/durable/src/main/java/tallyweir/durable/Walk.java
+++ b/durable/src/main/java/tallyweir/durable/Walk.java
@@ -96,6 +96,7 @@
 
     private void repair(int copy, long place) {
         if (beyondRepair[copy]) {
+            log.figures().add(Figures.Of.UNREPAIRED);
             return;
         }
         int length = (int) Format.align(Format.FRAME + contentLength(), log.sector());
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/DurableCommand.java
@@ -0,0 +1,339 @@
+package tallyweir.tool;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.HexFormat;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import tallyweir.durable.Backup;
+import tallyweir.durable.Both;
+import tallyweir.durable.Durable;
+import tallyweir.durable.Figures;
+import tallyweir.durable.FileDisk;
+import tallyweir.durable.FileStore;
+import tallyweir.durable.Found;
+import tallyweir.durable.Namespace;
+import tallyweir.durable.Stamp;
+import tallyweir.durable.View;
+
+@Command(name = "durable", mixinStandardHelpOptions = true, description = "Looks after an embedded store.",
+        subcommands = {DurableCommand.Info.class, DurableCommand.Get.class, DurableCommand.ListKeys.class,
+            DurableCommand.Verify.class, DurableCommand.Repair.class, DurableCommand.Compact.class,
+            DurableCommand.BackUp.class, DurableCommand.Restore.class, DurableBench.class, DurableDrill.class})
+final class DurableCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a subcommand of durable is needed");
+    }
+
+    /** Figures that tell of damage, by name. */
+    private static Map<String, Object> damage(Durable d) {
+        Map<String, Object> of = new LinkedHashMap<>();
+        for (Figures.Of f : List.of(Figures.Of.FRAMES_READ, Figures.Of.REPAIRED, Figures.Of.FILES_REMADE,
+                Figures.Of.UNREPAIRED, Figures.Of.LOST_FRAMES, Figures.Of.SNAPSHOTS_DISTRUSTED)) {
+            of.put(f.name().toLowerCase(), d.figures().get(f));
+        }
+        return of;
+    }
+
+    private static void print(PrintWriter out, boolean json, Map<String, Object> what) {
+        if (json) {
+            out.println(Json.line(what));
+        } else {
+            what.forEach((k, v) -> out.println(k + ": " + (v instanceof Map || v instanceof List ? Json.line(v) : v)));
+        }
+    }
+
+    private static String hex(byte[] b) {
+        return HexFormat.of().formatHex(b);
+    }
+
+    private static Map<String, Object> record(Found f, boolean value) {
+        Map<String, Object> of = new LinkedHashMap<>();
+        of.put("key", printable(f.key()));
+        of.put("key_hex", hex(f.key()));
+        of.put("written", at(Stamp.time(f.stamp())));
+        if (f.expires() != 0) {
+            of.put("expires", at(f.expires()));
+        }
+        of.put("value_bytes", f.value().length);
+        if (value) {
+            of.put("value_hex", hex(f.value()));
+        }
+        return of;
+    }
+
+    private static String printable(byte[] key) {
+        return new String(key, StandardCharsets.ISO_8859_1).replaceAll("[^ -~]", "?");
+    }
+
+    private static String at(long time) {
+        return Instant.ofEpochSecond(time / 10_000, time % 10_000 * 100_000).toString();
+    }
+
+    /** A command on one store. */
+    abstract static class OnStore implements Callable<Integer> {
+        @Mixin
+        StoreOptions store;
+        @Spec
+        CommandSpec spec;
+
+        PrintWriter out() {
+            return spec.commandLine().getOut();
+        }
+
+        PrintWriter err() {
+            return spec.commandLine().getErr();
+        }
+
+        byte[] key(String text, boolean isHex) {
+            try {
+                return isHex ? HexFormat.of().parseHex(text) : text.getBytes(StandardCharsets.ISO_8859_1);
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException(spec.commandLine(), "'" + text + "' is not hexadecimal");
+            }
+        }
+
+        void known(View view, String namespace) {
+            if (!view.namespaces().contains(namespace)) {
+                throw new ParameterException(spec.commandLine(), "there is no namespace " + namespace + ": there are "
+                        + view.namespaces());
+            }
+        }
+    }
+
+    @Command(name = "info", mixinStandardHelpOptions = true,
+            description = "Prints what a store holds and what its log looks like. Changes nothing.")
+    static final class Info extends OnStore {
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.look()) {
+                Map<String, Object> all = d.info();
+                all.put("at_opening", damage(d));
+                print(out(), store.json(), all);
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "get", mixinStandardHelpOptions = true,
+            description = "Prints one record. Exit code 1 if there is none. Changes nothing.")
+    static final class Get extends OnStore {
+        @Option(names = "--namespace", required = true)
+        private String namespace;
+        @Option(names = "--hex", description = "The key is given in hexadecimal.")
+        private boolean hex;
+        @Option(names = "--raw", description = "Print the value's bytes and nothing else.")
+        private boolean raw;
+        @Parameters(paramLabel = "KEY")
+        private String key;
+
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.look(); View view = d.view()) {
+                known(view, namespace);
+                Found f = view.get(namespace, key(key, hex));
+                if (f == null) {
+                    err().println("tallyweir: there is no such key");
+                    return 1;
+                }
+                if (raw) {
+                    System.out.write(f.value());
+                    System.out.flush();
+                } else {
+                    print(out(), store.json(), record(f, true));
+                }
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "list", mixinStandardHelpOptions = true,
+            description = "Lists records in the order of their keys, or by time with --since or --until. Changes nothing.")
+    static final class ListKeys extends OnStore {
+        @Option(names = "--namespace", required = true)
+        private String namespace;
+        @Option(names = "--hex", description = "Keys are given in hexadecimal.")
+        private boolean hex;
+        @Option(names = "--from", defaultValue = "", description = "The first key.")
+        private String from;
+        @Option(names = "--to", description = "The key before which to end.")
+        private String to;
+        @Option(names = "--since", description = "Written at this time or later, as 2026-12-01T08:00:00Z.")
+        private String since;
+        @Option(names = "--until", description = "Written before this time.")
+        private String until;
+        @Option(names = "--limit", defaultValue = "1000", description = "At most so many (${DEFAULT-VALUE}).")
+        private long limit;
+        @Option(names = "--values", description = "Print values, too, in hexadecimal.")
+        private boolean values;
+
+        @Override
+        public Integer call() throws IOException {
+            boolean byTime = since != null || until != null;
+            if (byTime && (!from.isEmpty() || to != null)) {
+                throw new ParameterException(spec.commandLine(), "--from and --to do not go with --since and --until");
+            }
+            try (Durable d = store.look(); View view = d.view()) {
+                known(view, namespace);
+                Iterator<Found> in = byTime
+                        ? view.between(namespace, time(since, 0), time(until, Long.MAX_VALUE >>> 20))
+                        : view.range(namespace, key(from, hex), to == null ? null : key(to, hex));
+                for (long n = 0; in.hasNext() && n < limit; n++) {
+                    Map<String, Object> of = record(in.next(), values);
+                    out().println(store.json() ? Json.line(of) : String.join("\t", of.values().stream()
+                            .map(Object::toString).toList()));
+                }
+                if (in.hasNext()) {
+                    err().println("tallyweir: there are more: --limit " + limit);
+                }
+            }
+            return 0;
+        }
+
+        private long time(String text, long absent) {
+            try {
+                return text == null ? absent : Instant.parse(text).toEpochMilli() * 10;
+            } catch (DateTimeParseException e) {
+                throw new ParameterException(spec.commandLine(), "'" + text + "' is no time: 2026-12-01T08:00:00Z is");
+            }
+        }
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+            description = "Compares both copies of everything with their checksums. Changes nothing. Exit code 1 if"
+                    + " anything is damaged.")
+    static final class Verify extends OnStore {
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.look()) {
+                long before = d.figures().get(Figures.Of.UNREPAIRED);
+                d.scrubAll();
+                long damaged = d.figures().get(Figures.Of.UNREPAIRED) - before;
+                long lost = d.figures().get(Figures.Of.LOST_FRAMES);
+                Map<String, Object> all = new LinkedHashMap<>();
+                all.put("damaged_in_one_copy", damaged);
+                all.put("damaged_in_both_copies", lost);
+                all.put("snapshots_distrusted", d.figures().get(Figures.Of.SNAPSHOTS_DISTRUSTED));
+                print(out(), store.json(), all);
+                return damaged + lost > 0 ? 1 : 0;
+            }
+        }
+    }
+
+    @Command(name = "repair", mixinStandardHelpOptions = true,
+            description = "Writes again what is damaged in one copy. Exit code 1 if something is damaged in both.")
+    static final class Repair extends OnStore {
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.open()) {
+                d.scrubAll();
+                Map<String, Object> all = damage(d);
+                print(out(), store.json(), all);
+                return d.figures().get(Figures.Of.LOST_FRAMES) + d.figures().get(Figures.Of.UNREPAIRED) > 0 ? 1 : 0;
+            }
+        }
+    }
+
+    @Command(name = "compact", mixinStandardHelpOptions = true,
+            description = "Writes all that is current anew and gives back the rest.")
+    static final class Compact extends OnStore {
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.open()) {
+                Object before = d.info().get("bytes_of_each_copy");
+                d.compactAll();
+                Map<String, Object> all = new LinkedHashMap<>();
+                all.put("bytes_of_each_copy_before", before);
+                all.put("bytes_of_each_copy", d.info().get("bytes_of_each_copy"));
+                all.put("moved_bytes", d.figures().get(Figures.Of.MOVED_BYTES));
+                print(out(), store.json(), all);
+            }
+            return 0;
+        }
+    }
+
+    private static int copy(OnStore c, Durable from, Path to) throws IOException {
+        if (Files.isDirectory(to)) {
+            try (Stream<Path> there = Files.list(to)) {
+                if (there.findAny().isPresent()) {
+                    throw new IOException(to + " is not empty");
+                }
+            }
+        }
+        long[] told = {System.nanoTime()};
+        try (View view = from.view();
+                Durable copy = new Durable(new FileDisk(to.resolve("first")), new FileDisk(to.resolve("second")),
+                        Both.IN_TURN, 64 << 20, 4_096, 0.5, 0, view.namespaces().stream()
+                        .map(n -> new Namespace(n, Long.MAX_VALUE, false)).toList(),
+                        ThreadLocalRandom.current().nextLong(), FileStore::clock, Runnable::run, Set.of())) {
+            long records = Backup.copy(view, copy, n -> {
+                if (System.nanoTime() - told[0] > 2_000_000_000L) {
+                    told[0] = System.nanoTime();
+                    c.err().println(n + " records");
+                }
+            });
+            Map<String, Object> all = new LinkedHashMap<>();
+            all.put("records", records);
+            all.put("bytes_of_each_copy", copy.info().get("bytes_of_each_copy"));
+            print(c.out(), c.store.json(), all);
+        }
+        return 0;
+    }
+
+    @Command(name = "backup", mixinStandardHelpOptions = true,
+            description = "Copies a store, as it is, to a new directory. The copy is a store, too.")
+    static final class BackUp extends OnStore {
+        @Option(names = "--to", required = true, description = "The directory to make.")
+        private Path to;
+
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.look()) {
+                return copy(this, d, to);
+            }
+        }
+    }
+
+    @Command(name = "restore", mixinStandardHelpOptions = true,
+            description = "Makes a store of a backup: the store options name the backup, --to the new store.")
+    static final class Restore extends OnStore {
+        @Option(names = "--to", required = true, description = "The directory of the store to make.")
+        private Path to;
+
+        @Override
+        public Integer call() throws IOException {
+            try (Durable d = store.look()) {
+                int code = copy(this, d, to);
+                if (d.figures().get(Figures.Of.LOST_FRAMES) > 0) {
+                    err().println("tallyweir: the backup is damaged in both copies: "
+                            + d.figures().get(Figures.Of.LOST_FRAMES) + " frames are lost");
+                    return 1;
+                }
+                return code;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/StoreOptions.java
@@ -0,0 +1,86 @@
+package tallyweir.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import picocli.CommandLine.ArgGroup;
+import picocli.CommandLine.Option;
+import tallyweir.config.Operators;
+import tallyweir.durable.Both;
+import tallyweir.durable.Disk;
+import tallyweir.durable.Durable;
+import tallyweir.durable.FileDisk;
+import tallyweir.durable.FileStore;
+import tallyweir.durable.ReadOnly;
+
+/** Which store a command is about: that of an operators' file, or one by its directories. */
+final class StoreOptions {
+    @ArgGroup(multiplicity = "1")
+    private Which which;
+
+    @Option(names = "--json", description = "Print JSON.")
+    private boolean json;
+
+    static final class Which {
+        @Option(names = "--settings", description = "The operators' file that names the store.")
+        private Path settings;
+
+        @ArgGroup(exclusive = false)
+        private Directories directories;
+    }
+
+    static final class Directories {
+        @Option(names = "--dir", required = true, description = "The store's directory.")
+        private Path dir;
+
+        @Option(names = "--second-dir", description = "Where its second copy is, if not in DIR/second.")
+        private Path second;
+
+        @Option(names = "--sector", defaultValue = "4096", description = "Its sector_bytes (${DEFAULT-VALUE}).")
+        private int sector;
+    }
+
+    boolean json() {
+        return json;
+    }
+
+    private Path first(Operators o) {
+        return o != null ? o.first() : which.directories.dir.resolve("first");
+    }
+
+    private Path second(Operators o) {
+        return o != null ? o.second()
+                : which.directories.second != null ? which.directories.second : which.directories.dir.resolve("second");
+    }
+
+    /** Opens it, which mends what is damaged. */
+    Durable open() throws IOException {
+        return open(false);
+    }
+
+    /** Opens it without changing anything. */
+    Durable look() throws IOException {
+        return open(true);
+    }
+
+    private Durable open(boolean look) throws IOException {
+        Operators o = which.settings == null ? null : Operators.read(which.settings);
+        if (o != null && !o.hasDurable()) {
+            throw new IOException(which.settings + " has no durable part: the store is off there");
+        }
+        Path first = first(o);
+        Path second = second(o);
+        if (!Files.isDirectory(first) && !Files.isDirectory(second)) {
+            throw new IOException("there is no store: neither " + first + " nor " + second + " is a directory");
+        }
+        Disk one = new FileDisk(first);
+        Disk other = new FileDisk(second);
+        return new Durable(look ? new ReadOnly(one) : one, look ? new ReadOnly(other) : other, Both.IN_TURN,
+                o == null ? 64 << 20 : o.segmentBytes(), o == null ? which.directories.sector : o.sector(),
+                o == null ? 0.5 : o.deadShare(), 0, o == null ? List.of() : o.namespaces(),
+                ThreadLocalRandom.current().nextLong(), FileStore::clock, Runnable::run, Set.of());
+    }
+}
