--- a/durable/src/main/java/tallyweir/durable/Durable.java
+++ b/durable/src/main/java/tallyweir/durable/Durable.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import tallyweir.durable.Refused.Cause;
 
@@ -489,8 +490,18 @@
         return e != null;
     }
 
-    /** Compacts every segment in which anything is dead, until none is left; for operators. */
-    public synchronized void compactAll() throws IOException {
+    /** Writes all that is current anew. */
+    public void compactAll() throws IOException {
+        compactAll(done -> { });
+    }
+
+    /**
+     * Writes all that is current anew and gives back the rest; for operators.
+     *
+     * @param progress told the bytes of each copy that are done, after each segment
+     */
+    public synchronized void compactAll(LongConsumer progress) throws IOException {
+        long done = 0;
         sweepAll(now());
         long until = log.nextFrame();
         log.room(Integer.MAX_VALUE);
@@ -500,14 +511,23 @@
                 while (compaction != null) {
                     compact(Format.GROUP_MOST, now());
                 }
+                done += s.end;
+                progress.accept(done);
             }
         }
     }
 
-    /** Compares the copies of everything and mends what is damaged in one; for operators. */
-    public synchronized void scrubAll() throws IOException {
+    /**
+     * Compares the copies of everything and mends what is damaged in one; for operators.
+     *
+     * @param progress told the bytes of each copy that are done, after each segment
+     */
+    public synchronized void scrubAll(LongConsumer progress) throws IOException {
+        long done = 0;
         for (Segment s : log.segments()) {
             walk(s);
+            done += s.end;
+            progress.accept(done);
         }
         figures.add(Figures.Of.SCRUBS);
     }
--- a/tool/src/main/java/tallyweir/tool/DurableCommand.java
+++ b/tool/src/main/java/tallyweir/tool/DurableCommand.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongConsumer;
 import java.util.stream.Stream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -108,6 +109,18 @@
             return spec.commandLine().getErr();
         }
 
+        /** Says on the error stream how far long work has come, every two seconds. */
+        LongConsumer progress(Durable d) {
+            long all = (Long) d.info().get("bytes_of_each_copy");
+            long[] told = {System.nanoTime()};
+            return done -> {
+                if (System.nanoTime() - told[0] > 2_000_000_000L) {
+                    told[0] = System.nanoTime();
+                    err().println(Math.min(100, 100 * done / Math.max(1, all)) + "%");
+                }
+            };
+        }
+
         byte[] key(String text, boolean isHex) {
             try {
                 return isHex ? HexFormat.of().parseHex(text) : text.getBytes(StandardCharsets.ISO_8859_1);
@@ -132,6 +145,7 @@
             try (Durable d = store.look()) {
                 Map<String, Object> all = d.info();
                 all.put("at_opening", damage(d));
+                all.put("figures", d.figures().all());
                 print(out(), store.json(), all);
             }
             return 0;
@@ -231,7 +245,7 @@
             try (Durable d = store.look()) {
                 long before = d.figures().get(Figures.Of.UNREPAIRED);
                 long lostBefore = d.figures().get(Figures.Of.LOST_FRAMES);
-                d.scrubAll();
+                d.scrubAll(progress(d));
                 long damaged = d.figures().get(Figures.Of.UNREPAIRED) - before;
                 long lost = d.figures().get(Figures.Of.LOST_FRAMES) - lostBefore;
                 Map<String, Object> all = new LinkedHashMap<>();
@@ -250,7 +264,7 @@
         @Override
         public Integer call() throws IOException {
             try (Durable d = store.open()) {
-                d.scrubAll();
+                d.scrubAll(progress(d));
                 Map<String, Object> all = damage(d);
                 print(out(), store.json(), all);
                 return d.figures().get(Figures.Of.LOST_FRAMES) + d.figures().get(Figures.Of.UNREPAIRED) > 0 ? 1 : 0;
@@ -265,7 +279,7 @@
         public Integer call() throws IOException {
             try (Durable d = store.open()) {
                 Object before = d.info().get("bytes_of_each_copy");
-                d.compactAll();
+                d.compactAll(progress(d));
                 Map<String, Object> all = new LinkedHashMap<>();
                 all.put("bytes_of_each_copy_before", before);
                 all.put("bytes_of_each_copy", d.info().get("bytes_of_each_copy"));
