--- a/tool/src/main/java/tallyweir/tool/DurableBench.java
+++ b/tool/src/main/java/tallyweir/tool/DurableBench.java
@@ -329,6 +329,7 @@
         int many = 200_000;
         try (FileStore s = store(8 * MB, 32L * MB)) {
             fill(s, many, new SplittableRandom(seed));
+            reads(s, many);  // until the code is compiled
             Histogram idle = reads(s, many);
             AtomicBoolean stop = new AtomicBoolean();
             Thread churn = new Thread(() -> {
@@ -340,6 +341,7 @@
                             b.put(SPACE, key(chance.nextInt(many)), value(chance));
                         }
                         s.committer().write(b);
+                        LockSupport.parkNanos(10_000_000);  // 10,000 records a second, so that compaction is what is met
                     }
                 } catch (Refused e) {
                     throw new IllegalStateException(e);
