Results kept over restarts in the backend: intent before the run, record before the answer

Need: a baker who retries after a restart gets the answer already given; nothing runs twice by any path. Change: KeptResults stands between queries, Marks and a Shelf (DurableShelf on the embedded store); an open intent is settled by the kernel's notices, by a new kernel's start or after the hard limit. Off unless a shelf is given. Found by the explorer: the withdrawal of a given-up copy could take away the intent of its heir; found by tests: a repeat of what never began was errored.

--- a/daemon/src/main/java/tallyweir/backend/Answer.java
+++ b/daemon/src/main/java/tallyweir/backend/Answer.java
@@ -7,4 +7,7 @@
     void deferred(long keepOff, boolean nowhereElse);
 
     void errored();
+
+    /** The stamp belongs to a query with another body. */
+    void otherBody();
 }
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -8,6 +8,7 @@
 import tallyweir.config.Config;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
+import tallyweir.results.Shelf;
 
 /**
  * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
@@ -29,13 +30,19 @@
     private final Queries queries;
     private long now;
 
+    /** One that keeps no results over restarts. */
     public Backend(Links links, Config config, long now, long wall) {
+        this(links, config, now, wall, null);
+    }
+
+    /** @param shelf where results of queries with an effect are kept over restarts, null for nowhere */
+    public Backend(Links links, Config config, long now, long wall, Shelf shelf) {
         this.links = links;
         this.now = now;
         name = config.name;
         stopAfter = config.stopAfter;
         queries = new Queries(links, deadlines, counters, config.settings,
-                config.sockets - config.sockets / SOCKETS_APART, config.sockets / SOCKETS_STORE, config.seed, now);
+                config.sockets - config.sockets / SOCKETS_APART, config.sockets / SOCKETS_STORE, config.seed, now, shelf);
         queries.clock(now, wall);
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Callers.java
+++ b/daemon/src/main/java/tallyweir/backend/Callers.java
@@ -399,6 +399,11 @@
             send(500, "", NONE);
         }
 
+        @Override
+        public void otherBody() {
+            send(409, "", NONE);
+        }
+
         private void send(int status, String headers, byte[] body) {
             if (!over) {
                 over = true;
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -18,6 +18,8 @@
 import tallyweir.ids.TenantId;
 import tallyweir.ids.TimerId;
 import tallyweir.ids.WorkloadId;
+import tallyweir.results.Known;
+import tallyweir.results.Shelf;
 
 /**
  * The queries of one backend between the fronts, the decisions, the kernel and the store. Each is answered
@@ -25,6 +27,7 @@
  */
 final class Queries implements Outgoing {
     private static final int SLOT_BITS = 20;
+    private static final QueryId BEFORE = new QueryId(0);  // of no query here: known from before
     private static final long DAY = 24 * 3_600 * 10_000L;
 
     private final Deadlines deadlines;
@@ -35,6 +38,7 @@
     private final Kernel kernel;
     private final Store store;
     private final Callers callers;
+    private final KeptResults kept;  // null where no results are kept over restarts
     private final long seed;
     private final int coresBusyAt;
     private final int runQueueAt;
@@ -50,7 +54,7 @@
     private long gaugesAsked;
 
     Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connections, int storeLinks,
-            long seed, long now) {
+            long seed, long now, Shelf shelf) {
         this.deadlines = deadlines;
         this.counters = counters;
         this.settings = settings;
@@ -64,6 +68,10 @@
         kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
         callers = new Callers(links, deadlines, counters, this, settings, connections);
+        kept = shelf == null ? null : new KeptResults(this, shelf);
+        if (kept != null) {
+            counters.now("unsettled", kept::unsettled);
+        }
         counters.now("connections", callers::size);
         counters.now("queries", slots::size);
         counters.now("entries", repeats::size);
@@ -146,6 +154,27 @@
         boolean stamped = effect(workload) == Effect.STAMPED;
         QueryId earlier = mark != null && (stamped || settings.shareFor() > 0 && harmless(t))
                 ? repeats.earlier(t, mark, stamped, now) : null;
+        if (kept != null && !harmless(t)) {
+            switch (kept.read(t, stamped ? mark : new SubjectId(job.value()))) {
+                case OTHER_BODY -> {
+                    counters.add(Count.MARKS_OTHER_BODY);
+                    answerOtherBody(t.id);
+                    return null;
+                }
+                case NO_ROOM -> {
+                    counters.add(Count.MARKS_NO_ROOM);
+                    if (answer(t, Count.ANSWERED_DEFERRED)) {
+                        way.deferred(settings.keepOffMost(), false);
+                    }
+                    return null;
+                }
+                case REPEAT -> {
+                    counters.add(Count.MARKS_REPEATED);
+                    earlier = earlier == null ? BEFORE : earlier;
+                }
+                default -> { }
+            }
+        }
         choice.read(t.id, earlier, caller, subject, workload, size, age, rank, left, again, tenant, 0);
         return t.released ? null : t;
     }
@@ -157,13 +186,19 @@
         }
         counters.add(Count.QUERIES_GONE);
         t.answered = true;
+        if (t.mark != null) {
+            kept.leave(t);
+        }
         choice.gone(t.id);
         releaseIfDone(t);
     }
 
     /** Guards against a fault in the decisions: what they forgot is failed when it is due. */
     private void overdue(Taken t) {
-        if (!t.answered) {
+        if (!t.answered && t.recording) {
+            errored(t);  // the disk is too slow: it ran, and a repeat will hear how it ended
+            kept.leave(t);
+        } else if (!t.answered) {
             counters.add(Count.ANSWERED_BY_THE_LAST_GUARD);
             warnings.warn("the decisions forgot a query: it was failed when it was due");
             errored(t);
@@ -180,6 +215,10 @@
         choice = new Choice(this, seed, now - before);
         choice.clock(now);
         settings.start(choice, fresh, false, false, false);
+        if (kept != null) {
+            kept.kernelBegan(wall - before);
+            deadlines.set(now + settings.longestHard(), kept::nobodyKnows);
+        }
         if (draining()) {
             choice.drain(stopAt - now);
         }
@@ -187,7 +226,15 @@
 
     /** All runs are gone: the harmless go back to be run again, of the others it is not known what they did. */
     void kernelLost() {
-        running().forEach(t -> leaveKernel(t, Outcome.RECALLED, null));
+        for (Taken t : running()) {
+            if (t.mark == null) {
+                leaveKernel(t, Outcome.RECALLED, null);
+            } else {
+                errored(t);
+                kept.ended(t, Known.UNKNOWN, null);
+                leaveKernel(t, Outcome.ERRORED, null);
+            }
+        }
     }
 
     List<Taken> running() {
@@ -197,6 +244,13 @@
     void runEnded(JobId job, String how, byte[] result) {
         Taken t = jobs.get(job);
         if (t == null || !t.running) {
+            if (kept != null && kept.endedBefore(job, how.equals("good") ? Known.GOOD : Known.BAD, result)) {
+                counters.add(Count.MARKS_SETTLED);
+            }
+            return;
+        }
+        if (t.mark != null) {
+            keptEnded(t, how, result);
             return;
         }
         Outcome outcome;
@@ -224,15 +278,86 @@
         leaveKernel(t, outcome, how.equals("good") ? result : null);
     }
 
+    /** How the run of a query with an effect ended goes to the disk first; what is no result need not wait for that. */
+    private void keptEnded(Taken t, String how, byte[] result) {
+        boolean good = how.equals("good");
+        counters.add(good ? Count.RUNS_GOOD : how.equals("cut") ? Count.RUNS_CUT : how.equals("gone") ? Count.RUNS_GONE
+                : Count.RUNS_BAD);
+        t.recording = good && !t.answered;
+        if (!good) {
+            errored(t);
+        }
+        leaveKernel(t, good ? Outcome.COMPLETED : Outcome.ERRORED, null);
+        kept.ended(t, good ? Known.GOOD : Known.BAD, result);
+    }
+
     /** The kernel knows of no such query: it did not run, and will not if asked again. */
     void runNotDone(JobId job) {
         Taken t = jobs.get(job);
         if (t != null && t.running) {
             errored(t);
             leaveKernel(t, Outcome.SUPERSEDED, null);
+            if (t.mark != null) {
+                kept.ended(t, Known.BAD, null);
+            }
         }
     }
 
+    // ---- from the kept results
+
+    /** The intent is on the disk. */
+    void beginKept(QueryId query) {
+        Taken t = taken(query);
+        if (t != null && t.running) {
+            kernel.run(t);
+        }
+    }
+
+    void answerKept(QueryId query, byte[] result) {
+        Taken t = taken(query);
+        if (t == null || t.answered) {
+            return;
+        }
+        if (t.recording) {
+            t.recording = false;
+            if (result != null) {
+                handled(t, result);
+            } else {
+                errored(t);
+            }
+        } else {
+            deadlines.set(now, () -> serve(t, result));  // the decisions are told only after this input
+        }
+    }
+
+    void answerOtherBody(QueryId query) {
+        Taken t = taken(query);
+        if (t != null && answer(t, Count.ANSWERED_ERRORED)) {
+            t.way.otherBody();
+            choice.gone(t.id);
+        }
+    }
+
+    /** It was asked to run, and did not and will not: it may be tried again. */
+    void notBegun(QueryId query) {
+        Taken t = taken(query);
+        if (t == null) {
+            return;
+        }
+        counters.add(Count.MARKS_NOT_BEGUN);
+        repeats.forget(t);
+        deadlines.set(now, () -> {
+            if (answer(t, Count.ANSWERED_DEFERRED)) {
+                t.way.deferred(settings.keepOffMost(), false);
+            }
+            if (t.running) {
+                leaveKernel(t, Outcome.SUPERSEDED, null);
+            } else {
+                choice.gone(t.id);
+            }
+        });
+    }
+
     private void leaveKernel(Taken t, Outcome outcome, byte[] result) {
         store.giveUp(t);
         t.call = null;
@@ -323,7 +448,12 @@
             t.reply = null;
             t.stopOn = 0;
             repeats.began(t);
-            kernel.run(t);
+            if (t.mark == null) {
+                kernel.run(t);
+            } else {
+                kept.admit(t, wall + settings.longestHard());
+                kept.want(t);
+            }
         }
     }
 
@@ -340,6 +470,9 @@
         Taken t = taken(query);
         if (t != null) {
             errored(t);
+            if (t.mark != null) {
+                kept.giveUp(t);
+            }
         }
     }
 
@@ -371,6 +504,9 @@
         Taken t = taken(query);
         if (t != null) {
             repeats.keep(t, now + span);
+            if (t.mark != null) {
+                kept.admit(t, wall + span);
+            }
         }
     }
 
@@ -379,19 +515,27 @@
         Taken t = taken(query);
         if (t != null) {
             repeats.forget(t);
+            if (t.mark != null) {
+                kept.giveUp(t);
+            }
         }
     }
 
     @Override
     public void reuse(QueryId query) {
         Taken t = taken(query);
-        if (t != null && repeats.over(t)) {
+        if (t != null && t.mark != null) {
+            kept.await(t);
+        } else if (t != null && repeats.over(t)) {
             deadlines.set(now, () -> serveRepeat(t));  // the decisions are told only after this input
         }
     }
 
     private void serveRepeat(Taken t) {
-        byte[] result = repeats.result(t);
+        serve(t, repeats.result(t));
+    }
+
+    private void serve(Taken t, byte[] result) {
         if (t.answered) {
             return;
         }
--- a/daemon/src/main/java/tallyweir/backend/Taken.java
+++ b/daemon/src/main/java/tallyweir/backend/Taken.java
@@ -6,6 +6,7 @@
 import tallyweir.ids.LinkId;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.WorkloadId;
+import tallyweir.results.Mark;
 
 /** One query that was read, from then until it is answered and nothing of it runs. */
 final class Taken {
@@ -28,6 +29,8 @@
     final List<LinkId> calledOn = new ArrayList<>(0);  // links that carried calls of it
     Deadlines.Deadline due;
     Repeats.Entry entry;       // what its like share
+    Mark mark;                 // by which it is known over restarts; null where none is kept
+    boolean recording;         // its run is over and its answer waits until that is on the disk
 
     Taken(JobId job, WorkloadId workload, byte[] body, Answer way) {
         this.job = job;
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -83,6 +83,12 @@
         return effects;
     }
 
+    /** The longest time that a caller may be told to keep off, 0 where it may not be told. */
+    public long keepOffMost() {
+        Tree permissions = all.in("Permissions");
+        return permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0;
+    }
+
     /** The longest time that any workload's caller waits in all. */
     public long longestHard() {
         return all.each("Classes").stream().mapToLong(c -> c.time("DeadlineUs")).max().orElse(0);
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -30,6 +30,7 @@
 import tallyweir.config.Config;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
+import tallyweir.results.Shelf;
 
 /** The core between its links: a plain kernel, store and sidecars stand round it and say what is not allowed. */
 class BackendTest {
@@ -48,7 +49,7 @@
     static final long SLACK = 600 + 500;
 
     /** A request as its sidecar knows it. */
-    private static final class Asked {
+    static final class Asked {
         int conn;
         int id;
         String job;
@@ -66,8 +67,8 @@
     }
 
     /** Sidecars, kernel and store, each as plain as can be. */
-    private static final class Round implements Links {
-        final Backend backend = new Backend(this, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), 1_000_000, 0);
+    static final class Round implements Links {
+        final Backend backend;
         final Map<Integer, ByteArrayOutputStream> conns = new LinkedHashMap<>();
         final Map<Integer, Integer> seen = new HashMap<>();
         final List<Asked> asked = new ArrayList<>();
@@ -86,6 +87,16 @@
         final List<Integer> closing = new ArrayList<>();
         String tag;
 
+        Round() {
+            this(null, 1_000_000);
+        }
+
+        /** With results kept over restarts, and the time at which this process begins. */
+        Round(Shelf shelf, long from) {
+            now = from;
+            backend = new Backend(this, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), from, from + wall, shelf);
+        }
+
         void clock() {
             backend.clock(now, now + wall);
         }
--- a/durable/src/main/java/tallyweir/durable/Durable.java
+++ b/durable/src/main/java/tallyweir/durable/Durable.java
@@ -318,6 +318,19 @@
         }
     }
 
+    /** Whether there is such a key, by the index alone: no disk is read. */
+    public boolean contains(String namespace, byte[] key) {
+        Integer n = numbers.get(namespace);
+        Index.Entry e = n == null ? null : state.index().get(Index.key(n, key));
+        return e != null && (e.expires() == 0 || e.expires() > now());
+    }
+
+    /** Bytes that a namespace which was opened may still take; what has expired and was not yet swept away counts. */
+    public long room(String namespace) {
+        int n = numbers.get(namespace);
+        return namespaces[n].boundBytes() - state.used()[n];
+    }
+
     /** The store as it is now, to be read while writes go on; to be closed. */
     public View view() {
         while (true) {
--- a/results/src/main/java/tallyweir/results/Explorer.java
+++ b/results/src/main/java/tallyweir/results/Explorer.java
@@ -147,9 +147,7 @@
                 all.add("disk does");
                 if (!faulted) {
                     all.add("disk refuses");
-                    if (writes.peek().what.equals("record")) {
-                        all.add("disk does and says it failed");
-                    }
+                    all.add("disk does and says it failed");
                 }
             }
             if (up && looking) {
@@ -333,7 +331,7 @@
 
         @Override
         public void answer(RunId copy, Known known, byte[] result) {
-            Copy c = over(copy);
+            Copy c = close(copy);
             if (known == Known.GOOD) {
                 String is = Byte.toString(result[0]);
                 if (good != null && !good.equals(is)) {
@@ -347,16 +345,21 @@
 
         @Override
         public void otherBody(RunId copy) {
-            over(copy);
+            close(copy);
             wrong.add("one body taken for another");
         }
 
         @Override
         public void notBegun(RunId copy) {
-            over(copy);
+            close(copy);
+        }
+
+        @Override
+        public void over(RunId run) {
+            // nothing is kept here by run
         }
 
-        private Copy over(RunId copy) {
+        private Copy close(RunId copy) {
             Copy c = copies.get((int) copy.value() - 1);
             if (c.state != Copy.ASKING) {
                 wrong.add("answered twice");
--- a/results/src/main/java/tallyweir/results/Keeping.java
+++ b/results/src/main/java/tallyweir/results/Keeping.java
@@ -28,4 +28,7 @@
 
     /** A copy that was admitted has not begun and will not: it may be deferred, and run another time. */
     void notBegun(RunId copy);
+
+    /** Nothing more will be asked for a run. */
+    void over(RunId run);
 }
--- a/results/src/main/java/tallyweir/results/Marks.java
+++ b/results/src/main/java/tallyweir/results/Marks.java
@@ -49,6 +49,7 @@
         private boolean done;      // the write or look under way is done,
         private boolean failed;    // and failed
         private boolean dropped;   // out of memory
+        private boolean anyBody;   // the body is not known
         private Known known;
         private byte[] result;
         private final List<Asker> asking = new ArrayList<>(1);
@@ -131,7 +132,7 @@
      */
     public Verdict read(RunId copy, Mark mark, long body, boolean onDisk) {
         Entry there = entries.get(mark);
-        if (there != null && there.stage != Stage.WITHDRAWING) {
+        if (there != null && !ending(there)) {
             if (there.stage != Stage.LOOKING && there.body != body) {
                 return Verdict.OTHER_BODY;
             }
@@ -146,6 +147,11 @@
         return there == null && entries.size() >= most ? Verdict.NO_ROOM : Verdict.NEW;
     }
 
+    /** Whether it is given up, never having begun. */
+    private static boolean ending(Entry x) {
+        return x.stage == Stage.WITHDRAWING || x.given && (x.stage == Stage.INTENDING || x.stage == Stage.READY);
+    }
+
     /** A repeat waits for what its mark comes to; it is answered once, unless it leaves before. */
     public void await(RunId copy, Mark mark, long body) {
         Entry there = entries.get(mark);
@@ -163,6 +169,7 @@
     /** Nobody waits for this copy's answer any longer. What it began goes on; what it never wanted is given up. */
     public void leave(RunId copy) {
         entries.values().forEach(x -> x.asking.removeIf(a -> a.copy.equals(copy)));
+        held.values().forEach(x -> x.asking.removeIf(a -> a.copy.equals(copy)));
         with(copy, x -> x.given |= !x.wanted);
     }
 
@@ -213,7 +220,7 @@
 
     // ---- the disk
 
-    /** @param good whether the intent is on the disk; where it is not, it must be sure that it never will be */
+    /** @param good whether the intent is on the disk; where it is not, it may yet be found there after a start */
     public void intended(RunId run, boolean good) {
         with(run, x -> {
             if (x.stage == Stage.INTENDING) {
@@ -250,6 +257,15 @@
         }
     }
 
+    /** The disk cannot tell what it has of a mark. */
+    public void lookFailed(Mark mark) {
+        Entry x = entries.get(mark);
+        if (x != null && x.stage == Stage.LOOKING) {
+            x.anyBody = true;
+            looked(mark, 0, Known.UNKNOWN, null);
+        }
+    }
+
     /** At a start, before any copy is read: an intent on the disk of which nobody knows what became of it. */
     public void found(RunId run, Mark mark, long body, long until) {
         if (!has(Guard.RESTART)) {
@@ -270,8 +286,10 @@
 
     private void withdraw() {
         e.stage = Stage.WITHDRAWING;
-        e.done = false;
-        out.withdraw(e.holder, e.mark);
+        e.done = entries.get(e.mark) != e;  // the intent of a later copy has taken its place on the disk
+        if (!e.done) {
+            out.withdraw(e.holder, e.mark);
+        }
         release();
     }
 
@@ -305,7 +323,7 @@
         List<Asker> all = List.copyOf(e.asking);
         e.asking.clear();
         for (Asker a : all) {
-            if (a.body != e.body) {
+            if (a.body != e.body && !e.anyBody) {
                 out.otherBody(a.copy);
             } else {
                 out.answer(a.copy, e.known, e.known == Known.GOOD ? e.result : null);
@@ -325,6 +343,7 @@
         entries.remove(e.mark, e);
         if (e.holder != null) {
             held.remove(e.holder, e);
+            out.over(e.holder);
         }
     }
 
