Operators' file turns kept results on; serve opens the shelf and closes the store at its stop

Need: an installation with a lasting disk switches results on in its own file; the platform's stays as it was. Change: results.bound_mb in the operators' file, namespaces results and intents, DurableShelf given to the backend.

--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,6 +15,7 @@
 import tallyweir.config.Operators;
 import tallyweir.durable.FileStore;
 import tallyweir.net.Server;
+import tallyweir.results.DurableShelf;
 
 /** One real backend: starts it, and sees it off when it is told to leave. */
 public final class Serve {
@@ -34,11 +37,15 @@
             err.println("tallyweir: " + e.getMessage());
             return 2;
         }
-        if (!keep(operators, err)) {
+        FileStore store = null;
+        try {
+            store = open(operators);
+        } catch (IOException e) {
+            err.println("tallyweir: the store cannot be opened: " + e.getMessage());
             return 1;
         }
         Rehearsal.play(config);
-        Server server = new Server(config);
+        Server server = server(config, operators, store);
         try {
             server.bind();
         } catch (IOException e) {
@@ -47,7 +54,8 @@
         }
         Signal.handle(new Signal("HUP"), signal -> reload(server, environment));
         long stopMs = config.stopAfter / 10;
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err), "leave"));
+        FileStore opened = store;
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err, opened), "leave"));
         // Logging loads what it needs at its first line. Where that came only once no descriptor was left, its
         // failure ended the thread that accepts.
         LOG.atInfo().addKeyValue("name", config.name).addKeyValue("address", server.address()).log("listens");
@@ -55,21 +63,27 @@
         return 1;
     }
 
-    /** Opens the store, if there is to be one, and closes it when the process ends. */
-    private static boolean keep(Operators operators, PrintStream err) {
+    /** The store, null where there is to be none. */
+    private static FileStore open(Operators operators) throws IOException {
         if (!operators.hasDurable()) {
-            return true;
+            return null;
         }
-        try {
-            FileStore store = operators.openDurable();
-            Runtime.getRuntime().addShutdownHook(new Thread(store::close, "durable"));
-            LOG.atInfo().addKeyValue("keys", store.store().keys()).addKeyValue("opening", store.store().opening())
-                    .addKeyValue("from_snapshot", store.store().openedFromSnapshot()).log("the store is open");
-            return true;
-        } catch (IOException e) {
-            err.println("tallyweir: the store cannot be opened: " + e.getMessage());
-            return false;
+        FileStore store = operators.openDurable();
+        LOG.atInfo().addKeyValue("keys", store.store().keys()).addKeyValue("opening", store.store().opening())
+                .addKeyValue("from_snapshot", store.store().openedFromSnapshot()).log("the store is open");
+        return store;
+    }
+
+    private static Server server(Config config, Operators operators, FileStore store) {
+        if (store == null || !operators.keepsResults()) {
+            return new Server(config);
         }
+        ExecutorService reads = Executors.newSingleThreadExecutor(r -> {
+            Thread t = new Thread(r, "results reads");
+            t.setDaemon(true);
+            return t;
+        });
+        return new Server(config, deciding -> new DurableShelf(store.store(), store.committer(), deciding, reads));
     }
 
     /**
@@ -89,12 +103,16 @@
     }
 
     /** The virtual machine waits for this; logging may have ended by now, so the last words are printed. */
-    private static void leave(Server server, long stopMs, PrintStream err) {
+    private static void leave(Server server, long stopMs, PrintStream err, FileStore store) {
         server.drain();
         err.println("tallyweir: told to leave; " + server.counters());
         long words = Math.max(0, stopMs - LAST_WORDS_MS);
         pause(words);
         err.println("tallyweir: at the stop; " + server.counters());
+        if (store != null) {
+            store.close();
+            err.println("tallyweir: the store is closed; " + store.store().figures().all());
+        }
         pause(stopMs - words + PAST_STOP_MS);
     }
 
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
+import tallyweir.results.DurableShelf;
 
 /**
  * The operators' own file, which EDGE_OPERATORS names: what a platform does not tell. Read, checked and given defaults
@@ -22,10 +23,15 @@
     private static final int MB = 1 << 20;
 
     private final Tree durable;
+    private final Tree results;
 
     private Operators(Tree all) {
-        all.only("durable");
+        all.only("durable", "results");
         durable = all.has("durable") ? all.in("durable") : null;
+        results = all.has("results") ? all.in("results") : null;
+        if (results != null && durable == null) {
+            throw new BadSetting("results needs a durable part: the store in which they are kept");
+        }
         if (durable != null) {
             check();
         }
@@ -64,6 +70,11 @@
         return durable != null;
     }
 
+    /** Whether results of queries with an effect are kept over restarts. */
+    public boolean keepsResults() {
+        return results != null;
+    }
+
     /** Opens the store as the file has it. */
     public FileStore openDurable() throws IOException {
         return new FileStore(first(), second(), segmentBytes(), sector(), deadShare(),
@@ -121,10 +132,19 @@
             } catch (IllegalArgumentException e) {
                 throw new BadSetting(at + ".name: " + e.getMessage());
             }
+            if (results != null && (n.text("name").equals(DurableShelf.RESULTS)
+                    || n.text("name").equals(DurableShelf.INTENTS))) {
+                throw new BadSetting(at + ".name is '" + n.text("name") + "', which results.bound_mb already bounds");
+            }
             if (!names.add(n.text("name"))) {
                 throw new BadSetting(at + ".name is '" + n.text("name") + "', which is there already");
             }
         }
+        if (results != null) {
+            // Nothing in its window may go to make room, so both refuse; an open intent takes under 1.2 KB.
+            all.add(new Namespace(DurableShelf.RESULTS, results.whole("bound_mb", 1, 1 << 20) * (long) MB, false));
+            all.add(new Namespace(DurableShelf.INTENTS, Long.MAX_VALUE, false));
+        }
         if (all.size() > Namespace.MOST) {
             throw new BadSetting("durable.namespaces has " + all.size() + " entries, the most is " + Namespace.MOST);
         }
@@ -132,6 +152,9 @@
     }
 
     private void check() {
+        if (results != null) {
+            results.only("bound_mb");
+        }
         durable.only("dir", "second_dir", "segment_mb", "sector_bytes", "dead_share", "scrub_every_h", "pending_mb",
                 "force_every_ms", "upkeep_mb_per_s", "namespaces");
         if (first().equals(second())) {
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Instant;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -39,6 +41,7 @@
 import tallyweir.config.Config;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
+import tallyweir.results.Shelf;
 
 /**
  * The sockets round one backend. MINA's threads only lay down what arrived; one thread takes it up,
@@ -80,8 +83,22 @@
 
     /** Made and run by the thread that is to decide. */
     public Server(Config config) {
+        this(config, server -> null);
+    }
+
+    /** Makes the shelf on which results are kept over restarts, null for none. */
+    public interface Shelves {
+        Shelf make(Executor deciding) throws IOException;
+    }
+
+    /** @param shelves given what runs news on the deciding thread, which is the one that makes this server */
+    public Server(Config config, Shelves shelves) {
         this.config = config;
-        backend = new Backend(this, config, now(), startWall);
+        try {
+            backend = new Backend(this, config, now(), startWall, shelves.make(this::tell));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     /** Listens; the address being taken is the one thing that ends the start. */
