--- a/daemon/src/main/java/tallyweir/backend/KeptResults.java
+++ b/daemon/src/main/java/tallyweir/backend/KeptResults.java
@@ -26,7 +26,7 @@
 
     private final Queries queries;
     private final Shelf shelf;
-    private final Marks marks = new Marks(this, MARKS_MOST, Set.of());
+    private final Marks marks;
     private final Map<RunId, JobId> jobs = new HashMap<>();      // of runs under way, by what the kernel calls them
     private final Map<JobId, RunId> before = new HashMap<>();    // runs of the process before, until they are settled
     private final Map<RunId, Long> writtenAt = new HashMap<>();
@@ -35,6 +35,7 @@
     KeptResults(Queries queries, Shelf shelf) {
         this.queries = queries;
         this.shelf = shelf;
+        marks = new Marks(this, MARKS_MOST, shelf.without());
         long number = 0;
         for (Shelf.Kept k : shelf.intents()) {
             RunId run = new RunId(--number);
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.util.EnumSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,7 @@
 import tallyweir.durable.FileStore;
 import tallyweir.net.Server;
 import tallyweir.results.DurableShelf;
+import tallyweir.results.Marks;
 
 /** One real backend: starts it, and sees it off when it is told to leave. */
 public final class Serve {
@@ -74,6 +77,18 @@
         return store;
     }
 
+    /** What a drill has switched off, to show that it is needed. */
+    private static Set<Marks.Guard> without() {
+        Set<Marks.Guard> off = EnumSet.noneOf(Marks.Guard.class);
+        for (String name : System.getProperty("tallyweir.drill.without", "").split(",")) {
+            if (!name.isEmpty()) {
+                off.add(Marks.Guard.valueOf(name));
+                LOG.atWarn().addKeyValue("guard", name).log("a drill has switched a guard off: results can be wrong");
+            }
+        }
+        return off;
+    }
+
     private static Server server(Config config, Operators operators, FileStore store) {
         if (store == null || !operators.keepsResults()) {
             return new Server(config);
@@ -83,7 +98,8 @@
             t.setDaemon(true);
             return t;
         });
-        return new Server(config, deciding -> new DurableShelf(store.store(), store.committer(), deciding, reads));
+        return new Server(config, deciding -> new DurableShelf(store.store(), store.committer(), deciding, reads,
+                without()));
     }
 
     /**
--- a/results/src/main/java/tallyweir/results/DurableShelf.java
+++ b/results/src/main/java/tallyweir/results/DurableShelf.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import tallyweir.durable.Batch;
@@ -35,12 +36,16 @@
     private final Executor back;
     private final Executor reads;
     private final List<Kept> found;
+    private final Set<Marks.Guard> without;
 
     /**
      * @param back runs what is told on the thread that asks
      * @param reads runs what may wait for the disk to be read
+     * @param without guards of the marks that are off, for drills only
      */
-    public DurableShelf(Durable store, Committer committer, Executor back, Executor reads) throws IOException {
+    public DurableShelf(Durable store, Committer committer, Executor back, Executor reads, Set<Marks.Guard> without)
+            throws IOException {
+        this.without = without;
         this.store = store;
         this.committer = committer;
         this.back = back;
@@ -154,4 +159,9 @@
     public List<Kept> intents() {
         return List.copyOf(found);
     }
+
+    @Override
+    public Set<Marks.Guard> without() {
+        return without;
+    }
 }
--- a/results/src/main/java/tallyweir/results/Shelf.java
+++ b/results/src/main/java/tallyweir/results/Shelf.java
@@ -1,6 +1,7 @@
 package tallyweir.results;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import tallyweir.ids.JobId;
 
@@ -30,4 +31,9 @@
 
     /** The intents that were there when the process began. */
     List<Kept> intents();
+
+    /** Guards of the marks that are off: none, but in a drill that shows what each is for. */
+    default Set<Marks.Guard> without() {
+        return Set.of();
+    }
 }
--- a/stand/src/main/java/tallyweir/stand/History.java
+++ b/stand/src/main/java/tallyweir/stand/History.java
@@ -2,15 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What happened, as both sides of the program saw it, in the order in which it was seen. */
 public final class History {
     /** What may happen. */
     public enum What { ASKED, RUN, HANDLED, DEFERRED, ERRORED, BROKEN, NOTHING }
 
-    /** @param text of a run and of a handled answer: the result */
+    /** @param text of a run and of a handled answer: the result; of an error: {@code at once} or {@code late} */
     public record Event(What what, String mark, String job, String text) {}
 
     /** What a history tells. */
@@ -27,11 +29,19 @@
         Map<String, Integer> runs = new HashMap<>();
         Map<String, String> answers = new HashMap<>();
         Map<String, Integer> handled = new HashMap<>();
+        Set<String> after = new HashSet<>();
         int differing = 0;
         int unanswered = 0;
         for (Event e : events) {
             switch (e.what) {
-                case ASKED -> runs.putIfAbsent(e.mark, 0);
+                case ASKED -> {
+                    runs.putIfAbsent(e.mark, 0);
+                    if (answers.containsKey(e.mark)) {
+                        after.add(e.job);
+                    }
+                }
+                // Whoever asks once a result is out hears it, or to come again; late errors are those of a full queue.
+                case ERRORED -> differing += e.text.equals("at once") && after.contains(e.job) ? 1 : 0;
                 case RUN -> runs.merge(e.mark, 1, Integer::sum);
                 case HANDLED -> {
                     handled.merge(e.mark, 1, Integer::sum);
--- a/stand/src/main/java/tallyweir/stand/StandKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandKernel.java
@@ -30,6 +30,8 @@
  */
 public final class StandKernel implements AutoCloseable {
     private static final int NOTICES_KEPT = 4_000;
+    private static final int SLOW_ONE_IN = 60;   // runs that take
+    private static final int SLOW_MS = 2_200;    // longer than anybody waits
 
     private final History history;
     private final ServerSocket server;
@@ -158,7 +160,8 @@
         String result = mark + "#" + ++serial;
         history.add(History.What.RUN, mark, job, result);
         int of = life;
-        cores.schedule(() -> over(of, job, result), chance.nextInt(1, 40), TimeUnit.MILLISECONDS);
+        cores.schedule(() -> over(of, job, result), chance.nextInt(SLOW_ONE_IN) == 0 ? SLOW_MS : chance.nextInt(1, 40),
+                TimeUnit.MILLISECONDS);
     }
 
     private void over(int of, String job, String result) {
--- a/tool/src/main/java/tallyweir/tool/ResultsDrill.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsDrill.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,7 @@
 import tallyweir.durable.FileStore;
 import tallyweir.durable.View;
 import tallyweir.results.DurableShelf;
+import tallyweir.results.Marks;
 import tallyweir.stand.History;
 import tallyweir.stand.StandKernel;
 import tallyweir.stand.StandSidecar;
@@ -42,6 +44,7 @@
     private static final int PATIENCE = 1_500;
     private static final int SLACK = 1_000;
     private static final int BOUND_MB = 4;
+    private static final int FORCE_EVERY_MS = 25;  // as a slow disk would: kills fall between a write and its force
     private static final int MEMORY_MB = 192;
 
     @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it, but for what clocks and threads"
@@ -51,6 +54,8 @@
     private int seconds;
     @Option(names = "--dir", required = true, description = "A directory for the drill's own files; made if not there.")
     private Path dir;
+    @Option(names = "--without", description = "Switch a guard off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
+    private Marks.Guard[] without = {};
     @Option(names = "--results", defaultValue = "on", description = "on, or off to see that it fails without.")
     private String results;
     @Spec
@@ -81,7 +86,7 @@
             port = freePort();
             Files.writeString(dir.resolve("config.json"), config(kernel.port()));
             Files.writeString(dir.resolve("operators.json"), "{\"results\":{\"bound_mb\":" + BOUND_MB
-                    + "},\"durable\":{\"dir\":\"" + dir.resolve("store") + "\",\"segment_mb\":1}}");
+                    + "},\"durable\":{\"dir\":\"" + dir.resolve("store") + "\",\"segment_mb\":1,\"force_every_ms\":" + FORCE_EVERY_MS + "}}");
             start();
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
@@ -93,10 +98,14 @@
             long end = System.nanoTime() + seconds * 1_000_000_000L;
             while (System.nanoTime() < end) {
                 TimeUnit.MILLISECONDS.sleep(chance.nextInt(300, 1_800));
-                if (chance.nextInt(4) == 0) {
+                int who = chance.nextInt(4);
+                if (who == 0) {
                     kernel.kill();
                 } else {
                     kill();
+                    if (who == 1) {
+                        kernel.kill();
+                    }
                     start();
                 }
                 kills++;
@@ -168,7 +177,8 @@
 
     private void start() throws IOException, InterruptedException {
         ProcessBuilder of = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dtallyweir.drill.without="
+                + String.join(",", Arrays.stream(without).map(Enum::name).toList()), "-cp", System.getProperty("java.class.path"),
                 "tallyweir.cli.Main", "serve");
         of.environment().put("EDGE_CONFIG", dir.resolve("config.json").toString());
         if (results.equals("on")) {
@@ -246,6 +256,7 @@
         p.put("HTTP_PRIORITY_RANK", "0.5");
         p.put("HTTP_ONCE_KEY", mark);
         history.add(History.What.ASKED, mark, job, "");
+        long asked = System.nanoTime();
         StandSidecar.Answer a = s.ask(p, mark + " body", PATIENCE + SLACK);
         boolean wasUp = listening;
         History.What what = switch (a.status()) {
@@ -255,7 +266,8 @@
             case -1 -> wasUp ? History.What.NOTHING : History.What.BROKEN;
             default -> History.What.ERRORED;
         };
-        history.add(what, mark, job, a.body());
+        boolean atOnce = System.nanoTime() - asked < PATIENCE / 2 * 1_000_000L;
+        history.add(what, mark, job, what == History.What.ERRORED ? atOnce ? "at once" : "late" : a.body());
         if (what == History.What.DEFERRED) {
             pause(20);
         }
--- a/tool/src/test/java/tallyweir/tool/MainTest.java
+++ b/tool/src/test/java/tallyweir/tool/MainTest.java
@@ -128,4 +128,30 @@
         assertTrue(lines.get(lines.size() - 1).startsWith("durable drill: openings "), out.toString());
         assertTrue(lines.stream().anyMatch(l -> l.startsWith("wrong: ")), out.toString());
     }
+
+    /** The real program, killed between its stand-ins, in a few seconds. */
+    @Test
+    void nothingRunsTwiceWhenProgramAndKernelAreKilled(@TempDir Path dir) {
+        assertEquals(0, run("results", "drill", "--seed", "4", "--seconds", "6", "--dir", dir.toString()), out::toString);
+        List<String> lines = out.toString().lines().toList();
+        assertTrue(lines.get(lines.size() - 1).matches("results drill: kills [1-9].* ran twice 0, answers differing 0, "
+                + "unanswered 0, over bound 0, .*"), out.toString());
+    }
+
+    @Test
+    void withoutKeptResultsTheSameDrillFails(@TempDir Path dir) {
+        assertEquals(1, run("results", "drill", "--seed", "4", "--seconds", "6", "--dir", dir.toString(), "--results", "off"),
+                out::toString);
+    }
+
+    @Test
+    void sizesAndExplorations() {
+        assertEquals(0, run("results", "size", "--rate", "100", "--window", "3600", "--bytes", "500"));
+        assertTrue(out.toString().contains("marks: 360000"), out.toString());
+        assertEquals(2, run("results", "size", "--rate", "0", "--window", "3600", "--bytes", "500"));
+        assertEquals(0, run("results", "explore", "--copies", "2"));
+        assertTrue(out.toString().contains("wrong 0"), out.toString());
+        assertEquals(1, run("results", "explore", "--copies", "2", "--without", "order"));
+        assertEquals(2, run("results", "explore", "--copies", "9"));
+    }
 }
