--- a/tool/src/main/java/tallyweir/tool/ResultsDrill.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsDrill.java
@@ -97,7 +97,7 @@
             }
             long end = System.nanoTime() + seconds * 1_000_000_000L;
             while (System.nanoTime() < end) {
-                TimeUnit.MILLISECONDS.sleep(chance.nextInt(300, 1_800));
+                TimeUnit.MILLISECONDS.sleep(chance.nextInt(300, 4_000));
                 int who = chance.nextInt(4);
                 if (who == 0) {
                     kernel.kill();
