--- a/durable/src/main/java/tallyweir/durable/Drill.java
+++ b/durable/src/main/java/tallyweir/durable/Drill.java
@@ -243,7 +243,7 @@
 
     private static void fault(Machine m, History h, SplittableRandom chance) {
         switch (chance.nextInt(3)) {
-            case 0 -> m.power.failForce(chance.nextInt(1, 4));
+            case 0 -> m.power.failForceOfBoth(chance.nextInt(1, 4));
             case 1 -> m.power.room(chance.nextInt(0, 3_000));
             default -> m.power.readOnly(true);
         }
--- a/durable/src/main/java/tallyweir/durable/SimDisk.java
+++ b/durable/src/main/java/tallyweir/durable/SimDisk.java
@@ -27,6 +27,7 @@
         private long cutAt = Long.MAX_VALUE;
         private long forces;
         private long failForce = Long.MAX_VALUE;
+        private long failAlso = Long.MAX_VALUE;
         private long room = Long.MAX_VALUE;
         private boolean shortIo;
         private boolean readOnly;
@@ -50,6 +51,12 @@
             failForce = forces + n;
         }
 
+        /** The nth force from now fails and so does the next but one: both copies, where a force is tried again. */
+        public synchronized void failForceOfBoth(long n) {
+            failForce(n);
+            failAlso = failForce + 2;
+        }
+
         /** Bytes that may still be written before the disks are full. */
         public synchronized void room(long bytes) {
             room = bytes;
@@ -90,7 +97,8 @@
         }
 
         private synchronized boolean forceFails() {
-            return ++forces == failForce;
+            forces++;
+            return forces == failForce || forces == failAlso;
         }
     }
 
