Results: settled, forgotten, exported by hand, with an audit; bench beside results off

Need: an outcome that nobody can tell had to stay so until its window ended, and what results cost was not measured. Change: Settling (rules without I/O, one batch with the change and who made it and why; open intents are never touched), results settle, expire, export, audit; they, stats and show work on a store in use by the process's desk. results bench: the same load on the program with results on and off in turn, a start over a million kept marks, repeats, memory by quarters (--soak). The program under drill and bench is one class (Program); the stand-in kernel has cores and a queue (its runs had none, so the drill was never above capacity), a stand-in sidecar with many requests at once.

--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -20,6 +20,7 @@
 import tallyweir.net.Server;
 import tallyweir.results.DurableShelf;
 import tallyweir.results.Marks;
+import tallyweir.results.Settling;
 
 /** One real backend: starts it, and sees it off when it is told to leave. */
 public final class Serve {
@@ -81,7 +82,8 @@
         LOG.atInfo().addKeyValue("keys", store.store().keys()).addKeyValue("opening", store.store().opening())
                 .addKeyValue("from_snapshot", store.store().openedFromSnapshot()).log("the store is open");
         try {
-            store.openDesk(operators.desk(), Map.of());
+            store.openDesk(operators.desk(), operators.keepsResults()
+                    ? Settling.verbs(store.store(), store.committer()) : Map.of());
         } catch (IOException e) {
             LOG.atWarn().addKeyValue("fault", e.getMessage()).log("operators cannot ask this process about its store");
         }
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -14,6 +14,7 @@
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
 import tallyweir.results.DurableShelf;
+import tallyweir.results.Settling;
 
 /**
  * The operators' own file, which EDGE_OPERATORS names: what a platform does not tell. Read, checked and given defaults
@@ -138,8 +139,8 @@
                 throw new BadSetting(at + ".name: " + e.getMessage());
             }
             if (results != null && (n.text("name").equals(DurableShelf.RESULTS)
-                    || n.text("name").equals(DurableShelf.INTENTS))) {
-                throw new BadSetting(at + ".name is '" + n.text("name") + "', which results.bound_mb already bounds");
+                    || n.text("name").equals(DurableShelf.INTENTS) || n.text("name").equals(Settling.AUDIT))) {
+                throw new BadSetting(at + ".name is '" + n.text("name") + "', which belongs to the results part");
             }
             if (!names.add(n.text("name"))) {
                 throw new BadSetting(at + ".name is '" + n.text("name") + "', which is there already");
@@ -149,6 +150,7 @@
             // Nothing in its window may go to make room, so both refuse; an open intent takes under 1.2 KB.
             all.add(new Namespace(DurableShelf.RESULTS, results.whole("bound_mb", 1, 1 << 20) * (long) MB, false));
             all.add(new Namespace(DurableShelf.INTENTS, Long.MAX_VALUE, false));
+            all.add(new Namespace(Settling.AUDIT, Long.MAX_VALUE, false));
         }
         if (all.size() > Namespace.MOST) {
             throw new BadSetting("durable.namespaces has " + all.size() + " entries, the most is " + Namespace.MOST);
--- a/results/src/main/java/tallyweir/results/DurableShelf.java
+++ b/results/src/main/java/tallyweir/results/DurableShelf.java
@@ -63,7 +63,23 @@
         }
     }
 
-    private static byte[] key(Mark m) {
+    /** The mark of a workload and what stands in Once-Key. */
+    public static Mark mark(String workload, String stamp) {
+        return new Mark(new WorkloadId(workload), new SubjectId(stamp));
+    }
+
+    /** The mark that a key stands for; null for none. */
+    static Mark mark(byte[] key) {
+        int end = 0;
+        while (end < key.length && key[end] != 0) {
+            end++;
+        }
+        return end == key.length ? null : mark(new String(key, 0, end, StandardCharsets.UTF_8),
+                new String(key, end + 1, key.length - end - 1, StandardCharsets.UTF_8));
+    }
+
+    /** The key under which what is known of a mark is kept. */
+    public static byte[] key(Mark m) {
         byte[] workload = m.workload().value().getBytes(StandardCharsets.UTF_8);
         byte[] stamp = m.stamp().value().getBytes(StandardCharsets.UTF_8);
         return ByteBuffer.allocate(workload.length + stamp.length + 1).put(workload).put((byte) 0).put(stamp).array();
@@ -77,15 +93,10 @@
     }
 
     private static Kept decode(byte[] key, Found f) {
-        int end = 0;
-        while (end < key.length && key[end] != 0) {
-            end++;
-        }
-        if (end == key.length || f.value().length < 19) {
+        Mark mark = mark(key);
+        if (mark == null || f.value().length < 19) {
             return null;
         }
-        Mark mark = new Mark(new WorkloadId(new String(key, 0, end, StandardCharsets.UTF_8)),
-                new SubjectId(new String(key, end + 1, key.length - end - 1, StandardCharsets.UTF_8)));
         ByteBuffer in = ByteBuffer.wrap(f.value());
         int kind = in.get();
         long body = in.getLong();
@@ -128,9 +139,14 @@
     @Override
     public void record(Mark mark, JobId job, long body, Known known, byte[] result, long until,
             Consumer<Boolean> done) {
-        byte[] key = key(mark);
-        write(new Batch().put(RESULTS, key, value(known.ordinal() + 1, job, body, until, result), until)
-                .delete(INTENTS, key), done);
+        Batch b = new Batch();
+        put(b, mark, job, body, known, result, until);
+        write(b.delete(INTENTS, key(mark)), done);
+    }
+
+    /** Puts an outcome into a batch, as it is kept. */
+    public static void put(Batch b, Mark mark, JobId job, long body, Known known, byte[] result, long until) {
+        b.put(RESULTS, key(mark), value(known.ordinal() + 1, job, body, until, result), until);
     }
 
     @Override
--- a/stand/src/main/java/tallyweir/stand/StandKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandKernel.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
@@ -23,6 +24,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToIntFunction;
 
 /**
  * A kernel process as the protocol has it: runs what it is asked to, once for each job, tells how runs ended in numbered
@@ -30,16 +32,20 @@
  */
 public final class StandKernel implements AutoCloseable {
     private static final int NOTICES_KEPT = 4_000;
-    private static final int SLOW_ONE_IN = 60;   // runs that take
-    private static final int SLOW_MS = 2_200;    // longer than anybody waits
+    private static final int SLOW_ONE_IN = 60;         // runs that take
+    private static final int SLOW = 2_200_000;         // longer than anybody waits, microseconds
 
     private final History history;
     private final ServerSocket server;
     private final SplittableRandom chance;
+    private final ToIntFunction<SplittableRandom> work;
     private final ScheduledExecutorService cores;
     private final Object lock = new Object();
     private long started = System.nanoTime();
     private int life;
+    private final int most;
+    private int busy;
+    private final ArrayDeque<Run> queue = new ArrayDeque<>();
     private long serial;
     private Socket link;
     private final Set<String> jobs = new HashSet<>();
@@ -47,10 +53,21 @@
     private long first = 1;                                  // the number of the first of them
     private volatile boolean closed;
 
-    /** @param cores how many runs go on at once */
+    /** One whose runs take 1 to 40 ms, and now and then longer than anybody waits. */
     public StandKernel(History history, int cores, long seed) throws IOException {
+        this(history, cores, seed, chance -> chance.nextInt(SLOW_ONE_IN) == 0 ? SLOW : chance.nextInt(1, 40) * 1_000);
+    }
+
+    /**
+     * @param history where runs are noted, null for nowhere
+     * @param cores how many runs go on at once
+     * @param work how long a run takes, microseconds
+     */
+    public StandKernel(History history, int cores, long seed, ToIntFunction<SplittableRandom> work) throws IOException {
         this.history = history;
-        this.cores = Executors.newScheduledThreadPool(cores);
+        this.work = work;
+        most = cores;
+        this.cores = Executors.newScheduledThreadPool(1);
         chance = new SplittableRandom(seed);
         server = new ServerSocket();
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -73,6 +90,8 @@
             life++;
             jobs.clear();
             notices.clear();
+            queue.clear();
+            busy = 0;
             first = 1;
             started = System.nanoTime();
             drop();
@@ -132,7 +151,7 @@
                 case "SCHED" -> run(c.get("job"), new String(Base64.getDecoder().decode(c.get("data")),
                         StandardCharsets.UTF_8));
                 case "SYSINFO" -> send(s, "{\"type\":\"INFO\",\"ref\":\"" + c.get("ref")
-                        + "\",\"gauges\":[0.5,1,0.2,0.1]}");
+                        + "\",\"gauges\":[" + (double) busy / most + "," + (busy + queue.size()) + ",0.2,0.1]}");
                 default -> { }
             }
         }
@@ -158,17 +177,35 @@
         }
         String mark = body.split(" ")[0];
         String result = mark + "#" + ++serial;
-        history.add(History.What.RUN, mark, job, result);
-        int of = life;
-        cores.schedule(() -> over(of, job, result), chance.nextInt(SLOW_ONE_IN) == 0 ? SLOW_MS : chance.nextInt(1, 40),
-                TimeUnit.MILLISECONDS);
+        if (history != null) {
+            history.add(History.What.RUN, mark, job, result);
+        }
+        Run r = new Run(life, job, result, work.applyAsInt(chance));
+        if (busy < most) {
+            begin(r);
+        } else {
+            queue.add(r);
+        }
     }
 
-    private void over(int of, String job, String result) {
+    private record Run(int life, String job, String result, int work) {}
+
+    private void begin(Run r) {
+        busy++;
+        cores.schedule(() -> over(r), r.work, TimeUnit.MICROSECONDS);
+    }
+
+    private void over(Run r) {
         synchronized (lock) {
-            if (of != life) {
+            if (r.life != life) {
                 return;
             }
+            busy--;
+            if (!queue.isEmpty()) {
+                begin(queue.remove());
+            }
+            String job = r.job;
+            String result = r.result;
             String notice = "{\"type\":\"REAP\",\"n\":N,\"job\":\"" + job + "\",\"state\":\"good\",\"took\":1,\"data\":\""
                     + Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.UTF_8)) + "\"}";
             notices.add(notice);
--- a/stand/src/main/java/tallyweir/stand/StandSidecar.java
+++ b/stand/src/main/java/tallyweir/stand/StandSidecar.java
@@ -17,10 +17,10 @@
     public record Answer(int status, String body) {}
 
     private static final int BEGIN = 1;
-    private static final int END = 3;
+    static final int END = 3;
     private static final int PARAMS = 4;
     private static final int STDIN = 5;
-    private static final int STDOUT = 6;
+    static final int STDOUT = 6;
 
     private final Socket socket = new Socket();
     private int id;
@@ -53,9 +53,8 @@
         }
     }
 
-    /** Asks and waits for the answer, for so many milliseconds. */
-    public Answer ask(Map<String, String> parameters, String body, int patience) {
-        id = id % 30_000 + 1;
+    /** The bytes of a whole request. */
+    static byte[] request(int id, Map<String, String> parameters, String body) {
         ByteArrayOutputStream params = new ByteArrayOutputStream();
         parameters.forEach((name, value) -> {
             length(params, name.length());
@@ -69,9 +68,24 @@
         record(all, PARAMS, id, new byte[0]);
         record(all, STDIN, id, body.getBytes(StandardCharsets.UTF_8));
         record(all, STDIN, id, new byte[0]);
+        return all.toByteArray();
+    }
+
+    /** What the text of an answer says. */
+    static Answer answer(String all) {
+        int body = all.indexOf("\r\n\r\n");
+        if (!all.startsWith("Status: ")) {
+            return new Answer(503, "");  // an end without an answer: overloaded
+        }
+        return new Answer(Integer.parseInt(all.substring(8, 11)), body < 0 ? "" : all.substring(body + 4));
+    }
+
+    /** Asks and waits for the answer, for so many milliseconds. */
+    public Answer ask(Map<String, String> parameters, String body, int patience) {
+        id = id % 30_000 + 1;
         try {
             OutputStream out = socket.getOutputStream();
-            out.write(all.toByteArray());
+            out.write(request(id, parameters, body));
             out.flush();
             return answer(patience);
         } catch (SocketTimeoutException e) {
@@ -98,12 +112,7 @@
             if (of == id && type == STDOUT) {
                 text.writeBytes(content);
             } else if (of == id && type == END) {
-                String all = text.toString(StandardCharsets.UTF_8);
-                int body = all.indexOf("\r\n\r\n");
-                if (!all.startsWith("Status: ")) {
-                    return new Answer(503, "");  // an end without an answer: overloaded
-                }
-                return new Answer(Integer.parseInt(all.substring(8, 11)), body < 0 ? "" : all.substring(body + 4));
+                return answer(text.toString(StandardCharsets.UTF_8));
             }
         }
     }
--- a/tool/src/main/java/tallyweir/tool/DurableBench.java
+++ b/tool/src/main/java/tallyweir/tool/DurableBench.java
@@ -495,7 +495,8 @@
         }
     }
 
-    private static long heap() throws InterruptedException {
+    /** Bytes of the heap that are in use once what nobody holds is gone. */
+    static long heap() throws InterruptedException {
         long least = Long.MAX_VALUE;
         for (int i = 0; i < 4; i++) {
             System.gc();
--- a/tool/src/main/java/tallyweir/tool/ResultsCommand.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsCommand.java
@@ -2,29 +2,37 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
 import java.util.EnumSet;
-import java.util.Iterator;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
-import tallyweir.durable.Durable;
+import tallyweir.durable.Desk;
+import tallyweir.durable.DeskVerbs;
 import tallyweir.durable.Found;
 import tallyweir.durable.View;
 import tallyweir.results.DurableShelf;
 import tallyweir.results.Explorer;
 import tallyweir.results.Marks;
+import tallyweir.results.Settling;
 import tallyweir.results.Shelf;
 
 @Command(name = "results", mixinStandardHelpOptions = true, description = "Looks after results kept over restarts.",
         subcommands = {ResultsCommand.Stats.class, ResultsCommand.Show.class, ResultsCommand.Size.class,
-            ResultsCommand.Explore.class, ResultsDrill.class})
+            ResultsCommand.Explore.class, ResultsCommand.Export.class, ResultsCommand.Settle.class,
+            ResultsCommand.Expire.class, ResultsCommand.Audit.class, ResultsDrill.class, ResultsBench.class})
 final class ResultsCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -57,16 +65,16 @@
         @Override
         public Integer call() throws IOException {
             Map<String, Object> all = new LinkedHashMap<>();
-            try (Durable d = store.look(); View view = d.view()) {
-                for (String kind : new String[] {"intent", "good", "bad", "unknown"}) {
-                    all.put(kind, 0L);
-                }
-                for (Iterator<Found> in = view.range(DurableShelf.RESULTS, new byte[0], null); in.hasNext();) {
-                    Shelf.Kept k = DurableShelf.of(in.next());
-                    all.merge(k == null ? "not ours" : kind(k), 1L, (a, b) -> (Long) a + (Long) b);
-                }
-                all.put("bytes", view.bytes(DurableShelf.RESULTS));
+            for (String kind : new String[] {"intent", "good", "bad", "unknown"}) {
+                all.put(kind, 0L);
             }
+            long[] bytes = {0};
+            each(store, DurableShelf.RESULTS, f -> {
+                Shelf.Kept k = DurableShelf.of(f);
+                all.merge(k == null ? "not ours" : kind(k), 1L, (a, b) -> (Long) a + (Long) b);
+                bytes[0] += 29 + f.key().length + f.value().length;
+            });
+            all.put("bytes", bytes[0]);
             print(spec.commandLine().getOut(), store.json(), all);
             return 0;
         }
@@ -86,21 +94,172 @@
 
         @Override
         public Integer call() throws IOException {
-            try (Durable d = store.look(); View view = d.view()) {
-                Found f = view.get(DurableShelf.RESULTS, (workload + "\0" + key).getBytes("UTF-8"));
-                Shelf.Kept k = f == null ? null : DurableShelf.of(f);
-                if (k == null) {
-                    spec.commandLine().getErr().println("tallyweir: nothing is kept of " + key);
-                    return 1;
+            byte[] mark = DurableShelf.key(DurableShelf.mark(workload, key));
+            Found f = store.look(d -> d.get(DurableShelf.RESULTS, mark), desk -> {
+                Found[] there = new Found[1];
+                Desk.ask(desk, List.of("get", DurableShelf.RESULTS, HexFormat.of().formatHex(mark)),
+                        line -> there[0] = DeskVerbs.record(line), n -> { });
+                return there[0];
+            });
+            Shelf.Kept k = f == null ? null : DurableShelf.of(f);
+            if (k == null) {
+                spec.commandLine().getErr().println("tallyweir: nothing is kept of " + key);
+                return 1;
+            }
+            print(spec.commandLine().getOut(), store.json(), fields(k));
+            return 0;
+        }
+    }
+
+    private static Map<String, Object> fields(Shelf.Kept k) {
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("outcome", kind(k));
+        all.put("request", k.job().value());
+        all.put("written", at(k.written()));
+        all.put("until", at(k.until()));
+        all.put("result_bytes", k.result() == null ? 0 : k.result().length);
+        return all;
+    }
+
+    private static String at(long time) {
+        return Instant.ofEpochMilli(time / 10).toString();
+    }
+
+    /** All records of a namespace, of the store or asked of the process that holds it. */
+    private static void each(StoreOptions store, String namespace, Consumer<Found> to) throws IOException {
+        store.look(d -> {
+            try (View view = d.view()) {
+                view.range(namespace, new byte[0], null).forEachRemaining(to);
+            }
+            return null;
+        }, desk -> {
+            Desk.ask(desk, List.of("list", namespace, "-", "-", "-", "-", "-"), line -> to.accept(DeskVerbs.record(line)),
+                    n -> { });
+            return null;
+        });
+    }
+
+    @Command(name = "export", mixinStandardHelpOptions = true,
+            description = "Prints all that is kept as JSON lines, the results in hexadecimal. Changes nothing.")
+    static final class Export implements Callable<Integer> {
+        @Mixin
+        private StoreOptions store;
+        @Option(names = "--outcome", description = "Only these: intent, good, bad, unknown.")
+        private List<String> outcomes = List.of();
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            for (String o : outcomes) {
+                if (!List.of("intent", "good", "bad", "unknown").contains(o)) {
+                    throw new ParameterException(spec.commandLine(), "--outcome is '" + o
+                            + "': intent, good, bad or unknown is needed");
                 }
-                Map<String, Object> all = new LinkedHashMap<>();
-                all.put("outcome", kind(k));
-                all.put("request", k.job().value());
-                all.put("written", java.time.Instant.ofEpochMilli(k.written() / 10).toString());
-                all.put("until", java.time.Instant.ofEpochMilli(k.until() / 10).toString());
-                all.put("result_bytes", k.result() == null ? 0 : k.result().length);
-                print(spec.commandLine().getOut(), store.json(), all);
             }
+            each(store, DurableShelf.RESULTS, f -> {
+                Shelf.Kept k = DurableShelf.of(f);
+                if (k != null && (outcomes.isEmpty() || outcomes.contains(kind(k)))) {
+                    Map<String, Object> all = new LinkedHashMap<>();
+                    all.put("workload", k.mark().workload().value());
+                    all.put("mark", k.mark().stamp().value());
+                    all.putAll(fields(k));
+                    if (k.result() != null) {
+                        all.put("result_hex", HexFormat.of().formatHex(k.result()));
+                    }
+                    spec.commandLine().getOut().println(Json.line(all));
+                }
+            });
+            return 0;
+        }
+    }
+
+    /** A change by a person, which is kept with who made it and why. */
+    abstract static class ByHand implements Callable<Integer> {
+        @Mixin
+        StoreOptions store;
+        @Option(names = "--workload", required = true)
+        String workload;
+        @picocli.CommandLine.Parameters(paramLabel = "KEY", description = "The mark, as in Once-Key.")
+        String key;
+        @Option(names = "--by", required = true, description = "Who makes the change; kept with it.")
+        String by;
+        @Option(names = "--why", required = true, description = "Why; kept with it.")
+        String why;
+        @Spec
+        CommandSpec spec;
+
+        int settle(Settling.As as, byte[] result) throws IOException {
+            store.change(List.of(DurableShelf.RESULTS, Settling.AUDIT), (d, c) ->
+                    Settling.settle(d, c, DurableShelf.mark(workload, key), as, result, by, why), desk -> {
+                        Desk.ask(desk, List.of("settle", workload, key, as.name(),
+                                result == null ? "-" : HexFormat.of().formatHex(result), by, why), line -> { }, n -> { });
+                        return null;
+                    });
+            spec.commandLine().getOut().println(key + ": " + as.name().toLowerCase().replace('_', ' '));
+            return 0;
+        }
+    }
+
+    @Command(name = "settle", mixinStandardHelpOptions = true,
+            description = "Says what became of a mark whose outcome is unknown, after somebody has looked where its effect"
+                    + " would show. Kept with who said it and why. Works on a store in use.")
+    static final class Settle extends ByHand {
+        @Option(names = "--as", required = true, description = "ran: repeats get --result; ran-badly: repeats are errored;"
+                + " never-ran: the next copy runs.")
+        private String as;
+        @Option(names = "--result", description = "A file with the answer's bytes, for --as ran.")
+        private Path result;
+
+        @Override
+        public Integer call() throws IOException {
+            Settling.As what = switch (as) {
+                case "ran" -> Settling.As.RAN;
+                case "ran-badly" -> Settling.As.RAN_BADLY;
+                case "never-ran" -> Settling.As.NEVER_RAN;
+                default -> throw new ParameterException(spec.commandLine(), "--as is '" + as
+                        + "': ran, ran-badly or never-ran is needed");
+            };
+            if (result != null != (what == Settling.As.RAN)) {
+                throw new ParameterException(spec.commandLine(), "--result goes with --as ran, and with nothing else");
+            }
+            return settle(what, result == null ? null : Files.readAllBytes(result));
+        }
+    }
+
+    @Command(name = "expire", mixinStandardHelpOptions = true,
+            description = "Forgets a mark before its window ends: its next copy runs again. Kept with who did it and why.")
+    static final class Expire extends ByHand {
+        @Override
+        public Integer call() throws IOException {
+            return settle(Settling.As.FORGOTTEN, null);
+        }
+    }
+
+    @Command(name = "audit", mixinStandardHelpOptions = true,
+            description = "Lists what people changed, oldest first. Changes nothing.")
+    static final class Audit implements Callable<Integer> {
+        @Mixin
+        private StoreOptions store;
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws IOException {
+            each(store, Settling.AUDIT, f -> {
+                Settling.Change c = Settling.change(f);
+                if (c != null) {
+                    Map<String, Object> all = new LinkedHashMap<>();
+                    all.put("at", at(c.at()));
+                    all.put("workload", c.mark().workload().value());
+                    all.put("mark", c.mark().stamp().value());
+                    all.put("as", c.as().toLowerCase());
+                    all.put("by", c.by());
+                    all.put("why", c.why());
+                    spec.commandLine().getOut().println(store.json() ? Json.line(all)
+                            : String.join("\t", all.values().stream().map(Object::toString).toList()));
+                }
+            });
             return 0;
         }
     }
--- a/tool/src/main/java/tallyweir/tool/ResultsDrill.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsDrill.java
@@ -2,10 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -18,7 +14,6 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -41,11 +36,11 @@
                 + " is missing.")
 final class ResultsDrill implements Callable<Integer> {
     private static final int CLIENTS = 24;
+    private static final int CORES = 8;
     private static final int PATIENCE = 1_500;
     private static final int SLACK = 3_000;  // past the due time: a machine that stands still is not a missing answer
     private static final int BOUND_MB = 4;
     private static final int FORCE_EVERY_MS = 25;  // as a slow disk would: kills fall between a write and its force
-    private static final int MEMORY_MB = 192;
 
     @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it, but for what clocks and threads"
             + " bring (${DEFAULT-VALUE}).")
@@ -65,10 +60,7 @@
     private final AtomicInteger marks = new AtomicInteger();
     private final AtomicInteger requests = new AtomicInteger();
     private volatile boolean stop;
-    private volatile int port;
-    private volatile boolean listening;
-    private Process program;
-    private long memoryMost;
+    private Program program;
     private int kills;
 
     @Override
@@ -79,15 +71,18 @@
         PrintWriter out = spec.commandLine().getOut();
         Files.createDirectories(dir);
         for (String copy : List.of("store/first", "store/second")) {
-            clear(dir.resolve(copy));
+            Program.clear(dir.resolve(copy));
         }
         SplittableRandom chance = new SplittableRandom(seed);
-        try (StandKernel kernel = new StandKernel(history, 2, chance.nextLong())) {
-            port = freePort();
-            Files.writeString(dir.resolve("config.json"), config(kernel.port()));
+        try (StandKernel kernel = new StandKernel(history, CORES, chance.nextLong());
+                Program p = new Program(dir, results.equals("on"), List.of("-Dtallyweir.drill.without="
+                        + String.join(",", Arrays.stream(without).map(Enum::name).toList())))) {
+            program = p;
+            Files.writeString(dir.resolve("config.json"),
+                    Program.config(p.port(), kernel.port(), seed, CORES, 3_600_000_000L, 256, 1_000));
             Files.writeString(dir.resolve("operators.json"), "{\"results\":{\"bound_mb\":" + BOUND_MB
                     + "},\"durable\":{\"dir\":\"" + dir.resolve("store") + "\",\"segment_mb\":1,\"force_every_ms\":" + FORCE_EVERY_MS + "}}");
-            start();
+            p.start();
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 SplittableRandom own = chance.split();
@@ -102,11 +97,11 @@
                 if (who == 0) {
                     kernel.kill();
                 } else {
-                    kill();
+                    p.kill();
                     if (who == 1) {
                         kernel.kill();
                     }
-                    start();
+                    p.start();
                 }
                 kills++;
             }
@@ -114,13 +109,9 @@
             for (Thread t : clients) {
                 t.join();
             }
-            measure();
-            kill();
+            p.kill();
         } finally {
             stop = true;
-            if (program != null) {
-                program.destroyForcibly().waitFor();
-            }
         }
         return verdict(out);
     }
@@ -139,88 +130,16 @@
                 + ", requests " + requests.get());
         out.println("results drill: kills " + kills + ", keys " + v.keys() + ", ran twice " + v.ranTwice()
                 + ", answers differing " + v.differing() + ", unanswered " + v.unanswered() + ", over bound " + over
-                + ", memory max " + memoryMost + " MB of " + MEMORY_MB);
-        boolean good = v.ranTwice() + v.differing() + v.unanswered() + over == 0 && memoryMost <= MEMORY_MB
+                + ", memory max " + program.memoryMost() + " MB of " + Program.MEMORY_MB);
+        boolean good = v.ranTwice() + v.differing() + v.unanswered() + over == 0 && program.memoryMost() <= Program.MEMORY_MB
                 && v.handled() > 0 && kills > 0;
         return good ? 0 : 1;
     }
 
-    private static void clear(Path of) throws IOException {
-        if (Files.isDirectory(of)) {
-            try (Stream<Path> files = Files.list(of)) {
-                for (Path file : files.toList()) {
-                    Files.delete(file);
-                }
-            }
-        }
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket()) {
-            s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            return s.getLocalPort();
-        }
-    }
-
-    private String config(int kernel) {
-        return "{\"name\":\"drill\",\"listen\":\"127.0.0.1:" + port + "\",\"kernel\":\"127.0.0.1:" + kernel
-                + "\",\"announce\":\"127.0.0.1:9\",\"store\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed)
-                + "\",\"stop_ms\":1000,\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":256},\"settings\":{"
-                + "\"Classes\":[{\"Name\":\"reset\",\"Effect\":\"keyed\",\"TargetUs\":1000000,\"DeadlineUs\":1500000,\"Worth\":3,"
-                + "\"RepeatWindowUs\":3600000000},{\"Name\":\"look\",\"Effect\":\"safe\",\"TargetUs\":1000000,"
-                + "\"DeadlineUs\":1500000,\"Worth\":1}],\"FamilyInfo\":{\"Cpus\":2,\"MemLimitKb\":5000000,\"RunMemFactor\":2,"
-                + "\"Halt\":\"off\",\"IdleUs\":30000000,\"PassesDeadline\":true,"
-                + "\"Gauges\":[\"core_use\",\"on_cores\",\"heap_share\",\"links\"]},"
-                + "\"Permissions\":{\"RetryAfter\":true,\"MaxRetryAfterUs\":1000000},\"RoundUs\":5000,"
-                + "\"Rules\":{\"AnswerSlackUs\":60000,\"DrainGraceUs\":500000,\"FallMultiple\":8,\"FallUs\":3000000}}}";
-    }
-
-    private void start() throws IOException, InterruptedException {
-        ProcessBuilder of = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dtallyweir.drill.without="
-                + String.join(",", Arrays.stream(without).map(Enum::name).toList()), "-cp", System.getProperty("java.class.path"),
-                "tallyweir.cli.Main", "serve");
-        of.environment().put("EDGE_CONFIG", dir.resolve("config.json").toString());
-        if (results.equals("on")) {
-            of.environment().put("EDGE_OPERATORS", dir.resolve("operators.json").toString());
-        }
-        program = of.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve("program.log").toFile())).start();
-        long end = System.nanoTime() + 20_000_000_000L;
-        while (!listening) {
-            try (Socket s = new Socket()) {
-                s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
-                listening = true;
-            } catch (IOException e) {
-                if (System.nanoTime() > end || !program.isAlive()) {
-                    throw new IOException("the program does not start: see " + dir.resolve("program.log"));
-                }
-                TimeUnit.MILLISECONDS.sleep(20);
-            }
-        }
-    }
-
-    private void kill() throws IOException, InterruptedException {
-        measure();
-        listening = false;
-        program.destroyForcibly().waitFor();
-    }
-
-    private void measure() throws IOException {
-        Path status = Path.of("/proc/" + program.pid() + "/status");
-        if (Files.exists(status)) {
-            for (String line : Files.readAllLines(status)) {
-                if (line.startsWith("VmHWM:")) {
-                    memoryMost = Math.max(memoryMost, Long.parseLong(line.replaceAll("[^0-9]", "")) / 1_024);
-                }
-            }
-        }
-    }
-
     /** Asks on and on: a new mark, or one asked before, by whoever. */
     private void client(SplittableRandom chance) {
         while (!stop) {
-            try (StandSidecar s = new StandSidecar(port)) {
+            try (StandSidecar s = new StandSidecar(program.port())) {
                 boolean up = true;
                 while (up && !stop) {
                     up = ask(s, chance);
@@ -258,7 +177,7 @@
         history.add(History.What.ASKED, mark, job, "");
         long asked = System.nanoTime();
         StandSidecar.Answer a = s.ask(p, mark + " body", PATIENCE + SLACK);
-        boolean wasUp = listening;
+        boolean wasUp = program.listening();
         History.What what = switch (a.status()) {
             case 200 -> History.What.HANDLED;
             case 429, 503 -> History.What.DEFERRED;
--- a/tool/src/main/java/tallyweir/tool/StoreOptions.java
+++ b/tool/src/main/java/tallyweir/tool/StoreOptions.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -10,11 +11,13 @@
 import picocli.CommandLine.Option;
 import tallyweir.config.Operators;
 import tallyweir.durable.Both;
+import tallyweir.durable.Committer;
 import tallyweir.durable.Desk;
 import tallyweir.durable.Disk;
 import tallyweir.durable.Durable;
 import tallyweir.durable.FileDisk;
 import tallyweir.durable.FileStore;
+import tallyweir.durable.Namespace;
 import tallyweir.durable.ReadOnly;
 import tallyweir.durable.Refused;
 
@@ -74,14 +77,45 @@
             return here.with(d);
         } catch (Refused r) {
             Operators o = which.settings == null ? null : Operators.read(which.settings);
-            Path desk = o != null ? o.desk() : which.directories.dir.resolve("desk");
-            if (r.why() != Refused.Cause.IN_USE || !Desk.answers(desk)) {
+            if (r.why() != Refused.Cause.IN_USE || !Desk.answers(desk(o))) {
                 throw r;
             }
-            return there.at(desk);
+            return there.at(desk(o));
         }
     }
 
+    /** Something done with a store that may be written, and is written by nobody else. */
+    interface Writing {
+        void with(Durable store, Committer committer) throws IOException;
+    }
+
+    /**
+     * Changes something in the store; where another process holds it and answers at its desk, that process does it.
+     *
+     * @param spaces what is written, where no operators' file says its bounds
+     */
+    void change(List<String> spaces, Writing here, There<Void> there) throws IOException {
+        Operators o = which.settings == null ? null : Operators.read(which.settings);
+        List<Namespace> all = new ArrayList<>(o == null ? List.of() : o.namespaces());
+        for (String s : spaces) {
+            if (all.stream().noneMatch(n -> n.name().equals(s))) {
+                all.add(new Namespace(s, Long.MAX_VALUE, false));
+            }
+        }
+        try (Durable d = open(false, all); Committer c = new Committer(d, 64 << 20, 0, 1)) {
+            here.with(d, c);
+        } catch (Refused r) {
+            if (r.why() != Refused.Cause.IN_USE || !Desk.answers(desk(o))) {
+                throw r;
+            }
+            there.at(desk(o));
+        }
+    }
+
+    private Path desk(Operators o) {
+        return o != null ? o.desk() : which.directories.dir.resolve("desk");
+    }
+
     /** Opens it, which mends what is damaged. */
     Durable open() throws IOException {
         return open(false);
@@ -93,6 +127,10 @@
     }
 
     private Durable open(boolean look) throws IOException {
+        return open(look, null);
+    }
+
+    private Durable open(boolean look, List<Namespace> spaces) throws IOException {
         Operators o = which.settings == null ? null : Operators.read(which.settings);
         if (o != null && !o.hasDurable()) {
             throw new IOException(which.settings + " has no durable part: the store is off there");
@@ -106,7 +144,7 @@
         Disk other = new FileDisk(second);
         return new Durable(look ? new ReadOnly(one) : one, look ? new ReadOnly(other) : other, Both.IN_TURN,
                 o == null ? 64 << 20 : o.segmentBytes(), o == null ? which.directories.sector : o.sector(),
-                o == null ? 0.5 : o.deadShare(), 0, o == null ? List.of() : o.namespaces(),
+                o == null ? 0.5 : o.deadShare(), 0, spaces != null ? spaces : o == null ? List.of() : o.namespaces(),
                 ThreadLocalRandom.current().nextLong(), FileStore::clock, Runnable::run, Set.of());
     }
 }
--- a/tool/src/test/java/tallyweir/tool/MainTest.java
+++ b/tool/src/test/java/tallyweir/tool/MainTest.java
@@ -21,6 +21,10 @@
 import tallyweir.durable.FileDisk;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
+import tallyweir.ids.JobId;
+import tallyweir.results.DurableShelf;
+import tallyweir.results.Known;
+import tallyweir.results.Settling;
 
 /** The command line as a person meets it: what is printed, and the exit code. */
 class MainTest {
@@ -174,6 +178,55 @@
                 out::toString);
     }
 
+    @Test
+    void whatNobodyCouldTellIsSettledByHandAlsoInService(@TempDir Path dir) throws IOException {
+        Path at = dir.resolve("store");
+        String store = at.toString();
+        Path result = Files.writeString(dir.resolve("result"), "slot 7");
+        List<Namespace> spaces = List.of(new Namespace(DurableShelf.RESULTS, 1 << 20, false),
+                new Namespace(DurableShelf.INTENTS, 1 << 20, false), new Namespace(Settling.AUDIT, 1 << 20, false));
+        try (FileStore s = new FileStore(at.resolve("first"), at.resolve("second"), 1 << 20, 4_096, 0.5, 0, 1 << 20, 0,
+                1 << 20, spaces)) {
+            for (int i = 0; i < 4; i++) {
+                Batch b = new Batch();
+                DurableShelf.put(b, DurableShelf.mark("reset", "m" + i), new JobId("j"), 1,
+                        i == 3 ? Known.GOOD : Known.UNKNOWN, i == 3 ? new byte[] {1} : null, FileStore.clock() + 36_000_000);
+                s.committer().write(b);
+            }
+            java.util.Map<String, tallyweir.durable.Desk.Verb> verbs = Settling.verbs(s.store(), s.committer());
+            s.openDesk(at.resolve("desk"), verbs);
+            assertEquals(0, settle(store, "m0", "ran", "--result", result.toString()), err.toString());
+            assertEquals(1, settle(store, "m3", "never-ran"));
+            assertTrue(err.toString().contains("its outcome is known"), err.toString());
+            assertEquals(0, run("results", "stats", "--dir", store));
+            assertTrue(out.toString().contains("unknown: 2"), out.toString());
+            assertEquals(0, run("results", "show", "--dir", store, "--workload", "reset", "m0"));
+            assertTrue(out.toString().contains("result_bytes: 6"), out.toString());
+        }
+        assertEquals(0, settle(store, "m1", "never-ran"), err.toString());
+        assertEquals(1, run("results", "show", "--dir", store, "--workload", "reset", "m1"));
+        assertEquals(0, run("results", "expire", "--dir", store, "--workload", "reset", "m3", "--by", "amal", "--why", "x"));
+        assertEquals(2, settle(store, "m2", "perhaps"));
+        assertEquals(2, settle(store, "m2", "ran"));
+        assertEquals(2, run("results", "settle", "--dir", store, "--workload", "reset", "m2", "--as", "ran-badly"));
+        assertEquals(0, run("results", "export", "--dir", store));
+        assertEquals(2, out.toString().lines().count(), out.toString());
+        assertTrue(out.toString().contains("\"result_hex\":\"736c6f742037\""), out.toString());
+        assertEquals(0, run("results", "export", "--dir", store, "--outcome", "unknown"));
+        assertTrue(out.toString().contains("\"mark\":\"m2\""), out.toString());
+        assertEquals(2, run("results", "export", "--dir", store, "--outcome", "some"));
+        assertEquals(0, run("results", "audit", "--dir", store));
+        assertEquals(3, out.toString().lines().count(), out.toString());
+        assertTrue(out.toString().contains("m1\tnever_ran\tamal\tlooked"), out.toString());
+    }
+
+    private int settle(String store, String mark, String as, String... more) {
+        List<String> words = new ArrayList<>(List.of("results", "settle", "--dir", store, "--workload", "reset", mark, "--as",
+                as, "--by", "amal", "--why", "looked"));
+        words.addAll(List.of(more));
+        return run(words.toArray(String[]::new));
+    }
+
     @Test
     void sizesAndExplorations() {
         assertEquals(0, run("results", "size", "--rate", "100", "--window", "3600", "--bytes", "500"));
