--- a/daemon/src/main/java/tallyweir/backend/KeptResults.java
+++ b/daemon/src/main/java/tallyweir/backend/KeptResults.java
@@ -31,6 +31,7 @@
     private final Map<JobId, RunId> before = new HashMap<>();    // runs of the process before, until they are settled
     private final Map<RunId, Long> writtenAt = new HashMap<>();
     private final Set<RunId> admitted = new HashSet<>();
+    private boolean trying;  // the disk will be offered again what it refused
 
     KeptResults(Queries queries, Shelf shelf) {
         this.queries = queries;
@@ -56,6 +57,17 @@
         return crc.getValue() << 32 | Arrays.hashCode(t.body) & 0xffff_ffffL;
     }
 
+    /** Offers the disk again what it has refused; tenths of a millisecond since 1970. */
+    void tryAgain(long wall) {
+        trying = false;
+        marks.tryAgain(wall);
+    }
+
+    /** How many results are in memory alone, the disk having refused them. */
+    int lost() {
+        return marks.lost();
+    }
+
     /** How many runs of the process before are not settled. */
     int unsettled() {
         return before.size();
@@ -132,6 +144,10 @@
     public void record(RunId run, Mark mark, long body, Known known, byte[] result, long until) {
         shelf.record(mark, jobs.get(run), body, known, result, until, good -> {
             marks.recorded(run, good);
+            if (!good && !trying) {
+                trying = true;
+                queries.tryKeptAgainLater();
+            }
         });
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -71,6 +71,7 @@
         kept = shelf == null ? null : new KeptResults(this, shelf);
         if (kept != null) {
             counters.now("unsettled", kept::unsettled);
+            counters.now("results_refused_by_disk", kept::lost);
         }
         counters.now("connections", callers::size);
         counters.now("queries", slots::size);
@@ -305,6 +306,11 @@
 
     // ---- from the kept results
 
+    /** What the disk refused is offered to it again after as long as anybody waits for an answer. */
+    void tryKeptAgainLater() {
+        deadlines.set(now + settings.longestHard(), () -> kept.tryAgain(wall));
+    }
+
     /** The intent is on the disk. */
     void beginKept(QueryId query) {
         Taken t = taken(query);
--- a/daemon/src/test/java/tallyweir/KeptResultsTest.java
+++ b/daemon/src/test/java/tallyweir/KeptResultsTest.java
@@ -277,6 +277,26 @@
         assertTrue(r.jobs.isEmpty());
     }
 
+    @Test
+    void aResultThatTheDiskRefusedIsOfferedAgainThoughNobodyAsks() {
+        r.boot();
+        Asked a = ask("m", "b");
+        disk(true);
+        r.reap(a.job, "good", "result");
+        disk(false);
+        assertEquals(500, status(a));
+        assertEquals(1, r.backend.counters().all().get("now_results_refused_by_disk"));
+        for (int i = 0; i < 400 && disk.waiting.isEmpty(); i++) {
+            r.pass(1_000);
+        }
+        disk(true);
+        assertEquals(0, r.backend.counters().all().get("now_results_refused_by_disk"));
+        restart(true);
+        Asked b = ask("m", "b");
+        disk(true);
+        assertEquals(200, status(b));
+    }
+
     @Test
     void withoutRoomStampedOnesAreDeferredAndHarmlessOnesGoOn() {
         r.boot();
--- a/results/src/main/java/tallyweir/results/Explorer.java
+++ b/results/src/main/java/tallyweir/results/Explorer.java
@@ -150,6 +150,10 @@
                     all.add("disk does and says it failed");
                 }
             }
+            if (up && marks.lost() > 0) {
+                all.add("again");
+                all.add("outlive");
+            }
             if (up && looking) {
                 all.add("disk shows");
             }
@@ -192,6 +196,8 @@
                     marks.leave(new RunId(i + 1));
                 }
                 case "disk" -> disk(action);
+                case "again" -> marks.tryAgain(50);
+                case "outlive" -> outlive();
                 case "notice" -> {
                     ended.remove((long) i);
                     found.remove((long) i);
@@ -245,6 +251,15 @@
             }
         }
 
+        /** The window of what the disk refused is over: whatever comes after is another query. */
+        private void outlive() {
+            marks.tryAgain(100);
+            if (marks.lost() > 0) {
+                wrong.add("what is past its window stays in memory");
+            }
+            copies.stream().filter(c -> c.state == Copy.UNSENT).forEach(c -> c.state = Copy.OVER);
+        }
+
         private void kernel(String[] a) {
             switch (a[1]) {
                 case "takes" -> {
--- a/results/src/main/java/tallyweir/results/Marks.java
+++ b/results/src/main/java/tallyweir/results/Marks.java
@@ -50,6 +50,7 @@
         private boolean failed;    // and failed
         private boolean dropped;   // out of memory
         private boolean anyBody;   // the body is not known
+        private boolean outlived;  // its window is over
         private Known known;
         private byte[] result;
         private final List<Asker> asking = new ArrayList<>(1);
@@ -92,6 +93,7 @@
         rule(() -> e.stage == Stage.RECORDING && !e.asking.isEmpty() && !has(Guard.ORDER), this::answer);
         rule(() -> e.stage == Stage.RECORDING && e.done, () -> e.stage = e.failed ? Stage.LOST : Stage.KEPT);
         rule(() -> e.stage == Stage.LOST && e.done && !e.asking.isEmpty(), this::answerUnknown);
+        rule(() -> e.stage == Stage.LOST && e.outlived && !e.dropped, this::drop);
         rule(() -> e.stage == Stage.LOOKING && e.done, () -> e.stage = Stage.KEPT);
         rule(() -> e.stage == Stage.KEPT && !e.asking.isEmpty(), this::answer);
         rule(() -> e.stage == Stage.WITHDRAWING && e.done, () -> e.stage = Stage.GONE);
@@ -245,6 +247,28 @@
         with(run, x -> x.done = true);
     }
 
+    /** How many results the disk has refused that are in memory alone. */
+    public int lost() {
+        return (int) entries.values().stream().filter(x -> x.stage == Stage.LOST).count();
+    }
+
+    /**
+     * Offers the disk again what it has refused; what is past its window is forgotten.
+     *
+     * @param wall tenths of a millisecond since 1970
+     */
+    public void tryAgain(long wall) {
+        for (Entry x : List.copyOf(entries.values())) {
+            if (x.stage == Stage.LOST) {
+                x.outlived = x.until <= wall;
+                if (!x.outlived) {
+                    again(x);
+                }
+                settle(x);
+            }
+        }
+    }
+
     /** What the disk has of a mark; an intent that nobody has settled is {@link Known#UNKNOWN}. */
     public void looked(Mark mark, long body, Known known, byte[] result) {
         Entry x = entries.get(mark);
@@ -355,7 +379,7 @@
     }
 
     private static String describe(Entry x) {
-        return x.mark.stamp().value() + x.stage + (x.holder == null ? "" : x.holder.value()) + x.wanted + x.given + x.over
+        return x.mark.stamp().value() + x.stage + (x.holder == null ? "" : x.holder.value()) + x.outlived + x.wanted + x.given + x.over
                 + x.done + x.failed + x.known + (x.result == null ? "" : x.result[0])
                 + x.asking.stream().map(a -> a.copy.value() + "/" + a.body).toList();
     }
