Store: a turn that each opening raises; whoever is taken over from acknowledges nothing

Need: a shared directory may lose its lock and a paused process may wake up; two processes then acknowledged into one log, and each lost what the other wrote. Change: Fence, a number in a small file of each copy, raised before the log is read; after each force the writer looks whether it is still its own. Segments are made under names that must not be there. A turn that could not be taken at opening is taken before the first write, only if nobody wrote meanwhile. A process taken over from leaves as on notice. Refusal FENCED, defence FENCE, drill part "two processes at one store".

--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -65,6 +65,9 @@
         Signal.handle(new Signal("HUP"), signal -> reload(server, environment));
         long stopMs = config.stopAfter / 10;
         FileStore opened = store;
+        if (store != null) {
+            store.committer().onFenced(() -> new Thread(Serve::takenOver, "taken over").start());
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server, stopMs, err, opened), "leave"));
         // Logging loads what it needs at its first line. Where that came only once no descriptor was left, its
         // failure ended the thread that accepts.
@@ -131,6 +134,12 @@
         }
     }
 
+    /** Another process has the store now: whoever has been asked here is answered, and then it ends as on notice. */
+    private static void takenOver() {
+        LOG.error("another process has taken the store over; this one leaves");
+        System.exit(1);
+    }
+
     /** The virtual machine waits for this; logging may have ended by now, so the last words are printed. */
     private static void leave(Server server, long stopMs, PrintStream err, FileStore store) {
         server.drain();
--- a/durable/src/main/java/tallyweir/durable/Committer.java
+++ b/durable/src/main/java/tallyweir/durable/Committer.java
@@ -34,6 +34,7 @@
     private long pending;
     private boolean closing;
     private volatile IOException upkeepFailed;
+    private volatile Runnable onFenced;
 
     /**
      * @param pendingMost bytes of batches that may wait, beyond which a batch is refused at once
@@ -100,6 +101,11 @@
         }
     }
 
+    /** What to do, once, when another process has taken the store over; it runs on a thread of the committer. */
+    public void onFenced(Runnable then) {
+        onFenced = then;
+    }
+
     /** Why upkeep failed last; null if it did not, or has worked since. */
     public IOException upkeepFailed() {
         return upkeepFailed;
@@ -116,6 +122,10 @@
             if (group == null) {
                 return;
             }
+            if (onFenced != null && store.fenced()) {
+                onFenced.run();
+                onFenced = null;
+            }
             if (!group.isEmpty()) {
                 lastGroup = System.nanoTime();
                 commit(group);
--- a/durable/src/main/java/tallyweir/durable/Defence.java
+++ b/durable/src/main/java/tallyweir/durable/Defence.java
@@ -13,5 +13,7 @@
     /** After a failed write or force the file is never written again, and what it covered is void. */
     VOID_AFTER_FAILURE,
     /** What has expired leaves a tombstone while an older version of its key is still in the log. */
-    EXPIRY_TOMBSTONE
+    EXPIRY_TOMBSTONE,
+    /** A process that another has taken the store over from acknowledges nothing. */
+    FENCE
 }
--- a/durable/src/main/java/tallyweir/durable/Disk.java
+++ b/durable/src/main/java/tallyweir/durable/Disk.java
@@ -19,6 +19,9 @@
     /** Makes an empty file; what had the name before is emptied. */
     Handle create(String name) throws IOException;
 
+    /** Makes an empty file of a name that must not be there. */
+    Handle createNew(String name) throws IOException;
+
     /** Takes a file away; open handles go on reading it. One that is not there is no error. */
     void delete(String name) throws IOException;
 
--- a/durable/src/main/java/tallyweir/durable/Drill.java
+++ b/durable/src/main/java/tallyweir/durable/Drill.java
@@ -257,6 +257,85 @@
         }
     }
 
+    /**
+     * The lock is lost and a second process opens a store that a first one still has: whatever either acknowledged, in
+     * whatever order they go on, is found after a cut, the later over the earlier.
+     */
+    public static Tally turns(long seed, int rounds, Set<Defence> without) {
+        Tally t = new Tally();
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int round = 0; round < rounds && t.wrong().size() < 20; round++) {
+            String when = "seed " + seed + ", round " + round;
+            try {
+                turn(chance, t, without, when);
+            } catch (IOException | RuntimeException e) {
+                t.failed(when + ": " + e);
+            }
+        }
+        return t;
+    }
+
+    private static void turn(SplittableRandom chance, Tally t, Set<Defence> without, String when) throws IOException {
+        Machine m = new Machine(chance.nextLong());
+        long seed = chance.nextLong();
+        List<Durable> holders = new ArrayList<>();
+        Map<String, Byte> acknowledged = new TreeMap<>();
+        Map<String, List<Byte>> perhaps = new TreeMap<>();
+        byte version = 0;
+        for (int step = 0; step < 30; step++) {
+            if (holders.isEmpty() || holders.size() < 3 && chance.nextInt(10) == 0) {
+                m.first.breakLock();
+                m.second.breakLock();
+                holders.add(open(m.first, m.second, () -> 17_000_000_000_000L, seed, without));
+                t.opened();
+            }
+            Durable d = holders.get(chance.nextInt(holders.size()));
+            int kind = chance.nextInt(10);
+            if (kind == 0) {
+                d.snapshot();
+            } else if (kind == 1) {
+                quiet(d, chance.nextBoolean());
+            } else {
+                String key = "k" + chance.nextInt(6);
+                byte[] value = new byte[chance.nextInt(1, 400)];
+                value[0] = ++version;
+                if (d.commit(List.of(new Batch().put("plain", key.getBytes(), value))).get(0) == null) {
+                    acknowledged.put(key, version);
+                    perhaps.remove(key);
+                } else {
+                    perhaps.computeIfAbsent(key, k -> new ArrayList<>()).add(version);
+                }
+            }
+        }
+        holders.forEach(Durable::abandon);
+        m.cut(chance);
+        Durable d = open(m.first, m.second, () -> 17_000_000_000_000L, seed, without);
+        t.opened();
+        acknowledged.forEach((key, is) -> {
+            try {
+                Found f = d.get("plain", key.getBytes());
+                if (f == null || f.value()[0] != is && !perhaps.getOrDefault(key, List.of()).contains(f.value()[0])) {
+                    t.take(List.of("lost: " + key + " as " + is), when);
+                }
+            } catch (IOException e) {
+                t.take(List.of("lost: " + key + ": " + e.getMessage()), when);
+            }
+        });
+        d.abandon();
+    }
+
+    private static void quiet(Durable d, boolean all) {
+        try {
+            if (all) {
+                d.compactAll();
+            } else {
+                d.upkeep(SEGMENT);
+            }
+        } catch (IOException hindered) {
+            return;  // whoever has been taken over from
+        }
+    }
+
     /**
      * A key is written for good, then again for a while or deleted, in another segment, which is compacted while the
      * segment of the first version stays: however the store is opened then, the first version must not come back.
--- a/durable/src/main/java/tallyweir/durable/Durable.java
+++ b/durable/src/main/java/tallyweir/durable/Durable.java
@@ -76,6 +76,7 @@
         locks.add(first.lock());
         try {
             locks.add(second.lock());
+            takeTurn(first, second);
             Opening opening = new Opening(log);
             opening.run(new SplittableRandom(seed).nextLong());
             openedFromSnapshot = opening.fromSnapshot();
@@ -88,6 +89,27 @@
         }
     }
 
+    /** Before the log is read, so that nothing is acknowledged by an older holder after it was. */
+    private void takeTurn(Disk first, Disk second) throws IOException {
+        if (!log.has(Defence.FENCE)) {
+            return;
+        }
+        Fence fence = new Fence(log.copies() > 1 ? List.of(first, second) : List.of(first));
+        log.fence(fence);
+        try {
+            fence.raise();
+        } catch (Refused r) {
+            throw r;
+        } catch (IOException e) {
+            figures.add(Figures.Of.TURNS_NOT_TAKEN);  // reading goes on; the first write tries again
+        }
+    }
+
+    /** Whether another process has taken the store over; everything written since is refused. */
+    public boolean fenced() {
+        return log.fenced();
+    }
+
     private void name(List<Namespace> opened) {
         List<String> names = log.names();
         for (Namespace n : opened) {
@@ -390,6 +412,7 @@
         Map<String, Object> info = new java.util.LinkedHashMap<>();
         info.put("store", String.format("%016x", log.storeId()));
         info.put("openings", log.opening());
+        info.put("turn", log.turn());
         info.put("opened_from_snapshot", openedFromSnapshot);
         info.put("keys", state.index().size());
         long size = 0;
@@ -432,7 +455,7 @@
      * @return whether there was anything to do
      */
     public synchronized boolean upkeep(long bytes) throws IOException {
-        if (closed) {
+        if (closed || log.fenced()) {
             return false;
         }
         long now = now();
@@ -603,7 +626,7 @@
 
     /** Writes down the index as it is now, beside the writing; nothing if the last is still being written. */
     public synchronized void snapshot() {
-        if (snapshotInHand) {
+        if (snapshotInHand || log.fenced()) {
             return;
         }
         snapshotInHand = true;
--- a/durable/src/main/java/tallyweir/durable/Figures.java
+++ b/durable/src/main/java/tallyweir/durable/Figures.java
@@ -47,6 +47,8 @@
         EXPIRED,
         /** Records that went because their namespace was at its bound. */
         DROPPED_OLDEST,
+        /** Openings that could not make the store theirs at once. */
+        TURNS_NOT_TAKEN,
         /** Index snapshots written. */
         SNAPSHOTS,
         /** Index snapshots found that could not be trusted. */
--- a/durable/src/main/java/tallyweir/durable/FileDisk.java
+++ b/durable/src/main/java/tallyweir/durable/FileDisk.java
@@ -76,6 +76,12 @@
                 StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING));
     }
 
+    @Override
+    public Handle createNew(String name) throws IOException {
+        return file(name, FileChannel.open(dir.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE,
+                StandardOpenOption.CREATE_NEW));
+    }
+
     private File file(String name, FileChannel channel) {
         boolean log = name.endsWith(Format.SUFFIX);
         return new File(channel, times, !log ? Times.Of.SNAPSHOT : second ? Times.Of.FORCE_SECOND : Times.Of.FORCE_FIRST,
--- a/durable/src/main/java/tallyweir/durable/Log.java
+++ b/durable/src/main/java/tallyweir/durable/Log.java
@@ -31,6 +31,8 @@
     private long lastStamp;
     private List<String> names = new ArrayList<>();
     private Last last = new Last(0, 0, 0);
+    private Fence fence;
+    private boolean othersWrote;
 
     Log(Disk first, Disk second, Both both, int segmentBytes, int sector, Set<Defence> without, Figures figures) {
         this.disks = new Disk[] {first, second};
@@ -96,6 +98,55 @@
         return last;
     }
 
+    void fence(Fence f) {
+        fence = f;
+    }
+
+    /** Whether another process has taken the store over. */
+    boolean fenced() {
+        return has(Defence.FENCE) && fence != null && (othersWrote || fence.raised() && fence.passed());
+    }
+
+    /** The number of this opening's turn, 0 where nothing can be written. */
+    long turn() {
+        return fence == null ? 0 : fence.own();
+    }
+
+    /** Before the first write, where it could not be done at opening: only if nobody has written since the log was read. */
+    private void raiseLate() throws Refused {
+        if (!has(Defence.FENCE) || fence == null || fence.raised()) {
+            return;
+        }
+        try {
+            noteOthers();  // whoever writes goes on
+            fence.raise();
+            noteOthers();  // and did not just now
+        } catch (Refused r) {
+            othersWrote = true;
+            throw figures.count(r);
+        } catch (IOException e) {
+            throw figures.count(new Refused(Cause.NO_ROOM, "the store's turn cannot be written: " + e.getMessage(), e));
+        }
+    }
+
+    private void noteOthers() throws IOException {
+        Segment newest = segments.isEmpty() ? null : segments.lastEntry().getValue();
+        for (int c = 0; c < copies(); c++) {
+            othersWrote |= disks[c].names().stream().anyMatch(n -> Format.segment(n) > lastSegment) || newest != null
+                    && new Window(newest.copies[c]).frame(newest.end, nextFrame, storeId, newest.number, true) >= 0;
+        }
+        if (othersWrote) {
+            throw new Refused(Cause.FENCED, "another process has written since: open the store again");
+        }
+    }
+
+    private void stillOurs() throws Refused {
+        if (fenced()) {
+            active = null;
+            throw figures.count(new Refused(Cause.FENCED, "another process has taken the store over"));
+        }
+    }
+
     void add(Segment s) {
         segments.put(s.number, s);
     }
@@ -138,6 +189,8 @@
     }
 
     private Segment start() throws Refused {
+        stillOurs();
+        raiseLate();
         int number = ++lastSegment;
         List<Head.Older> older = new ArrayList<>();
         segments.values().forEach(s -> older.add(new Head.Older(s.number, s.firstFrame, s.created, s.endFrame, s.end)));
@@ -150,8 +203,10 @@
             both.run(() -> begin(0, number, files, b), () -> begin(1, number, files, b));
         } catch (IOException e) {
             for (int c = 0; c < copies(); c++) {
-                close(files[c]);
-                takeAway(c, number);
+                if (files[c] != null) {
+                    close(files[c]);
+                    takeAway(c, number);
+                }
             }
             throw figures.count(new Refused(Cause.NO_ROOM, "no new segment can be started: " + e.getMessage(), e));
         }
@@ -165,7 +220,7 @@
 
     private void begin(int copy, int number, Disk.Handle[] files, byte[] head) throws IOException {
         if (copy < copies()) {
-            files[copy] = disks[copy].create(Format.name(number));
+            files[copy] = disks[copy].createNew(Format.name(number));
             put(files[copy], 0, head, head.length);
             if (has(Defence.FORCE_ORDER)) {
                 forceNames(copy);
@@ -238,6 +293,7 @@
                     ? new Refused(Cause.UNKNOWN, "the disk did not confirm the records: " + e.getMessage(), e)
                     : new Refused(Cause.NO_ROOM, "the records cannot be written: " + e.getMessage(), e));
         }
+        stillOurs();
         last = new Last(s.number, s.end, ByteBuffer.wrap(b).getInt(12));
         s.end += length;
         nextFrame++;
@@ -345,6 +401,9 @@
     }
 
     void close() {
+        if (fence != null) {
+            fence.close();
+        }
         segments.values().forEach(s -> Arrays.stream(s.copies).forEach(Log::close));
         retired.forEach(s -> Arrays.stream(s.copies).forEach(Log::close));
     }
--- a/durable/src/main/java/tallyweir/durable/ReadOnly.java
+++ b/durable/src/main/java/tallyweir/durable/ReadOnly.java
@@ -58,6 +58,11 @@
         throw refused();
     }
 
+    @Override
+    public Handle createNew(String name) throws IOException {
+        throw refused();
+    }
+
     @Override
     public void delete(String name) throws IOException {
         throw refused();
--- a/durable/src/main/java/tallyweir/durable/Refused.java
+++ b/durable/src/main/java/tallyweir/durable/Refused.java
@@ -20,6 +20,8 @@
         CLOSED,
         /** Another process has the store open. */
         IN_USE,
+        /** Another process has taken the store over; this one writes it no more. Never worth trying again. */
+        FENCED,
         /** Written by a later format than this program knows. */
         NEWER_FORMAT,
         /** Neither copy of a record can be read. */
--- a/durable/src/main/java/tallyweir/durable/SimDisk.java
+++ b/durable/src/main/java/tallyweir/durable/SimDisk.java
@@ -223,6 +223,19 @@
         return new File(c);
     }
 
+    @Override
+    public synchronized Handle createNew(String name) throws IOException {
+        if (files.containsKey(name)) {
+            throw new IOException(where + "/" + name + ": File exists");
+        }
+        return create(name);
+    }
+
+    /** The lock is lost, as a shared file system may lose one: another process gets it while the first goes on. */
+    public synchronized void breakLock() {
+        locked = false;
+    }
+
     @Override
     public synchronized void delete(String name) throws IOException {
         boolean cut = power.step();
--- a/durable/src/test/java/tallyweir/durable/CutTest.java
+++ b/durable/src/test/java/tallyweir/durable/CutTest.java
@@ -44,6 +44,13 @@
         assertEquals(List.of(), Drill.oldVersions(1, 400, Set.of()).wrong());
     }
 
+    @Test
+    void whatTwoProcessesAcknowledgeIsFoundThoughTheLockIsLost() {
+        Drill.Tally t = Drill.turns(1, 1_500, Set.of());
+        assertEquals(List.of(), t.wrong());
+        assertTrue(t.openings() > 3_500, "only " + t.openings() + " openings");
+    }
+
     @Test
     void eachFileIsCutOffAndChangedAtEveryOffset() throws IOException {
         Drill.Tally t = Drill.damage(null, 3, 60, 1, 4, Set.of());
@@ -69,6 +76,7 @@
             all.add(Drill.cuts(seed, 40, 1, 3, without));
             all.add(Drill.faults(seed, 80, without));
             all.add(Drill.oldVersions(seed, 100, without));
+            all.add(Drill.turns(seed, 100, without));
         }
         assertFalse(all.good(), "nothing went wrong without " + defence);
     }
--- a/durable/src/test/java/tallyweir/durable/DurableTest.java
+++ b/durable/src/test/java/tallyweir/durable/DurableTest.java
@@ -399,6 +399,47 @@
         }
     }
 
+    @Test
+    void whoeverIsTakenOverFromReadsOnAndWritesNoMore() throws IOException {
+        try (Durable old = open()) {
+            old.commit(new Batch().put("a", b("k"), b("v")));
+            first.breakLock();
+            second.breakLock();
+            try (Durable d = open()) {
+                assertEquals("v", text(d.get("a", b("k"))));
+                assertEquals(Cause.FENCED, refusal(old, new Batch().put("a", b("k"), b("late"))));
+                assertTrue(old.fenced());
+                assertFalse(old.upkeep(1 << 16), "keeps up what is not its own");
+                assertEquals("v", text(old.get("a", b("k"))));
+                d.commit(new Batch().put("a", b("k"), b("w")));
+                assertFalse(d.fenced());
+                assertEquals(2L, d.info().get("turn"));
+            }
+        }
+    }
+
+    /** Opened while nothing could be written: its first write is only taken if nobody has written meanwhile. */
+    @Test
+    void aTurnThatIsTakenLateIsOnlyTakenIfNobodyWroteMeanwhile() throws IOException {
+        try (Durable old = open()) {
+            old.commit(new Batch().put("a", b("k"), b("v")));
+            power.readOnly(true);
+            first.breakLock();
+            second.breakLock();
+            try (Durable d = open()) {
+                assertEquals(1, d.figures().get(Figures.Of.TURNS_NOT_TAKEN));
+                power.readOnly(false);
+                old.commit(new Batch().put("a", b("l"), b("x")));
+                assertEquals(Cause.FENCED, refusal(d, new Batch().put("a", b("k"), b("w"))));
+                assertEquals(Cause.FENCED, refusal(d, new Batch().put("a", b("k"), b("w"))), "taken at the second try");
+            }
+        }
+        try (Durable d = open()) {
+            assertEquals("v", text(d.get("a", b("k"))));
+            assertEquals("x", text(d.get("a", b("l"))));
+        }
+    }
+
     /** The disk says once that it failed, and then that all is well. */
     @Test
     void aForceThatFailedIsNeverTrustedLater() throws IOException {
--- a/tool/src/main/java/tallyweir/tool/DurableDrill.java
+++ b/tool/src/main/java/tallyweir/tool/DurableDrill.java
@@ -47,6 +47,7 @@
         part(out, "power cuts", all, Drill.cuts(seed, small ? 40 : 120, 1, 3, off));
         part(out, "failing forces, full and read-only disks", all, Drill.faults(seed, small ? 300 : 3_000, off));
         part(out, "old versions", all, Drill.oldVersions(seed, small ? 300 : 3_000, off));
+        part(out, "two processes at one store", all, Drill.turns(seed, small ? 1_000 : 10_000, off));
         part(out, "damage in memory", all, Drill.damage(null, seed, small ? 60 : 200, 1, threads, off));
         part(out, "damage on files", all, Drill.damage(dir.resolve("damage"), seed + 1, small ? 12 : 120, 1, threads,
                 off));
