results drill: leaving, moved kernels, damaged and full store, a program taken over from

Need: the drill only killed; its store was never near its bound, and SIGTERM, SIGHUP, damage and a second holder were not in it. The desk of a later holder is not taken away by an earlier one that ends.

--- a/durable/src/main/java/tallyweir/durable/Desk.java
+++ b/durable/src/main/java/tallyweir/durable/Desk.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.PosixFilePermissions;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,7 @@
     private final Path socket;
     private final Map<String, Verb> verbs;
     private final ServerSocketChannel server;
+    private final Object file;
     private final Semaphore room = new Semaphore(AT_ONCE);
     private final ExecutorService workers = Executors.newCachedThreadPool(r -> daemon(r, "durable desk answers"));
     private final ScheduledExecutorService patience =
@@ -70,6 +72,7 @@
         try {
             server.bind(UnixDomainSocketAddress.of(socket));
             Files.setPosixFilePermissions(socket, PosixFilePermissions.fromString("rw-------"));
+            file = key(socket);
         } catch (IOException | RuntimeException e) {
             server.close();
             throw new IOException("no desk at " + socket + ": " + e.getMessage(), e);
@@ -77,6 +80,11 @@
         daemon(this::accept, "durable desk").start();
     }
 
+    /** What tells one file from a later one of the same name. */
+    private static Object key(Path of) throws IOException {
+        return Files.readAttributes(of, BasicFileAttributes.class).fileKey();
+    }
+
     private static Thread daemon(Runnable run, String name) {
         Thread t = new Thread(run, name);
         t.setDaemon(true);
@@ -228,7 +236,9 @@
     public void close() {
         try {
             server.close();
-            Files.deleteIfExists(socket);
+            if (key(socket).equals(file)) {
+                Files.delete(socket);  // and not that of whoever has taken the store over
+            }
         } catch (IOException e) {
             return;  // what is left is taken away by the next process that opens the store
         } finally {
--- a/durable/src/main/java/tallyweir/durable/FileDisk.java
+++ b/durable/src/main/java/tallyweir/durable/FileDisk.java
@@ -103,6 +103,9 @@
     /** A lock of the operating system, which goes with the process, however it ends. */
     @Override
     public Closeable lock() throws IOException {
+        if (Boolean.getBoolean("tallyweir.drill.nolock")) {
+            return () -> { };  // a drill plays a shared directory whose locks do not hold
+        }
         FileChannel c;
         try {
             c = FileChannel.open(dir.resolve(LOCK), StandardOpenOption.WRITE, StandardOpenOption.CREATE);
--- a/durable/src/main/java/tallyweir/durable/FileStore.java
+++ b/durable/src/main/java/tallyweir/durable/FileStore.java
@@ -33,7 +33,8 @@
             long pendingMost, long forceEvery, long upkeepRate, List<Namespace> namespaces) throws IOException {
         try {
             store = new Durable(new FileDisk(first, times, false), new FileDisk(second, times, true), both, segmentBytes, sector, deadShare,
-                    scrubEvery, namespaces, ThreadLocalRandom.current().nextLong(), FileStore::clock, aside, Set.of());
+                    scrubEvery, namespaces, ThreadLocalRandom.current().nextLong(), FileStore::clock, aside,
+                    Boolean.getBoolean("tallyweir.drill.nofence") ? Set.of(Defence.FENCE) : Set.of());
         } catch (IOException | RuntimeException e) {
             both.close();
             aside.shutdown();
--- a/durable/src/test/java/tallyweir/durable/DeskTest.java
+++ b/durable/src/test/java/tallyweir/durable/DeskTest.java
@@ -188,6 +188,11 @@
         store = open();
         store.openDesk(desk, Map.of());
         assertTrue(ask("info").contains("keys\t0"));
+        try (Desk later = new Desk(desk, Map.of())) {
+            store.close();
+            assertTrue(Desk.answers(desk), "whoever goes takes the desk of a later one away");
+        }
+        store = open();
         assertTrue(assertThrows(IOException.class, () -> store.openDesk(dir.resolve("x".repeat(120)), Map.of()))
                 .getMessage().contains("no desk at"));
     }
--- a/stand/src/main/java/tallyweir/stand/StandKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandKernel.java
@@ -42,6 +42,7 @@
     private final ScheduledExecutorService cores;
     private final Object lock = new Object();
     private long started = System.nanoTime();
+    private int longest;
     private int life;
     private final int most;
     private int busy;
@@ -84,6 +85,11 @@
         return server.getLocalPort();
     }
 
+    /** Results get up to so many bytes more. */
+    public void resultsUpTo(int bytes) {
+        longest = bytes;
+    }
+
     /** Kills it and starts it anew: what ran is gone, and nobody hears how it ended. */
     public void kill() {
         synchronized (lock) {
@@ -176,7 +182,7 @@
             return;
         }
         String mark = body.split(" ")[0];
-        String result = mark + "#" + ++serial;
+        String result = mark + "#" + ++serial + " " + "x".repeat(longest == 0 ? 0 : chance.nextInt(longest));
         if (history != null) {
             history.add(History.What.RUN, mark, job, result);
         }
--- a/tool/src/main/java/tallyweir/tool/Program.java
+++ b/tool/src/main/java/tallyweir/tool/Program.java
@@ -61,8 +61,8 @@
     }
 
     /** What a backend is told: one workload with an effect and one without, patience and times as given. */
-    static String config(int port, int kernel, long seed, int cpus, long windowUs, int sockets, int stopMs) {
-        return "{\"name\":\"drill\",\"listen\":\"127.0.0.1:" + port + "\",\"kernel\":\"127.0.0.1:" + kernel
+    static String config(int kernel, long seed, int cpus, long windowUs, int sockets, int stopMs) {
+        return "{\"name\":\"drill\",\"kernel\":\"127.0.0.1:" + kernel
                 + "\",\"announce\":\"127.0.0.1:9\",\"store\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed)
                 + "\",\"stop_ms\":" + stopMs + ",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + sockets
                 + "},\"settings\":{\"Classes\":[{\"Name\":\"reset\",\"Effect\":\"keyed\",\"TargetUs\":1000000,\"DeadlineUs\":1500000,"
@@ -94,6 +94,7 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "tallyweir.cli.Main", "serve"));
         ProcessBuilder of = new ProcessBuilder(command);
         of.environment().put("EDGE_CONFIG", dir.resolve("config.json").toString());
+        of.environment().put("EDGE_LISTEN", "127.0.0.1:" + port);
         if (operators) {
             of.environment().put("EDGE_OPERATORS", dir.resolve("operators.json").toString());
         }
@@ -125,15 +126,35 @@
     boolean leave(long milliseconds) throws IOException, InterruptedException {
         measure();
         process.destroy();
-        boolean gone = process.waitFor(milliseconds, TimeUnit.MILLISECONDS);
         listening = false;
+        boolean gone = process.waitFor(milliseconds, TimeUnit.MILLISECONDS);
         process.destroyForcibly().waitFor();
         return gone;
     }
 
     /** Has it read its configuration again. */
     void reload() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        signal("HUP");
+    }
+
+    /** Stops it where it stands; it does not hear of it. */
+    void pause() throws IOException, InterruptedException {
+        listening = false;
+        signal("STOP");
+    }
+
+    /** Lets it go on. */
+    void resume() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    /** Whether it has ended within so many milliseconds. */
+    boolean ended(long milliseconds) throws InterruptedException {
+        return process.waitFor(milliseconds, TimeUnit.MILLISECONDS);
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
     /** Memory that it holds now, KB, 0 where it has gone. */
--- a/tool/src/main/java/tallyweir/tool/ResultsBench.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsBench.java
@@ -118,7 +118,7 @@
     private Program program(StandKernel kernel, boolean on, long windowSeconds) throws IOException {
         Program p = new Program(dir, on, List.of());
         Files.writeString(dir.resolve("config.json"),
-                Program.config(p.port(), kernel.port(), seed, CORES, windowSeconds * 1_000_000, 256, 1_000));
+                Program.config(kernel.port(), seed, CORES, windowSeconds * 1_000_000, 256, 1_000));
         Files.writeString(dir.resolve("operators.json"), "{\"results\":{\"bound_mb\":1024},\"durable\":{\"dir\":\""
                 + dir.resolve("store") + "\"}}");
         return p;
--- a/tool/src/main/java/tallyweir/tool/ResultsDrill.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsDrill.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +16,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -25,7 +28,6 @@
 import tallyweir.durable.FileStore;
 import tallyweir.durable.View;
 import tallyweir.results.DurableShelf;
-import tallyweir.results.Marks;
 import tallyweir.stand.History;
 import tallyweir.stand.StandKernel;
 import tallyweir.stand.StandSidecar;
@@ -39,8 +41,11 @@
     private static final int CORES = 8;
     private static final int PATIENCE = 1_500;
     private static final int SLACK = 3_000;  // past the due time: a machine that stands still is not a missing answer
-    private static final int BOUND_MB = 4;
-    private static final int FORCE_EVERY_MS = 25;  // as a slow disk would: kills fall between a write and its force
+    private static final int BOUND_MB = 2;
+    private static final int RESULT_BYTES = 3_000;
+    private static final int KILLED_MORE = 2;
+    private static final int STOP_MS = 1_000;
+    private static final int FORCE_EVERY_MS = 40;  // as a slow disk would: kills fall between a write and its force
 
     @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it, but for what clocks and threads"
             + " bring (${DEFAULT-VALUE}).")
@@ -50,7 +55,7 @@
     @Option(names = "--dir", required = true, description = "A directory for the drill's own files; made if not there.")
     private Path dir;
     @Option(names = "--without", description = "Switch a guard off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
-    private Marks.Guard[] without = {};
+    private Off[] without = {};
     @Option(names = "--results", defaultValue = "on", description = "on, or off to see that it fails without.")
     private String results;
     @Spec
@@ -60,9 +65,21 @@
     private final AtomicInteger marks = new AtomicInteger();
     private final AtomicInteger requests = new AtomicInteger();
     private volatile boolean stop;
-    private Program program;
+    private volatile Program program;
+    private volatile Program before;  // one that was taken over from, while it still runs
+    private final StandKernel[] kernels = new StandKernel[2];
+    private final Map<Event, Integer> events = new EnumMap<>(Event.class);
+    private int at;
+    private int stayed;
+    private long memoryMost;
     private int kills;
 
+    /** What happens to the program; each comes once, kills a few times more, before any comes again. */
+    private enum Event { KILLED, BOTH_KILLED, KERNEL_KILLED, TOLD_TO_LEAVE, KERNEL_MOVED, DAMAGED, TAKEN_OVER }
+
+    /** What may be switched off. */
+    enum Off { INTENT, ORDER, PROOF, RESTART, WINDOW, FENCE }
+
     @Override
     public Integer call() throws Exception {
         if (seconds < 1 || seconds > 3_600 || !Set.of("on", "off").contains(results)) {
@@ -75,14 +92,16 @@
         }
         SplittableRandom chance = new SplittableRandom(seed);
         try (StandKernel kernel = new StandKernel(history, CORES, chance.nextLong());
-                Program p = new Program(dir, results.equals("on"), List.of("-Dtallyweir.drill.without="
-                        + String.join(",", Arrays.stream(without).map(Enum::name).toList())))) {
-            program = p;
-            Files.writeString(dir.resolve("config.json"),
-                    Program.config(p.port(), kernel.port(), seed, CORES, 3_600_000_000L, 256, 1_000));
+                StandKernel other = new StandKernel(history, CORES, chance.nextLong())) {
+            kernel.resultsUpTo(RESULT_BYTES);
+            other.resultsUpTo(RESULT_BYTES);
+            kernels[0] = kernel;
+            kernels[1] = other;
             Files.writeString(dir.resolve("operators.json"), "{\"results\":{\"bound_mb\":" + BOUND_MB
                     + "},\"durable\":{\"dir\":\"" + dir.resolve("store") + "\",\"segment_mb\":1,\"force_every_ms\":" + FORCE_EVERY_MS + "}}");
-            p.start();
+            configure();
+            program = program();
+            program.start();
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 SplittableRandom own = chance.split();
@@ -91,47 +110,145 @@
                 t.start();
             }
             long end = System.nanoTime() + seconds * 1_000_000_000L;
+            List<Event> deck = new ArrayList<>();
             while (System.nanoTime() < end) {
-                TimeUnit.MILLISECONDS.sleep(chance.nextInt(300, 4_000));
-                int who = chance.nextInt(4);
-                if (who == 0) {
-                    kernel.kill();
-                } else {
-                    p.kill();
-                    if (who == 1) {
-                        kernel.kill();
+                TimeUnit.MILLISECONDS.sleep(chance.nextInt(200, 1_500));
+                if (deck.isEmpty()) {
+                    deck.addAll(List.of(Event.values()));
+                    deck.addAll(Collections.nCopies(KILLED_MORE, Event.KILLED));
+                    deck.addAll(Collections.nCopies(KILLED_MORE, Event.BOTH_KILLED));
+                    for (int i = deck.size(); i > 1; i--) {
+                        Collections.swap(deck, i - 1, chance.nextInt(i));
                     }
-                    p.start();
                 }
+                Event e = deck.remove(0);
+                play(e, chance);
+                events.merge(e, 1, Integer::sum);
                 kills++;
             }
             stop = true;
             for (Thread t : clients) {
                 t.join();
             }
-            p.kill();
+            program.kill();
         } finally {
             stop = true;
+            for (Program p : new Program[] {program, before}) {
+                if (p != null) {
+                    p.close();
+                }
+            }
         }
         return verdict(out);
     }
 
+    private Program program() throws IOException {
+        List<String> flags = new ArrayList<>(List.of("-Dtallyweir.drill.nolock=true", "-Dtallyweir.drill.without="
+                + String.join(",", Arrays.stream(without).filter(g -> g != Off.FENCE).map(Enum::name).toList())));
+        if (List.of(without).contains(Off.FENCE)) {
+            flags.add("-Dtallyweir.drill.nofence=true");
+        }
+        return new Program(dir, results.equals("on"), flags);
+    }
+
+    private void configure() throws IOException {
+        Files.writeString(dir.resolve("config.json"),
+                Program.config(kernels[at].port(), seed, CORES, 3_600_000_000L, 256, STOP_MS));
+    }
+
+    private void play(Event e, SplittableRandom chance) throws IOException, InterruptedException {
+        switch (e) {
+            case KERNEL_KILLED -> kernels[at].kill();
+            case KILLED -> restart(() -> { });
+            case BOTH_KILLED -> restart(() -> kernels[at].kill());
+            case DAMAGED -> restart(() -> damage(chance));
+            case TOLD_TO_LEAVE -> {
+                program.leave(STOP_MS + 50);
+                program.start();
+            }
+            case KERNEL_MOVED -> {
+                at = 1 - at;
+                configure();
+                program.reload();
+            }
+            default -> takeOver(chance);
+        }
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private void restart(Work meanwhile) throws IOException, InterruptedException {
+        program.kill();
+        meanwhile.run();
+        program.start();
+    }
+
+    /** Changes a byte of one file of one copy, or cuts the file off, or takes it away. */
+    private void damage(SplittableRandom chance) throws IOException {
+        Path copy = dir.resolve("store").resolve(chance.nextBoolean() ? "first" : "second");
+        if (!Files.isDirectory(copy)) {
+            return;
+        }
+        List<Path> files;
+        try (Stream<Path> all = Files.list(copy)) {
+            files = all.filter(f -> !f.endsWith("lock")).sorted().toList();
+        }
+        Path file = files.get(chance.nextInt(files.size()));
+        byte[] bytes = Files.readAllBytes(file);
+        int where = bytes.length == 0 ? 0 : chance.nextInt(bytes.length);
+        switch (chance.nextInt(3)) {
+            case 0 -> Files.delete(file);
+            case 1 -> Files.write(file, Arrays.copyOf(bytes, where));
+            default -> {
+                if (bytes.length > 0) {
+                    bytes[where] ^= 0x10;
+                }
+                Files.write(file, bytes);
+            }
+        }
+    }
+
+    /** The program stands still while another takes its store over; then it goes on, and some still ask it. */
+    private void takeOver(SplittableRandom chance) throws IOException, InterruptedException {
+        Program old = program;
+        old.pause();
+        Program next = program();
+        next.start();
+        before = old;
+        program = next;
+        TimeUnit.MILLISECONDS.sleep(chance.nextInt(50, 600));
+        old.resume();
+        boolean left = old.ended(STOP_MS + 3_000);
+        stayed += left || results.equals("off") ? 0 : 1;
+        before = null;
+        old.measure();
+        old.close();
+        memoryMost = Math.max(memoryMost, old.memoryMost());
+    }
+
     private int verdict(PrintWriter out) throws IOException {
         long over = 0;
+        double filled = 0;
         if (results.equals("on")) {
             try (Durable d = new Durable(new FileDisk(dir.resolve("store/first")), new FileDisk(dir.resolve("store/second")),
                     Both.IN_TURN, 1 << 20, 4_096, 0.5, 0, List.of(), seed, FileStore::clock, Runnable::run, Set.of());
                     View view = d.view()) {
-                over = view.bytes(DurableShelf.RESULTS) > (long) BOUND_MB << 20 ? 1 : 0;
+                filled = view.bytes(DurableShelf.RESULTS) / (double) ((long) BOUND_MB << 20);
+                over = filled > 1 ? 1 : 0;
             }
         }
         History.Verdict v = history.verdict();
+        memoryMost = Math.max(memoryMost, program.memoryMost());
+        out.println("events " + events + ", store filled to " + Math.round(filled * 100) + "%, taken over from and stayed "
+                + stayed);
         out.println("handled marks " + v.handled() + ", of them handled more than once " + v.repeatsHandled()
                 + ", requests " + requests.get());
         out.println("results drill: kills " + kills + ", keys " + v.keys() + ", ran twice " + v.ranTwice()
                 + ", answers differing " + v.differing() + ", unanswered " + v.unanswered() + ", over bound " + over
-                + ", memory max " + program.memoryMost() + " MB of " + Program.MEMORY_MB);
-        boolean good = v.ranTwice() + v.differing() + v.unanswered() + over == 0 && program.memoryMost() <= Program.MEMORY_MB
+                + ", memory max " + memoryMost + " MB of " + Program.MEMORY_MB);
+        boolean good = v.ranTwice() + v.differing() + v.unanswered() + over + stayed == 0 && memoryMost <= Program.MEMORY_MB
                 && v.handled() > 0 && kills > 0;
         return good ? 0 : 1;
     }
@@ -139,10 +256,12 @@
     /** Asks on and on: a new mark, or one asked before, by whoever. */
     private void client(SplittableRandom chance) {
         while (!stop) {
-            try (StandSidecar s = new StandSidecar(program.port())) {
+            Program old = before;
+            Program p = old != null && chance.nextBoolean() ? old : program;
+            try (StandSidecar s = new StandSidecar(p.port())) {
                 boolean up = true;
                 while (up && !stop) {
-                    up = ask(s, chance);
+                    up = ask(p, s, chance);
                 }
             } catch (IOException e) {
                 pause(20);
@@ -158,26 +277,26 @@
         }
     }
 
-    private boolean ask(StandSidecar s, SplittableRandom chance) {
+    private boolean ask(Program p, StandSidecar s, SplittableRandom chance) {
         int known = marks.get();
         int recent = Math.min(known, 400);
         boolean again = recent > 0 && chance.nextInt(3) > 0;
         String mark = "m" + (again ? known - 1 - chance.nextInt(recent) : marks.getAndIncrement());
         String job = String.format("%08x%08x", chance.nextInt(), requests.incrementAndGet());
-        Map<String, String> p = new LinkedHashMap<>();
-        p.put("REQUEST_METHOD", "POST");
-        p.put("SCRIPT_NAME", "/do/reset");
-        p.put("HTTP_REQUEST_ID", job);
-        p.put("HTTP_RECEIVED_AT", Long.toString(System.currentTimeMillis()));
-        p.put("HTTP_SENT_BY", "1");
-        p.put("HTTP_BUDGET_MS", Integer.toString(PATIENCE));
-        p.put("HTTP_FOOTPRINT_KB", "4");
-        p.put("HTTP_PRIORITY_RANK", "0.5");
-        p.put("HTTP_ONCE_KEY", mark);
+        Map<String, String> of = new LinkedHashMap<>();
+        of.put("REQUEST_METHOD", "POST");
+        of.put("SCRIPT_NAME", "/do/reset");
+        of.put("HTTP_REQUEST_ID", job);
+        of.put("HTTP_RECEIVED_AT", Long.toString(System.currentTimeMillis()));
+        of.put("HTTP_SENT_BY", "1");
+        of.put("HTTP_BUDGET_MS", Integer.toString(PATIENCE));
+        of.put("HTTP_FOOTPRINT_KB", "4");
+        of.put("HTTP_PRIORITY_RANK", "0.5");
+        of.put("HTTP_ONCE_KEY", mark);
         history.add(History.What.ASKED, mark, job, "");
         long asked = System.nanoTime();
-        StandSidecar.Answer a = s.ask(p, mark + " body", PATIENCE + SLACK);
-        boolean wasUp = program.listening();
+        StandSidecar.Answer a = s.ask(of, mark + " body", PATIENCE + SLACK);
+        boolean wasUp = p.listening();
         History.What what = switch (a.status()) {
             case 200 -> History.What.HANDLED;
             case 429, 503 -> History.What.DEFERRED;
--- a/tool/src/test/java/tallyweir/tool/MainTest.java
+++ b/tool/src/test/java/tallyweir/tool/MainTest.java
@@ -178,6 +178,14 @@
                 out::toString);
     }
 
+    /** The first events of this seed have the program taken over from while it stands still. */
+    @Test
+    void withoutTheFenceWhoeverIsTakenOverFromStays(@TempDir Path dir) {
+        assertEquals(1, run("results", "drill", "--seed", "1", "--seconds", "12", "--dir", dir.toString(), "--without",
+                "FENCE"), out::toString);
+        assertTrue(out.toString().contains("taken over from and stayed 1"), out.toString());
+    }
+
     @Test
     void whatNobodyCouldTellIsSettledByHandAlsoInService(@TempDir Path dir) throws IOException {
         Path at = dir.resolve("store");
