Drill and benches share how they ask, print figures and read records

Need: the results bench had its own copies of what the drill and the store's bench already did. Change: Program.parameters, Json.figures, StandSidecar.piece; moves only.

--- a/stand/src/main/java/tallyweir/stand/StandSidecar.java
+++ b/stand/src/main/java/tallyweir/stand/StandSidecar.java
@@ -71,6 +71,21 @@
         return all.toByteArray();
     }
 
+    /** One record of FastCGI. */
+    record Piece(int type, int of, byte[] content) {}
+
+    static Piece piece(DataInputStream in) throws IOException {
+        in.readUnsignedByte();
+        int type = in.readUnsignedByte();
+        int of = in.readUnsignedShort();
+        byte[] content = new byte[in.readUnsignedShort()];
+        int padding = in.readUnsignedByte();
+        in.readUnsignedByte();
+        in.readFully(content);
+        in.skipNBytes(padding);
+        return new Piece(type, of, content);
+    }
+
     /** What the text of an answer says. */
     static Answer answer(String all) {
         int body = all.indexOf("\r\n\r\n");
@@ -101,17 +116,10 @@
         long end = System.nanoTime() + patience * 1_000_000L;
         while (true) {
             socket.setSoTimeout((int) Math.max(1, (end - System.nanoTime()) / 1_000_000));
-            in.readUnsignedByte();
-            int type = in.readUnsignedByte();
-            int of = in.readUnsignedShort();
-            byte[] content = new byte[in.readUnsignedShort()];
-            int padding = in.readUnsignedByte();
-            in.readUnsignedByte();
-            in.readFully(content);
-            in.skipNBytes(padding);
-            if (of == id && type == STDOUT) {
-                text.writeBytes(content);
-            } else if (of == id && type == END) {
+            Piece p = piece(in);
+            if (p.of == id && p.type == STDOUT) {
+                text.writeBytes(p.content);
+            } else if (p.of == id && p.type == END) {
                 return answer(text.toString(StandardCharsets.UTF_8));
             }
         }
--- a/stand/src/main/java/tallyweir/stand/StandStream.java
+++ b/stand/src/main/java/tallyweir/stand/StandStream.java
@@ -59,15 +59,8 @@
     private void read() {
         try (DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 64 << 10))) {
             while (true) {
-                in.readUnsignedByte();
-                int type = in.readUnsignedByte();
-                int of = in.readUnsignedShort();
-                byte[] content = new byte[in.readUnsignedShort()];
-                int padding = in.readUnsignedByte();
-                in.readUnsignedByte();
-                in.readFully(content);
-                in.skipNBytes(padding);
-                take(type, of, content);
+                StandSidecar.Piece p = StandSidecar.piece(in);
+                take(p.type(), p.of(), p.content());
             }
         } catch (IOException e) {
             broken();
--- a/tool/src/main/java/tallyweir/tool/DurableBench.java
+++ b/tool/src/main/java/tallyweir/tool/DurableBench.java
@@ -1,7 +1,6 @@
 package tallyweir.tool;
 
 import java.io.IOException;
-import java.io.PrintWriter;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
@@ -68,11 +67,9 @@
     private Path earlier;
     @Spec
     private CommandSpec spec;
-    private PrintWriter out;
 
     @Override
     public Integer call() throws Exception {
-        out = spec.commandLine().getOut();
         if (earlier != null) {
             for (int n : writers) {
                 besideEarlier(n);
@@ -92,21 +89,11 @@
     }
 
     private void print(String what, Map<String, Object> figures) {
-        if (json) {
-            Map<String, Object> all = new LinkedHashMap<>();
-            all.put("what", what);
-            all.putAll(figures);
-            out.println(Json.line(all));
-        } else {
-            StringBuilder line = new StringBuilder(what);
-            figures.forEach((k, v) -> line.append("  ").append(k).append(' ').append(v));
-            out.println(line);
-        }
-        out.flush();
+        Json.figures(spec.commandLine().getOut(), json, what, figures);
     }
 
     private static double round(double d) {
-        return Math.round(d * 1_000) / 1_000.0;
+        return Json.round(d);
     }
 
     private void clear() throws IOException {
--- a/tool/src/main/java/tallyweir/tool/Program.java
+++ b/tool/src/main/java/tallyweir/tool/Program.java
@@ -8,7 +8,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -74,6 +76,21 @@
                 + "\"Rules\":{\"AnswerSlackUs\":60000,\"DrainGraceUs\":500000,\"FallMultiple\":8,\"FallUs\":3000000}}}";
     }
 
+    /** A request of the workload with an effect, as a sidecar sends it. */
+    static Map<String, String> parameters(String mark, String job, int patience) {
+        Map<String, String> of = new LinkedHashMap<>();
+        of.put("REQUEST_METHOD", "POST");
+        of.put("SCRIPT_NAME", "/do/reset");
+        of.put("HTTP_REQUEST_ID", job);
+        of.put("HTTP_RECEIVED_AT", Long.toString(System.currentTimeMillis()));
+        of.put("HTTP_SENT_BY", "1");
+        of.put("HTTP_BUDGET_MS", Integer.toString(patience));
+        of.put("HTTP_FOOTPRINT_KB", "4");
+        of.put("HTTP_PRIORITY_RANK", "0.5");
+        of.put("HTTP_ONCE_KEY", mark);
+        return of;
+    }
+
     /** Deletes the files of a directory, if it is there. */
     static void clear(Path of) throws IOException {
         if (Files.isDirectory(of)) {
--- a/tool/src/main/java/tallyweir/tool/ResultsBench.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsBench.java
@@ -1,7 +1,6 @@
 package tallyweir.tool;
 
 import java.io.IOException;
-import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -89,21 +88,11 @@
     }
 
     private void print(String what, Map<String, Object> figures) {
-        PrintWriter out = spec.commandLine().getOut();
-        if (json) {
-            Map<String, Object> all = new LinkedHashMap<>(Map.of("what", what));
-            all.putAll(figures);
-            out.println(Json.line(all));
-        } else {
-            StringBuilder line = new StringBuilder(what);
-            figures.forEach((k, v) -> line.append("  ").append(k).append(' ').append(v));
-            out.println(line);
-        }
-        out.flush();
+        Json.figures(spec.commandLine().getOut(), json, what, figures);
     }
 
     private static double round(double d) {
-        return Math.round(d * 1_000) / 1_000.0;
+        return Json.round(d);
     }
 
     private void clear() throws IOException {
@@ -178,20 +167,6 @@
         print("handled at " + load + " of capacity, " + rounds + " rounds in turn", of);
     }
 
-    private Map<String, String> parameters(String mark, String job) {
-        Map<String, String> p = new LinkedHashMap<>();
-        p.put("REQUEST_METHOD", "POST");
-        p.put("SCRIPT_NAME", "/do/reset");
-        p.put("HTTP_REQUEST_ID", job);
-        p.put("HTTP_RECEIVED_AT", Long.toString(System.currentTimeMillis()));
-        p.put("HTTP_SENT_BY", "1");
-        p.put("HTTP_BUDGET_MS", Integer.toString(PATIENCE_MS));
-        p.put("HTTP_FOOTPRINT_KB", "4");
-        p.put("HTTP_PRIORITY_RANK", "0.5");
-        p.put("HTTP_ONCE_KEY", mark);
-        return p;
-    }
-
     /** Marks never asked before, by a schedule drawn beforehand; the time of an answer counts from its moment there. */
     private Seen load(Program p, double perSecond, double during, SplittableRandom chance, String marks)
             throws IOException, InterruptedException {
@@ -212,7 +187,7 @@
                 LockSupport.parkNanos((long) next - System.nanoTime());
             }
             long meant = (long) next;
-            links.get((int) (n % LINKS)).ask(parameters(marks + n, String.format("%016x", chance.nextLong())),
+            links.get((int) (n % LINKS)).ask(Program.parameters(marks + n, String.format("%016x", chance.nextLong()), PATIENCE_MS),
                     marks + n + " " + "x".repeat(RESULT_BYTES), a -> {
                         became[a.status() == 200 ? 0 : a.status() == 429 || a.status() == 503 ? 1 : a.status() == 0 ? 3 : 2]
                                 .incrementAndGet();
@@ -277,7 +252,7 @@
             long asked = System.nanoTime();
             try (StandSidecar s = new StandSidecar(p.port())) {
                 int tries = 1;  // until the kernel's link is up all are deferred
-                while (s.ask(parameters("s7", "00000000000000aa"), "s7 body", 5_000).status() != 200) {
+                while (s.ask(Program.parameters("s7", "00000000000000aa", PATIENCE_MS), "s7 body", 5_000).status() != 200) {
                     if (++tries > 1_000) {
                         throw new IOException("a kept mark is not answered after a start");
                     }
@@ -322,7 +297,7 @@
                     while (System.nanoTime() < end) {
                         String mark = "s" + chance.nextInt(marks);
                         long began = System.nanoTime();
-                        StandSidecar.Answer a = s.ask(parameters(mark, String.format("%016x", chance.nextLong())),
+                        StandSidecar.Answer a = s.ask(Program.parameters(mark, String.format("%016x", chance.nextLong()), PATIENCE_MS),
                                 mark + " body", 5_000);
                         times.recordValue((System.nanoTime() - began) / 1_000);
                         (a.status() == 200 && a.body().length() == RESULT_BYTES ? count : wrong).incrementAndGet();
