Calls: a small share of the store is given out in parts, so that calls go out at all

Change: a call waits for room of a quarter of what the share holds in the span, no more. One that may be made again is promised a quarter (twice as much after one cut short, back with each that ends well); others all the room. The bound on what is taken and promised stands as it was. A lost reply now costs a quarter of the share for the span, not all. Two tests, both fail without it.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -43,6 +43,7 @@
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
     static final double CALLS_FEW = 0.5;    // of that share: allowed calls, under which poorer ones go
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
+    static final double CALL_PART = 0.25;   // of the time that calls may take in the span: for one at first
     static final double WINDOW_OF = 2;      // times an even part of what is in time: callers differ
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final double DEAR = 5;           // times unread time over run length: how much advice is given
@@ -95,6 +96,7 @@
     private double callsAllowed;  // in hand at once
     private double callUsual = Double.MAX_VALUE;
     private double callTime;      // that this server's calls in hand may take in the span
+    private double callPart;      // of that: promised to one that can be made again
     private Halt halt = Halt.OFF;
     private Said said = Said.OFF;
     private int callers = 1;
@@ -169,6 +171,7 @@
         callsShare = callsOut <= 0 ? Double.MAX_VALUE : callsOut;
         callsAllowed = callsShare;
         callTime = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
+        callPart = callTime * CALL_PART;
     }
 
     public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue,
@@ -296,6 +299,9 @@
             return;
         }
         calls.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
+        // A call cut short was promised too little, where calls have become longer than a part.
+        callPart = how == Outcome.OVERDUE ? Math.min(callTime, 2 * callPart)
+                : how == Outcome.COMPLETED ? Math.max(callTime * CALL_PART, callPart * CALLS_CUT) : callPart;
         if (how == Outcome.COMPLETED) {
             calls.took.add(now, took);
             q.state = RUNNING;
@@ -736,19 +742,31 @@
         return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
     }
 
+    /** What of this server's share is neither taken in the span nor promised. */
+    private double callRoom() {
+        return callTime - calls.taken(now) - calls.linger;
+    }
+
+    /**
+     * In a large fleet a server's share is about one call, and all the time a query has left may be more than the
+     * span holds: such a call would never go out, nor any behind it. So none waits for more room than a part.
+     */
     private boolean callFits() {
         return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed)
-                && calls.taken(now) + timeOut(atCall.peek()) + calls.linger <= callTime;
+                && Math.min(timeOut(atCall.peek()), callTime * CALL_PART) <= callRoom();
     }
 
+    /** What may be called again is promised a part, lest a lost reply hold the share; the rest all there is. */
     private void call() {
         Query q = atCall.poll();
+        boolean again = q.harmless() && q.workload.poorerValue <= 0;
+        long span = (long) Math.max(1, Math.min(timeOut(q), again ? Math.min(callPart, callRoom()) : callRoom()));
         q.calls++;
         q.state = CALLING;
         q.called = now;
-        q.callUntil = now + timeOut(q);
+        q.callUntil = now + span;
         calls.begun(q);
-        out.call(q.id, timeOut(q));
+        out.call(q.id, span);
     }
 
     // ---- timers
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -221,6 +221,36 @@
         }
     }
 
+    /** Among a hundred servers one's share is about one call, and less than all the time a query may wait for it. */
+    @Test
+    void aShareSmallerThanAQuerysTimeStillCallsAtOnceAndForAll() {
+        m.choice.below(0.3, Model.SPAN, Model.LINGER);
+        List<Seen> all = List.of(m.read(3, 0, 40_000, 10, false, null), m.read(1, 0, 40_000, 10, false, null),
+                m.read(3, 0, 40_000, 10, false, null));
+        for (Seen q : all) {
+            m.needs(q);
+            assertEquals("calling", q.place, "idle share, query " + q.id);
+            m.pass(200, 0.5, 1);
+            m.called(q, Outcome.COMPLETED);
+        }
+        assertEquals(List.of(), m.wrong);
+    }
+
+    /** A reply that never comes once kept a small share of the calls from all others until its query was past use. */
+    @Test
+    void aLostReplyCostsItsPartOfTheShareAndIsAskedForAgain() {
+        m.choice.below(0.4, Model.SPAN, Model.LINGER);
+        Seen lost = m.read(3, 0, 40_000, 10, false, null);
+        m.needs(lost);
+        long promised = lost.callUntil - m.now;
+        assertTrue(promised < Model.SPAN * 0.4 / 3, "promised " + promised);
+        m.pass(promised, 0.5, 1);
+        m.called(lost, Outcome.OVERDUE);
+        m.pass(1_100, 0.5, 1);
+        assertEquals("calling", lost.place);
+        assertTrue(lost.callUntil - m.now > promised, "one that was too short gets more");
+    }
+
     /** A fleet told as none, an unknown tenant, a quota of 0 and no idle time are settings like others. */
     @Test
     void countsOfNoneAndUnknownTenantsBreakNothing() {
