Runs that fail at once count as late, so a failing server does not draw the traffic

Ruled out: the store (no call made before), draining (other backends), lost replies (OVERDUE 189, SEVERED 4). Change: a run that failed without a call counts as late and not as a length. One of two new tests fails without it.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -689,11 +689,16 @@
         crowd.all--;
         q.workload.begun--;
         memory.running -= q.size * memory.runFactor;
-        if (how != Outcome.SUPERSEDED) {
+        // A server whose runs fail at once is idle, answers first and so draws its callers' queries: what it fails
+        // is worth no more than what it ends late, and says nothing of the length of a run.
+        boolean failed = how == Outcome.ERRORED && !q.stood;
+        if (how != Outcome.SUPERSEDED && !failed) {
             runs.add(now, q.onCores);
             q.workload.runs.add(now, now - q.began);
             q.workload.predicted.add(now, q.predicted);
-            (q.stood ? lateBelow : late).add(now, now - q.arrived > q.workload.expected ? 1 : 0);
+        }
+        if (how != Outcome.SUPERSEDED) {
+            (q.stood ? lateBelow : late).add(now, failed || now - q.arrived > q.workload.expected ? 1 : 0);
         }
     }
 
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -251,6 +251,35 @@
         assertTrue(lost.callUntil - m.now > promised, "one that was too short gets more");
     }
 
+    /** A failing server once took all that came, since it was idle, and errored it; a good one would have served it. */
+    @Test
+    void aServerWhoseRunsFailTurnsAwayAndTriesAgainLater() {
+        for (int i = 0; i < 2 * Model.CORES; i++) {
+            Seen q = m.read(3, 0, 40_000, 10, false, null);
+            if (!q.answered) {
+                m.pass(30, 0.1, 1);
+                m.settled(q, Outcome.ERRORED);
+            }
+        }
+        assertTrue(count("run") <= Model.CORES, "runs " + count("run"));
+        long runs = count("run");
+        m.pass(Choice.LATE_SPAN + 5_000, 0, 0);
+        m.read(3, 0, 40_000, 10, false, null);
+        assertEquals(runs + 1, count("run"), "one that has been left alone tries again");
+    }
+
+    /** What fails at once is no short run: the next that runs well takes as long as before. */
+    @Test
+    void failedRunsDoNotCountAsShortOnes() {
+        List<Seen> all = busyServer(0);
+        for (Seen q : all.subList(Model.CORES, 2 * Model.CORES - 2)) {
+            m.settled(q, Outcome.ERRORED);
+        }
+        long before = count("defer");
+        m.read(3, 15_000, 40_000, 10, false, null);
+        assertEquals(1, count("defer") - before, "3,000 are left of runs of 4,000");
+    }
+
     /** A fleet told as none, an unknown tenant, a quota of 0 and no idle time are settings like others. */
     @Test
     void countsOfNoneAndUnknownTenantsBreakNothing() {
