--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -38,6 +38,7 @@
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double CHANCE = 2;         // deviations of a count that chance alone may make
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
+    static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same where tries bear no mark
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
@@ -393,9 +394,13 @@
         return Math.min(1, Math.max(0, (reading - cut - band * width) / width));
     }
 
-    /** Further tries in numbers tell that the others turn away as well: one more would be read in vain. */
+    /**
+     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. Where tries
+     * bear no mark this server's own refusals stand in. Harms where this server alone is in need.
+     */
     private boolean nowhereElse(Query q) {
-        return q.again || manyAgain() > 0;
+        return q.again || manyAgain() > 0
+                || turned.count(now) > TURNED_MANY * Math.max(cores, tries.count(now));
     }
 
     /** How far the share of further tries in the reads is past what one server's trouble makes of it. */
