The hold goes by revenue, then by arrival; the wait ahead counts what goes first

Ruled out: late share (141), keys and memory (no refusal for room). At fault: Choice.hold in arrival order (a default marked as ours) and waitAhead, the same for all.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -63,10 +63,11 @@
     private final TreeSet<Double> revenues = new TreeSet<>();
     private final Map<TenantId, Tenant> tenants = new HashMap<>();
     private final Map<QueryId, Query> live = new HashMap<>();
-    private final ArrayDeque<Query> hold = new ArrayDeque<>();
-    // Where calls must wait for each other the higher revenue goes first.
-    private final PriorityQueue<Query> atCall = new PriorityQueue<>(
-            Comparator.comparingDouble((Query q) -> -q.workload.revenue).thenComparingLong(q -> q.order));
+    // Where queries or their calls must wait for each other the higher revenue goes first, then who came first.
+    private static final Comparator<Query> DEARER =
+            Comparator.comparingDouble((Query q) -> -q.workload.revenue).thenComparingLong(q -> q.order);
+    private final PriorityQueue<Query> hold = new PriorityQueue<>(DEARER);
+    private final PriorityQueue<Query> atCall = new PriorityQueue<>(DEARER);
     private final ArrayDeque<Query> callLater = new ArrayDeque<>();
     private final ArrayDeque<Query> reuses = new ArrayDeque<>();
     private final PriorityQueue<Due> dues = new PriorityQueue<>();
@@ -366,7 +367,7 @@
 
     private double chanceFor(Query q) {
         double spare = Math.max(1, q.workload.expected - runTime(q));
-        double wait = (now - q.arrived + waitAhead()) / spare;
+        double wait = (now - q.arrived + waitAhead(q.workload.revenue)) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
         // A further try is nearer to its end than a first one; turned away by an idle server it only brings more.
         double use = Math.min(1, Math.max(dear(), runQueue / cores));
@@ -456,10 +457,11 @@
         if (said == Said.OFF || mean <= 0) {
             return;
         }
-        double wait = waitAhead() / Math.max(1, shortest - mean);
+        double spare = Math.max(1, shortest - mean);
         double shed = 0;
-        for (int band = 0; band < revenues.size(); band++) {
-            shed += bandChance(band, wait, true) / revenues.size();
+        int band = 0;
+        for (double revenue : revenues) {
+            shed += bandChance(band++, waitAhead(revenue) / spare, true) / revenues.size();
         }
         double window = Math.max(1, runsAllowed * shortest / mean * WINDOW_OF / callers);
         double value = said == Said.THRESHOLD ? shed : said == Said.SHARE_OF ? 1 - shed : window;
@@ -549,16 +551,20 @@
         return Math.max((long) runs.mean(now), crowd.meanAge(now));
     }
 
-    private long waitAhead() {
+    private long waitAhead(double revenue) {
         if (held == 0 && coresFree()) {
             return 0;
         }
-        return (long) ((held + 1) * meanRun() / Math.max(crowd.on, runsAllowed));
+        int ahead = 1;
+        for (Workload w : workloads.values()) {
+            ahead += w.revenue >= revenue ? w.held : 0;
+        }
+        return (long) (ahead * meanRun() / Math.max(crowd.on, runsAllowed));
     }
 
     /** What cannot be answered within its worth must not take space or cores; one of a kind may try. */
     private boolean tooLate(Query q) {
-        long wait = waitAhead();
+        long wait = waitAhead(q.workload.revenue);
         return now >= q.goodBy || (wait > 0 || q.workload.begun > 0) && now + wait + runTime(q) > q.goodBy;
     }
 
@@ -616,8 +622,7 @@
 
     private void over(Query q) {
         if (q.inHold) {
-            held--;
-            q.inHold = false;
+            outOfHold(q);
             memory.held -= q.size;
         } else if (q.state == FOLLOWING || q.state == REPLAYING) {
             memory.held -= q.size;
@@ -656,6 +661,13 @@
         q.inHold = true;
         hold.add(q);
         held++;
+        q.workload.held++;
+    }
+
+    private void outOfHold(Query q) {
+        held--;
+        q.workload.held--;
+        q.inHold = false;
     }
 
     private void reuse() {
@@ -670,8 +682,7 @@
 
     private void begin() {
         Query q = hold.poll();
-        held--;
-        q.inHold = false;
+        outOfHold(q);
         memory.held -= q.size;
         memory.running += q.size * memory.runFactor;
         q.ran = true;
