Calls: slowness known from few, a pace where the share is one call, poorer answers at once

Ruled out: refusals of the dependency (none), crowd (running per core 1), memory (0.6). Now: usual length over three seconds, a few calls diluted by two usual ones a core; the room is cut with what is allowed; harmless calls are promised a part; no queue for calls while they are cut and a poorer one exists.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -42,7 +42,7 @@
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
-    static final double CALLS_FEW = 0.5;    // of that share: allowed calls, under which poorer ones go
+    static final double CALLS_BESIDE = 2;   // a core: calls of the usual length that stand beside a few
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
     static final double CALL_PART = 0.25;   // of the time that calls may take in the span: for one at first
     static final double WINDOW_OF = 2;      // times an even part of what is in time: callers differ
@@ -169,7 +169,8 @@
     }
 
     public void below(double callsOut, long span, long linger) {
-        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(SECOND, BUCKETS), linger);
+        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(SECOND, BUCKETS),
+                new Ring(LATE_SPAN, BUCKETS), linger);
         callsShare = callsOut <= 0 ? Double.MAX_VALUE : callsOut;
         callsAllowed = callsShare;
         callTime = callsOut <= 0 ? Double.MAX_VALUE : callsOut * span * BELOW_SAFE;
@@ -304,8 +305,11 @@
         // A call cut short was promised too little, where calls have become longer than a part.
         callPart = how == Outcome.OVERDUE ? Math.min(callTime, 2 * callPart)
                 : how == Outcome.COMPLETED ? Math.max(callTime * CALL_PART, callPart * CALLS_CUT) : callPart;
-        if (how == Outcome.COMPLETED) {
+        if (how == Outcome.COMPLETED || how == Outcome.OVERDUE) {
             calls.took.add(now, took);
+            calls.lately.add(now, took);
+        }
+        if (how == Outcome.COMPLETED) {
             q.state = RUNNING;
             crowd.onCores(now, q);
         } else {
@@ -420,8 +424,8 @@
 
     private void readGauges() {
         gaugeDue = false;
-        double took = calls.took.mean(now);
-        callUsual = took > 0 && calls.took.count(now) > BUCKETS ? Math.min(callUsual, took) : callUsual;
+        callUsual = calls.lately.count(now) > BUCKETS ? Math.min(callUsual, calls.lately.mean(now)) : callUsual;
+        double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALLS_BESIDE * cores);
         // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
         // Guards also against one that is slow by itself; harms where calls get longer for good.
         callsAllowed = took > CALL_SLOW * callUsual
@@ -736,7 +740,7 @@
         return !atCall.isEmpty() && (atCall.peek().state != AT_CALL || atCall.peek().answered
                 || atCall.peek().calls >= CALL_TRIES
                 || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0
-                || callsAllowed < callsShare * CALLS_FEW && !callFits()));
+                || callsAllowed < callsShare && !callFits()));
     }
 
     private void giveUpCall() {
@@ -763,9 +767,14 @@
         return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
     }
 
+    /** The part of this server's share that is used while calls are slow: where the share is one call, their pace. */
+    private double callPace() {
+        return callsAllowed / callsShare;
+    }
+
     /** What of this server's share is neither taken in the span nor promised. */
     private double callRoom() {
-        return callTime - calls.taken(now) - calls.linger;
+        return callTime * callPace() - calls.taken(now) - calls.linger;
     }
 
     /**
@@ -774,14 +783,14 @@
      */
     private boolean callFits() {
         return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed)
-                && Math.min(timeOut(atCall.peek()), callTime * CALL_PART) <= callRoom();
+                && Math.min(timeOut(atCall.peek()), callTime * callPace() * CALL_PART) <= callRoom();
     }
 
     /** What may be called again is promised a part, lest a lost reply hold the share; the rest all there is. */
     private void call() {
         Query q = atCall.poll();
-        boolean again = q.harmless() && q.workload.poorerValue <= 0;
-        long span = (long) Math.max(1, Math.min(timeOut(q), again ? Math.min(callPart, callRoom()) : callRoom()));
+        double most = q.harmless() ? Math.min(callPart, callRoom()) : callRoom();
+        long span = (long) Math.max(1, Math.min(timeOut(q), most));
         q.calls++;
         q.state = CALLING;
         q.called = now;
