Calls: a share that is used up counts as slow calls, where a poorer answer exists

At fault: Choice.readGauges knows no usual length before the trouble begins, so calls were never slow and queries waited for room to the end. Only where a poorer answer exists: without one the queue would keep the cut for good.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -428,8 +428,10 @@
         callUsual = calls.lately.count(now) > BUCKETS ? Math.min(callUsual, calls.lately.mean(now)) : callUsual;
         double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALLS_BESIDE * cores);
         // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
-        // Guards also against one that is slow by itself; harms where calls get longer for good.
-        callsAllowed = took > CALL_SLOW * callUsual
+        // Guards also against one that is slow by itself; harms where calls get longer for good. A share that is used up
+        // says it too, even where calls were slow from the start: all shares together are far past where it slows down.
+        boolean usedUp = !atCall.isEmpty() && atCall.peek().workload.poorerValue > 0 && !callFits();
+        callsAllowed = usedUp || took > CALL_SLOW * callUsual
                 ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
                 : Math.min(callsShare, callsAllowed / CALLS_CUT);
         if (held > 0 && runQueue < cores) {
