Runs of lower revenue are paused for held ones of higher, where runs can be paused; tests

Choice.pausable takes the last begun of the cheapest harmless runs; the wait ahead of a dearer query leaves those out. Only with Halt.SUSPEND: an aborted run would lose its work.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -93,6 +93,7 @@
     private Calls calls;
     private int cores;
     private double runsAllowed;   // on the cores at once
+    private long pauseAgain;      // no other run is paused before
     private DoubleSupplier survived;
     private double callsShare;
     private double callsAllowed;  // in hand at once
@@ -132,6 +133,8 @@
         rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != HELD, hold::poll);
         rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
         rule(() -> held > 0 && coresFree() && fitsRun(hold.peek()), this::begin);
+        rule(() -> held > 0 && halt == Halt.SUSPEND && now >= pauseAgain && !coresFree() && fitsRun(hold.peek())
+                && pausable(hold.peek()) != null, () -> pause(pausable(hold.peek())));
         rule(() -> gaugeDue, this::readGauges);
         rule(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
     }
@@ -274,8 +277,12 @@
             over(q);
         } else {
             boolean wasAnswered = q.answered;
-            leaveCores(q, how);
-            if (how == Outcome.RECALLED && !wasAnswered) {
+            boolean pauses = halt == Halt.SUSPEND && how == Outcome.RECALLED && !wasAnswered && q.harmless();
+            leaveCores(q, how, pauses);
+            if (pauses) {
+                pauseAgain = now;
+                toHold(q);
+            } else if (how == Outcome.RECALLED && !wasAnswered) {
                 backToHold(q);
             } else {
                 over(q);
@@ -495,7 +502,7 @@
     }
 
     private boolean fitsRun(Query q) {
-        return memory.used(now) + q.size * (memory.runFactor - 1) <= memory.limit * MEMORY_RUN;
+        return q.paused || memory.used(now) + q.size * (memory.runFactor - 1) <= memory.limit * MEMORY_RUN;
     }
 
     private boolean coresFree() {
@@ -563,10 +570,13 @@
             return 0;
         }
         int ahead = 1;
+        int begun = 0;
         for (Workload w : workloads.values()) {
             ahead += w.revenue >= revenue ? w.held : 0;
+            begun += w.revenue >= revenue ? w.begun : 0;
         }
-        return (long) (ahead * meanRun() / Math.max(crowd.on, runsAllowed));
+        boolean next = halt == Halt.SUSPEND && ahead + begun <= runsAllowed; // the rest can be paused
+        return next ? 0 : (long) (ahead * meanRun() / Math.max(crowd.on, runsAllowed));
     }
 
     /** What cannot be answered within its worth must not take space or cores; one of a kind may try. */
@@ -630,7 +640,7 @@
     private void over(Query q) {
         if (q.inHold) {
             outOfHold(q);
-            memory.held -= q.size;
+            freeHeld(q);
         } else if (q.state == FOLLOWING || q.state == REPLAYING) {
             memory.held -= q.size;
         }
@@ -677,6 +687,11 @@
         q.inHold = false;
     }
 
+    private void freeHeld(Query q) {
+        memory.held -= q.paused ? 0 : q.size;
+        memory.running -= q.paused ? q.size * memory.runFactor : 0;
+    }
+
     private void reuse() {
         Query q = reuses.poll();
         if (q.open() && q.state == FOLLOWING) {
@@ -690,11 +705,12 @@
     private void begin() {
         Query q = hold.poll();
         outOfHold(q);
-        memory.held -= q.size;
+        freeHeld(q);
         memory.running += q.size * memory.runFactor;
         q.ran = true;
-        q.began = now;
-        q.onCores = 0;
+        q.began = q.paused ? q.began : now;
+        q.onCores = q.paused ? q.onCores : 0;
+        q.paused = false;
         q.state = RUNNING;
         crowd.all++;
         q.workload.begun++;
@@ -703,7 +719,25 @@
         releaseFollowers(q);
     }
 
-    private void leaveCores(Query q, Outcome how) {
+    /** What can be taken up again where it stood makes way for what is dearer: the last begun of the cheapest. */
+    private Query pausable(Query dearer) {
+        Query least = null;
+        for (Query q : live.values()) {
+            if (q.state == RUNNING && q.harmless() && !q.answered && q.workload.revenue < dearer.workload.revenue
+                    && (least == null || DEARER.compare(q, least) > 0)) {
+                least = q;
+            }
+        }
+        return least;
+    }
+
+    /** No word comes if nothing was stopped, so another is tried after a while. */
+    private void pause(Query q) {
+        pauseAgain = now + GAUGE_EVERY;
+        out.stop(q.id);
+    }
+
+    private void leaveCores(Query q, Outcome how, boolean pauses) {
         if (q.state == RUNNING) {
             crowd.offCores(now, q);
         } else if (q.state == CALLING) {
@@ -711,6 +745,10 @@
         }
         crowd.all--;
         q.workload.begun--;
+        if (pauses) {
+            q.paused = true;
+            return;
+        }
         memory.running -= q.size * memory.runFactor;
         // A server whose runs fail at once is idle, answers first and so draws its callers' queries: what it fails
         // is worth no more than what it ends late, and says nothing of the length of a run.
--- a/core/src/main/java/tallyweir/Query.java
+++ b/core/src/main/java/tallyweir/Query.java
@@ -26,6 +26,7 @@
     boolean inHold;
     boolean ran;
     boolean kept;
+    boolean paused;   // in the hold with its progress and the memory of a run
     boolean stood;    // at a call, once
     long began;
     long onSince;     // when the present stay on the cores would have begun, had there been no break
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -291,4 +291,86 @@
         assertEquals(List.of("call " + q.id), m.log.stream().filter(a -> a.startsWith("call")).toList());
         assertEquals(List.of(), m.wrong);
     }
+
+    /** Where tries bear no mark nothing told callers to stop, and the tries took the cores from the runs. */
+    @Test
+    void manyRefusalsOfFirstTriesAskNotToTryElsewhere() {
+        busyServer(1);
+        m.read(0, 0, 2_000, 10, false, null);
+        assertEquals(false, m.lastNowhereElse, "one refusal says nothing of the others");
+        for (int i = 0; i < 5; i++) {
+            m.read(0, 0, 2_000, 10, false, null);
+        }
+        assertEquals(true, m.lastNowhereElse);
+    }
+
+    /** Queries of the highest revenue were refused for a hold that held queries of the lowest. */
+    @Test
+    void theHoldGoesByRevenueAndTheWaitCountsWhatGoesFirst() {
+        List<Seen> all = busyServer(0);
+        List<Seen> low = List.of(m.read(0, 0, 40_000, 10, false, null), m.read(0, 0, 40_000, 10, false, null));
+        Seen top = m.read(3, 0, 40_000, 10, false, null);
+        assertEquals("held", top.place);
+        m.settled(all.get(Model.CORES), Outcome.COMPLETED);
+        assertEquals("running", top.place);
+        assertTrue(low.stream().noneMatch(q -> q.place.equals("running")));
+    }
+
+    /** A server that makes a few calls a second never knew that they were slow, and waited for them to the end. */
+    @Test
+    void fewSlowCallsAreKnownAndTheNextGetsAPoorerAnswerAtOnce() {
+        m.choice.below(2, Model.SPAN, Model.LINGER);
+        for (int i = 0; i < 30; i++) {
+            Seen q = m.read(0, 0, 40_000, 10, false, null);
+            m.needs(q);
+            m.pass(1_900, 0.1, 1);
+            m.called(q, Outcome.COMPLETED, i < 24 ? 100 : 2_500);
+            m.settled(q, Outcome.COMPLETED);
+        }
+        List<Seen> two = List.of(m.read(0, 0, 40_000, 10, false, null), m.read(0, 0, 40_000, 10, false, null));
+        two.forEach(m::needs);
+        assertEquals("poorer " + two.get(1).id, m.log.get(m.log.size() - 1));
+        assertEquals(List.of(), m.wrong);
+    }
+
+    /** Calls that were slow from the start had no usual length, and queries waited for room until they were given up. */
+    @Test
+    void aShareUsedUpEndsInPoorerAnswersWithoutAUsualLength() {
+        m.choice.below(0.05, Model.SPAN, Model.LINGER);
+        List<Seen> all = List.of(m.read(0, 0, 40_000, 10, false, null), m.read(0, 0, 40_000, 10, false, null),
+                m.read(0, 0, 40_000, 10, false, null));
+        all.forEach(m::needs);
+        m.pass(2_100, 0.1, 1);
+        assertTrue(m.log.contains("poorer " + all.get(1).id) && m.log.contains("poorer " + all.get(2).id), "" + m.log);
+    }
+
+    /** A run and a reading fill a few cores by chance, and the lowest revenue was shed for it. */
+    @Test
+    void coresFullByChanceShedNothing() {
+        m.choice.gauges(1, Model.CORES + 2);
+        m.read(0, 0, 40_000, 10, false, null);
+        assertEquals(0, count("defer"));
+        m.choice.gauges(1, 3 * Model.CORES);
+        m.read(0, 0, 40_000, 10, false, null);
+        assertEquals(1, count("defer"));
+    }
+
+    /** A query of the highest revenue waited behind runs of the lowest that could have been taken up again later. */
+    @Test
+    void aRunIsPausedForADearerQueryAndTakenUpAgain() {
+        Model pauses = new Model(7, false, Halt.SUSPEND, Said.OFF, 6, 0);
+        List<Seen> low = new ArrayList<>();
+        for (int i = 0; i < Model.CORES; i++) {
+            low.add(pauses.read(0, 0, 40_000, 10, false, null));
+        }
+        pauses.pass(1_000, 1, Model.CORES);
+        Seen top = pauses.read(3, 0, 40_000, 10, false, null);
+        Seen last = low.get(Model.CORES - 1);
+        assertEquals("stop " + last.id, pauses.log.get(pauses.log.size() - 1));
+        pauses.settled(last, Outcome.RECALLED);
+        assertEquals(List.of("running", "held"), List.of(top.place, last.place));
+        pauses.settled(top, Outcome.COMPLETED);
+        assertEquals("running", last.place);
+        assertEquals(List.of(), pauses.wrong);
+    }
 }
--- a/core/src/test/java/tallyweir/Model.java
+++ b/core/src/test/java/tallyweir/Model.java
@@ -41,6 +41,7 @@
         String place = "held";
         boolean answered;
         boolean ran;
+        boolean paused;
         boolean mayCall = true;
         long callUntil;
     }
@@ -62,6 +63,7 @@
     long stopAt = Long.MAX_VALUE;
     long ids = 100;
     long lastKeepOff = -1;
+    boolean lastNowhereElse;
     long caller = 1;
 
     Model(long seed, boolean cold, Halt halt, Said said, double callsOut, long shareFor) {
@@ -105,6 +107,7 @@
 
     void settled(Seen q, Outcome how) {
         leave(q, true);
+        q.paused = how == Outcome.RECALLED && !q.answered && halt == Halt.SUSPEND;
         q.place = how == Outcome.RECALLED && !q.answered ? "held" : "over";
         q.answered |= how != Outcome.RECALLED;
         choice.ended(new QueryId(q.id), how);
@@ -127,10 +130,14 @@
     }
 
     void called(Seen q, Outcome how) {
+        called(q, how, 100);
+    }
+
+    void called(Seen q, Outcome how, long took) {
         leave(q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
         q.place = how == Outcome.COMPLETED ? "running" : "at call";
         q.mayCall = q.mayCall && (harmless(q) || how == Outcome.SATURATED || how == Outcome.REFUSED_CONN);
-        choice.callEnded(new QueryId(q.id), how, 100);
+        choice.callEnded(new QueryId(q.id), how, took);
         check();
     }
 
@@ -185,7 +192,7 @@
         int on = 0;
         for (Seen q : seen.values()) {
             boolean begun = List.of("running", "at call", "calling").contains(q.place);
-            kb += begun ? q.size * FACTOR : q.place.equals("over") ? 0 : q.size;
+            kb += begun || q.paused && q.place.equals("held") ? q.size * FACTOR : q.place.equals("over") ? 0 : q.size;
             on += q.place.equals("running") ? 1 : 0;
             deny(!q.answered && !q.place.equals("over") && now > Math.min(q.due + SLACK, stopAt), "lost " + q.id);
         }
@@ -239,6 +246,7 @@
         Seen q = known(id, "defer");
         deny(q.ran && !harmless(q), "deferred once run " + q.id);
         lastKeepOff = keepOff;
+        lastNowhereElse = nowhereElse;
         answer(q, "defer");
     }
 
