--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -10,9 +10,9 @@
 
 /**
  * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine to
- * connections), calls start, then clock before each round of news and a method for each piece. Decisions leave
- * through Outgoing. After each input the rules of the constructor are gone through in order until none fires.
- * Times are tenths of a millisecond; dues come rounded down, ages up.
+ * connections), calls start, then clock before each round of news and a method for each piece. Decisions
+ * leave through Outgoing. After each input the rules of the constructor are gone through in order until none
+ * fires. Times are tenths of a millisecond; dues come rounded down, ages up.
  */
 public final class Choice {
     // The source's two readings and ours. The cut is where the lowest revenue starts to be shed, the end is
@@ -38,7 +38,7 @@
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double CHANCE = 2;         // deviations of a count that chance alone may make
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
-    static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same where tries bear no mark
+    static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same without a mark
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
@@ -63,7 +63,7 @@
     private final TreeSet<Double> revenues = new TreeSet<>();
     private final Map<TenantId, Tenant> tenants = new HashMap<>();
     private final Map<QueryId, Query> live = new HashMap<>();
-    // Where queries or their calls must wait for each other the higher revenue goes first, then who came first.
+    // Queries and calls that must wait: the higher revenue goes first, then who came first.
     private static final Comparator<Query> DEARER =
             Comparator.comparingDouble((Query q) -> -q.workload.revenue).thenComparingLong(q -> q.order);
     private final PriorityQueue<Query> hold = new PriorityQueue<>(DEARER);
@@ -124,7 +124,7 @@
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
         rule(() -> fresh != null && fresh.leader == null && (draw < chanceFor(fresh) || tooLate(fresh)),
                 () -> deferFresh(adviceFor(), nowhereElse(fresh)));
-        rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(0, false));
+        rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(adviceFor(), false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(HELD));
         rule(() -> !reuses.isEmpty(), this::reuse);
@@ -133,8 +133,7 @@
         rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != HELD, hold::poll);
         rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
         rule(() -> held > 0 && coresFree() && fitsRun(hold.peek()), this::begin);
-        rule(() -> held > 0 && halt == Halt.SUSPEND && now >= pauseAgain && !coresFree() && fitsRun(hold.peek())
-                && pausable(hold.peek()) != null, () -> pause(pausable(hold.peek())));
+        rule(() -> held > 0 && mayPause() && pausable() != null, () -> pause(pausable()));
         rule(() -> gaugeDue, this::readGauges);
         rule(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
     }
@@ -380,7 +379,7 @@
         double spare = Math.max(1, q.workload.expected - runTime(q));
         double wait = (now - q.arrived + waitAhead(q.workload.revenue)) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
-        // A further try is nearer to its end than a first one; turned away by an idle server it only brings more.
+        // A further try is nearer to its end than a first one; turned away by an idle server it brings more.
         double use = Math.min(1, Math.max(dear(), runQueue / cores));
         double down = Math.max(surplus, q.again ? AGAIN_DOWN * manyAgain() * use : 0);
         return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
@@ -393,8 +392,9 @@
     }
 
     private double bandChance(double band, double wait, boolean calls) {
-        // A few cores are full for half a second by chance: past what chance makes of their number it is overload.
-        double busy = runQueue > cores + CHANCE * Math.sqrt(cores) ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
+        // A few cores are full for half a second by chance: past what that makes of them it is overload.
+        boolean pressed = runQueue > cores + CHANCE * Math.sqrt(cores);
+        double busy = pressed ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
         // What lies below makes late only what calls it, so the rest is not shed for that.
         double ended = late.count(now) + (calls ? lateBelow.count(now) : 0);
         double lateShare = (late.sum(now) + (calls ? lateBelow.sum(now) : 0)) / Math.max(ended, cores);
@@ -408,8 +408,8 @@
     }
 
     /**
-     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. Where tries
-     * bear no mark this server's own refusals stand in. Harms where this server alone is in need.
+     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. Where
+     * tries bear no mark this server's own refusals stand in. Harms where this server alone is in need.
      */
     private boolean nowhereElse(Query q) {
         return q.again || manyAgain() > 0
@@ -427,16 +427,19 @@
     }
 
     private long adviceFor() {
-        return (long) (keepOffMost * Math.min(1, dear()) * turned.count(now) / Math.max(cores, tries.count(now)));
+        double share = turned.count(now) / Math.max((double) cores, tries.count(now));
+        return (long) (keepOffMost * Math.min(1, dear()) * share);
     }
 
     private void readGauges() {
         gaugeDue = false;
-        callUsual = calls.lately.count(now) > BUCKETS ? Math.min(callUsual, calls.lately.mean(now)) : callUsual;
+        if (calls.lately.count(now) > BUCKETS) {
+            callUsual = Math.min(callUsual, calls.lately.mean(now));
+        }
         double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALLS_BESIDE * cores);
         // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
-        // Guards also against one that is slow by itself; harms where calls get longer for good. A share that is used up
-        // says it too, even where calls were slow from the start: all shares together are far past where it slows down.
+        // Guards also against one that is slow by itself; harms where calls get longer for good. A share
+        // that is used up says it too, even where calls were slow from the start.
         boolean usedUp = !atCall.isEmpty() && atCall.peek().workload.poorerValue > 0 && !callFits();
         callsAllowed = usedUp || took > CALL_SLOW * callUsual
                 ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
@@ -605,7 +608,7 @@
             return;
         }
         boolean lastMoment = q.answerBy <= now;
-        boolean canStop = q.harmless() && (q.state != RUNNING || halt != Halt.OFF);
+        boolean canStop = q.state == AT_CALL || q.harmless() && (q.state != RUNNING || halt != Halt.OFF);
         if (lastMoment || canStop || !q.ran) {
             giveUp(q);
         } else {
@@ -719,11 +722,16 @@
         releaseFollowers(q);
     }
 
-    /** What can be taken up again where it stood makes way for what is dearer: the last begun of the cheapest. */
-    private Query pausable(Query dearer) {
+    private boolean mayPause() {
+        return halt == Halt.SUSPEND && now >= pauseAgain && !coresFree() && fitsRun(hold.peek());
+    }
+
+    /** What can be taken up again makes way for what is dearer: the last begun of the cheapest. */
+    private Query pausable() {
         Query least = null;
         for (Query q : live.values()) {
-            if (q.state == RUNNING && q.harmless() && !q.answered && q.workload.revenue < dearer.workload.revenue
+            boolean may = q.state == RUNNING && q.harmless() && !q.answered;
+            if (may && q.workload.revenue < hold.peek().workload.revenue
                     && (least == null || DEARER.compare(q, least) > 0)) {
                 least = q;
             }
@@ -750,8 +758,8 @@
             return;
         }
         memory.running -= q.size * memory.runFactor;
-        // A server whose runs fail at once is idle, answers first and so draws its callers' queries: what it fails
-        // is worth no more than what it ends late, and says nothing of the length of a run.
+        // A server whose runs fail at once is idle, answers first and so draws its callers' queries: what it
+        // fails is worth no more than what it ends late, and says nothing of the length of a run.
         boolean failed = how == Outcome.ERRORED && !q.stood;
         if (how != Outcome.SUPERSEDED && !failed) {
             runs.add(now, q.onCores);
@@ -778,10 +786,9 @@
     // ---- calls below
 
     private boolean callFails() {
-        return !atCall.isEmpty() && (atCall.peek().state != AT_CALL || atCall.peek().answered
-                || atCall.peek().calls >= CALL_TRIES
-                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0
-                || callsAllowed < callsShare && !callFits()));
+        Query q = atCall.peek();
+        return q != null && (q.state != AT_CALL || q.answered || q.calls >= CALL_TRIES || q.useBy <= now
+                || q.workload.poorerValue > 0 && (q.calls > 0 || callsAllowed < callsShare && !callFits()));
     }
 
     private void giveUpCall() {
@@ -808,7 +815,7 @@
         return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
     }
 
-    /** The part of this server's share that is used while calls are slow: where the share is one call, their pace. */
+    /** The part of this server's share that is used while calls are slow; of one call, their pace. */
     private double callPace() {
         return callsAllowed / callsShare;
     }
@@ -819,15 +826,15 @@
     }
 
     /**
-     * In a large fleet a server's share is about one call, and all the time a query has left may be more than the
-     * span holds: such a call would never go out, nor any behind it. So none waits for more room than a part.
+     * In a large fleet a server's share is about one call, and all the time a query has left may be more than
+     * the span holds: such a call would never go out, nor any behind it. So none waits for more than a part.
      */
     private boolean callFits() {
         return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed)
                 && Math.min(timeOut(atCall.peek()), callTime * callPace() * CALL_PART) <= callRoom();
     }
 
-    /** What may be called again is promised a part, lest a lost reply hold the share; the rest all there is. */
+    /** What may be called again is promised a part, lest a lost reply hold the share; the rest all of it. */
     private void call() {
         Query q = atCall.poll();
         double most = q.harmless() ? Math.min(callPart, callRoom()) : callRoom();
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -373,4 +373,20 @@
         assertEquals("running", last.place);
         assertEquals(List.of(), pauses.wrong);
     }
+
+    /** An order that stood at a call past its expected time was kept to its hard limit, or called in vain. */
+    @Test
+    void stampedWorkAtACallPastItsUseIsAnsweredAtOnce() {
+        m.choice.below(0.05, Model.SPAN, Model.LINGER);
+        Seen holds = m.read(1, 0, 40_000, 10, false, null);
+        Seen waits = m.read(1, 0, 40_000, 10, false, null);
+        Seen late = m.read(1, 0, 40_000, 10, false, null);
+        m.needs(holds);
+        m.needs(waits);
+        m.pass(18_100, 0.1, 1);
+        assertTrue(waits.answered && m.log.contains("fail " + waits.id), "" + m.log);
+        m.needs(late);
+        assertEquals("fail " + late.id, m.log.get(m.log.size() - 1));
+        assertEquals(List.of(), m.wrong);
+    }
 }
