Watching mode: other settings decide nothing, their differences are counted by kind

The operators' file has a part watch.settings: keys as in the platform's settings, laid over those in force, checked (unknown keys, words, ranges; a faulty one ends the start with 2, on SIGHUP it is logged and the old stay). Watch extends Choice: the decisions in force come first, then a second Choice hears the same news with the same draw and asks into nothing; what the two ask for is compared after each input. Counters watch_defer, take, told, fail, run, stop, call, poorer, keep, reuse, say, idle. Module: Choice is open and its draw a method of its own, nothing else.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -14,7 +14,7 @@
  * leave through Outgoing. After each input the rules of the constructor are gone through in order until none
  * fires. Times are tenths of a millisecond; dues come rounded down, ages up.
  */
-public final class Choice {
+public class Choice {
     // The source's two readings and ours. The cut is where the lowest revenue starts to be shed, the end is
     // where the highest is certain; the distinct revenues share the stretch between evenly.
     static final double CPU_CUT = 0.90;
@@ -263,10 +263,15 @@
         unread.add(now, age);
         live.put(id, q);
         fresh = q;
-        draw = chance.nextDouble();
+        draw = draw();
         settle();
     }
 
+    /** One draw a read; whoever watches other settings beside these lets them have the same. */
+    protected double draw() {
+        return chance.nextDouble();
+    }
+
     public void ended(QueryId id, Outcome how) {
         Query q = live.get(id);
         if (q == null || q.state == HELD || q.state == FOLLOWING) {
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -6,6 +6,7 @@
 import tallyweir.announce.Report;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
+import tallyweir.config.Settings;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.Shelf;
@@ -44,6 +45,7 @@
         queries = new Queries(links, deadlines, counters, config.settings,
                 config.sockets - config.sockets / SOCKETS_APART, config.sockets / SOCKETS_STORE, config.seed, now, shelf);
         queries.clock(now, wall);
+        queries.watch(config.watched);
     }
 
     public void start() {
@@ -117,6 +119,11 @@
         guard(() -> links.report(Report.of(name, !queries.draining())));
     }
 
+    /** From now on other settings are watched, or none where there are none. */
+    public void watch(Settings watched) {
+        guard(() -> queries.watch(watched));
+    }
+
     public void drain() {
         guard(() -> queries.drain(stopAfter));
     }
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -45,7 +45,8 @@
     private final Seldom warnings = new Seldom(Queries.class, this::now);
     private final Slots<Taken> slots = new Slots<>();
     private final Map<JobId, Taken> jobs = new HashMap<>();
-    private Choice choice;     // from the kernel's first word on
+    private Watch choice;      // from the kernel's first word on
+    private Settings watched;  // beside those in force, null for none
     private long serial;
     private long now;
     private long wall;
@@ -73,6 +74,7 @@
             counters.now("unsettled", kept::unsettled);
             counters.now("results_refused_by_disk", kept::lost);
         }
+        counters.also("watch_", () -> choice == null ? Map.of() : choice.counts());
         counters.now("connections", callers::size);
         counters.now("queries", slots::size);
         counters.now("entries", repeats::size);
@@ -92,6 +94,17 @@
         return callers;
     }
 
+    /** Those already watched go on, with what they know. */
+    void watch(Settings others) {
+        if (watched == others || others != null && others.sameAs(watched)) {
+            return;
+        }
+        watched = others;
+        if (choice != null) {
+            choice.watch(others, seed, now, false);
+        }
+    }
+
     void clock(long now, long wall) {
         this.now = now;
         this.wall = wall;
@@ -213,9 +226,10 @@
         if (choice != null) {
             return;
         }
-        choice = new Choice(this, seed, now - before);
+        choice = new Watch(this, seed, now - before);
         choice.clock(now);
         settings.start(choice, fresh, false, false, false);
+        choice.watch(watched, seed, now - before, fresh);
         if (kept != null) {
             kept.kernelBegan(wall - before);
             deadlines.set(now + settings.longestHard(), kept::nobodyKnows);
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -36,8 +36,8 @@
         Config config;
         Operators operators;
         try {
-            config = Config.read(environment);
             operators = Operators.read(environment);
+            config = Config.read(environment, operators);
         } catch (BadSetting e) {
             err.println("tallyweir: " + e.getMessage());
             return 2;
@@ -124,7 +124,7 @@
      */
     private static synchronized void reload(Server server, Map<String, String> environment) {
         try {
-            Config config = Config.read(environment);
+            Config config = Config.read(environment, Operators.read(environment));
             server.move(config);
             LOG.atInfo().addKeyValue("kernel", config.kernel).addKeyValue("store", config.store)
                     .addKeyValue("announce", config.announce).log("told to read the configuration again");
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -25,11 +25,16 @@
 
     private final Tree durable;
     private final Tree results;
+    private final Tree watch;
 
     private Operators(Tree all) {
-        all.only("durable", "results");
+        all.only("durable", "results", "watch");
         durable = all.has("durable") ? all.in("durable") : null;
         results = all.has("results") ? all.in("results") : null;
+        watch = all.has("watch") ? all.in("watch") : null;
+        if (watch != null) {
+            watch.only("settings");
+        }
         if (results != null && durable == null) {
             throw new BadSetting("results needs a durable part: the store in which they are kept");
         }
@@ -66,6 +71,11 @@
         }
     }
 
+    /** The settings to be watched beside those in force, null for none. */
+    Tree watched() {
+        return watch == null ? null : watch.in("settings");
+    }
+
     /** Whether there is to be a store. */
     public boolean hasDurable() {
         return durable != null;
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -17,11 +17,83 @@
     private final Tree all;
     private final Tree info;
     private final Tree rules;
+    private final boolean pauses;
+    private final boolean poorer;
+    private final boolean says;
 
     public Settings(Tree all) {
+        this(all, false, false, false);
+    }
+
+    private Settings(Tree all, boolean pauses, boolean poorer, boolean says) {
         this.all = all;
         info = all.in("FamilyInfo");
         rules = all.in("Rules");
+        this.pauses = pauses;
+        this.poorer = poorer;
+        this.says = says;
+    }
+
+    /**
+     * These settings with others over them, to be watched. What the front's protocol has no message for is left out
+     * as here, unless the others change it: whoever watches wants to see what it would do.
+     */
+    public Settings watched(Tree others) {
+        others.only("Callers", "Classes", "FamilyInfo", "OverShareWorth", "Permissions", "Projects", "RoundUs",
+                "Rules", "Servers");
+        Tree both = all.under(others);
+        Tree family = both.in("FamilyInfo");
+        others.in("FamilyInfo").only("Below", "CallsOut", "ClassCalls", "ClassSkipWorth", "ClientsTotal", "Cold", "Cpus",
+                "EntryKb", "Gauges", "Halt", "IdleUs", "LingerUs", "MemLimitKb", "PassesDeadline", "RunMemFactor",
+                "SaidForUs", "ShareForUs", "ShareSpanUs", "Signal", "TellsGone");
+        others.in("Rules").only("AnswerSlackUs", "ColdFrom", "ColdUs", "DrainGraceUs", "FallMultiple", "FallUs");
+        others.in("Permissions").only("CpuUsPerRequest", "CpuUsPerS", "MaxRetryAfterUs", "RetryAfter");
+        others.in("Callers").only("MarksRetry");
+        family.word("Halt", "off", "abort", "suspend");
+        family.word("Signal", "off", "threshold", "window", "share_of");
+        for (String name : List.of("CallsOut", "ClientsTotal", "EntryKb", "IdleUs", "LingerUs", "MemLimitKb", "ShareForUs",
+                "ShareSpanUs")) {
+            family.least(name, 0);
+        }
+        family.least("RunMemFactor", 1);
+        both.in("Rules").least("FallMultiple", 1);
+        both.in("Rules").least("DrainGraceUs", 0);
+        both.in("Permissions").least("MaxRetryAfterUs", 0);
+        for (Tree c : both.each("Classes")) {
+            c.text("Name");
+            c.word("Effect", "safe", "keyed", "unsafe");
+            c.least("TargetUs", 0);
+            c.least("DeadlineUs", 0);
+            c.least("RepeatWindowUs", 0);
+        }
+        Settings watched = new Settings(both, !family.same("Halt", info), !family.same("ClassSkipWorth", info),
+                !family.same("Signal", info));
+        for (WorkloadId id : workloads().keySet()) {
+            if (!watched.workloads().containsKey(id)) {
+                throw new BadSetting("watch.settings.Classes lacks the class " + id.value() + " that is in force");
+            }
+        }
+        return watched;
+    }
+
+    public boolean sameAs(Settings other) {
+        return other != null && all.equalTo(other.all);
+    }
+
+    /** Starts decisions that are only watched. */
+    public void startWatched(Choice choice, boolean cold) {
+        start(choice, cold, pauses, poorer, says);
+    }
+
+    /** Whether further tries bear a mark; where nothing is said, what the caller's try bears counts. */
+    public boolean marksTries() {
+        Tree callers = all.in("Callers");
+        return !callers.has("MarksRetry") || callers.yes("MarksRetry");
+    }
+
+    /** Whether word comes of a caller that gave up; where nothing is said, it counts as it comes. */
+    public boolean tellsGone() {
+        return !info.has("TellsGone") || info.yes("TellsGone");
     }
 
     /** Hands the settings over, with what the front's protocol has no message for left out, and starts. */
--- a/daemon/src/main/java/tallyweir/config/Tree.java
+++ b/daemon/src/main/java/tallyweir/config/Tree.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /** An object of settings read whole. Absent and null are the same; what has another type is named and refused. */
 public final class Tree {
@@ -163,6 +164,44 @@
         }
     }
 
+    /** These fields with those of the other over them: objects key by key, all else whole. */
+    public Tree under(Tree other) {
+        return new Tree(other.path, merged(fields, other.fields));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> merged(Map<String, Object> under, Map<String, Object> over) {
+        Map<String, Object> all = new LinkedHashMap<>(under);
+        over.forEach((name, value) -> all.put(name, value instanceof Map && under.get(name) instanceof Map
+                ? merged((Map<String, Object>) under.get(name), (Map<String, Object>) value) : value));
+        return all;
+    }
+
+    /** Whether both have the same under this name, or neither anything. */
+    public boolean same(String name, Tree other) {
+        return Objects.equals(fields.get(name), other.fields.get(name));
+    }
+
+    public boolean equalTo(Tree other) {
+        return fields.equals(other.fields);
+    }
+
+    /** One of the words, or absent. */
+    public void word(String name, String... words) {
+        String is = text(name, words[0]);
+        if (!List.of(words).contains(is)) {
+            throw new BadSetting(key(name) + " is '" + is + "': one of " + String.join(", ", words) + " is needed");
+        }
+    }
+
+    /** A number that is not below the least, or absent. */
+    public void least(String name, double least) {
+        double is = number(name, least);
+        if (!(is >= least)) {
+            throw new BadSetting(key(name) + " is " + is + ": at least " + least + " is needed");
+        }
+    }
+
     /** Whether there is an object of this name. */
     public boolean has(String name) {
         return fields.get(name) != null;
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -390,6 +390,7 @@
                 reports = null;
             }
             backend.moved();
+            backend.watch(to.watched);
         });
     }
 
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -91,6 +91,11 @@
             this(null, 1_000_000);
         }
 
+        /** With settings that are watched beside those in force. */
+        Round(Config config) {
+            backend = new Backend(this, config, now, now + wall, null);
+        }
+
         /** With results kept over restarts, and the time at which this process begins. */
         Round(Shelf shelf, long from) {
             now = from;
@@ -413,7 +418,7 @@
         return all.isEmpty() ? null : all.get(chance.nextInt(all.size()));
     }
 
-    private void step(Round r, SplittableRandom chance) {
+    static void step(Round r, SplittableRandom chance) {
         Integer conn = any(chance, r.conns.keySet());
         String job = any(chance, r.jobs.keySet());
         String call = any(chance, r.calls.keySet());
--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -219,6 +219,58 @@
         }
     }
 
+    /** What is watched is checked at the start, and on the signal a faulty key is logged and the old ones stay. */
+    @Test
+    void watchedSettingsAreCheckedAndTakenOnTheSignal(@TempDir Path dir) throws Exception {
+        Path operators = dir.resolve("operators.json");
+        String watch = "{\"watch\":{\"settings\":{\"FamilyInfo\":{\"Cpus\":%s}}}}";
+        try (ServerSocket kernelAt = listener()) {
+            Path file = Files.writeString(dir.resolve("config.json"),
+                    BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\""));
+            ProcessBuilder of = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+                    "-cp", System.getProperty("java.class.path"), "tallyweir.cli.Main", "serve").redirectErrorStream(true);
+            of.environment().putAll(Map.of("EDGE_CONFIG", file.toString(), "EDGE_OPERATORS", operators.toString()));
+            Files.writeString(operators, watch.formatted("0.5"));
+            Process refused = of.start();
+            assertTrue(new String(refused.getInputStream().readAllBytes(), UTF_8).contains("watch.settings.FamilyInfo.Cpus is 0.5"));
+            assertEquals(2, refused.waitFor());
+            Files.writeString(operators, watch.formatted("1"));
+            Process backend = of.start();
+            try (BufferedReader log = backend.inputReader(UTF_8); Socket kernel = kernelAt.accept()) {
+                BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
+                InetSocketAddress at = new InetSocketAddress("127.0.0.1",
+                        Integer.parseInt(logged(log, "listens").replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
+                kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
+                logged(log, "the kernel is up");
+                try (Socket two = dial(at)) {
+                    two.getOutputStream().write(Model.join(query(1, "00000000000000aa"), query(2, "00000000000000ab")));
+                    next(commands, "SCHED");
+                    next(commands, "SCHED");
+                    assertEquals(1, watched(at), "with one core the second would not run at once");
+                    Files.writeString(operators, watch.formatted("\"x\""));
+                    hangUp(backend);
+                    assertTrue(logged(log, "again").contains("watch.settings.FamilyInfo.Cpus"));
+                    assertEquals(1, watched(at), "the old ones stay");
+                    Files.writeString(operators, "{}");
+                    hangUp(backend);
+                    logged(log, "again");
+                    assertEquals(-1, watched(at), "none are watched");
+                }
+            } finally {
+                backend.destroyForcibly();
+            }
+        }
+    }
+
+    /** How many runs would have begun otherwise by the counters, -1 where they do not show it. */
+    private static long watched(SocketAddress at) throws IOException {
+        try (Socket s = dial(at)) {
+            s.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/counters"));
+            return answer(s.getInputStream()).body().lines().filter(l -> l.startsWith("watch_run "))
+                    .mapToLong(l -> Long.parseLong(l.substring(10))).findFirst().orElse(-1);
+        }
+    }
+
     private static String logged(BufferedReader log, String what) throws IOException {
         String line = log.readLine();
         while (!line.contains(what)) {
--- /dev/null
+++ b/daemon/src/test/java/tallyweir/WatchTest.java
@@ -0,0 +1,142 @@
+package tallyweir;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import tallyweir.BackendTest.Round;
+import tallyweir.config.BadSetting;
+import tallyweir.config.Config;
+import tallyweir.config.Operators;
+
+/** Settings that are watched beside those in force: counted, and never felt. */
+class WatchTest {
+    private static final String OTHERS = """
+            {"Callers":{"MarksRetry":false},"Rules":{"FallMultiple":5},"Permissions":{"MaxRetryAfterUs":200000},
+             "FamilyInfo":{"PassesDeadline":false,"TellsGone":false,"Signal":"threshold","Halt":"suspend","CallsOut":0.05,
+              "ClassSkipWorth":[0.3,0,0],"IdleUs":3000000,"MemLimitKb":1500}}""";
+
+    private static Config config(String watched) {
+        return Config.parse(BackendTest.CONFIG.getBytes(UTF_8), Map.of(), watched == null ? null
+                : Operators.parse(("{\"watch\":{\"settings\":" + watched + "}}").getBytes(UTF_8)));
+    }
+
+    private static Round day(String watched, long seed) {
+        Round r = new Round(config(watched));
+        r.boot();
+        steps(r, new SplittableRandom(seed));
+        r.pass(60_000);
+        return r;
+    }
+
+    private static void steps(Round r, SplittableRandom chance) {
+        for (int i = 0; i < 160; i++) {
+            BackendTest.step(r, chance);
+            r.check();
+            r.closings();
+        }
+    }
+
+    private static Map<String, Long> counts(Round r) {
+        Map<String, Long> watched = new TreeMap<>();
+        r.backend.counters().all().forEach((name, n) -> {
+            if (name.startsWith("watch_")) {
+                watched.put(name.substring(6), n);
+            }
+        });
+        return watched;
+    }
+
+    /** What is watched sends nothing, answers nothing and keeps nothing: all that left is the same with and without. */
+    @Property(tries = 60, seed = "20261203", shrinking = ShrinkingMode.OFF)
+    void whatIsWatchedIsNeverFelt(@ForAll long seed) {
+        Round without = day(null, seed);
+        Round with = day(OTHERS, seed);
+        assertEquals(without.log, with.log);
+        assertEquals(Map.of(), counts(without));
+        assertFalse(counts(with).isEmpty());
+        Map<String, Long> rest = new TreeMap<>(with.backend.counters().all());
+        rest.keySet().removeIf(name -> name.startsWith("watch_"));
+        assertEquals(new TreeMap<>(without.backend.counters().all()), rest);
+    }
+
+    @Property(tries = 60, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void theSettingsInForceWatchedGiveOnlyZeros(@ForAll long seed) {
+        String all = BackendTest.CONFIG.substring(BackendTest.CONFIG.indexOf("\"settings\":") + 11);
+        for (String same : List.of("{}", all.substring(0, all.length() - 1))) {
+            Map<String, Long> counts = counts(day(same, seed));
+            assertEquals(12, counts.size());
+            assertTrue(counts.values().stream().allMatch(n -> n == 0), "" + counts);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', textBlock = """
+            defer;  {"FamilyInfo":{"MemLimitKb":300}}
+            take;   {"FamilyInfo":{"MemLimitKb":90000,"Cpus":64}}
+            told;   {"Permissions":{"MaxRetryAfterUs":100000}}
+            fail;   {"FamilyInfo":{"CallsOut":0.01}}
+            run;    {"FamilyInfo":{"Cpus":1}}
+            stop;   {"FamilyInfo":{"Halt":"off"}}
+            call;   {"FamilyInfo":{"CallsOut":0.05}}
+            poorer; {"FamilyInfo":{"CallsOut":0.05,"ClassSkipWorth":[0.5,0.5,0.5]}}
+            keep;   {"FamilyInfo":{"ShareForUs":0}}
+            reuse;  {"FamilyInfo":{"MemLimitKb":300}}
+            say;    {"FamilyInfo":{"Signal":"threshold"}}
+            idle;   {"FamilyInfo":{"IdleUs":2000000}}
+            """)
+    void eachKindIsCounted(String kind, String others) {
+        long n = 0;
+        for (long seed = 1; seed <= 60 && n == 0; seed++) {
+            n = counts(day(others, seed)).get(kind);
+        }
+        assertTrue(n > 0, kind);
+    }
+
+    /** A notice to read again takes new ones up, and none of them: what was watched before goes. */
+    @Test
+    void whatIsWatchedCanBeTakenUpAndLaidDownAtAnyTime() {
+        Round r = new Round(config(null));
+        SplittableRandom chance = new SplittableRandom(5);
+        r.boot();
+        steps(r, chance);
+        assertEquals(Map.of(), counts(r));
+        r.backend.watch(config(OTHERS).watched);
+        steps(r, chance);
+        assertTrue(counts(r).values().stream().anyMatch(n -> n > 0), "" + counts(r));
+        r.backend.watch(null);
+        assertEquals(Map.of(), counts(r));
+        assertEquals(0, r.number("faults"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = ';', textBlock = """
+            {"Rule":{}};                              watch.settings.Rule is unknown
+            {"FamilyInfo":{"Cpu":2}};                 watch.settings.FamilyInfo.Cpu is unknown
+            {"FamilyInfo":{"Halt":"pause"}};          watch.settings.FamilyInfo.Halt is 'pause'
+            {"FamilyInfo":{"Signal":"level"}};        watch.settings.FamilyInfo.Signal is 'level'
+            {"FamilyInfo":{"Cpus":2.5}};              watch.settings.FamilyInfo.Cpus is 2.5
+            {"FamilyInfo":{"CallsOut":-1}};           watch.settings.FamilyInfo.CallsOut is -1
+            {"FamilyInfo":{"TellsGone":"no"}};        watch.settings.FamilyInfo.TellsGone is not true or false
+            {"Rules":{"FallMultiple":0}};             watch.settings.Rules.FallMultiple is 0
+            {"Callers":{"MarksRetries":true}};        watch.settings.Callers.MarksRetries is unknown
+            {"Classes":[{"Name":"c","Effect":"write"}]}; watch.settings.Classes[0].Effect is 'write'
+            {"Classes":[{"Name":"c","Effect":"safe"}]};  watch.settings.Classes lacks the class
+            """)
+    void aFaultyKeyIsNamed(String watched, String said) {
+        String text = assertThrows(BadSetting.class, () -> config(watched)).getMessage();
+        assertTrue(text.contains(said), text);
+    }
+}
