--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -10,11 +10,11 @@
 
 /**
  * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine to
- * connections), calls start, then clock before each round of news and a method for each piece. Decisions leave
- * through Outgoing. After each input the rules of the constructor are gone through in order until none fires.
- * Times are tenths of a millisecond; dues come rounded down, ages up.
+ * connections), calls start, then clock before each round of news and a method for each piece. Decisions
+ * leave through Outgoing. After each input the rules of the constructor are gone through in order until none
+ * fires. Times are tenths of a millisecond; dues come rounded down, ages up.
  */
-public final class Choice {
+public class Choice {
     // The source's two readings and ours. The cut is where the lowest revenue starts to be shed, the end is
     // where the highest is certain; the distinct revenues share the stretch between evenly.
     static final double CPU_CUT = 0.90;
@@ -38,7 +38,7 @@
     static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
     static final double CHANCE = 2;         // deviations of a count that chance alone may make
     static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
-    static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same where tries bear no mark
+    static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same without a mark
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
@@ -63,7 +63,7 @@
     private final TreeSet<Double> revenues = new TreeSet<>();
     private final Map<TenantId, Tenant> tenants = new HashMap<>();
     private final Map<QueryId, Query> live = new HashMap<>();
-    // Where queries or their calls must wait for each other the higher revenue goes first, then who came first.
+    // Queries and calls that must wait: the higher revenue goes first, then who came first.
     private static final Comparator<Query> DEARER =
             Comparator.comparingDouble((Query q) -> -q.workload.revenue).thenComparingLong(q -> q.order);
     private final PriorityQueue<Query> hold = new PriorityQueue<>(DEARER);
@@ -93,6 +93,7 @@
     private Calls calls;
     private int cores;
     private double runsAllowed;   // on the cores at once
+    private long pauseAgain;      // no other run is paused before
     private DoubleSupplier survived;
     private double callsShare;
     private double callsAllowed;  // in hand at once
@@ -123,7 +124,7 @@
         rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
         rule(() -> fresh != null && fresh.leader == null && (draw < chanceFor(fresh) || tooLate(fresh)),
                 () -> deferFresh(adviceFor(), nowhereElse(fresh)));
-        rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(0, false));
+        rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(adviceFor(), false));
         rule(() -> fresh != null && fresh.leader != null, this::follow);
         rule(() -> fresh != null, () -> takeFresh(HELD));
         rule(() -> !reuses.isEmpty(), this::reuse);
@@ -132,6 +133,7 @@
         rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != HELD, hold::poll);
         rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
         rule(() -> held > 0 && coresFree() && fitsRun(hold.peek()), this::begin);
+        rule(() -> held > 0 && mayPause() && pausable() != null, () -> pause(pausable()));
         rule(() -> gaugeDue, this::readGauges);
         rule(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
     }
@@ -261,10 +263,15 @@
         unread.add(now, age);
         live.put(id, q);
         fresh = q;
-        draw = chance.nextDouble();
+        draw = draw();
         settle();
     }
 
+    /** One draw a read; whoever watches other settings beside these lets them have the same. */
+    protected double draw() {
+        return chance.nextDouble();
+    }
+
     public void ended(QueryId id, Outcome how) {
         Query q = live.get(id);
         if (q == null || q.state == HELD || q.state == FOLLOWING) {
@@ -274,8 +281,12 @@
             over(q);
         } else {
             boolean wasAnswered = q.answered;
-            leaveCores(q, how);
-            if (how == Outcome.RECALLED && !wasAnswered) {
+            boolean pauses = halt == Halt.SUSPEND && how == Outcome.RECALLED && !wasAnswered && q.harmless();
+            leaveCores(q, how, pauses);
+            if (pauses) {
+                pauseAgain = now;
+                toHold(q);
+            } else if (how == Outcome.RECALLED && !wasAnswered) {
                 backToHold(q);
             } else {
                 over(q);
@@ -373,7 +384,7 @@
         double spare = Math.max(1, q.workload.expected - runTime(q));
         double wait = (now - q.arrived + waitAhead(q.workload.revenue)) / spare;
         double surplus = q.tenant == null ? 0 : (1 - surplusWorth) * surplus(q.tenant);
-        // A further try is nearer to its end than a first one; turned away by an idle server it only brings more.
+        // A further try is nearer to its end than a first one; turned away by an idle server it brings more.
         double use = Math.min(1, Math.max(dear(), runQueue / cores));
         double down = Math.max(surplus, q.again ? AGAIN_DOWN * manyAgain() * use : 0);
         return bandChance(revenues.headSet(q.workload.revenue).size() - down, wait, q.workload.callsBelow);
@@ -386,8 +397,9 @@
     }
 
     private double bandChance(double band, double wait, boolean calls) {
-        // A few cores are full for half a second by chance: past what chance makes of their number it is overload.
-        double busy = runQueue > cores + CHANCE * Math.sqrt(cores) ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
+        // A few cores are full for half a second by chance: past what that makes of them it is overload.
+        boolean pressed = runQueue > cores + CHANCE * Math.sqrt(cores);
+        double busy = pressed ? rise(coresBusy, CPU_CUT, CPU_END, band) : 0;
         // What lies below makes late only what calls it, so the rest is not shed for that.
         double ended = late.count(now) + (calls ? lateBelow.count(now) : 0);
         double lateShare = (late.sum(now) + (calls ? lateBelow.sum(now) : 0)) / Math.max(ended, cores);
@@ -401,8 +413,8 @@
     }
 
     /**
-     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. Where tries
-     * bear no mark this server's own refusals stand in. Harms where this server alone is in need.
+     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. Where
+     * tries bear no mark this server's own refusals stand in. Harms where this server alone is in need.
      */
     private boolean nowhereElse(Query q) {
         return q.again || manyAgain() > 0
@@ -420,16 +432,21 @@
     }
 
     private long adviceFor() {
-        return (long) (keepOffMost * Math.min(1, dear()) * turned.count(now) / Math.max(cores, tries.count(now)));
+        double share = turned.count(now) / Math.max((double) cores, tries.count(now));
+        return (long) (keepOffMost * Math.min(1, dear()) * share);
     }
 
     private void readGauges() {
         gaugeDue = false;
-        callUsual = calls.lately.count(now) > BUCKETS ? Math.min(callUsual, calls.lately.mean(now)) : callUsual;
+        if (calls.lately.count(now) > BUCKETS) {
+            callUsual = Math.min(callUsual, calls.lately.mean(now));
+        }
         double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALLS_BESIDE * cores);
         // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
-        // Guards also against one that is slow by itself; harms where calls get longer for good.
-        callsAllowed = took > CALL_SLOW * callUsual
+        // Guards also against one that is slow by itself; harms where calls get longer for good. A share
+        // that is used up says it too, even where calls were slow from the start.
+        boolean usedUp = !atCall.isEmpty() && atCall.peek().workload.poorerValue > 0 && !callFits();
+        callsAllowed = usedUp || took > CALL_SLOW * callUsual
                 ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
                 : Math.min(callsShare, callsAllowed / CALLS_CUT);
         if (held > 0 && runQueue < cores) {
@@ -493,7 +510,7 @@
     }
 
     private boolean fitsRun(Query q) {
-        return memory.used(now) + q.size * (memory.runFactor - 1) <= memory.limit * MEMORY_RUN;
+        return q.paused || memory.used(now) + q.size * (memory.runFactor - 1) <= memory.limit * MEMORY_RUN;
     }
 
     private boolean coresFree() {
@@ -561,10 +578,13 @@
             return 0;
         }
         int ahead = 1;
+        int begun = 0;
         for (Workload w : workloads.values()) {
             ahead += w.revenue >= revenue ? w.held : 0;
+            begun += w.revenue >= revenue ? w.begun : 0;
         }
-        return (long) (ahead * meanRun() / Math.max(crowd.on, runsAllowed));
+        boolean next = halt == Halt.SUSPEND && ahead + begun <= runsAllowed; // the rest can be paused
+        return next ? 0 : (long) (ahead * meanRun() / Math.max(crowd.on, runsAllowed));
     }
 
     /** What cannot be answered within its worth must not take space or cores; one of a kind may try. */
@@ -593,7 +613,7 @@
             return;
         }
         boolean lastMoment = q.answerBy <= now;
-        boolean canStop = q.harmless() && (q.state != RUNNING || halt != Halt.OFF);
+        boolean canStop = q.state == AT_CALL || q.harmless() && (q.state != RUNNING || halt != Halt.OFF);
         if (lastMoment || canStop || !q.ran) {
             giveUp(q);
         } else {
@@ -628,7 +648,7 @@
     private void over(Query q) {
         if (q.inHold) {
             outOfHold(q);
-            memory.held -= q.size;
+            freeHeld(q);
         } else if (q.state == FOLLOWING || q.state == REPLAYING) {
             memory.held -= q.size;
         }
@@ -675,6 +695,11 @@
         q.inHold = false;
     }
 
+    private void freeHeld(Query q) {
+        memory.held -= q.paused ? 0 : q.size;
+        memory.running -= q.paused ? q.size * memory.runFactor : 0;
+    }
+
     private void reuse() {
         Query q = reuses.poll();
         if (q.open() && q.state == FOLLOWING) {
@@ -688,11 +713,12 @@
     private void begin() {
         Query q = hold.poll();
         outOfHold(q);
-        memory.held -= q.size;
+        freeHeld(q);
         memory.running += q.size * memory.runFactor;
         q.ran = true;
-        q.began = now;
-        q.onCores = 0;
+        q.began = q.paused ? q.began : now;
+        q.onCores = q.paused ? q.onCores : 0;
+        q.paused = false;
         q.state = RUNNING;
         crowd.all++;
         q.workload.begun++;
@@ -701,7 +727,30 @@
         releaseFollowers(q);
     }
 
-    private void leaveCores(Query q, Outcome how) {
+    private boolean mayPause() {
+        return halt == Halt.SUSPEND && now >= pauseAgain && !coresFree() && fitsRun(hold.peek());
+    }
+
+    /** What can be taken up again makes way for what is dearer: the last begun of the cheapest. */
+    private Query pausable() {
+        Query least = null;
+        for (Query q : live.values()) {
+            boolean may = q.state == RUNNING && q.harmless() && !q.answered;
+            if (may && q.workload.revenue < hold.peek().workload.revenue
+                    && (least == null || DEARER.compare(q, least) > 0)) {
+                least = q;
+            }
+        }
+        return least;
+    }
+
+    /** No word comes if nothing was stopped, so another is tried after a while. */
+    private void pause(Query q) {
+        pauseAgain = now + GAUGE_EVERY;
+        out.stop(q.id);
+    }
+
+    private void leaveCores(Query q, Outcome how, boolean pauses) {
         if (q.state == RUNNING) {
             crowd.offCores(now, q);
         } else if (q.state == CALLING) {
@@ -709,9 +758,13 @@
         }
         crowd.all--;
         q.workload.begun--;
+        if (pauses) {
+            q.paused = true;
+            return;
+        }
         memory.running -= q.size * memory.runFactor;
-        // A server whose runs fail at once is idle, answers first and so draws its callers' queries: what it fails
-        // is worth no more than what it ends late, and says nothing of the length of a run.
+        // A server whose runs fail at once is idle, answers first and so draws its callers' queries: what it
+        // fails is worth no more than what it ends late, and says nothing of the length of a run.
         boolean failed = how == Outcome.ERRORED && !q.stood;
         if (how != Outcome.SUPERSEDED && !failed) {
             runs.add(now, q.onCores);
@@ -738,10 +791,9 @@
     // ---- calls below
 
     private boolean callFails() {
-        return !atCall.isEmpty() && (atCall.peek().state != AT_CALL || atCall.peek().answered
-                || atCall.peek().calls >= CALL_TRIES
-                || atCall.peek().workload.poorerValue > 0 && (atCall.peek().calls > 0
-                || callsAllowed < callsShare && !callFits()));
+        Query q = atCall.peek();
+        return q != null && (q.state != AT_CALL || q.answered || q.calls >= CALL_TRIES || q.useBy <= now
+                || q.workload.poorerValue > 0 && (q.calls > 0 || callsAllowed < callsShare && !callFits()));
     }
 
     private void giveUpCall() {
@@ -768,7 +820,7 @@
         return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
     }
 
-    /** The part of this server's share that is used while calls are slow: where the share is one call, their pace. */
+    /** The part of this server's share that is used while calls are slow; of one call, their pace. */
     private double callPace() {
         return callsAllowed / callsShare;
     }
@@ -779,15 +831,15 @@
     }
 
     /**
-     * In a large fleet a server's share is about one call, and all the time a query has left may be more than the
-     * span holds: such a call would never go out, nor any behind it. So none waits for more room than a part.
+     * In a large fleet a server's share is about one call, and all the time a query has left may be more than
+     * the span holds: such a call would never go out, nor any behind it. So none waits for more than a part.
      */
     private boolean callFits() {
         return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed)
                 && Math.min(timeOut(atCall.peek()), callTime * callPace() * CALL_PART) <= callRoom();
     }
 
-    /** What may be called again is promised a part, lest a lost reply hold the share; the rest all there is. */
+    /** What may be called again is promised a part, lest a lost reply hold the share; the rest all of it. */
     private void call() {
         Query q = atCall.poll();
         double most = q.harmless() ? Math.min(callPart, callRoom()) : callRoom();
