--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -45,7 +45,6 @@
     static final double CALLS_BESIDE = 2;   // a core: calls of the usual length that stand beside a few
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
     static final double CALL_PART = 0.25;   // of the time that calls may take in the span: for one at first
-    static final double WINDOW_OF = 2;      // times an even part of what is in time: callers differ
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
     static final double DEAR = 5;           // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
@@ -102,7 +101,6 @@
     private double callPart;      // of that: promised to one that can be made again
     private Halt halt = Halt.OFF;
     private Said said = Said.OFF;
-    private int callers = 1;
     private double saidLast;
     private long shortest = Long.MAX_VALUE; // expected time
     private long round = 1;
@@ -197,9 +195,8 @@
         this.surplusWorth = surplusWorth;
     }
 
-    public void callers(Said said, int callers, long shareFor, long keepOffMost) {
+    public void callers(Said said, long shareFor, long keepOffMost) {
         this.said = said;
-        this.callers = Math.max(1, callers);
         this.shareFor = shareFor;
         this.keepOffMost = keepOffMost;
     }
@@ -485,11 +482,9 @@
         for (double revenue : revenues) {
             shed += bandChance(band++, waitAhead(revenue) / spare, true) / revenues.size();
         }
-        double window = Math.max(1, runsAllowed * shortest / mean * WINDOW_OF / callers);
-        double value = said == Said.THRESHOLD ? shed : said == Said.SHARE_OF ? 1 - shed : window;
-        if (Math.abs(value - saidLast) > SAY_STEP * Math.max(value, saidLast)) {
-            saidLast = value;
-            out.say(value);
+        if (Math.abs(shed - saidLast) > SAY_STEP * Math.max(shed, saidLast)) {
+            saidLast = shed;
+            out.say(shed);
         }
     }
 
--- a/core/src/main/java/tallyweir/Said.java
+++ b/core/src/main/java/tallyweir/Said.java
@@ -1,3 +1,4 @@
 package tallyweir;
 
-public enum Said { OFF, THRESHOLD, WINDOW, SHARE_OF }
+/** What callers may be told of the load here: a level, under which they send nothing, or nothing. */
+public enum Said { OFF, THRESHOLD }
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -282,7 +282,7 @@
     @Test
     void countsOfNoneAndUnknownTenantsBreakNothing() {
         m.choice.tenant(new tallyweir.ids.TenantId("a"), 0, 0);
-        m.choice.callers(Said.WINDOW, 0, 0, 10_000);
+        m.choice.callers(Said.THRESHOLD, 0, 10_000);
         m.choice.connections(0);
         m.choice.below(0, 50_000, 2_000);
         Seen q = m.read(0, 0, 40_000, 10, false, null);
--- a/core/src/test/java/tallyweir/Model.java
+++ b/core/src/test/java/tallyweir/Model.java
@@ -82,7 +82,7 @@
         }
         choice.tenant(new TenantId("a"), 40, 4);
         choice.duties(ROUND, GRACE, 0.05);
-        choice.callers(said, 3, shareFor, 10_000);
+        choice.callers(said, shareFor, 10_000);
         choice.connections(300_000);
         choice.start();
     }
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -119,7 +119,7 @@
         choice.duties((long) Math.ceil(all.number("RoundUs", 0) / 100), rules.time("DrainGraceUs"),
                 all.number("OverShareWorth", 1));
         Tree permissions = all.in("Permissions");
-        choice.callers(says ? said() : Said.OFF, (int) info.number("ClientsTotal", 1), shareFor(),
+        choice.callers(says ? said() : Said.OFF, shareFor(),
                 permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0);
         choice.connections(idleMost());
         choice.start();
@@ -188,11 +188,6 @@
     }
 
     private Said said() {
-        return switch (info.text("Signal", "off")) {
-            case "threshold" -> Said.THRESHOLD;
-            case "window" -> Said.WINDOW;
-            case "share_of" -> Said.SHARE_OF;
-            default -> Said.OFF;
-        };
+        return info.text("Signal", "off").equals("threshold") ? Said.THRESHOLD : Said.OFF;
     }
 }
