Calls: whole calls are counted, only a share under one gets a pace; a lost reply is no slowness

At fault, both from: readGauges counted a call that was cut short with all its time, so that one lost reply among thirty made the mean three times the usual; and callRoom was cut with what is allowed also where that is several whole calls, each of which is promised far more than it takes, so one call went out at a time.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -314,7 +314,8 @@
         callPart = how == Outcome.OVERDUE ? Math.min(callTime, 2 * callPart)
                 : how == Outcome.COMPLETED ? Math.max(callTime * CALL_PART, callPart * CALLS_CUT) : callPart;
         if (how == Outcome.COMPLETED || how == Outcome.OVERDUE) {
-            calls.took.add(now, took);
+            // One lost reply among many calls is no slowness of what lies below.
+            calls.took.add(now, Math.min(took, CALL_SLOW * CALL_SLOW * callUsual));
             calls.lately.add(now, took);
         }
         if (how == Outcome.COMPLETED) {
@@ -815,9 +816,9 @@
         return Math.max(1, q.workload.poorerValue > 0 ? (q.goodBy - now) / 2 : q.useBy - now);
     }
 
-    /** The part of this server's share that is used while calls are slow; of one call, their pace. */
+    /** Fewer whole calls are counted; where the share is under one, slow calls go out at a slower pace. */
     private double callPace() {
-        return callsAllowed / callsShare;
+        return Math.min(1, callsAllowed) / Math.min(1, callsShare);
     }
 
     /** What of this server's share is neither taken in the span nor promised. */
