Calls: slowness is known from three calls, whatever the number of cores

At fault: readGauges put two usual calls a core, twelve here, beside the few that end in a second while they are slow. Now the time of at least three calls divides the sum; with a single one counted at nine times the usual at most, one alone is never slowness.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -42,7 +42,6 @@
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
-    static final double CALLS_BESIDE = 2;   // a core: calls of the usual length that stand beside a few
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
     static final double CALL_PART = 0.25;   // of the time that calls may take in the span: for one at first
     static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
@@ -314,7 +313,7 @@
         callPart = how == Outcome.OVERDUE ? Math.min(callTime, 2 * callPart)
                 : how == Outcome.COMPLETED ? Math.max(callTime * CALL_PART, callPart * CALLS_CUT) : callPart;
         if (how == Outcome.COMPLETED || how == Outcome.OVERDUE) {
-            // One lost reply among many calls is no slowness of what lies below.
+            // One lost reply is no slowness of what lies below, among many calls or few (see readGauges).
             calls.took.add(now, Math.min(took, CALL_SLOW * CALL_SLOW * callUsual));
             calls.lately.add(now, took);
         }
@@ -439,7 +438,7 @@
         if (calls.lately.count(now) > BUCKETS) {
             callUsual = Math.min(callUsual, calls.lately.mean(now));
         }
-        double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALLS_BESIDE * cores);
+        double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALL_SLOW);
         // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
         // Guards also against one that is slow by itself; harms where calls get longer for good. A share
         // that is used up says it too, even where calls were slow from the start.
