The hold keeps only what is held; its counts are derived, not kept beside it

Seen on reading the whole change: since the hold goes by revenue, what was over lay in it until nothing dearer was held, so under a lasting load it could only grow; the counts beside it (held, inHold, Workload.held) only made up for that. What is over now leaves at once.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -41,6 +41,8 @@
     static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same without a mark
     static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
     static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
+    static final double CALLS_FEW = 3;      // calls that a mean is taken over at least: one is no slowness,
+    static final double CALL_MOST = CALL_SLOW * CALLS_FEW; // as none counts with more times the usual
     static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
     static final double CALLS_CUT = 0.9;    // each time the gauges are read
     static final double CALL_PART = 0.25;   // of the time that calls may take in the span: for one at first
@@ -80,7 +82,6 @@
     private long idleFor;
     private Query fresh;
     private double draw;
-    private int held;
     private long order;
     private long wakeAt = Long.MAX_VALUE;
     private boolean gaugeDue;
@@ -91,7 +92,7 @@
     private Calls calls;
     private int cores;
     private double runsAllowed;   // on the cores at once
-    private long pauseAgain;      // no other run is paused before
+    private long pauseAgain;      // no run is asked to pause before
     private DoubleSupplier survived;
     private double callsShare;
     private double callsAllowed;  // in hand at once
@@ -127,10 +128,9 @@
         rule(() -> !reuses.isEmpty(), this::reuse);
         rule(this::callFails, this::giveUpCall);
         rule(this::callFits, this::call);
-        rule(() -> held > 0 && !hold.isEmpty() && hold.peek().state != HELD, hold::poll);
-        rule(() -> held > 0 && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
-        rule(() -> held > 0 && coresFree() && fitsRun(hold.peek()), this::begin);
-        rule(() -> held > 0 && mayPause() && pausable() != null, () -> pause(pausable()));
+        rule(() -> !hold.isEmpty() && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
+        rule(() -> !hold.isEmpty() && coresFree() && fitsRun(hold.peek()), this::begin);
+        rule(() -> !hold.isEmpty() && mayPause() && pausable() != null, () -> pause(pausable()));
         rule(() -> gaugeDue, this::readGauges);
         rule(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
     }
@@ -313,8 +313,8 @@
         callPart = how == Outcome.OVERDUE ? Math.min(callTime, 2 * callPart)
                 : how == Outcome.COMPLETED ? Math.max(callTime * CALL_PART, callPart * CALLS_CUT) : callPart;
         if (how == Outcome.COMPLETED || how == Outcome.OVERDUE) {
-            // One lost reply is no slowness of what lies below, among many calls or few (see readGauges).
-            calls.took.add(now, Math.min(took, CALL_SLOW * CALL_SLOW * callUsual));
+            // So long that it takes more than one of them to be slowness: a lost reply alone is none.
+            calls.took.add(now, Math.min(took, CALL_MOST * callUsual));
             calls.lately.add(now, took);
         }
         if (how == Outcome.COMPLETED) {
@@ -410,8 +410,8 @@
     }
 
     /**
-     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. Where
-     * tries bear no mark this server's own refusals stand in. Harms where this server alone is in need.
+     * Further tries in numbers tell that the others turn away as well: one more would be read in vain. So do
+     * this server's own refusals, where tries bear no mark. Harms where this server alone is in need.
      */
     private boolean nowhereElse(Query q) {
         return q.again || manyAgain() > 0
@@ -438,7 +438,7 @@
         if (calls.lately.count(now) > BUCKETS) {
             callUsual = Math.min(callUsual, calls.lately.mean(now));
         }
-        double took = calls.took.sum(now) / Math.max(calls.took.count(now), CALL_SLOW);
+        double took = calls.took.sum(now) / Math.max(CALLS_FEW, calls.took.count(now));
         // A crowded dependency gets less done, so fewer calls go out while they take far longer than usual.
         // Guards also against one that is slow by itself; harms where calls get longer for good. A share
         // that is used up says it too, even where calls were slow from the start.
@@ -446,7 +446,7 @@
         callsAllowed = usedUp || took > CALL_SLOW * callUsual
                 ? Math.max(callsShare * CALLS_LEAST, callsAllowed * CALLS_CUT)
                 : Math.min(callsShare, callsAllowed / CALLS_CUT);
-        if (held > 0 && runQueue < cores) {
+        if (!hold.isEmpty() && runQueue < cores) {
             runsAllowed += Math.max(1, cores - runQueue);
         } else if (runQueue > cores * CROWDED) {
             runsAllowed -= 1;
@@ -569,13 +569,15 @@
     }
 
     private long waitAhead(double revenue) {
-        if (held == 0 && coresFree()) {
+        if (hold.isEmpty() && coresFree()) {
             return 0;
         }
         int ahead = 1;
+        for (Query h : hold) {
+            ahead += h.workload.revenue >= revenue ? 1 : 0;
+        }
         int begun = 0;
         for (Workload w : workloads.values()) {
-            ahead += w.revenue >= revenue ? w.held : 0;
             begun += w.revenue >= revenue ? w.begun : 0;
         }
         boolean next = halt == Halt.SUSPEND && ahead + begun <= runsAllowed; // the rest can be paused
@@ -641,8 +643,7 @@
     }
 
     private void over(Query q) {
-        if (q.inHold) {
-            outOfHold(q);
+        if (hold.remove(q)) {
             freeHeld(q);
         } else if (q.state == FOLLOWING || q.state == REPLAYING) {
             memory.held -= q.size;
@@ -678,16 +679,7 @@
 
     private void toHold(Query q) {
         q.state = HELD;
-        q.inHold = true;
         hold.add(q);
-        held++;
-        q.workload.held++;
-    }
-
-    private void outOfHold(Query q) {
-        held--;
-        q.workload.held--;
-        q.inHold = false;
     }
 
     private void freeHeld(Query q) {
@@ -707,7 +699,6 @@
 
     private void begin() {
         Query q = hold.poll();
-        outOfHold(q);
         freeHeld(q);
         memory.running += q.size * memory.runFactor;
         q.ran = true;
@@ -739,7 +730,7 @@
         return least;
     }
 
-    /** No word comes if nothing was stopped, so another is tried after a while. */
+    /** No word comes if nothing was stopped, so it is asked for again after a while. */
     private void pause(Query q) {
         pauseAgain = now + GAUGE_EVERY;
         out.stop(q.id);
--- a/core/src/main/java/tallyweir/Outgoing.java
+++ b/core/src/main/java/tallyweir/Outgoing.java
@@ -1,10 +1,17 @@
 package tallyweir;
 
+import java.lang.reflect.Proxy;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.TimerId;
 
 /** What the decisions ask for: one method an action. Times are tenths of a millisecond. */
 public interface Outgoing {
+    /** Asks nobody: for decisions that lead nowhere. */
+    static Outgoing nowhere() {
+        return (Outgoing) Proxy.newProxyInstance(Outgoing.class.getClassLoader(),
+                new Class<?>[] {Outgoing.class}, (proxy, method, arguments) -> null);
+    }
+
     void run(QueryId query);
 
     void defer(QueryId query, long keepOff, boolean nowhereElse);
--- a/core/src/main/java/tallyweir/Query.java
+++ b/core/src/main/java/tallyweir/Query.java
@@ -23,7 +23,6 @@
     long predicted;
     State state = State.HELD;
     boolean answered; // nothing is owed any more, by our word or the caller's going
-    boolean inHold;
     boolean ran;
     boolean kept;
     boolean paused;   // in the hold with its progress and the memory of a run
--- a/core/src/main/java/tallyweir/Workload.java
+++ b/core/src/main/java/tallyweir/Workload.java
@@ -15,7 +15,6 @@
     final Ring runs;
     final Ring predicted;
     int begun;
-    int held;
 
     Workload(Effect effect, long expected, long hard, double revenue, double lateValue, long window,
             boolean callsBelow, double poorerValue, Ring runs, Ring predicted) {
