Watching: a faulty part holds up no move of addresses; simpler, counts begin at zero

Seen on reading the change: a faulty operators' file on SIGHUP also held back the platform's new addresses, so what is only watched could cost a backend its kernel; it is read after the move now, and its fault logged by itself. Counts of what was watched before went on under new settings. Each piece of news went through all queries in hand; now through those it may end. One Outgoing asks nobody, in place of two ways; the server tests start the program and read its address in one place. Tests: a faulty part and the move, counts from zero, patience, word of the gone, marks.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -45,7 +45,6 @@
         queries = new Queries(links, deadlines, counters, config.settings,
                 config.sockets - config.sockets / SOCKETS_APART, config.sockets / SOCKETS_STORE, config.seed, now, shelf);
         queries.clock(now, wall);
-        queries.watch(config.watched);
     }
 
     public void start() {
--- a/daemon/src/main/java/tallyweir/backend/Watch.java
+++ b/daemon/src/main/java/tallyweir/backend/Watch.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tallyweir.Choice;
@@ -68,8 +71,9 @@
     }
 
     private final Tap decided;
-    private final Tap asked = new Tap(null);
+    private final Tap asked = new Tap(Outgoing.nowhere());
     private final Map<QueryId, Pair> pairs = new HashMap<>();
+    private final Set<QueryId> ending = new LinkedHashSet<>();  // of which this news may be the last
     private final ArrayDeque<Runnable> news = new ArrayDeque<>();
     private final long[] counts = new long[Kind.values().length];
     private Others others;  // null while none are watched
@@ -91,6 +95,7 @@
     /** Others that begin later know nothing of what was read before. */
     void watch(Settings watched, long seed, long since, boolean cold) {
         pairs.clear();
+        Arrays.fill(counts, 0);
         settings = watched;
         others = null;
         if (watched != null) {
@@ -150,6 +155,7 @@
             Pair p = pairs.get(id);
             others.ended(id, how);
             if (p != null) {
+                ending.add(id);
                 p.runs = false;
                 p.over |= how != Outcome.RECALLED;
                 p.othersOver |= p.othersRun && how != Outcome.RECALLED;
@@ -173,6 +179,7 @@
         both(() -> super.gone(id), () -> {
             Pair p = pairs.get(id);
             if (p != null) {
+                ending.add(id);
                 p.over = true;
                 p.othersOver |= settings.tellsGone();
             }
@@ -233,6 +240,7 @@
             decided.on = false;
         }
         news.clear();
+        ending.clear();
         decided.acts.clear();
         asked.acts.clear();
     }
@@ -242,6 +250,7 @@
         if (p != null && decides) {
             p.over |= act.answers();
             p.runs |= act.kind == Kind.RUN;
+            ending.add(act.query);
         } else if (p != null) {
             p.othersOver |= act.answers();
             p.othersRun |= act.kind == Kind.RUN;
@@ -250,17 +259,17 @@
 
     /** The others are told that what was answered is over, as if its caller had gone and its run never been. */
     private void partedWays() {
-        for (Map.Entry<QueryId, Pair> e : List.copyOf(pairs.entrySet())) {
-            Pair p = e.getValue();
+        for (QueryId id : ending) {
+            Pair p = pairs.get(id);
             if (p.over && !p.othersOver) {
                 p.othersOver = true;
                 int before = asked.acts.size();
-                others.gone(e.getKey());
+                others.gone(id);
                 if (p.othersRun && !p.runs) {
-                    others.ended(e.getKey(), Outcome.SUPERSEDED);
+                    others.ended(id, Outcome.SUPERSEDED);
                 }
                 List<Act> since = asked.acts.subList(before, asked.acts.size());
-                since.removeIf(a -> e.getKey().equals(a.query));
+                since.removeIf(a -> id.equals(a.query));
                 since.forEach(a -> note(a, false));
             }
         }
@@ -285,7 +294,8 @@
             first.stream().filter(a -> a.answers() == answers).forEach(a -> alone(a, true));
             only.stream().filter(a -> a.answers() == answers).forEach(a -> alone(a, false));
         }
-        pairs.values().removeIf(p -> p.over && !p.runs);
+        ending.removeIf(id -> !pairs.get(id).over || pairs.get(id).runs);
+        pairs.keySet().removeAll(ending);
     }
 
     /** Asked for by one of the two; what the other has asked for before, or asks for later, counts once. */
@@ -300,7 +310,7 @@
         }
     }
 
-    /** Notes what is asked for, and passes it on where there is somewhere to. */
+    /** Notes what is asked for, and passes it on. */
     private static final class Tap implements Outgoing {
         private final Outgoing to;
         private final List<Act> acts = new ArrayList<>();
@@ -319,102 +329,76 @@
         @Override
         public void run(QueryId query) {
             note(Kind.RUN, query, 0, false);
-            if (to != null) {
-                to.run(query);
-            }
+            to.run(query);
         }
 
         @Override
         public void defer(QueryId query, long keepOff, boolean nowhereElse) {
             note(Kind.DEFER, query, keepOff, nowhereElse);
-            if (to != null) {
-                to.defer(query, keepOff, nowhereElse);
-            }
+            to.defer(query, keepOff, nowhereElse);
         }
 
         @Override
         public void fail(QueryId query) {
             note(Kind.FAIL, query, 0, false);
-            if (to != null) {
-                to.fail(query);
-            }
+            to.fail(query);
         }
 
         @Override
         public void stop(QueryId query) {
             note(Kind.STOP, query, 0, false);
-            if (to != null) {
-                to.stop(query);
-            }
+            to.stop(query);
         }
 
         @Override
         public void call(QueryId query, long timeOut) {
             note(Kind.CALL, query, timeOut, false);
-            if (to != null) {
-                to.call(query, timeOut);
-            }
+            to.call(query, timeOut);
         }
 
         @Override
         public void poorer(QueryId query) {
             note(Kind.POORER, query, 0, false);
-            if (to != null) {
-                to.poorer(query);
-            }
+            to.poorer(query);
         }
 
         @Override
         public void keep(QueryId query, long span) {
             note(Kind.KEEP, query, span, false);
-            if (to != null) {
-                to.keep(query, span);
-            }
+            to.keep(query, span);
         }
 
         @Override
         public void forget(QueryId query) {
-            if (to != null) {
-                to.forget(query);
-            }
+            to.forget(query);
         }
 
         @Override
         public void reuse(QueryId query) {
             note(Kind.REUSE, query, 0, false);
-            if (to != null) {
-                to.reuse(query);
-            }
+            to.reuse(query);
         }
 
         @Override
         public void health(boolean good, boolean stored) {
-            if (to != null) {
-                to.health(good, stored);
-            }
+            to.health(good, stored);
         }
 
         @Override
         public void say(double value) {
             note(Kind.SAY, null, value, false);
-            if (to != null) {
-                to.say(value);
-            }
+            to.say(value);
         }
 
         @Override
         public void closeIdle(long span) {
             note(Kind.IDLE, null, span, false);
-            if (to != null) {
-                to.closeIdle(span);
-            }
+            to.closeIdle(span);
         }
 
         @Override
         public void wake(long at, TimerId timer) {
-            if (to != null) {
-                to.wake(at, timer);
-            }
+            to.wake(at, timer);
         }
     }
 }
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -15,6 +15,7 @@
 import tallyweir.config.BadSetting;
 import tallyweir.config.Config;
 import tallyweir.config.Operators;
+import tallyweir.config.Settings;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Times;
 import tallyweir.net.Server;
@@ -35,9 +36,11 @@
         System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tH:%1$tM:%1$tS.%1$tL %4$s %5$s%6$s%n");
         Config config;
         Operators operators;
+        Settings watched;
         try {
+            config = Config.read(environment);
             operators = Operators.read(environment);
-            config = Config.read(environment, operators);
+            watched = operators.watched(config.settings);
         } catch (BadSetting e) {
             err.println("tallyweir: " + e.getMessage());
             return 2;
@@ -51,6 +54,7 @@
         }
         Rehearsal.play(config);
         Server server = server(config, operators, store);
+        server.watch(watched);
         if (store != null) {
             server.counts("durable_", store.store().figures()::all);
             Times times = store.times();
@@ -124,8 +128,9 @@
      */
     private static synchronized void reload(Server server, Map<String, String> environment) {
         try {
-            Config config = Config.read(environment, Operators.read(environment));
+            Config config = Config.read(environment);
             server.move(config);
+            watch(server, config.settings, environment);
             LOG.atInfo().addKeyValue("kernel", config.kernel).addKeyValue("store", config.store)
                     .addKeyValue("announce", config.announce).log("told to read the configuration again");
         } catch (BadSetting e) {
@@ -134,6 +139,15 @@
         }
     }
 
+    /** What operators want watched holds up no move of the platform's. */
+    private static void watch(Server server, Settings inForce, Map<String, String> environment) {
+        try {
+            server.watch(Operators.read(environment).watched(inForce));
+        } catch (BadSetting e) {
+            LOG.atWarn().addKeyValue("fault", e.getMessage()).log("what is watched stays as it was");
+        }
+    }
+
     /** Another process has the store now: whoever has been asked here is answered, and then it ends as on notice. */
     private static void takenOver() {
         LOG.error("another process has taken the store over; this one leaves");
--- a/daemon/src/main/java/tallyweir/config/Config.java
+++ b/daemon/src/main/java/tallyweir/config/Config.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -24,9 +23,8 @@
     public final long stopAfter;
     public final int sockets;
     public final Settings settings;
-    public final Settings watched;  // decide nothing, null for none
 
-    private Config(Tree all, Map<String, String> environment, Operators operators) {
+    private Config(Tree all, Map<String, String> environment) {
         name = all.text("name", environment.getOrDefault("EDGE_NAME", ""));
         if (!name.matches("[!-~]{1,64}")) {
             throw new BadSetting("name is '" + name + "': 1 to 64 letters without spaces are needed");
@@ -40,19 +38,6 @@
         sockets = all.in("limits").whole("sockets", 64, 1 << 20);
         settings = new Settings(all.in("settings"));
         check();
-        Tree others = operators == null ? null : operators.watched();
-        watched = others == null ? null : settings.watched(others);
-        if (watched != null) {
-            watched.startWatched(new Choice(nowhere(), seed, 0), false);
-            watched.tellsPatience();
-            watched.tellsGone();
-            watched.marksTries();
-        }
-    }
-
-    private static Outgoing nowhere() {
-        return (Outgoing) Proxy.newProxyInstance(Outgoing.class.getClassLoader(),
-                new Class<?>[] {Outgoing.class}, (proxy, method, arguments) -> null);
     }
 
     /** Decodes the settings whole once, for decisions that lead nowhere, so that a faulty key shows at the start. */
@@ -60,7 +45,7 @@
         if (settings.workloads().isEmpty()) {
             throw new BadSetting("settings.Classes is missing: a list with at least one class is needed");
         }
-        settings.start(new Choice(nowhere(), seed, 0), false, false, false, false);
+        settings.start(new Choice(Outgoing.nowhere(), seed, 0), false, false, false, false);
         settings.longestHard();
         settings.answerSlack();
         settings.tellsPatience();
@@ -69,30 +54,21 @@
 
     /** Reads the file that EDGE_CONFIG names. */
     public static Config read(Map<String, String> environment) {
-        return read(environment, null);
-    }
-
-    /** The same, with what the operators want watched. */
-    public static Config read(Map<String, String> environment, Operators operators) {
         String file = environment.get("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new BadSetting("EDGE_CONFIG is not set: the path of the configuration is needed");
         }
         try {
-            return parse(Files.readAllBytes(Path.of(file)), environment, operators);
+            return parse(Files.readAllBytes(Path.of(file)), environment);
         } catch (IOException e) {
             throw new BadSetting("EDGE_CONFIG names a file that cannot be read: " + e);
         }
     }
 
     public static Config parse(byte[] json, Map<String, String> environment) {
-        return parse(json, environment, null);
-    }
-
-    public static Config parse(byte[] json, Map<String, String> environment, Operators operators) {
         try (JsonParser in = new JsonFactory().createParser(json)) {
             in.nextToken();
-            return new Config(Tree.read(in, ""), environment, operators);
+            return new Config(Tree.read(in, ""), environment);
         } catch (JsonProcessingException e) {
             throw new BadSetting("the configuration is not valid JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -71,9 +71,9 @@
         }
     }
 
-    /** The settings to be watched beside those in force, null for none. */
-    Tree watched() {
-        return watch == null ? null : watch.in("settings");
+    /** The settings to be watched beside those in force, checked whole, null for none. */
+    public Settings watched(Settings inForce) {
+        return watch == null ? null : inForce.watched(watch.in("settings"));
     }
 
     /** Whether there is to be a store. */
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -8,6 +8,7 @@
 import tallyweir.Choice;
 import tallyweir.Effect;
 import tallyweir.Halt;
+import tallyweir.Outgoing;
 import tallyweir.Said;
 import tallyweir.ids.TenantId;
 import tallyweir.ids.WorkloadId;
@@ -38,7 +39,7 @@
      * These settings with others over them, to be watched. What the front's protocol has no message for is left out
      * as here, unless the others change it: whoever watches wants to see what it would do.
      */
-    public Settings watched(Tree others) {
+    Settings watched(Tree others) {
         others.only("Callers", "Classes", "FamilyInfo", "OverShareWorth", "Permissions", "Projects", "RoundUs",
                 "Rules", "Servers");
         Tree both = all.under(others);
@@ -73,6 +74,10 @@
                 throw new BadSetting("watch.settings.Classes lacks the class " + id.value() + " that is in force");
             }
         }
+        watched.startWatched(new Choice(Outgoing.nowhere(), 0, 0), false);
+        watched.tellsPatience();
+        watched.tellsGone();
+        watched.marksTries();
         return watched;
     }
 
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -40,6 +40,7 @@
 import tallyweir.backend.Links;
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
+import tallyweir.config.Settings;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.Shelf;
@@ -390,7 +391,6 @@
                 reports = null;
             }
             backend.moved();
-            backend.watch(to.watched);
         });
     }
 
@@ -399,6 +399,11 @@
         tell(backend::drain);
     }
 
+    /** From now on these settings are watched beside those in force, null for none. */
+    public void watch(Settings watched) {
+        tell(() -> backend.watch(watched));
+    }
+
     /** Figures of something else that are to be printed with the counters; to be called before it runs. */
     public void counts(String prefix, Supplier<Map<String, Long>> figures) {
         backend.counters().also(prefix, figures);
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -91,11 +91,6 @@
             this(null, 1_000_000);
         }
 
-        /** With settings that are watched beside those in force. */
-        Round(Config config) {
-            backend = new Backend(this, config, now, now + wall, null);
-        }
-
         /** With results kept over restarts, and the time at which this process begins. */
         Round(Shelf shelf, long from) {
             now = from;
--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -166,9 +166,7 @@
         of.environment().put("EDGE_CONFIG", config.toString());
         Process backend = of.redirectErrorStream(true).start();
         try (BufferedReader log = backend.inputReader(UTF_8)) {
-            String line = logged(log, "listens");
-            InetSocketAddress at = new InetSocketAddress("127.0.0.1",
-                    Integer.parseInt(line.replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
+            InetSocketAddress at = listens(log);
             assertEquals(200, check(at));  // loads the classes, which takes descriptors where they lie in a folder
             List<Socket> crowd = new ArrayList<>();
             for (int i = 0; i < 150; i++) {
@@ -192,10 +190,7 @@
         try (ServerSocket first = listener(); ServerSocket second = listener();
                 DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             Files.writeString(file, BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + first.getLocalPort() + "\""));
-            ProcessBuilder of = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
-                    "-cp", System.getProperty("java.class.path"), "tallyweir.cli.Main", "serve");
-            of.environment().put("EDGE_CONFIG", file.toString());
-            Process backend = of.redirectErrorStream(true).start();
+            Process backend = program(file, dir.resolve("none"));
             try (BufferedReader log = backend.inputReader(UTF_8); Socket old = first.accept()) {
                 old.getOutputStream().write(("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n"
                         + "{\"type\":\"DMESG\",\"n\":7,\"state\":\"hello\"}\n").getBytes(UTF_8));
@@ -227,19 +222,15 @@
         try (ServerSocket kernelAt = listener()) {
             Path file = Files.writeString(dir.resolve("config.json"),
                     BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\""));
-            ProcessBuilder of = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
-                    "-cp", System.getProperty("java.class.path"), "tallyweir.cli.Main", "serve").redirectErrorStream(true);
-            of.environment().putAll(Map.of("EDGE_CONFIG", file.toString(), "EDGE_OPERATORS", operators.toString()));
             Files.writeString(operators, watch.formatted("0.5"));
-            Process refused = of.start();
+            Process refused = program(file, operators);
             assertTrue(new String(refused.getInputStream().readAllBytes(), UTF_8).contains("watch.settings.FamilyInfo.Cpus is 0.5"));
             assertEquals(2, refused.waitFor());
             Files.writeString(operators, watch.formatted("1"));
-            Process backend = of.start();
+            Process backend = program(file, operators);
             try (BufferedReader log = backend.inputReader(UTF_8); Socket kernel = kernelAt.accept()) {
                 BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
-                InetSocketAddress at = new InetSocketAddress("127.0.0.1",
-                        Integer.parseInt(logged(log, "listens").replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
+                InetSocketAddress at = listens(log);
                 kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
                 logged(log, "the kernel is up");
                 try (Socket two = dial(at)) {
@@ -249,7 +240,8 @@
                     assertEquals(1, watched(at), "with one core the second would not run at once");
                     Files.writeString(operators, watch.formatted("\"x\""));
                     hangUp(backend);
-                    assertTrue(logged(log, "again").contains("watch.settings.FamilyInfo.Cpus"));
+                    assertTrue(logged(log, "stays as it was").contains("watch.settings.FamilyInfo.Cpus"));
+                    logged(log, "told to read the configuration again");  // the platform's move is not held up
                     assertEquals(1, watched(at), "the old ones stay");
                     Files.writeString(operators, "{}");
                     hangUp(backend);
@@ -271,6 +263,19 @@
         }
     }
 
+    private static Process program(Path config, Path operators) throws IOException {
+        ProcessBuilder of = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m",
+                "-cp", System.getProperty("java.class.path"), "tallyweir.cli.Main", "serve");
+        of.environment().put("EDGE_CONFIG", config.toString());
+        of.environment().put("EDGE_OPERATORS", Files.exists(operators) ? operators.toString() : "");
+        return of.redirectErrorStream(true).start();
+    }
+
+    private static InetSocketAddress listens(BufferedReader log) throws IOException {
+        return new InetSocketAddress("127.0.0.1",
+                Integer.parseInt(logged(log, "listens").replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
+    }
+
     private static String logged(BufferedReader log, String what) throws IOException {
         String line = log.readLine();
         while (!line.contains(what)) {
--- a/daemon/src/test/java/tallyweir/WatchTest.java
+++ b/daemon/src/test/java/tallyweir/WatchTest.java
@@ -20,6 +20,7 @@
 import tallyweir.config.BadSetting;
 import tallyweir.config.Config;
 import tallyweir.config.Operators;
+import tallyweir.config.Settings;
 
 /** Settings that are watched beside those in force: counted, and never felt. */
 class WatchTest {
@@ -28,13 +29,14 @@
              "FamilyInfo":{"PassesDeadline":false,"TellsGone":false,"Signal":"threshold","Halt":"suspend","CallsOut":0.05,
               "ClassSkipWorth":[0.3,0,0],"IdleUs":3000000,"MemLimitKb":1500}}""";
 
-    private static Config config(String watched) {
-        return Config.parse(BackendTest.CONFIG.getBytes(UTF_8), Map.of(), watched == null ? null
-                : Operators.parse(("{\"watch\":{\"settings\":" + watched + "}}").getBytes(UTF_8)));
+    private static Settings watched(String others) {
+        return Operators.parse((others == null ? "{}" : "{\"watch\":{\"settings\":" + others + "}}").getBytes(UTF_8))
+                .watched(Config.parse(BackendTest.CONFIG.getBytes(UTF_8), Map.of()).settings);
     }
 
-    private static Round day(String watched, long seed) {
-        Round r = new Round(config(watched));
+    private static Round day(String others, long seed) {
+        Round r = new Round();
+        r.backend.watch(watched(others));
         r.boot();
         steps(r, new SplittableRandom(seed));
         r.pass(60_000);
@@ -90,6 +92,8 @@
             fail;   {"FamilyInfo":{"CallsOut":0.01}}
             run;    {"FamilyInfo":{"Cpus":1}}
             stop;   {"FamilyInfo":{"Halt":"off"}}
+            stop;   {"FamilyInfo":{"TellsGone":false}}
+            take;   {"FamilyInfo":{"PassesDeadline":false}}
             call;   {"FamilyInfo":{"CallsOut":0.05}}
             poorer; {"FamilyInfo":{"CallsOut":0.05,"ClassSkipWorth":[0.5,0.5,0.5]}}
             keep;   {"FamilyInfo":{"ShareForUs":0}}
@@ -105,17 +109,33 @@
         assertTrue(n > 0, kind);
     }
 
+    /** A marked try that is deferred is told not to try elsewhere; without marks it would not be. */
+    @Test
+    void marksThatAreNotToComeAreNotHeard() {
+        Round r = new Round();
+        r.backend.watch(watched("{\"Callers\":{\"MarksRetry\":false}}"));
+        r.boot();
+        r.ask(r.open(), "c", "b", 20_000, null);
+        r.pass(3_000);
+        r.reap(r.jobs.keySet().iterator().next(), "good", "made");
+        r.ask(r.open(), "c", "b", 20_000, null);
+        r.ask(r.open(), "c", "b", 2_000, null, "HTTP_ATTEMPT_AGAIN", "1");
+        assertEquals(1, counts(r).get("told"), "" + counts(r));
+    }
+
     /** A notice to read again takes new ones up, and none of them: what was watched before goes. */
     @Test
     void whatIsWatchedCanBeTakenUpAndLaidDownAtAnyTime() {
-        Round r = new Round(config(null));
+        Round r = new Round();
         SplittableRandom chance = new SplittableRandom(5);
         r.boot();
         steps(r, chance);
         assertEquals(Map.of(), counts(r));
-        r.backend.watch(config(OTHERS).watched);
+        r.backend.watch(watched(OTHERS));
         steps(r, chance);
         assertTrue(counts(r).values().stream().anyMatch(n -> n > 0), "" + counts(r));
+        r.backend.watch(watched("{}"));
+        assertTrue(counts(r).values().stream().allMatch(n -> n == 0), "others begin at zero");
         r.backend.watch(null);
         assertEquals(Map.of(), counts(r));
         assertEquals(0, r.number("faults"));
@@ -135,8 +155,8 @@
             {"Classes":[{"Name":"c","Effect":"write"}]}; watch.settings.Classes[0].Effect is 'write'
             {"Classes":[{"Name":"c","Effect":"safe"}]};  watch.settings.Classes lacks the class
             """)
-    void aFaultyKeyIsNamed(String watched, String said) {
-        String text = assertThrows(BadSetting.class, () -> config(watched)).getMessage();
+    void aFaultyKeyIsNamed(String others, String said) {
+        String text = assertThrows(BadSetting.class, () -> watched(others)).getMessage();
         assertTrue(text.contains(said), text);
     }
 }
