--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -368,8 +368,9 @@
     @Test
     void aRunIsPausedForADearerQueryAndTakenUpAgain() {
         m = new Model(7, false, Halt.SUSPEND, Said.OFF, 6, 0);
-        List<Seen> low = busyServer(0);
-        low.subList(Model.CORES, low.size()).forEach(q -> m.settled(q, Outcome.COMPLETED));
+        List<Seen> first = reads(Model.CORES, 0);
+        m.pass(4_000, 1, Model.CORES);
+        first.forEach(q -> m.settled(q, Outcome.COMPLETED));
         Seen last = reads(Model.CORES, 0).get(Model.CORES - 1);
         for (int i = 0; i < 60; i++) {
             Seen top = m.read(3, 0, 4_500, 10, false, null);
--- a/daemon/src/test/java/tallyweir/WatchTest.java
+++ b/daemon/src/test/java/tallyweir/WatchTest.java
@@ -109,6 +109,23 @@
         assertTrue(n > 0, kind);
     }
 
+    /** A run that begins later counts once, and what has ended as decided takes no core of the others any more. */
+    @Test
+    void whatPartsWaysCountsOnceAndIsOverForBoth() {
+        Round r = new Round();
+        r.backend.watch(watched("{\"FamilyInfo\":{\"Cpus\":1}}"));
+        r.boot();
+        int conn = r.open();
+        for (int i = 0; i < 2; i++) {
+            String one = r.ask(conn, "c", "b", 20_000, null).job;
+            String two = r.ask(conn, "c", "b", 20_000, null).job;
+            assertEquals(i + 1, counts(r).get("run"), "with one core the second would wait");
+            r.reap(i == 0 ? one : two, "good", "made");
+            r.reap(i == 0 ? two : one, "good", "made");
+        }
+        assertEquals(2, counts(r).get("run"));
+    }
+
     /** A marked try that is deferred is told not to try elsewhere; without marks it would not be. */
     @Test
     void marksThatAreNotToComeAreNotHeard() {
