Peers: a server that misses one says so and looks its address up again, for ever

What the code could not survive is: Serve.reload caught BadSetting alone and nothing looked again, so one lost notice or one file read too early left the server without kernel, store and announce service for good; Server.opening and reportsOpening stayed set where MINA never ended an opening. Change: Missing (no I/O) notices a peer that cannot be reached, logs it after a second and has the configuration looked at again, doubling up to half a minute, for ever; Reload reads on a thread that is there from the start, catches every fault and reads a faulty file again; openings that do not end in twice their time have the peers' sockets made anew. Measured: two loopback tests, a move without any signal and one whose file was half written, both lost before.

--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -28,6 +28,7 @@
     private final Queries queries;
     private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
     private final Seldom warnings;
+    private final Missing missing;
     private Notices notices;
     private LinkId link;       // the one that is up
     private LinkId opening;    // the one that is to take its place
@@ -46,6 +47,7 @@
         this.counters = counters;
         this.queries = queries;
         warnings = new Seldom(Kernel.class, queries::now);
+        missing = new Missing(links, deadlines, counters, Peer.KERNEL);
     }
 
     void connect() {
@@ -79,6 +81,7 @@
         unheard = 0;
         booted = false;
         notices = new Notices(this);
+        missing.there(queries.now());
         counters.add(Count.KERNEL_LINKS);
         links.to(link, Commands.open(last));
         return true;
@@ -87,6 +90,7 @@
     boolean down(LinkId id) {
         if (id.equals(opening)) {
             opening = null;
+            missing.gone(queries.now());
             deadlines.set(queries.now() + AGAIN_AFTER, this::connect);
         } else if (id.equals(link)) {
             lost();
--- a/daemon/src/main/java/tallyweir/backend/Links.java
+++ b/daemon/src/main/java/tallyweir/backend/Links.java
@@ -19,4 +19,7 @@
     void drop(LinkId link);
 
     void report(byte[] datagram);
+
+    /** Peers may be elsewhere: has the configuration looked at again, and moved is told if that is so. */
+    void lookAgain();
 }
--- a/daemon/src/main/java/tallyweir/backend/Rehearsal.java
+++ b/daemon/src/main/java/tallyweir/backend/Rehearsal.java
@@ -122,6 +122,11 @@
     @Override
     public void drop(LinkId link) {}
 
+    @Override
+    public void lookAgain() {
+        // there is nothing to find
+    }
+
     @Override
     public void report(byte[] datagram) {}
 }
--- a/daemon/src/main/java/tallyweir/backend/Store.java
+++ b/daemon/src/main/java/tallyweir/backend/Store.java
@@ -46,6 +46,7 @@
     private final Queries queries;
     private final int most;
     private final Seldom warnings;
+    private final Missing missing;
     private final Map<JobId, Call> calls = new LinkedHashMap<>();
     private final Map<LinkId, Line> lines = new HashMap<>();
     private final ArrayDeque<Line> idle = new ArrayDeque<>();    // the one used last comes first
@@ -59,6 +60,7 @@
         this.queries = queries;
         this.most = most;
         warnings = new Seldom(Store.class, queries::now);
+        missing = new Missing(links, deadlines, counters, Peer.STORE);
     }
 
     int size() {
@@ -136,6 +138,7 @@
         Line line = lines.get(id);
         if (line != null) {
             counters.add(Count.STORE_LINKS);
+            missing.there(queries.now());
             line.send();
         }
     }
@@ -215,6 +218,9 @@
 
         private void broken() {
             Call c = call;
+            if (c != null && !c.sent) {
+                missing.gone(queries.now());
+            }
             release();
             if (c != null) {
                 end(c, Count.CALLS_BROKEN, Outcome.SEVERED);
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -66,7 +66,9 @@
             err.println("tallyweir: cannot listen on " + config.listen + ": " + e.getMessage());
             return 1;
         }
-        Signal.handle(new Signal("HUP"), signal -> reload(server, environment));
+        Reload reload = new Reload(server, environment);
+        server.lookAgain(reload::look);
+        Signal.handle(new Signal("HUP"), signal -> reload.told());
         long stopMs = config.stopAfter / 10;
         FileStore opened = store;
         if (store != null) {
@@ -122,32 +124,6 @@
                 without()));
     }
 
-    /**
-     * On a thread of its own, so that reading the file holds up no decision. What is faulty changes nothing. One at
-     * a time, so that of two notices the one that read the newer file comes last.
-     */
-    private static synchronized void reload(Server server, Map<String, String> environment) {
-        try {
-            Config config = Config.read(environment);
-            server.move(config);
-            watch(server, config.settings, environment);
-            LOG.atInfo().addKeyValue("kernel", config.kernel).addKeyValue("store", config.store)
-                    .addKeyValue("announce", config.announce).log("told to read the configuration again");
-        } catch (BadSetting e) {
-            LOG.atWarn().addKeyValue("fault", e.getMessage())
-                    .log("told to read the configuration again, the old one stays in force");
-        }
-    }
-
-    /** What operators want watched holds up no move of the platform's. */
-    private static void watch(Server server, Settings inForce, Map<String, String> environment) {
-        try {
-            server.watch(Operators.read(environment).watched(inForce));
-        } catch (BadSetting e) {
-            LOG.atWarn().addKeyValue("fault", e.getMessage()).log("what is watched stays as it was");
-        }
-    }
-
     /** Another process has the store now: whoever has been asked here is answered, and then it ends as on notice. */
     private static void takenOver() {
         LOG.error("another process has taken the store over; this one leaves");
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -9,7 +9,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -66,22 +65,23 @@
     private final Arrivals arrived = new Arrivals();
     private final ArrayDeque<Runnable> own = new ArrayDeque<>();  // what the deciding thread told itself
     private final Map<ConnectionId, IoSession> callers = new HashMap<>();
-    private final Set<LinkId> opening = new HashSet<>();
+    private final Map<LinkId, Long> opening = new LinkedHashMap<>();  // since when, the oldest first
     private final Map<LinkId, IoSession> peers = new HashMap<>();
     private final Map<IoSession, ByteArrayOutputStream> toWrite = new LinkedHashMap<>();
     private final Set<IoSession> toClose = new LinkedHashSet<>();
     // Peers have a thread of their own, so that no flood of callers stands before them.
     private final IoProcessor<NioSession> callersProcessor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-    private final IoProcessor<NioSession> peersProcessor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private IoProcessor<NioSession> peersProcessor;
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(callersProcessor);
-    private final NioSocketConnector connector = new NioSocketConnector(peersProcessor);
-    private final NioDatagramConnector datagrams = new NioDatagramConnector(peersProcessor);
+    private NioSocketConnector connector;
+    private NioDatagramConnector datagrams;
     private final long startNanos = System.nanoTime();
     private final long startWall = wall();
     private final Thread deciding = Thread.currentThread();
     private final Backend backend;
     private IoSession reports;
-    private boolean reportsOpening;
+    private long reportsOpening;   // since when, 0 for not
+    private Runnable lookAgain = () -> { };
 
     /** Made and run by the thread that is to decide. */
     public Server(Config config) {
@@ -110,12 +110,40 @@
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.setHandler(callerHandler());
+        openPeers();
+        acceptor.bind(config.listen);
+    }
+
+    private void openPeers() {
+        peersProcessor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+        connector = new NioSocketConnector(peersProcessor);
+        datagrams = new NioDatagramConnector(peersProcessor);
         set(connector.getSessionConfig());
         connector.getSessionConfig().setTcpNoDelay(true);
         connector.setConnectTimeoutMillis(CONNECT_MILLIS);
         connector.setHandler(peerHandler());
         datagrams.setHandler(reportHandler());
-        acceptor.bind(config.listen);
+        reports = null;
+        reportsOpening = 0;
+    }
+
+    /**
+     * An opening ends in time, well or not, by MINA's word. Where that does not come, its threads for the peers have ended
+     * or stand, and nothing would be reached any more: others take their place. Links that are up stay where they are.
+     */
+    private void lookAfterPeers() {
+        long before = now() - 2 * 10L * CONNECT_MILLIS;
+        boolean stuck = !opening.isEmpty() && opening.values().iterator().next() < before
+                || reportsOpening > 0 && reportsOpening < before;
+        if (stuck) {
+            LOG.error("the sockets to the peers are stuck and are made anew");
+            connector.dispose();
+            datagrams.dispose();
+            openPeers();
+            List<LinkId> lost = List.copyOf(opening.keySet());
+            opening.clear();
+            lost.forEach(backend::down);
+        }
     }
 
     private static void set(IoSessionConfig of) {
@@ -158,6 +186,7 @@
             }
         }
         backend.pass();
+        lookAfterPeers();
         write();
     }
 
@@ -266,7 +295,7 @@
             public void sessionOpened(IoSession session) {
                 tell(() -> {
                     LinkId link = (LinkId) session.getAttribute(LINK);
-                    if (opening.remove(link)) {
+                    if (opening.remove(link) != null) {
                         peers.put(link, session);
                         backend.up(link);
                     } else {
@@ -335,12 +364,12 @@
 
     @Override
     public void connect(LinkId link, Peer peer) {
-        opening.add(link);
+        opening.put(link, now());
         SocketAddress to = peer == Peer.KERNEL ? config.kernel : config.store;
         connector.connect(to, (session, future) -> session.setAttribute(LINK, link)).addListener(future -> {
             if (!((ConnectFuture) future).isConnected()) {
                 tell(() -> {
-                    if (opening.remove(link)) {
+                    if (opening.remove(link) != null) {
                         backend.down(link);
                     }
                 });
@@ -363,11 +392,11 @@
     public void report(byte[] datagram) {
         if (reports != null) {
             reports.write(IoBuffer.wrap(datagram));
-        } else if (!reportsOpening) {
-            reportsOpening = true;
+        } else if (reportsOpening == 0) {
+            reportsOpening = now();
             SocketAddress to = config.announce;
             datagrams.connect(to).addListener(future -> tell(() -> {
-                reportsOpening = false;
+                reportsOpening = 0;
                 IoSession opened = ((ConnectFuture) future).isConnected() ? ((ConnectFuture) future).getSession() : null;
                 if (opened != null && !to.equals(config.announce)) {
                     opened.closeNow();  // the service has moved meanwhile
@@ -382,9 +411,22 @@
 
     // ---- from other threads
 
+    /** What looks the addresses of the peers up again; to be called before it runs. */
+    public void lookAgain(Runnable how) {
+        lookAgain = how;
+    }
+
+    @Override
+    public void lookAgain() {
+        lookAgain.run();
+    }
+
     /** Where the kernel, the store and the announce service are from now on; all else stays as at the start. */
     public void move(Config to) {
         tell(() -> {
+            if (to.kernel.equals(config.kernel) && to.store.equals(config.store) && to.announce.equals(config.announce)) {
+                return;
+            }
             config = to;
             if (reports != null) {
                 reports.closeNow();
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -68,6 +68,13 @@
 
     /** Sidecars, kernel and store, each as plain as can be. */
     static final class Round implements Links {
+        int looks;
+
+        @Override
+        public void lookAgain() {
+            looks++;
+        }
+
         final Backend backend;
         final Map<Integer, ByteArrayOutputStream> conns = new LinkedHashMap<>();
         final Map<Integer, Integer> seen = new HashMap<>();
--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -214,6 +214,65 @@
         }
     }
 
+    /** The notice of a move may be lost, or come before the file is whole: nothing looked again, and the server was lost. */
+    @Test
+    void whoeverMissesItsKernelLooksForItAgain(@TempDir Path dir) throws Exception {
+        Path file = dir.resolve("config.json");
+        ServerSocket first = listener();
+        try (ServerSocket second = listener()) {
+            Files.writeString(file, moved(first));
+            Process backend = program(file, dir.resolve("none"));
+            try (BufferedReader log = backend.inputReader(UTF_8)) {
+                Socket old = first.accept();
+                old.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
+                logged(log, "the kernel is up");
+                first.close();
+                old.close();
+                assertTrue(logged(log, "cannot be reached").contains("KERNEL"));
+                Files.writeString(file, moved(second));  // and no signal
+                try (Socket kernel = second.accept()) {
+                    assertEquals('{', kernel.getInputStream().read());
+                }
+                logged(log, "a peer is there again");
+            } finally {
+                backend.destroyForcibly();
+            }
+        }
+    }
+
+    /** A file that was being written when the signal came is read again until it is whole; of two moves the last counts. */
+    @Test
+    void aFileThatIsNotWholeYetIsReadAgainAndTheLastOfTwoMovesCounts(@TempDir Path dir) throws Exception {
+        Path file = dir.resolve("config.json");
+        try (ServerSocket first = listener(); ServerSocket second = listener(); ServerSocket third = listener()) {
+            Files.writeString(file, moved(first));
+            Process backend = program(file, dir.resolve("none"));
+            try (BufferedReader log = backend.inputReader(UTF_8); Socket old = first.accept()) {
+                old.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
+                logged(log, "the kernel is up");
+                Files.writeString(file, moved(second).substring(0, 200));
+                hangUp(backend);
+                logged(log, "stays in force");
+                Files.writeString(file, moved(second));
+                try (Socket kernel = second.accept()) {
+                    kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
+                    hangUp(backend);
+                    Files.writeString(file, moved(third));
+                    hangUp(backend);
+                    try (Socket last = third.accept()) {
+                        assertEquals('{', last.getInputStream().read());
+                    }
+                }
+            } finally {
+                backend.destroyForcibly();
+            }
+        }
+    }
+
+    private static String moved(ServerSocket to) {
+        return BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + to.getLocalPort() + "\"");
+    }
+
     /** What is watched is checked at the start, and on the signal a faulty key is logged and the old ones stay. */
     @Test
     void watchedSettingsAreCheckedAndTakenOnTheSignal(@TempDir Path dir) throws Exception {
