--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -411,6 +411,7 @@
                 seat.silent = false;
             }
             settle(seat);
+            settle();  // who says last that it can hears at once that it is in force
         }
         if (seat.standing == Seat.Standing.OUT) {
             to.refused(new Fault.ShutOut(server.value(), seat.cause, Math.max(0, seat.mayReturn - now)));
