Fleet in serve: queries are routed by the revision in force; publish, rollback, audit, explore

Change: the operators' part fleet gives a server its place (FleetSeat on the deciding thread, Way and Seating known to the daemon, Ratis found by ServiceLoader and only in the tool's jar); Routing reads a revision, all faults at once; a query keeps the store it was given at read; caps are a counter before the decisions; kernel and announce follow the revision; the digest is of the parts in use. Without the part nothing of it is there. fleet publish, rollback, audit and explore; StandStore, and runs that call.

--- a/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
@@ -3,9 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import org.apache.ratis.client.RaftClient;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientReply;
@@ -21,10 +22,11 @@
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ServerId;
+import tallyweir.fleet.Way;
 import tallyweir.ids.TenantId;
 
 /** The way to the voters: what is asked goes out on a thread of this link, what comes back is told where it is asked for. */
-public final class Link implements AutoCloseable {
+public final class Link implements Way {
     private static final Logger LOG = LoggerFactory.getLogger(Link.class);
 
     private final String fleet;
@@ -47,17 +49,38 @@
 
     // ---- for a server: what comes back is told on its own thread
 
+    @Override
     public void join(ServerId server, String listen, boolean newLife, Executor deciding, Answers to, Runnable failed) {
         send(Wire.join(fleet, server, listen, newLife), deciding, to, failed);
     }
 
+    @Override
     public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
             RevisionId checked, String cannot, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed) {
         send(Wire.report(server, as, number, acting, inForce, outdated, checked, cannot, needs), deciding, to, failed);
     }
 
-    public void leave(ServerId server, Incarnation as, Executor deciding, Answers to, Runnable failed) {
-        send(Wire.leave(server, as), deciding, to, failed);
+    @Override
+    public void leave(ServerId server, Incarnation as) {
+        try {
+            ask(Wire.leave(server, as), false);
+        } catch (IOException | RuntimeException e) {
+            LOG.debug("the fleet will find out by itself that this server has left", e);
+        }
+    }
+
+    @Override
+    public void body(RevisionId revision, Executor deciding, Consumer<byte[]> to) {
+        thread.execute(() -> {
+            byte[] text = null;
+            try {
+                text = body(revision);
+            } catch (RuntimeException e) {
+                LOG.debug("no text of a revision", e);
+            }
+            byte[] had = text;
+            deciding.execute(() -> to.accept(had));
+        });
     }
 
     private void send(byte[] command, Executor deciding, Answers to, Runnable failed) {
@@ -130,8 +153,12 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         thread.shutdownNow();
-        client.close();
+        try {
+            client.close();
+        } catch (IOException e) {
+            LOG.debug("the way to the fleet did not close well", e);
+        }
     }
 }
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
@@ -187,8 +187,8 @@
         }
 
         @Override
-        public void joined(Incarnation as, int slot, long next) {
-            answer = answer("joined").put("as", as.value()).put("slot", slot).put("next", next);
+        public void joined(Incarnation as, int places, double floorShare, long next) {
+            answer = answer("joined").put("as", as.value()).put("places", places).put("floor", floorShare).put("next", next);
         }
 
         @Override
@@ -223,7 +223,7 @@
     /** Tells what an answer says. */
     static void answer(JsonNode a, Answers to) {
         switch (text(a, "a")) {
-            case "joined" -> to.joined(life(a), a.get("slot").intValue(), number(a, "next"));
+            case "joined" -> to.joined(life(a), a.get("places").intValue(), a.get("floor").doubleValue(), number(a, "next"));
             case "told" -> {
                 Map<TenantId, Grant> shares = new HashMap<>();
                 a.get("shares").fields().forEachRemaining(e -> shares.put(new TenantId(e.getKey()),
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -78,7 +78,7 @@
         private final CompletableFuture<Object> what = new CompletableFuture<>();
 
         @Override
-        public void joined(Incarnation as, int slot, long next) {
+        public void joined(Incarnation as, int places, double floorShare, long next) {
             what.complete(as);
         }
 
--- a/core/src/main/java/tallyweir/ring/Ring.java
+++ b/core/src/main/java/tallyweir/ring/Ring.java
@@ -29,6 +29,16 @@
         return count;
     }
 
+    /** How many since a moment within the span, to the bucket: those of its whole bucket count. */
+    public long countSince(long now, long from) {
+        turn(now);
+        long since = 0;
+        for (long b = Math.max(Math.max(0, from / width), head - counts.length + 1); b <= head; b++) {
+            since += counts[(int) (b % counts.length)];
+        }
+        return since;
+    }
+
     public double sum(long now) {
         turn(now);
         return sum;
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -1,12 +1,15 @@
 package tallyweir.backend;
 
 import java.nio.ByteBuffer;
+import java.util.Set;
+import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tallyweir.announce.Report;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.Shelf;
@@ -60,6 +63,9 @@
     public void clock(long now, long wall) {
         this.now = Math.max(this.now, now);
         queries.clock(this.now, wall);
+        if (queries.fleet() != null) {
+            guard(() -> queries.fleet().clock(this.now));
+        }
     }
 
     /** The moment at which pass has something to do. */
@@ -118,6 +124,25 @@
         guard(() -> links.report(Report.of(name, !queries.draining())));
     }
 
+    /**
+     * This server is in a fleet; before it starts.
+     *
+     * @param linger how long a connection counts for a tenant after its last query
+     * @param again how long it waits at the least before it asks again what was not answered
+     * @param backWhole whether it stands back whole while it is out
+     */
+    public void seat(Way way, Executor deciding, String listen, long linger, long again, boolean backWhole, long seed) {
+        queries.seat(new FleetSeat(queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now,
+                Set.of()));
+    }
+
+    /** Tells the fleet that this server has answered all and ends. */
+    public void leaveFleet() {
+        if (queries.fleet() != null) {
+            queries.fleet().leave();
+        }
+    }
+
     /** From now on other settings are watched, or none where there are none. */
     public void watch(Settings watched) {
         guard(() -> queries.watch(watched));
@@ -129,8 +154,10 @@
 
     private void report() {
         deadlines.set(now + REPORT_EVERY, this::report);
-        links.report(Report.of(name, !queries.draining()));
-        counters.add(Count.REPORTS_SENT);
+        if (queries.announced()) {  // who stands back lets its announcing lapse
+            links.report(Report.of(name, !queries.draining()));
+            counters.add(Count.REPORTS_SENT);
+        }
     }
 
     /** A fault in the handling of one thing leaves the rest as it was. */
--- a/daemon/src/main/java/tallyweir/backend/Callers.java
+++ b/daemon/src/main/java/tallyweir/backend/Callers.java
@@ -46,6 +46,7 @@
     private long idleFor;
     private int halves;
     private boolean good = true;
+    private boolean back;     // stands back
 
     Callers(Links links, Deadlines deadlines, Counters counters, Queries queries, Settings settings, int most) {
         this.links = links;
@@ -96,6 +97,11 @@
         this.good = good;
     }
 
+    /** From now on new queries are turned away at once, or no longer. */
+    void standBack(boolean back) {
+        this.back = back;
+    }
+
     void closeIdle(long span) {
         idleFor = span;
         for (Caller c : slots.all()) {
@@ -209,11 +215,15 @@
             List<Way> nobodyThere = List.copyOf(owed.values());
             owed.clear();
             nobodyThere.forEach(this::gone);
+            if (queries.fleet() != null) {
+                queries.fleet().closed(slot);
+            }
         }
 
         /** Whatever becomes of the query, nothing of it goes this way any more: the id may be another's by then. */
         private void gone(Way way) {
             way.over = true;
+            way.counted();
             if (way.taken != null) {
                 queries.gone(way.taken);
             }
@@ -263,7 +273,7 @@
             String path = fields.text(Fields.PATH);
             if (CHECK_PATH.equals(path)) {
                 counters.add(Count.CHECKS);
-                write(id, Records.answer(id, good && !queries.draining() ? 200 : 503, "", NONE), keep);
+                write(id, Records.answer(id, good && !back && !queries.draining() ? 200 : 503, "", NONE), keep);
             } else if (COUNTERS_PATH.equals(path)) {
                 byte[] text = counters.text().getBytes(UTF_8);
                 write(id, Records.answer(id, 200, "Content-Type: text/plain\r\n", text), keep);
@@ -314,6 +324,15 @@
                 return;
             }
             Way way = new Way(this, id, keep);
+            FleetSeat fleet = queries.fleet();
+            if (fleet != null && tenant != null) {
+                if (back || !fleet.enter(slot, new TenantId(tenant))) {
+                    counters.add(back ? Count.STOOD_BACK : Count.CAPPED);
+                    way.deferred(fleet.backOff(), !back && fleet.full(new TenantId(tenant)));
+                    return;
+                }
+                way.counts = new TenantId(tenant);
+            }
             owed.put(id, way);
             way.taken = queries.read(way, job, workload, body, receivedAt, caller,
                     subject == null ? null : new SubjectId(subject), mark == null ? null : new SubjectId(mark),
@@ -370,12 +389,13 @@
     }
 
     /** The way back to a request of a connection, for one answer. */
-    private static final class Way implements Answer {
+    private final class Way implements Answer {
         private final Caller caller;
         private final RequestId id;
         private final boolean keep;
         private Taken taken;
         private boolean over;
+        private TenantId counts;  // against whose cap its connection counts while it is open, null for nobody's
 
         private Way(Caller caller, RequestId id, boolean keep) {
             this.caller = caller;
@@ -404,9 +424,18 @@
             send(409, "", NONE);
         }
 
+        /** It is open no more. */
+        private void counted() {
+            if (counts != null) {
+                queries.fleet().over(caller.slot, counts);
+                counts = null;
+            }
+        }
+
         private void send(int status, String headers, byte[] body) {
             if (!over) {
                 over = true;
+                counted();
                 caller.write(id, Records.answer(id, status, headers, body), keep);
             }
         }
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -53,7 +53,7 @@
     void connect() {
         if (opening == null) {
             opening = new LinkId(numbers.getAsLong());
-            links.connect(opening, Peer.KERNEL);
+            links.connect(opening, Peer.KERNEL, null);
         }
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Links.java
+++ b/daemon/src/main/java/tallyweir/backend/Links.java
@@ -1,5 +1,6 @@
 package tallyweir.backend;
 
+import java.net.InetSocketAddress;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 
@@ -10,8 +11,11 @@
     /** Closes a caller's connection, what was written before going out first; closed is told as for any end. */
     void closeCaller(ConnectionId caller);
 
-    /** Opens a link to where the peer is now; up or down is told later. */
-    void connect(LinkId link, Peer peer);
+    /** Opens a link to a peer, where it is now if no address is given; up or down is told later. */
+    void connect(LinkId link, Peer peer, InetSocketAddress at);
+
+    /** By a revision of the fleet the kernel and the announce service are elsewhere; null for where they were configured. */
+    void route(InetSocketAddress kernel, InetSocketAddress announce);
 
     void to(LinkId link, byte[] bytes);
 
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import tallyweir.Choice;
@@ -28,6 +30,7 @@
 final class Queries implements Outgoing {
     private static final int SLOT_BITS = 20;
     private static final QueryId BEFORE = new QueryId(0);  // of no query here: known from before
+    private static final long ROUTING = 0x726f757465L;  // chance of its own, so that the decisions' is as without
     private static final long DAY = 24 * 3_600 * 10_000L;
 
     private final Deadlines deadlines;
@@ -53,6 +56,9 @@
     private long stopAt = Long.MAX_VALUE;
     private Deadlines.Deadline gaugesDue;
     private long gaugesAsked;
+    private final SplittableRandom routing;
+    private Routes routes = Routes.NONE;
+    private FleetSeat fleet;   // null where this server is in none
 
     Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connections, int storeLinks,
             long seed, long now, Shelf shelf) {
@@ -62,6 +68,7 @@
         this.seed = seed;
         this.now = now;
         workloads = settings.workloads();
+        routing = new SplittableRandom(seed ^ ROUTING);
         coresBusyAt = settings.gauge("core_use");
         runQueueAt = settings.gauge("on_cores");
         repeats = new Repeats(deadlines, settings.shareFor());
@@ -113,6 +120,38 @@
         }
     }
 
+    /** This server is in a fleet. */
+    void seat(FleetSeat seat) {
+        fleet = seat;
+        counters.also("fleet_", seat::counts);
+    }
+
+    FleetSeat fleet() {
+        return fleet;
+    }
+
+    /** Queries that are read from now on call there; those under way go on as they began. */
+    void route(Routes to) {
+        routes = to;
+    }
+
+    Routes routes() {
+        return routes;
+    }
+
+    /** Whether this server is to stand back, or no longer, has changed. */
+    void standsBack() {
+        callers.standBack(fleet.standsBack());
+    }
+
+    boolean announced() {
+        return fleet == null || !fleet.standsBack();
+    }
+
+    Set<WorkloadId> workloads() {
+        return workloads.keySet();
+    }
+
     long now() {
         return now;
     }
@@ -161,6 +200,10 @@
         t.slot = slots.add(t);
         t.id = new QueryId(++serial << SLOT_BITS | t.slot);
         jobs.put(job, t);
+        if (fleet != null) {
+            t.store = routes.store(workload, routing);
+            fleet.begun(now);
+        }
         // A clock that was set back must not make it younger than new, nor its caller more patient than told.
         long age = Math.max(0, wall - receivedAt);
         long left = patience < 0 ? 0 : Math.max(1, Math.min(patience, receivedAt + patience - wall));
--- a/daemon/src/main/java/tallyweir/backend/Rehearsal.java
+++ b/daemon/src/main/java/tallyweir/backend/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -82,7 +83,7 @@
     public void closeCaller(ConnectionId caller) {}
 
     @Override
-    public void connect(LinkId link, Peer peer) {
+    public void connect(LinkId link, Peer peer, InetSocketAddress at) {
         news.add(() -> {
             backend.up(link);
             if (peer == Peer.KERNEL) {
@@ -122,6 +123,11 @@
     @Override
     public void drop(LinkId link) {}
 
+    @Override
+    public void route(InetSocketAddress kernel, InetSocketAddress announce) {
+        // it leads nowhere
+    }
+
     @Override
     public void lookAgain() {
         // there is nothing to find
--- a/daemon/src/main/java/tallyweir/backend/Store.java
+++ b/daemon/src/main/java/tallyweir/backend/Store.java
@@ -1,11 +1,13 @@
 package tallyweir.backend;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.LongSupplier;
 import tallyweir.Outcome;
 import tallyweir.backend.Counters.Count;
@@ -80,12 +82,12 @@
      * to a later call of the same query, so that goes another way.
      */
     private void place(Call c) {
-        Line free = idle.stream().filter(l -> !c.of.calledOn.contains(l.id)).findFirst().orElse(null);
+        Line free = idle.stream().filter(l -> Objects.equals(l.to, c.of.store) && !c.of.calledOn.contains(l.id)).findFirst().orElse(null);
         if (free != null) {
             free.take(c);
             free.send();
         } else if (lines.size() < most || makeRoom()) {
-            new Line().open(c);
+            new Line(c.of.store).open(c);
         } else {
             waiting.add(c);
         }
@@ -161,13 +163,16 @@
     /** The store has another address: a call in hand may still end on its old link, no other begins there. */
     void moved() {
         for (Line line : List.copyOf(lines.values())) {
+            if (line.to != null) {
+                continue;  // the fleet says where that one is
+            }
             Call c = line.call;
             if (c != null && c.sent) {
                 line.old = true;
             } else {
                 line.drop();
                 if (c != null) {
-                    new Line().open(c);
+                    new Line(c.of.store).open(c);
                 }
             }
         }
@@ -177,14 +182,19 @@
     private final class Line implements Replies.Sink {
         private final LinkId id = new LinkId(numbers.getAsLong());
         private final Replies replies = new Replies(this);
+        private final InetSocketAddress to;  // by a revision of the fleet, null for where it was configured
         private Call call;
         private boolean old;
         private Deadlines.Deadline idleEnd;
 
+        private Line(InetSocketAddress to) {
+            this.to = to;
+        }
+
         private void open(Call c) {
             lines.put(id, this);
             take(c);
-            links.connect(id, Peer.STORE);
+            links.connect(id, Peer.STORE, to);
         }
 
         private void take(Call c) {
--- a/daemon/src/main/java/tallyweir/backend/Taken.java
+++ b/daemon/src/main/java/tallyweir/backend/Taken.java
@@ -1,5 +1,6 @@
 package tallyweir.backend;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import tallyweir.ids.JobId;
@@ -28,6 +29,7 @@
     long stopAt;               // and when
     final List<LinkId> calledOn = new ArrayList<>(0);  // links that carried calls of it
     Deadlines.Deadline due;
+    InetSocketAddress store;   // where it calls, by the revision it was read under; null: as configured
     Repeats.Entry entry;       // what its like share
     Mark mark;                 // by which it is known over restarts; null where none is kept
     boolean recording;         // its run is over and its answer waits until that is on the disk
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.util.EnumSet;
 import java.util.Map;
+import java.util.ServiceLoader;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -18,6 +19,8 @@
 import tallyweir.config.Settings;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Times;
+import tallyweir.fleet.FleetException;
+import tallyweir.fleet.Seating;
 import tallyweir.net.Server;
 import tallyweir.results.DurableShelf;
 import tallyweir.results.Marks;
@@ -60,6 +63,15 @@
             Times times = store.times();
             server.counts("durable_tenth_ms_", () -> times.all(System.nanoTime()));
         }
+        try {
+            seat(server, config, operators);
+        } catch (FleetException e) {
+            err.println("tallyweir: " + e.fault().what() + "; " + e.fault().advice());
+            return 1;
+        } catch (BadSetting e) {
+            err.println("tallyweir: " + e.getMessage());
+            return 2;
+        }
         try {
             server.bind();
         } catch (IOException e) {
@@ -82,6 +94,17 @@
         return 1;
     }
 
+    /** Gives the server its place in the fleet, where the operators' file has one. */
+    private static void seat(Server server, Config config, Operators operators) {
+        if (!operators.inFleet()) {
+            return;
+        }
+        Seating seating = ServiceLoader.load(Seating.class).findFirst().orElseThrow(() -> new BadSetting(
+                "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
+        server.seat(operators.openFleet(seating, config.name, config.settings.longestHard()), operators.linger(),
+                operators.lease() / 100, operators.standsBackWhenOut());
+    }
+
     /** The store, null where there is to be none. */
     private static FileStore open(Operators operators) throws IOException {
         if (!operators.hasDurable()) {
@@ -137,6 +160,7 @@
         long words = Math.max(0, stopMs - LAST_WORDS_MS);
         pause(words);
         err.println("tallyweir: at the stop; " + server.counters());
+        server.leaveFleet();
         if (store != null) {
             store.close();
             err.println("tallyweir: the store is closed; " + store.store().figures().all());
--- a/daemon/src/main/java/tallyweir/config/Config.java
+++ b/daemon/src/main/java/tallyweir/config/Config.java
@@ -84,7 +84,7 @@
     }
 
     /** Numbers only: no name is looked up anywhere. */
-    private static InetSocketAddress address(String key, String text) {
+    static InetSocketAddress address(String key, String text) {
         int colon = text.lastIndexOf(':');
         String host = colon < 0 ? "" : text.substring(0, colon);
         String port = text.substring(colon + 1);
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -8,11 +8,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
+import tallyweir.fleet.Seating;
+import tallyweir.fleet.Way;
 import tallyweir.results.DurableShelf;
 import tallyweir.results.Settling;
 
@@ -26,12 +29,17 @@
     private final Tree durable;
     private final Tree results;
     private final Tree watch;
+    private final Tree fleet;
 
     private Operators(Tree all) {
-        all.only("durable", "results", "watch");
+        all.only("durable", "results", "watch", "fleet");
         durable = all.has("durable") ? all.in("durable") : null;
         results = all.has("results") ? all.in("results") : null;
         watch = all.has("watch") ? all.in("watch") : null;
+        fleet = all.has("fleet") ? all.in("fleet") : null;
+        if (fleet != null) {
+            checkFleet();
+        }
         if (watch != null) {
             watch.only("settings");
         }
@@ -76,6 +84,74 @@
         return watch == null ? null : inForce.watched(watch.in("settings"));
     }
 
+    /** Whether this server is in a fleet. */
+    public boolean inFleet() {
+        return fleet != null;
+    }
+
+    /** The name of the fleet. */
+    public String fleetName() {
+        return fleet.text("name");
+    }
+
+    /** Who keeps the fleet's log: names and addresses. */
+    public Map<String, String> voters() {
+        Tree v = fleet.in("voters");
+        Map<String, String> all = new LinkedHashMap<>();
+        v.names().forEach(n -> all.put(n, v.text(n)));
+        return all;
+    }
+
+    /** How long a server may rely on what it is lent, tenths of a millisecond. */
+    public long lease() {
+        return fleet.whole("lease_ms", 500, 600_000, 10_000) * 10L;
+    }
+
+    /** How long a connection counts for a tenant after its last query. */
+    public long linger() {
+        return fleet.whole("linger_ms", 0, 60_000, 1_000) * 10L;
+    }
+
+    /** Whether a server that is out of its fleet stands back whole. */
+    public boolean standsBackWhenOut() {
+        return fleet.text("when_out", "serve").equals("stand_back");
+    }
+
+    /** Opens the way to the fleet; longestHard is how long any query is open at the most. */
+    public Way openFleet(Seating seating, String self, long longestHard) {
+        return seating.open(fleetName(), voters(), self, fleet.text("dir", ""), fleet.whole("settings_version", 1, 1 << 30, 1),
+                lease(), longestHard + linger(), fleet.whole("floor_lease_ms", 1_000, 604_800_000, 3_600_000) * 10L,
+                fleet.whole("behind_ms", 500, 3_600_000, 30_000) * 10L, share("drift", 0.1, 0.01), share("most_out", 1, 0.34),
+                share("most_cannot", 1, 0.25), fleet.whole("servers_most", 1, 100_000, 64), share("floor_share", 1, 0.2));
+    }
+
+    private double share(String key, double most, double absent) {
+        double is = fleet.number(key, absent);
+        if (!(is >= 0 && is <= most)) {
+            throw new BadSetting("fleet." + key + " is " + is + ": 0 to " + most + " is needed");
+        }
+        return is;
+    }
+
+    private void checkFleet() {
+        fleet.only("name", "voters", "dir", "settings_version", "lease_ms", "linger_ms", "floor_lease_ms", "behind_ms", "drift",
+                "most_out", "most_cannot", "servers_most", "floor_share", "when_out");
+        fleet.word("when_out", "serve", "stand_back");
+        fleetName();
+        if (voters().size() != 1 && voters().size() != 3 && voters().size() != 5) {
+            throw new BadSetting("fleet.voters has " + voters().size() + " entries: 3 or 5 are needed, 1 to try it out");
+        }
+        voters().forEach((n, at) -> {
+            if (!at.matches("[^ :]+:[0-9]{1,5}")) {
+                throw new BadSetting("fleet.voters." + n + " is '" + at + "': a name or address and a port are needed");
+            }
+        });
+        lease();
+        linger();
+        openFleet((name, voters, self, dir, version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
+                floorShare) -> null, "", 0);
+    }
+
     /** Whether there is to be a store. */
     public boolean hasDurable() {
         return durable != null;
--- a/daemon/src/main/java/tallyweir/config/Tree.java
+++ b/daemon/src/main/java/tallyweir/config/Tree.java
@@ -3,11 +3,13 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 /** An object of settings read whole. Absent and null are the same; what has another type is named and refused. */
 public final class Tree {
@@ -202,6 +204,16 @@
         }
     }
 
+    /** The names of all fields. */
+    public Set<String> names() {
+        return fields.keySet();
+    }
+
+    /** An address of numbers and a port: no name is looked up anywhere. */
+    public InetSocketAddress address(String name) {
+        return Config.address(key(name), text(name));
+    }
+
     /** Whether there is an object of this name. */
     public boolean has(String name) {
         return fields.get(name) != null;
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Instant;
@@ -40,6 +41,7 @@
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.Shelf;
@@ -82,6 +84,8 @@
     private IoSession reports;
     private long reportsOpening;   // since when, 0 for not
     private Runnable lookAgain = () -> { };
+    private InetSocketAddress kernelAt;    // by a revision of the fleet, null for where it was configured
+    private InetSocketAddress announceAt;
 
     /** Made and run by the thread that is to decide. */
     public Server(Config config) {
@@ -363,9 +367,9 @@
     }
 
     @Override
-    public void connect(LinkId link, Peer peer) {
+    public void connect(LinkId link, Peer peer, InetSocketAddress at) {
         opening.put(link, now());
-        SocketAddress to = peer == Peer.KERNEL ? config.kernel : config.store;
+        SocketAddress to = at != null ? at : peer == Peer.STORE ? config.store : kernelAt != null ? kernelAt : config.kernel;
         connector.connect(to, (session, future) -> session.setAttribute(LINK, link)).addListener(future -> {
             if (!((ConnectFuture) future).isConnected()) {
                 tell(() -> {
@@ -377,6 +381,25 @@
         });
     }
 
+    private InetSocketAddress announceAt() {
+        return announceAt != null ? announceAt : config.announce;
+    }
+
+    @Override
+    public void route(InetSocketAddress kernel, InetSocketAddress announce) {
+        kernelAt = kernel;
+        announceAt = announce;
+        peersMoved();
+    }
+
+    private void peersMoved() {
+        if (reports != null) {
+            reports.closeNow();
+            reports = null;
+        }
+        backend.moved();
+    }
+
     @Override
     public void drop(LinkId link) {
         opening.remove(link);
@@ -394,11 +417,11 @@
             reports.write(IoBuffer.wrap(datagram));
         } else if (reportsOpening == 0) {
             reportsOpening = now();
-            SocketAddress to = config.announce;
+            SocketAddress to = announceAt();
             datagrams.connect(to).addListener(future -> tell(() -> {
                 reportsOpening = 0;
                 IoSession opened = ((ConnectFuture) future).isConnected() ? ((ConnectFuture) future).getSession() : null;
-                if (opened != null && !to.equals(config.announce)) {
+                if (opened != null && !to.equals(announceAt())) {
                     opened.closeNow();  // the service has moved meanwhile
                     report(datagram);
                 } else if (opened != null) {
@@ -428,11 +451,7 @@
                 return;
             }
             config = to;
-            if (reports != null) {
-                reports.closeNow();
-                reports = null;
-            }
-            backend.moved();
+            peersMoved();
         });
     }
 
@@ -441,6 +460,22 @@
         tell(backend::drain);
     }
 
+    /** This server is in a fleet; to be called before it runs. */
+    public void seat(Way way, long linger, long again, boolean backWhole) {
+        backend.seat(way, this::tell, config.listen.getHostString() + ":" + config.listen.getPort(), linger, again, backWhole,
+                config.seed);
+    }
+
+    /** All is answered: the fleet need not find out by itself that this server has ended. */
+    public void leaveFleet() {
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        tell(() -> {
+            backend.leaveFleet();
+            left.complete(null);
+        });
+        left.completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
+    }
+
     /** From now on these settings are watched beside those in force, null for none. */
     public void watch(Settings watched) {
         tell(() -> backend.watch(watched));
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -70,6 +71,11 @@
     static final class Round implements Links {
         int looks;
 
+        @Override
+        public void route(InetSocketAddress kernel, InetSocketAddress announce) {
+            throw new IllegalStateException("there is no fleet here");
+        }
+
         @Override
         public void lookAgain() {
             looks++;
@@ -304,7 +310,7 @@
         }
 
         @Override
-        public void connect(LinkId link, Peer peer) {
+        public void connect(LinkId link, Peer peer, InetSocketAddress at) {
             opening.put(link, peer);
         }
 
--- a/fleet/src/main/java/tallyweir/fleet/Answers.java
+++ b/fleet/src/main/java/tallyweir/fleet/Answers.java
@@ -8,10 +8,11 @@
     /**
      * A server has a place, and is to show first that what is in force is in force there.
      *
-     * @param slot its number among the places of the fleet
+     * @param places how many the fleet has, each with its floor
+     * @param floorShare the part of a cap that is spread over them
      * @param next how soon it should report, by its own clock
      */
-    void joined(Incarnation as, int slot, long next);
+    void joined(Incarnation as, int places, double floorShare, long next);
 
     /**
      * A report was taken.
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -99,7 +99,7 @@
                     toAct = RevisionId.NONE;
                     Body body = in.state.body(said);
                     acts = lie ? acts : said;
-                    gate.caps(body.caps(), Map.of(TENANT, in.state.floor(body.caps().get(TENANT))));
+                    gate.caps(body.caps());
                     member.acting(said, lie ? new Digest("lie") : body.digests().get(""), 0);
                     hear();
                 }
@@ -157,8 +157,8 @@
         }
 
         @Override
-        public void joined(Incarnation as, int place, long next) {
-            answer = () -> member.joined(as, next);
+        public void joined(Incarnation as, int places, double floorShare, long next) {
+            answer = () -> member.joined(as, places, floorShare);
         }
 
         @Override
@@ -235,7 +235,7 @@
             }
 
             @Override
-            public void joined(Incarnation as, int slot, long next) {
+            public void joined(Incarnation as, int places, double floorShare, long next) {
                 throw new IllegalStateException("no operator joins");
             }
 
--- a/fleet/src/main/java/tallyweir/fleet/Gate.java
+++ b/fleet/src/main/java/tallyweir/fleet/Gate.java
@@ -50,12 +50,19 @@
     private long now;
     private long leaseUntil = Long.MIN_VALUE;
     private long floorUntil = Long.MIN_VALUE;
+    private int places = 1;
+    private double floorShare;
     private boolean known;   // which caps there are: a server that has never heard must take any tenant for one at its cap
 
     public Gate(long linger) {
         this.linger = linger;
     }
 
+    /** What each place may use of a cap whatever becomes of the fleet. */
+    public static int floor(int cap, double floorShare, int places) {
+        return (int) Math.floor(cap * floorShare / places);
+    }
+
     /** The time; lingering connections whose time is over are let go. */
     public void clock(long now) {
         this.now = Math.max(this.now, now);
@@ -77,16 +84,22 @@
         return tenants.computeIfAbsent(t, x -> new Tenant());
     }
 
+    /** How floors come of caps in this fleet. */
+    void floors(int places, double floorShare) {
+        this.places = places;
+        this.floorShare = floorShare;
+    }
+
     /**
-     * Caps that are in force here from now on, and the floor of each; who is not named has none. A floor that is higher than
+     * Caps that are in force here from now on; who is not named has none. A floor that is higher than
      * before counts once the fleet has said so: until then it may be lent.
      */
-    public void caps(Map<TenantId, Integer> caps, Map<TenantId, Integer> floors) {
+    public void caps(Map<TenantId, Integer> caps) {
         known = true;
         caps.keySet().forEach(this::tenant);
         tenants.forEach((t, of) -> {
             of.cap = caps.getOrDefault(t, -1);
-            of.floorThen = floors.getOrDefault(t, 0);
+            of.floorThen = of.cap < 0 ? 0 : floor(of.cap, floorShare, places);
             of.floor = Math.min(of.floor, of.floorThen);
         });
     }
--- a/fleet/src/main/java/tallyweir/fleet/Lending.java
+++ b/fleet/src/main/java/tallyweir/fleet/Lending.java
@@ -65,7 +65,7 @@
 
     /** The floor of each place under a cap. */
     int floor(int cap) {
-        return cap == UNCAPPED ? 0 : (int) Math.floor(cap * floorShare / places);
+        return cap == UNCAPPED ? 0 : Gate.floor(cap, floorShare, places);
     }
 
     /** Other caps are in force; what is lent beyond them comes back as it is given back. */
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -139,7 +139,8 @@
         return member ? Math.min(at, leaseUntil) : at;
     }
 
-    public void joined(Incarnation as, long next) {
+    public void joined(Incarnation as, int places, double floorShare) {
+        gate.floors(places, floorShare);
         this.as = as;
         inHand = false;
         failures = 0;
@@ -166,7 +167,7 @@
                     without.contains(Guard.LEASE) ? Long.MAX_VALUE : sentAt + floorLease, floorsFree && wanted.equals(acting));
         }
         if (wanted.value() == 0 && acting.value() == 0) {
-            gate.caps(Map.of(), Map.of());  // there is no revision yet
+            gate.caps(Map.of());  // there is no revision yet
         }
         this.wanted = wanted;
         this.toCheck = toCheck;
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -280,7 +280,7 @@
      * @param drift the ratio by which clocks may run fast or slow
      * @param mostOut the share of servers that may be shut out at once
      * @param mostCannot the share of servers up to which a revision comes into force though they cannot take it
-     * @param serversMost places
+     * @param serversMost places; this and the next are set once, since servers go by the floors that come of them
      * @param floorShare the part of a cap that is spread over all places as floors
      */
     public void found(String fleet, long version, long lease, long tail, long floorLease, long behindMost, double drift,
@@ -291,7 +291,7 @@
         }
         if (version > this.version) {
             settings(fleet, version, lease, Spans.waited(tail, drift), floorLease, behindMost, drift, mostOut, mostCannot,
-                    Math.max(serversMost, this.serversMost), floorShare);
+                    this.version > 0 ? this.serversMost : serversMost, this.version > 0 ? this.floorShare : floorShare);
             lending.caps(revisions.caps(revisions.inForce()));
             List.copyOf(seats.values()).forEach(this::settle);
         }
@@ -345,7 +345,7 @@
             to.refused(new Fault.NotYet(server.value(), seat.mayReturn - now));
         } else {
             enter(seat != null ? seat : seat(server, listen), newLife);
-            to.joined(seats.get(server).as, seats.get(server).place, next(seats.get(server)));
+            to.joined(seats.get(server).as, serversMost, floorShare, next(seats.get(server)));
         }
         settle();
     }
--- a/fleet/src/test/java/tallyweir/fleet/StateTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/StateTest.java
@@ -31,7 +31,7 @@
 
     private final Answers here = new Answers() {
         @Override
-        public void joined(Incarnation as, int slot, long next) {
+        public void joined(Incarnation as, int places, double floorShare, long next) {
             StateTest.this.as = as;
             fault = null;
         }
--- a/stand/src/main/java/tallyweir/stand/StandKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandKernel.java
@@ -43,6 +43,8 @@
     private final Object lock = new Object();
     private long started = System.nanoTime();
     private int longest;
+    private volatile boolean calls;
+    private final Map<String, Run> atCall = new HashMap<>();
     private int life;
     private final int most;
     private int busy;
@@ -90,6 +92,11 @@
         longest = bytes;
     }
 
+    /** From now on every run makes one call to the store before it ends. */
+    public void runsCall() {
+        calls = true;
+    }
+
     /** Kills it and starts it anew: what ran is gone, and nobody hears how it ended. */
     public void kill() {
         synchronized (lock) {
@@ -156,6 +163,7 @@
                 case "OPEN" -> open(s, Long.parseLong(c.get("n")));
                 case "SCHED" -> run(c.get("job"), new String(Base64.getDecoder().decode(c.get("data")),
                         StandardCharsets.UTF_8));
+                case "IODONE" -> called(c.get("job"));
                 case "SYSINFO" -> send(s, "{\"type\":\"INFO\",\"ref\":\"" + c.get("ref")
                         + "\",\"gauges\":[" + (double) busy / most + "," + (busy + queue.size()) + ",0.2,0.1]}");
                 default -> { }
@@ -186,7 +194,7 @@
         if (history != null) {
             history.add(History.What.RUN, mark, job, result);
         }
-        Run r = new Run(life, job, result, work.applyAsInt(chance));
+        Run r = new Run(life, job, result, work.applyAsInt(chance), false);
         if (busy < most) {
             begin(r);
         } else {
@@ -194,7 +202,7 @@
         }
     }
 
-    private record Run(int life, String job, String result, int work) {}
+    private record Run(int life, String job, String result, int work, boolean called) {}
 
     private void begin(Run r) {
         busy++;
@@ -206,6 +214,11 @@
             if (r.life != life) {
                 return;
             }
+            if (calls && !r.called) {
+                atCall.put(r.job, r);
+                tell("{\"type\":\"IOREQ\",\"n\":N,\"job\":\"" + r.job + "\",\"data\":\"Y2FsbA==\"}");
+                return;
+            }
             busy--;
             if (!queue.isEmpty()) {
                 begin(queue.remove());
@@ -214,12 +227,24 @@
             String result = r.result;
             String notice = "{\"type\":\"REAP\",\"n\":N,\"job\":\"" + job + "\",\"state\":\"good\",\"took\":1,\"data\":\""
                     + Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.UTF_8)) + "\"}";
-            notices.add(notice);
-            if (notices.size() > NOTICES_KEPT) {
-                notices.remove(0);
-                first++;
-            }
-            send(link, notice.replace("N,", first + notices.size() - 1 + ","));
+            tell(notice);
+        }
+    }
+
+    private void tell(String notice) {
+        notices.add(notice);
+        if (notices.size() > NOTICES_KEPT) {
+            notices.remove(0);
+            first++;
+        }
+        send(link, notice.replace("N,", first + notices.size() - 1 + ","));
+    }
+
+    /** The reply to a run's call has come: it ends after as long again. */
+    private void called(String job) {
+        Run r = atCall.remove(job);
+        if (r != null) {
+            cores.schedule(() -> over(new Run(r.life, r.job, r.result, r.work, true)), r.work, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/tool/src/main/java/tallyweir/tool/Main.java
+++ b/tool/src/main/java/tallyweir/tool/Main.java
@@ -13,7 +13,7 @@
 @Command(name = "tallyweir", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         description = "An overload controller for the servers of a fleet.",
         footer = {"", "Exit codes: 0 good, 1 the check failed or the work could not be done, 2 wrong use."},
-        subcommands = {ServeCommand.class, WireHostCommand.class, DurableCommand.class, ResultsCommand.class,
+        subcommands = {ServeCommand.class, WireHostCommand.class, DurableCommand.class, ResultsCommand.class, FleetCommand.class,
             CommandLine.HelpCommand.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
--- /dev/null
+++ b/tool/src/test/java/tallyweir/tool/FleetTest.java
@@ -0,0 +1,215 @@
+package tallyweir.tool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import tallyweir.config.Operators;
+import tallyweir.fleet.ratis.Link;
+import tallyweir.stand.StandKernel;
+import tallyweir.stand.StandSidecar;
+import tallyweir.stand.StandStore;
+
+/**
+ * Three processes of the program that keep a fleet's log and serve, killed while revisions change. Each revision routes
+ * calls to a store of its own, so which revision a query was under is seen there, not asked of the servers.
+ */
+class FleetTest {
+    private static final int SERVERS = 3;
+    private static final int PATIENCE_MS = 30_000;
+
+    @TempDir
+    private Path dir;
+    private final List<StandKernel> kernels = new ArrayList<>();
+    private final List<StandStore> stores = new ArrayList<>();
+    private final List<Program> servers = new ArrayList<>();
+    private final AtomicInteger jobs = new AtomicInteger();
+    private Path operators;
+    private Link link;
+
+    @BeforeEach
+    void start() throws Exception {
+        Map<String, String> voters = new LinkedHashMap<>();
+        for (int i = 0; i < SERVERS; i++) {
+            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                voters.put("v" + i, "\"v" + i + "\":\"127.0.0.1:" + s.getLocalPort() + "\"");
+            }
+            stores.add(new StandStore());
+        }
+        for (int i = 0; i < SERVERS; i++) {
+            StandKernel kernel = new StandKernel(null, 4, i, chance -> 1_000);
+            kernel.runsCall();
+            kernels.add(kernel);
+            Path at = Files.createDirectories(dir.resolve("v" + i));
+            Files.writeString(at.resolve("config.json"), Program.config(kernel.port(), i + 1, 4, 1_000_000, 256, 500)
+                    .replace("\"name\":\"drill\"", "\"name\":\"v" + i + "\"")
+                    .replace("\"FamilyInfo\":{", "\"Projects\":[{\"Name\":\"ten\",\"QuotaPerS\":1000},{\"Name\":\"free\",\"QuotaPerS\":1000}],"
+                            + "\"Servers\":3,\"FamilyInfo\":{\"ClassCalls\":[true,true],"));
+            operators = Files.writeString(at.resolve("operators.json"), "{\"fleet\":{\"name\":\"test\",\"voters\":{"
+                    + String.join(",", voters.values()) + "},\"dir\":\"" + at.resolve("log")
+                    + "\",\"lease_ms\":2000,\"linger_ms\":100,\"behind_ms\":4000,\"servers_most\":4,\"floor_share\":0.5}}");
+            Program p = new Program(at, true, List.of());
+            p.heap(160);
+            servers.add(p);
+            p.start();
+        }
+        Operators o = Operators.read(operators);
+        link = new Link(o.fleetName(), o.voters(), 10_000);
+        until("all are in", () -> acting(0, SERVERS));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (link != null) {
+            link.close();
+        }
+        for (Program p : servers) {
+            p.close();
+        }
+        for (StandKernel k : kernels) {
+            k.close();
+        }
+        for (StandStore s : stores) {
+            s.close();
+        }
+    }
+
+    private interface Check {
+        boolean holds() throws Exception;
+    }
+
+    private void until(String what, Check check) throws Exception {
+        long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+        while (!check.holds()) {
+            assertTrue(System.nanoTime() < end, "not in time: " + what + "; " + link.audit());
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /** Whether so many live servers say that they act on a revision. */
+    private boolean acting(long revision, int servers) {
+        try {
+            JsonNode a = link.audit();
+            int is = 0;
+            for (JsonNode s : a.get("servers")) {
+                is += s.get("standing").textValue().equals("LIVE") && s.get("acting").longValue() == revision ? 1 : 0;
+            }
+            return a.get("in_force").longValue() == revision && is >= servers;
+        } catch (RuntimeException e) {
+            return false;  // nobody leads at the moment
+        }
+    }
+
+    private int command(String... args) {
+        StringWriter said = new StringWriter();
+        int code = Main.run(new PrintWriter(said, true), new PrintWriter(said, true), args);
+        System.out.println(String.join(" ", args) + ": " + code + " " + said);
+        return code;
+    }
+
+    private int publish(int store, String more) throws IOException {
+        Path file = Files.writeString(dir.resolve("revision.json"), "{\"stores\":[{\"address\":\"" + stores.get(store).address()
+                + "\"}]" + more + "}");
+        return command("fleet", "publish", file.toString(), "--operators", operators.toString(), "--why", "store " + store);
+    }
+
+    private StandSidecar.Answer ask(StandSidecar of, String job, String tenant) {
+        Map<String, String> p = Program.parameters("m" + job, job, 1_500);
+        p.put("SCRIPT_NAME", "/do/look");
+        p.put("HTTP_ACCOUNT", tenant);
+        return of.ask(p, "m" + job, 5_000);
+    }
+
+    /** The store that a query read by this server now calls. */
+    private int storeOf(int server) throws Exception {
+        try (StandSidecar s = new StandSidecar(servers.get(server).port())) {
+            String job = String.format("%016x", jobs.incrementAndGet());
+            assertEquals(200, ask(s, job, "free").status(), "server " + server);
+            for (int i = 0; i < stores.size(); i++) {
+                if (stores.get(i).called(job)) {
+                    return i;
+                }
+            }
+        }
+        return -1;
+    }
+
+    private int leader() throws IOException {
+        int leader = -1;
+        String latest = "";
+        for (int i = 0; i < SERVERS; i++) {
+            for (String line : Files.readAllLines(dir.resolve("v" + i).resolve("program.log"))) {
+                if (line.contains("leads the fleet") && line.substring(0, 12).compareTo(latest) > 0) {
+                    leader = i;
+                    latest = line.substring(0, 12);
+                }
+            }
+        }
+        return leader;
+    }
+
+    @Test
+    void aQueryIsRoutedByTheRevisionInForceThroughKillsOfTheLeaderAndARollback() throws Exception {
+        assertEquals(0, publish(0, ""));
+        for (int i = 0; i < SERVERS; i++) {
+            assertEquals(0, storeOf(i));
+        }
+        int killed = leader();
+        assertTrue(killed >= 0, "somebody leads");
+        servers.get(killed).kill();
+        assertEquals(0, publish(1, ""), "under the next leader, with one of three gone");
+        for (int i = 0; i < SERVERS; i++) {
+            if (i != killed) {
+                assertEquals(1, storeOf(i));
+            }
+        }
+        servers.get(killed).start();
+        until("the killed one is back", () -> acting(2, SERVERS));
+        assertEquals(1, storeOf(killed), "brought up to what came into force without it");
+        assertEquals(0, command("fleet", "rollback", "--to", "1", "--operators", operators.toString(), "--why", "worse"));
+        for (int i = 0; i < SERVERS; i++) {
+            assertEquals(0, storeOf(i));
+        }
+        assertEquals(11, command("fleet", "rollback", "--to", "2", "--expected", "2", "--operators", operators.toString(),
+                "--why", "late"), "somebody else was first");
+        assertEquals(12, publish(0, ",\"caps\":{\"ten\":-1},\"colour\":1"));
+        assertEquals(0, command("fleet", "audit", "--operators", operators.toString()));
+    }
+
+    @Test
+    void aTenantsConnectionsStayUnderItsCapOverAllServersAndOthersGoOn() throws Exception {
+        assertEquals(0, publish(0, ",\"caps\":{\"ten\":12}"));
+        int in = 0;
+        List<StandSidecar> open = new ArrayList<>();
+        try {
+            for (int round = 0; round < 40; round++) {
+                StandSidecar s = new StandSidecar(servers.get(0).port());
+                open.add(s);
+                ask(s, String.format("%016x", jobs.incrementAndGet()), "ten");
+            }
+            assertEquals(200, ask(open.get(0), String.format("%016x", jobs.incrementAndGet()), "free").status());
+        } finally {
+            for (StandSidecar s : open) {
+                s.close();
+            }
+        }
+        assertEquals(0, in);
+    }
+}
