--- a/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
@@ -47,6 +47,11 @@
         client = Voters.client(fleet, voters, giveUpMs);
     }
 
+    /** The fleet's name. */
+    public String name() {
+        return fleet;
+    }
+
     // ---- for a server: what comes back is told on its own thread
 
     @Override
--- a/tool/src/test/java/tallyweir/tool/FleetTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTest.java
@@ -7,7 +7,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,9 +23,12 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import tallyweir.config.Operators;
 import tallyweir.fleet.ratis.Link;
 import tallyweir.stand.StandKernel;
+import tallyweir.stand.StandRelay;
 import tallyweir.stand.StandSidecar;
 import tallyweir.stand.StandStore;
 
@@ -42,6 +45,7 @@
     private Path dir;
     private final List<StandKernel> kernels = new ArrayList<>();
     private final List<StandStore> stores = new ArrayList<>();
+    private final Map<String, StandRelay> relays = new LinkedHashMap<>();  // "0>1": from v0 to v1
     private final List<Program> servers = new ArrayList<>();
     private final AtomicInteger jobs = new AtomicInteger();
     private Path operators;
@@ -51,8 +55,14 @@
     void start() throws Exception {
         Map<String, String> voters = new LinkedHashMap<>();
         for (int i = 0; i < SERVERS; i++) {
-            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                voters.put("v" + i, "\"v" + i + "\":\"127.0.0.1:" + s.getLocalPort() + "\"");
+            try (ServerSocket s = new ServerSocket(0, 1, StandRelay.pair(i, i))) {
+                voters.put("v" + i, "\"v" + i + "\":\"v" + i + ":" + s.getLocalPort() + "\"");
+                for (int from = 0; from < SERVERS; from++) {
+                    if (from != i) {
+                        relays.put(from + ">" + i, new StandRelay(new InetSocketAddress(StandRelay.pair(from, i), s.getLocalPort()),
+                                new InetSocketAddress(StandRelay.pair(i, i), s.getLocalPort())));
+                    }
+                }
             }
             stores.add(new StandStore());
         }
@@ -68,7 +78,12 @@
             operators = Files.writeString(at.resolve("operators.json"), "{\"fleet\":{\"name\":\"test\",\"voters\":{"
                     + String.join(",", voters.values()) + "},\"dir\":\"" + at.resolve("log")
                     + "\",\"lease_ms\":2000,\"linger_ms\":100,\"behind_ms\":4000,\"servers_most\":4,\"floor_share\":0.5}}");
-            Program p = new Program(at, true, List.of());
+            StringBuilder hosts = new StringBuilder("127.0.0.1 localhost\n");
+            for (int to = 0; to < SERVERS; to++) {
+                hosts.append(StandRelay.pair(i, to).getHostAddress()).append(" v").append(to).append('\n');
+            }
+            Path names = Files.writeString(at.resolve("hosts"), hosts);
+            Program p = new Program(at, true, List.of("-Djdk.net.hosts.file=" + names));
             p.heap(160);
             servers.add(p);
             p.start();
@@ -92,6 +107,9 @@
         for (StandStore s : stores) {
             s.close();
         }
+        for (StandRelay r : relays.values()) {
+            r.close();
+        }
     }
 
     private interface Check {
@@ -196,6 +214,98 @@
         assertEquals(0, command("fleet", "audit", "--operators", operators.toString()));
     }
 
+    private List<StandRelay> between(int server) {
+        return relays.entrySet().stream().filter(e -> e.getKey().startsWith(server + ">") || e.getKey().endsWith(">" + server))
+                .map(Map.Entry::getValue).toList();
+    }
+
+    /** How many of so many queries at once a server takes of a tenant, each on a connection of its own. */
+    private int taken(int server, String tenant, int queries) throws Exception {
+        AtomicInteger taken = new AtomicInteger();
+        List<Thread> all = new ArrayList<>();
+        for (int i = 0; i < queries; i++) {
+            Thread t = new Thread(() -> {
+                try (StandSidecar s = new StandSidecar(servers.get(server).port())) {
+                    taken.addAndGet(ask(s, String.format("%016x", jobs.incrementAndGet()), tenant).status() == 200 ? 1 : 0);
+                } catch (IOException e) {
+                    taken.addAndGet(queries);  // it must answer
+                }
+            });
+            all.add(t);
+            t.start();
+        }
+        for (Thread t : all) {
+            t.join();
+        }
+        return taken.get();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLeaderThatIsCutOffServesOnUnderWhatItHasAndIsBroughtUpWhenTheCutIsMended(boolean inSilence) throws Exception {
+        assertEquals(0, publish(0, ",\"caps\":{\"ten\":16}"));  // of which each of four places has a floor of two
+        until("shares are lent to who asks", () -> taken(leader(), "ten", 8) >= 5);
+        int alone = leader();
+        between(alone).forEach(r -> {
+            if (inSilence) {
+                r.hold(true, true);
+            } else {
+                r.cut();
+            }
+        });
+        TimeUnit.MILLISECONDS.sleep(2_500);  // its lease is over by its own clock
+        assertTrue(taken(alone, "ten", 8) <= 2, "no more than its floor");
+        assertEquals(8, taken(alone, "free", 8), "whoever has no cap goes on");
+        try (Link rest = new Link(link.name(), others(alone), 10_000)) {
+            link.close();
+            link = rest;
+            publishTo(1, alone);
+            assertEquals(0, storeOf(alone), "it cannot know of the next revision");
+            for (int i = 0; i < SERVERS; i++) {
+                assertEquals(i == alone ? 0 : 1, storeOf(i));
+            }
+        }
+        between(alone).forEach(StandRelay::mend);
+        Operators o = Operators.read(operators);
+        link = new Link(o.fleetName(), o.voters(), 10_000);
+        until("it is brought up", () -> acting(2, SERVERS));
+        assertEquals(1, storeOf(alone));
+    }
+
+    private Map<String, String> others(int alone) {
+        Map<String, String> all = new LinkedHashMap<>(Operators.read(operators).voters());
+        all.remove("v" + alone);
+        return all;
+    }
+
+    /** Publishes by an operator who reaches only the others. */
+    private void publishTo(int store, int alone) throws IOException {
+        Path file = Files.writeString(dir.resolve("others.json"), Files.readString(operators)
+                .replaceAll("\"v" + alone + "\":\"v[0-9]:([0-9]+)\"", "\"v" + alone + "\":\"127.0.0.1:1\""));
+        Path before = operators;
+        operators = file;
+        assertEquals(0, publish(store, ",\"caps\":{\"ten\":16}"));
+        operators = before;
+    }
+
+    @Test
+    void withoutAnyMajorityEveryServerGoesOnAndNothingIsAcknowledged() throws Exception {
+        assertEquals(0, publish(0, ""));
+        relays.values().forEach(StandRelay::cut);
+        TimeUnit.MILLISECONDS.sleep(3_000);
+        for (int i = 0; i < SERVERS; i++) {
+            assertEquals(4, taken(i, "free", 4), "server " + i);
+            assertEquals(0, storeOf(i));
+        }
+        assertEquals(10, publish(1, ""), "nobody leads");
+        relays.values().forEach(StandRelay::mend);
+        until("somebody leads again", () -> acting(1, SERVERS));
+        assertEquals(0, publish(1, ""));
+        for (int i = 0; i < SERVERS; i++) {
+            assertEquals(1, storeOf(i));
+        }
+    }
+
     /** A query that was answered well stood open from this moment at the latest to that. */
     private record Open(long from, long to) {}
 
