fleet drill: faults drawn from a seed over real processes, judged by what stand-ins saw

Need: the promises of a fleet are to be shown by processes with faults between them, and to fail when an answer is taken out. Runs make two calls, so a query under two revisions shows at two stores. WHOLE can be switched off in a server.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -9,6 +9,7 @@
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.Guard;
 import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
@@ -130,10 +131,12 @@
      * @param linger how long a connection counts for a tenant after its last query
      * @param again how long it waits at the least before it asks again what was not answered
      * @param backWhole whether it stands back whole while it is out
+     * @param without guards that are off, for checks only
      */
-    public void seat(Way way, Executor deciding, String listen, long linger, long again, boolean backWhole, long seed) {
+    public void seat(Way way, Executor deciding, String listen, long linger, long again, boolean backWhole, long seed,
+            Set<Guard> without) {
         queries.seat(new FleetSeat(queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now,
-                Set.of()));
+                without));
     }
 
     /** Tells the fleet that this server has answered all and ends. */
--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -50,6 +50,7 @@
     private boolean backByRevision;
     private boolean backByFleet;
     private boolean leaving;
+    private final boolean whole;
     private long newerSince;               // by this server's clock: the revision that is wanted came into force
     private Deadlines.Deadline next;
 
@@ -61,6 +62,7 @@
         this.way = way;
         this.deciding = deciding;
         this.name = name;
+        whole = !without.contains(Guard.WHOLE);
         gate = new Gate(linger);
         member = new Member(this, gate, new ServerId(name), listen, again, backWhole, seed, now, without);
     }
@@ -109,6 +111,11 @@
         begun.add(now, 1);
     }
 
+    /** Whether a query keeps the route it was given at read. */
+    boolean whole() {
+        return whole;
+    }
+
     /** Whether new queries are to be turned away and this server is announced no more. */
     boolean standsBack() {
         return backByRevision || backByFleet;
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -552,6 +552,9 @@
     public void call(QueryId query, long timeOut) {
         Taken t = taken(query);
         if (t != null && t.call != null) {
+            if (fleet != null && !fleet.whole()) {
+                t.store = routes.store(t.workload, routing);  // only where a drill has switched the guard off
+            }
             store.call(t, t.call, timeOut);
         }
     }
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -21,6 +21,7 @@
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Times;
 import tallyweir.fleet.FleetException;
+import tallyweir.fleet.Guard;
 import tallyweir.fleet.Seating;
 import tallyweir.net.Server;
 import tallyweir.results.DurableShelf;
@@ -108,7 +109,7 @@
         Seating seating = ServiceLoader.load(Seating.class).findFirst().orElseThrow(() -> new BadSetting(
                 "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
         server.seat(operators.openFleet(seating, config.name, config.settings.longestHard()), operators.linger(),
-                operators.lease() / 100, operators.standsBackWhenOut());
+                operators.lease() / 100, operators.standsBackWhenOut(), off("tallyweir.drill.fleet.without", Guard.class));
     }
 
     /** The store, null where there is to be none. */
@@ -129,11 +130,11 @@
     }
 
     /** What a drill has switched off, to show that it is needed. */
-    private static Set<Marks.Guard> without() {
-        Set<Marks.Guard> off = EnumSet.noneOf(Marks.Guard.class);
-        for (String name : System.getProperty("tallyweir.drill.without", "").split(",")) {
+    private static <G extends Enum<G>> Set<G> off(String property, Class<G> guards) {
+        Set<G> off = EnumSet.noneOf(guards);
+        for (String name : System.getProperty(property, "").split(",")) {
             if (!name.isEmpty()) {
-                off.add(Marks.Guard.valueOf(name));
+                off.add(Enum.valueOf(guards, name));
                 LOG.atWarn().addKeyValue("guard", name).log("a drill has switched a guard off: results can be wrong");
             }
         }
@@ -150,7 +151,7 @@
             return t;
         });
         return new Server(config, deciding -> new DurableShelf(store.store(), store.committer(), deciding, reads,
-                without()));
+                off("tallyweir.drill.without", Marks.Guard.class)));
     }
 
     /** Another process has the store now: whoever has been asked here is answered, and then it ends as on notice. */
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -41,6 +41,7 @@
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.Guard;
 import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
@@ -461,9 +462,9 @@
     }
 
     /** This server is in a fleet; to be called before it runs. */
-    public void seat(Way way, long linger, long again, boolean backWhole) {
+    public void seat(Way way, long linger, long again, boolean backWhole, Set<Guard> without) {
         backend.seat(way, this::tell, config.listen.getHostString() + ":" + config.listen.getPort(), linger, again, backWhole,
-                config.seed);
+                config.seed, without);
     }
 
     /** All is answered: the fleet need not find out by itself that this server has ended. */
--- a/stand/src/main/java/tallyweir/stand/StandKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandKernel.java
@@ -43,7 +43,7 @@
     private final Object lock = new Object();
     private long started = System.nanoTime();
     private int longest;
-    private volatile boolean calls;
+    private volatile int calls;
     private final Map<String, Run> atCall = new HashMap<>();
     private int life;
     private final int most;
@@ -92,9 +92,9 @@
         longest = bytes;
     }
 
-    /** From now on every run makes one call to the store before it ends. */
-    public void runsCall() {
-        calls = true;
+    /** From now on every run makes so many calls to the store, one after the other, before it ends. */
+    public void runsCall(int times) {
+        calls = times;
     }
 
     /** Kills it and starts it anew: what ran is gone, and nobody hears how it ended. */
@@ -194,7 +194,7 @@
         if (history != null) {
             history.add(History.What.RUN, mark, job, result);
         }
-        Run r = new Run(life, job, result, work.applyAsInt(chance), false);
+        Run r = new Run(life, job, result, work.applyAsInt(chance), 0);
         if (busy < most) {
             begin(r);
         } else {
@@ -202,7 +202,7 @@
         }
     }
 
-    private record Run(int life, String job, String result, int work, boolean called) {}
+    private record Run(int life, String job, String result, int work, int called) {}
 
     private void begin(Run r) {
         busy++;
@@ -214,7 +214,7 @@
             if (r.life != life) {
                 return;
             }
-            if (calls && !r.called) {
+            if (r.called < calls) {
                 atCall.put(r.job, r);
                 tell("{\"type\":\"IOREQ\",\"n\":N,\"job\":\"" + r.job + "\",\"data\":\"Y2FsbA==\"}");
                 return;
@@ -244,7 +244,7 @@
     private void called(String job) {
         Run r = atCall.remove(job);
         if (r != null) {
-            cores.schedule(() -> over(new Run(r.life, r.job, r.result, r.work, true)), r.work, TimeUnit.MICROSECONDS);
+            cores.schedule(() -> over(new Run(r.life, r.job, r.result, r.work, r.called + 1)), r.work, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -40,7 +40,7 @@
 @Command(name = "fleet", mixinStandardHelpOptions = true,
         description = "What a fleet routes by: its revisions, who acts on which, and what its promises rest on.",
         subcommands = {FleetCommand.Publish.class, FleetCommand.Rollback.class, FleetCommand.Audit.class,
-            FleetCommand.Explore.class})
+            FleetCommand.Explore.class, FleetDrill.class})
 final class FleetCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/tool/src/main/java/tallyweir/tool/Program.java
+++ b/tool/src/main/java/tallyweir/tool/Program.java
@@ -25,6 +25,7 @@
     private final int port;
     private int heapMb = 48;
     private volatile boolean listening;
+    private volatile int turn;
     private Process process;
     private long memoryMost;
 
@@ -52,6 +53,17 @@
         return port;
     }
 
+    /** Changes with everything that this side does to it. */
+    int turn() {
+        return turn;
+    }
+
+    /** It goes on after it stood still. */
+    void again() {
+        turn++;
+        listening = true;
+    }
+
     /** Whether it is up, as far as this side has brought that about. */
     boolean listening() {
         return listening;
@@ -135,6 +147,7 @@
     /** Ends it outright. */
     void kill() throws IOException, InterruptedException {
         measure();
+        turn++;
         listening = false;
         process.destroyForcibly().waitFor();
     }
@@ -156,6 +169,7 @@
 
     /** Stops it where it stands; it does not hear of it. */
     void pause() throws IOException, InterruptedException {
+        turn++;
         listening = false;
         signal("STOP");
     }
