Probation: a revision under which a fleet fares worse is taken back by the state itself

Need: a publish that cuts the fleet's servers off from their store must be undone without an operator, once, and a quiet fleet never rolled back. Change: reports carry how many queries ended and how many of them late or errored; Health holds a server's share under the new revision against the one before; State takes it back at an entry of the log, by 'probation' and with the reason.

--- a/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
@@ -61,8 +61,8 @@
 
     @Override
     public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed) {
-        send(Wire.report(server, as, number, acting, inForce, outdated, checked, cannot, needs), deciding, to, failed);
+            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed) {
+        send(Wire.report(server, as, number, acting, inForce, outdated, checked, cannot, ended, bad, needs), deciding, to, failed);
     }
 
     @Override
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
@@ -99,10 +99,10 @@
 
     /** The settings by which a fleet is founded; a later version replaces an earlier one. */
     public record Founding(long version, long lease, long tail, long floorLease, long behindMost, double drift, double mostOut,
-            double mostCannot, int serversMost, double floorShare) {
+            double mostCannot, int serversMost, double floorShare, long probation, double worseRatio, double sickShare) {
         private byte[] command(String fleet) {
             return Wire.found(fleet, version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
-                    floorShare);
+                    floorShare, probation, worseRatio, sickShare);
         }
     }
 
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
@@ -56,10 +56,12 @@
     }
 
     static byte[] found(String fleet, long version, long lease, long tail, long floorLease, long behindMost, double drift,
-            double mostOut, double mostCannot, int serversMost, double floorShare) {
+            double mostOut, double mostCannot, int serversMost, double floorShare, long probation, double worseRatio,
+            double sickShare) {
         return bytes(command("found").put("fleet", fleet).put("version", version).put("lease", lease).put("tail", tail)
                 .put("floor_lease", floorLease).put("behind", behindMost).put("drift", drift).put("out", mostOut)
-                .put("cannot", mostCannot).put("servers", serversMost).put("floor", floorShare));
+                .put("cannot", mostCannot).put("servers", serversMost).put("floor", floorShare)
+                .put("probation", probation).put("worse", worseRatio).put("sick", sickShare));
     }
 
     static byte[] join(String fleet, ServerId server, String listen, boolean newLife) {
@@ -68,10 +70,10 @@
     }
 
     static byte[] report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, Map<TenantId, Need> needs) {
+            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs) {
         ObjectNode c = command("report").put("server", server.value()).put("as", as.value()).put("number", number)
                 .put("acting", acting.value()).put("digest", inForce.value()).put("outdated", outdated)
-                .put("checked", checked.value()).put("cannot", cannot);
+                .put("checked", checked.value()).put("cannot", cannot).put("ended", ended).put("bad", bad);
         ObjectNode of = c.putObject("needs");
         needs.forEach((t, n) -> of.putArray(t.value()).add(n.keep()).add(n.want()));
         return bytes(c);
@@ -112,14 +114,16 @@
             }
             case "found" -> state.found(text(c, "fleet"), number(c, "version"), number(c, "lease"), number(c, "tail"),
                     number(c, "floor_lease"), number(c, "behind"), c.get("drift").doubleValue(), c.get("out").doubleValue(),
-                    c.get("cannot").doubleValue(), c.get("servers").intValue(), c.get("floor").doubleValue(), to);
+                    c.get("cannot").doubleValue(), c.get("servers").intValue(), c.get("floor").doubleValue(),
+                    number(c, "probation"), c.get("worse").doubleValue(), c.get("sick").doubleValue(), to);
             case "join" -> state.join(text(c, "fleet"), server(c), text(c, "listen"), yes(c, "new"), to);
             case "report" -> {
                 Map<TenantId, Need> needs = new HashMap<>();
                 c.get("needs").fields().forEachRemaining(e -> needs.put(new TenantId(e.getKey()),
                         new Need(e.getValue().get(0).intValue(), e.getValue().get(1).intValue())));
                 state.report(server(c), life(c), number(c, "number"), revision(c, "acting"), new Digest(text(c, "digest")),
-                        number(c, "outdated"), revision(c, "checked"), text(c, "cannot"), needs, to);
+                        number(c, "outdated"), revision(c, "checked"), text(c, "cannot"), number(c, "ended"), number(c, "bad"),
+                        needs, to);
             }
             case "leave" -> state.leave(server(c), life(c), to);
             case "publish" -> {
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -61,7 +61,7 @@
 
     private Voter voter(String name, Map<String, String> all, String fleet) throws IOException {
         return Voter.start(fleet, all, name, dir.resolve(name),
-                new Voter.Founding(1, 20_000, 5_000, 100_000, 50_000, 0.01, 0.5, 0.25, 8, 0.5),
+                new Voter.Founding(1, 20_000, 5_000, 100_000, 50_000, 0.01, 0.5, 0.25, 8, 0.5, 0, 2, 0.5),
                 () -> System.nanoTime() / 100_000, System::currentTimeMillis);
     }
 
@@ -117,7 +117,7 @@
             throws Exception {
         Heard heard = new Heard();
         link.report(new ServerId("s"), as, number, new RevisionId(acting), new Digest(digest), 0, new RevisionId(checked), "",
-                Map.of(T, need), Runnable::run, heard, () -> heard.what.complete("failed"));
+                0, 0, Map.of(T, need), Runnable::run, heard, () -> heard.what.complete("failed"));
         return (Map<String, Long>) heard.get();
     }
 
--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -145,7 +145,7 @@
     @Override
     public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
             RevisionId checked, String cannot, Map<TenantId, Need> needs) {
-        way.report(server, as, number, acting, inForce, outdated, checked, cannot, needs, this::decide, this, member::failed);
+        way.report(server, as, number, acting, inForce, outdated, checked, cannot, queries.ended(), queries.bad(), needs, this::decide, this, member::failed);
     }
 
     private void decide(Runnable news) {
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -56,6 +56,9 @@
     private long stopAt = Long.MAX_VALUE;
     private Deadlines.Deadline gaugesDue;
     private long gaugesAsked;
+    private long ended;
+    private long bad;
+    private final Map<WorkloadId, Long> expected;
     private final SplittableRandom routing;
     private Routes routes = Routes.NONE;
     private FleetSeat fleet;   // null where this server is in none
@@ -68,6 +71,7 @@
         this.seed = seed;
         this.now = now;
         workloads = settings.workloads();
+        expected = settings.expected();
         routing = new SplittableRandom(seed ^ ROUTING);
         coresBusyAt = settings.gauge("core_use");
         runQueueAt = settings.gauge("on_cores");
@@ -203,6 +207,7 @@
         if (fleet != null) {
             t.store = routes.store(workload, routing);
             fleet.begun(now);
+            t.expected = now - Math.max(0, wall - receivedAt) + expected.getOrDefault(workload, settings.longestHard());
         }
         // A clock that was set back must not make it younger than new, nor its caller more patient than told.
         long age = Math.max(0, wall - receivedAt);
@@ -475,11 +480,25 @@
         }
     }
 
+    /** Queries that were handled or errored so far, */
+    long ended() {
+        return ended;
+    }
+
+    /** and of them those that were errored, or handled later than expected. */
+    long bad() {
+        return bad;
+    }
+
     /** True once for each query. */
     private boolean answer(Taken t, Count count) {
         if (t.answered) {
             return false;
         }
+        if (fleet != null && count != Count.ANSWERED_DEFERRED) {
+            ended++;
+            bad += count == Count.ANSWERED_ERRORED || now > t.expected ? 1 : 0;
+        }
         t.answered = true;
         counters.add(count);
         releaseIfDone(t);
--- a/daemon/src/main/java/tallyweir/backend/Taken.java
+++ b/daemon/src/main/java/tallyweir/backend/Taken.java
@@ -29,6 +29,7 @@
     long stopAt;               // and when
     final List<LinkId> calledOn = new ArrayList<>(0);  // links that carried calls of it
     Deadlines.Deadline due;
+    long expected;             // when it is late
     InetSocketAddress store;   // where it calls, by the revision it was read under; null: as configured
     Repeats.Entry entry;       // what its like share
     Mark mark;                 // by which it is known over restarts; null where none is kept
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -122,7 +122,8 @@
         return seating.open(fleetName(), voters(), self, fleet.text("dir", ""), fleet.whole("settings_version", 1, 1 << 30, 1),
                 lease(), longestHard + linger(), fleet.whole("floor_lease_ms", 1_000, 604_800_000, 3_600_000) * 10L,
                 fleet.whole("behind_ms", 500, 3_600_000, 30_000) * 10L, share("drift", 0.1, 0.01), share("most_out", 1, 0.34),
-                share("most_cannot", 1, 0.25), fleet.whole("servers_most", 1, 100_000, 64), share("floor_share", 1, 0.2));
+                share("most_cannot", 1, 0.25), fleet.whole("servers_most", 1, 100_000, 64), share("floor_share", 1, 0.2),
+                fleet.whole("probation_ms", 0, 3_600_000, 30_000) * 10L, share("worse_ratio", 100, 2), share("sick_share", 1, 0.5));
     }
 
     private double share(String key, double most, double absent) {
@@ -135,7 +136,7 @@
 
     private void checkFleet() {
         fleet.only("name", "voters", "dir", "settings_version", "lease_ms", "linger_ms", "floor_lease_ms", "behind_ms", "drift",
-                "most_out", "most_cannot", "servers_most", "floor_share", "when_out");
+                "most_out", "most_cannot", "servers_most", "floor_share", "probation_ms", "worse_ratio", "sick_share", "when_out");
         fleet.word("when_out", "serve", "stand_back");
         fleetName();
         if (voters().size() != 1 && voters().size() != 3 && voters().size() != 5) {
@@ -149,7 +150,7 @@
         lease();
         linger();
         openFleet((name, voters, self, dir, version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
-                floorShare) -> null, "", 0);
+                floorShare, probation, worseRatio, sickShare) -> null, "", 0);
     }
 
     /** Whether there is to be a store. */
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -130,6 +130,13 @@
         choice.start();
     }
 
+    /** By workload, after how long a query is late. */
+    public Map<WorkloadId, Long> expected() {
+        Map<WorkloadId, Long> all = new HashMap<>();
+        this.all.each("Classes").forEach(c -> all.put(new WorkloadId(c.text("Name", "")), c.time("TargetUs")));
+        return all;
+    }
+
     public boolean cold() {
         return info.yes("Cold");
     }
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -138,7 +138,7 @@
         @Override
         public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
                 RevisionId checked, String cannot, Map<TenantId, Need> needs) {
-            asked = () -> in.state.report(server, as, number, acting, inForce, outdated, checked, cannot, needs, this);
+            asked = () -> in.state.report(server, as, number, acting, inForce, outdated, checked, cannot, 0, 0, needs, this);
         }
 
         @Override
@@ -200,7 +200,7 @@
             boolean share = share();
             clock();
             state.found("f", 1, LEASE, OPEN_MOST, 2 * HORIZON, share ? HORIZON : 2, 0, share ? 1 : 0.5, 0,
-                    share ? 2 : 3, share ? 0.5 : 0, new Operator(null));
+                    share ? 2 : 3, share ? 0.5 : 0, 0, 1, 1, new Operator(null));
             propose("first", 0);
             for (int i = 0; i < (share ? 2 : 3); i++) {
                 servers.add(new Server(this, "s" + i));
--- a/fleet/src/main/java/tallyweir/fleet/Revisions.java
+++ b/fleet/src/main/java/tallyweir/fleet/Revisions.java
@@ -31,6 +31,16 @@
         return all.values();
     }
 
+    /** The one that was in force before the one in force, null if there was none. */
+    Revision before() {
+        for (Revision r : all.descendingMap().values()) {
+            if (r.fate == Revision.Fate.PAST) {
+                return r;
+            }
+        }
+        return null;
+    }
+
     Revision by(OperatorCommand command) {
         return commands.get(command);
     }
--- a/fleet/src/main/java/tallyweir/fleet/Seat.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seat.java
@@ -29,6 +29,7 @@
     long mayReturn;
     long heardWall;
     long outWall;
+    final Health health = new Health();
     int folded;            // passages that are no longer kept
     long foldedOutdated;
     final ArrayDeque<Passage> passages = new ArrayDeque<>();
--- a/fleet/src/main/java/tallyweir/fleet/Seating.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seating.java
@@ -11,5 +11,5 @@
      */
     Way open(String fleet, Map<String, String> voters, String self, String dir, long version, long lease, long tail,
             long floorLease, long behindMost, double drift, double mostOut, double mostCannot, int serversMost,
-            double floorShare);
+            double floorShare, long probation, double worseRatio, double sickShare);
 }
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -27,6 +27,9 @@
     private static final int REPORTS_PER_SECOND = 2_000;  // of all servers together
     private static final int FLAPS_MOST = 7;              // doublings of the wait
     private static final int STEADY_LEASES = 20;          // after which earlier times of being shut out are forgotten
+    private static final int ENDED_LEAST = 20;            // queries, before a server's share of bad ones tells anything
+    private static final double WORSE_LEAST = 0.05;       // a share below it is not worse, whatever it was before
+    private static final String PROBATION = "probation";   // who rolls back what made a fleet fare worse
     private static final int GONE_MOST = 1_000;
     private static final long SECOND = 10_000;
 
@@ -63,6 +66,10 @@
     private double mostCannot;
     private int serversMost;
     private double floorShare;
+    private long probation;
+    private double worseRatio;
+    private double sickShare;
+    private long judgedAt;
     private long incarnations;
     private int live;
     private int out;
@@ -92,6 +99,7 @@
         rule(ofFleet, () -> revisions.open() && (revisions.forced()
                 || revisions.allSaid() && revisions.cannotShare() <= mostCannot), this::comesIntoForce);
         rule(ofFleet, () -> revisions.open() && revisions.allSaid(), revisions::turnDown);
+        rule(ofFleet, () -> onProbation() && now >= judgedAt + Math.max(1, lease / LEVELS_IN_LEASE), this::judge);
     }
 
     private boolean has(Guard g) {
@@ -249,9 +257,41 @@
         }
     }
 
+    /** The revision in force can still be taken back by itself: it is new, followed another, and was no such rollback. */
+    private boolean onProbation() {
+        Revision r = revisions.get(revisions.inForce());
+        return r != null && now < r.since + probation && !r.by.equals(PROBATION) && revisions.before() != null;
+    }
+
+    /** Takes it back where enough servers fare worse than before it came into force. */
+    private void judge() {
+        judgedAt = now;
+        int worse = 0;
+        for (Seat each : seats.values()) {
+            worse += each.standing == Seat.Standing.LIVE && each.acting.equals(revisions.inForce())
+                    && each.health.tells(ENDED_LEAST) && each.health.worse(worseRatio, WORSE_LEAST) ? 1 : 0;
+        }
+        if (worse > 0 && worse >= sickShare * live) {
+            takeBack();
+        }
+    }
+
+    /** Rolled back once, by the state itself: the one before comes into force again at this point of the log. */
+    private void takeBack() {
+        RevisionId sick = revisions.inForce();
+        Revision back = revisions.before();
+        if (revisions.open()) {
+            revisions.turnDown();
+        }
+        revisions.propose(new OperatorCommand(PROBATION + " " + sick.value()), back.id, back.body, revisions.body(back.id),
+                PROBATION, "under revision " + sick.value() + " more queries were late or errored than before", true, wall, now,
+                List.of());
+    }
+
     private void comesIntoForce() {
         revisions.comesIntoForce(now, wall);
         lending.caps(revisions.caps(revisions.inForce()));
+        seats.values().forEach(each -> each.health.change());
         for (Seat each : List.copyOf(seats.values())) {
             if (each.standing == Seat.Standing.LIVE || each.standing == Seat.Standing.ENTERING) {
                 each.behindSince = now;
@@ -282,9 +322,13 @@
      * @param mostCannot the share of servers up to which a revision comes into force though they cannot take it
      * @param serversMost places; this and the next are set once, since servers go by the floors that come of them
      * @param floorShare the part of a cap that is spread over all places as floors
+     * @param probation how long after it came into force a revision is rolled back if servers fare worse, 0 for never
+     * @param worseRatio how many times the share of late and errored queries before is worse
+     * @param sickShare the share of live servers of which that has to be so
      */
     public void found(String fleet, long version, long lease, long tail, long floorLease, long behindMost, double drift,
-            double mostOut, double mostCannot, int serversMost, double floorShare, Answers to) {
+            double mostOut, double mostCannot, int serversMost, double floorShare, long probation, double worseRatio,
+            double sickShare, Answers to) {
         if (!this.fleet.isEmpty() && !this.fleet.equals(fleet)) {
             to.refused(new Fault.Stranger(fleet, this.fleet));
             return;
@@ -292,6 +336,7 @@
         if (version > this.version) {
             settings(fleet, version, lease, Spans.waited(tail, drift), floorLease, behindMost, drift, mostOut, mostCannot,
                     this.version > 0 ? this.serversMost : serversMost, this.version > 0 ? this.floorShare : floorShare);
+            probation(probation, worseRatio, sickShare);
             lending.caps(revisions.caps(revisions.inForce()));
             List.copyOf(seats.values()).forEach(this::settle);
         }
@@ -299,6 +344,12 @@
         to.done(revisions.inForce());
     }
 
+    private void probation(long span, double worseRatio, double sickShare) {
+        probation = span;
+        this.worseRatio = worseRatio;
+        this.sickShare = sickShare;
+    }
+
     private void settings(String fleet, long version, long lease, long tail, long floorLease, long behindMost, double drift,
             double mostOut, double mostCannot, int serversMost, double floorShare) {
         for (int p = this.serversMost; p < serversMost; p++) {
@@ -360,6 +411,7 @@
     private void enter(Seat seat, boolean newLife) {
         if (newLife) {
             lending.free(seat.place);
+            seat.health.begin();
             seat.acting = RevisionId.NONE;
         }
         live -= seat.standing == Seat.Standing.LIVE ? 1 : 0;
@@ -385,9 +437,11 @@
      * @param outdated queries begun under the revision before, after this one came into force, as far as it knows
      * @param checked the revision that it has looked at last, NONE for none
      * @param cannot why it cannot take that, empty if it can
+     * @param ended queries that have ended since its process began
+     * @param bad of them, late or errored
      */
     public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, Map<TenantId, Need> needs, Answers to) {
+            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs, Answers to) {
         settle();
         Seat seat = seats.get(server);
         Fault why = seat == null ? new Fault.ShutOut(server.value(), "it has no place here", 0)
@@ -404,6 +458,7 @@
             seat.number = number;
             seat.heardWall = wall;
             acts(seat, as, acting, inForce, outdated);
+            seat.health.report(ended, bad, onProbation() && acting.equals(revisions.inForce()), now, Math.max(1, probation));
             revisions.checked(server, checked, cannot);
             if (seat.standing == Seat.Standing.LIVE) {
                 seat.leaseUntil = now + lease;
@@ -599,7 +654,8 @@
         all.put("fleet", fleet);
         all.put("settings", List.of(version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
                 floorShare));
-        all.put("clock", List.of(now, wall, incarnations));
+        all.put("probation", List.of(probation, worseRatio, sickShare));
+        all.put("clock", List.of(now, wall, incarnations, judgedAt));
         all.put("revisions", revisions.save());
         all.put("lending", lending.save());
         all.put("seats", seats.values().stream().map(State::saved).toList());
@@ -614,7 +670,7 @@
         return List.of(of.place, of.server.value(), of.listen, of.as.value(), of.standing.name(), of.number, of.leaseUntil,
                 of.floorUntil, of.silent, of.marked, of.cause, of.acting.value(), of.inForce.value(), of.odd,
                 of.behindSince, of.flaps, of.steadySince, of.mayReturn, of.heardWall, of.outWall, of.folded,
-                of.foldedOutdated, passages);
+                of.foldedOutdated, passages, of.health.save());
     }
 
     private static Seat loaded(List<?> f) {
@@ -638,6 +694,7 @@
         of.outWall = Revisions.number(f.get(19));
         of.folded = (int) Revisions.number(f.get(20));
         of.foldedOutdated = Revisions.number(f.get(21));
+        of.health.load((List<?>) f.get(23));
         for (Object each : (List<?>) f.get(22)) {
             List<?> p = (List<?>) each;
             of.passages.add(new Passage(new Incarnation(Revisions.number(p.get(0))), new RevisionId(Revisions.number(p.get(1))),
@@ -654,7 +711,10 @@
                 Revisions.number(f.get(3)), Revisions.number(f.get(4)), ((Number) f.get(5)).doubleValue(),
                 ((Number) f.get(6)).doubleValue(), ((Number) f.get(7)).doubleValue(), (int) Revisions.number(f.get(8)),
                 ((Number) f.get(9)).doubleValue());
+        List<?> p = (List<?>) all.get("probation");
+        probation(Revisions.number(p.get(0)), ((Number) p.get(1)).doubleValue(), ((Number) p.get(2)).doubleValue());
         List<?> clock = (List<?>) all.get("clock");
+        judgedAt = Revisions.number(clock.get(3));
         now = Revisions.number(clock.get(0));
         wall = Revisions.number(clock.get(1));
         incarnations = Revisions.number(clock.get(2));
--- a/fleet/src/main/java/tallyweir/fleet/Way.java
+++ b/fleet/src/main/java/tallyweir/fleet/Way.java
@@ -13,7 +13,7 @@
     void join(ServerId server, String listen, boolean newLife, Executor deciding, Answers to, Runnable failed);
 
     void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed);
+            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed);
 
     void leave(ServerId server, Incarnation as);
 
--- a/fleet/src/test/java/tallyweir/fleet/StateTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/StateTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import tallyweir.ids.TenantId;
@@ -16,6 +17,7 @@
     private static final long LEASE = 1_000;
     private static final long TAIL = 500;
     private static final long BEHIND = 2_000;
+    private static final long PROBATION = 3_000;
 
     private State state = new State();
     private long now;
@@ -28,6 +30,8 @@
     private Map<TenantId, Grant> shares;
     private final Incarnation[] lives = new Incarnation[8];
     private final long[] numbers = new long[8];
+    private final long[] ended = new long[8];
+    private final long[] bad = new long[8];
 
     private final Answers here = new Answers() {
         @Override
@@ -60,7 +64,7 @@
 
     @BeforeEach
     void found() {
-        state.found("f", 1, LEASE, TAIL, 10 * LEASE, BEHIND, 0, 0.5, 0.25, 6, 0, here);
+        state.found("f", 1, LEASE, TAIL, 10 * LEASE, BEHIND, 0, 0.5, 0.25, 6, 0, PROBATION, 2, 0.5, here);
     }
 
     private void at(long now) {
@@ -78,7 +82,7 @@
 
     private void report(int i, long acting, String digest, long checked, String cannot, Map<TenantId, Need> needs) {
         state.report(new ServerId("s" + i), lives[i], ++numbers[i], new RevisionId(acting), new Digest(digest), 0,
-                new RevisionId(checked), cannot, needs, here);
+                new RevisionId(checked), cannot, ended[i], bad[i], needs, here);
     }
 
     private void acts(int i, long revision) {
@@ -180,7 +184,7 @@
         acts(0, 1);
         assertTrue(lease > 0);
         assertEquals(Seat.Standing.LIVE, seat(0).standing());
-        state.report(new ServerId("s0"), before, 99, new RevisionId(1), new Digest("b5!"), 0, RevisionId.NONE, "", Map.of(), here);
+        state.report(new ServerId("s0"), before, 99, new RevisionId(1), new Digest("b5!"), 0, RevisionId.NONE, "", 0, 0, Map.of(), here);
         assertInstanceOf(Fault.ShutOut.class, fault, "what an earlier life says");
     }
 
@@ -253,6 +257,44 @@
         assertEquals(4, shares.get(T).granted());
     }
 
+    /** Queries end by chance, so many of a hundred badly; the revision in force at the end. */
+    private long underChance(long seed, int before, int after) {
+        state = new State();
+        found();
+        SplittableRandom chance = new SplittableRandom(seed);
+        live(4);
+        publish("c1", 0, 5);
+        int share = before;
+        for (long t = 100; t < 4 * PROBATION; t += 100) {
+            at(t);
+            for (int i = 0; i < 4; i++) {
+                for (int q = chance.nextInt(8); q > 0; q--) {
+                    ended[i]++;
+                    bad[i] += chance.nextInt(100) < share ? 1 : 0;
+                }
+                acts(i, state.inForce().value());
+            }
+            if (t == 2 * PROBATION) {
+                publish("c2", 1, 6);
+            }
+            share = state.inForce().value() == 2 ? after : before;
+        }
+        return state.inForce().value();
+    }
+
+    @Test
+    void aRevisionUnderWhichTheFleetFaresWorseIsTakenBackOnceAndAQuietOneNever() {
+        for (long seed = 0; seed < 20; seed++) {
+            assertEquals(2, underChance(seed, 2, 2), "quiet, seed " + seed);
+            assertEquals(2, underChance(seed, 20, 20), "as bad as before, seed " + seed);
+            assertEquals(3, underChance(seed, 2, 30), "sick, seed " + seed);
+            Revision back = state.revision(state.inForce());
+            assertEquals("probation", back.by());
+            assertEquals(1, back.of().value());
+            assertEquals(3, state.revisions().size(), "once");
+        }
+    }
+
     @Test
     void strangersAndTooManyAreTurnedDown() {
         state.join("g", new ServerId("x"), "at", true, here);
--- a/tool/src/test/java/tallyweir/tool/FleetTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTest.java
@@ -246,6 +246,36 @@
         return t;
     }
 
+    @Test
+    void aRevisionThatCutsTheFleetOffFromItsStoreIsTakenBackByItself() throws Exception {
+        assertEquals(0, publish(0, ""));
+        List<FleetStage.Open> opened = Collections.synchronizedList(new ArrayList<>());
+        AtomicInteger down = new AtomicInteger();
+        AtomicBoolean stop = new AtomicBoolean();
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            for (int n = 0; n < 8; n++) {
+                clients.add(client(i, FleetStage.FREE, opened, down, stop));
+            }
+        }
+        TimeUnit.SECONDS.sleep(2);
+        assertEquals(0, down.get(), "all is well before");
+        Path wrong = Files.writeString(dir.resolve("wrong.json"), "{\"stores\":[{\"address\":\"127.0.0.1:1\"}]}");
+        assertEquals(0, command("fleet", "publish", wrong.toString(), "--operators", operators.toString(), "--why", "a slip"));
+        until("it is taken back", () -> acting(3, SERVERS));
+        JsonNode back = link.audit().get("revisions").get(2);
+        assertEquals("probation", back.get("by").textValue());
+        assertEquals(1, back.get("of").longValue());
+        for (int i = 0; i < SERVERS; i++) {
+            assertEquals(0, storeOf(i));
+        }
+        stop.set(true);
+        for (Thread t : clients) {
+            t.join();
+        }
+        assertEquals(3, link.audit().get("in_force").longValue(), "once");
+    }
+
     private static void pause() {
         try {
             TimeUnit.MILLISECONDS.sleep(30);
