--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
@@ -108,9 +108,14 @@
 
     /** What a leader does by itself: it founds the fleet, and tells the state the time where something is due by it. */
     private void lead() {
+        boolean told = false;
         while (!closed) {
             try {
                 TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+                if (!told && fault() != null) {
+                    told = true;
+                    LOG.error(fault().what() + "; " + fault().advice());
+                }
                 if (machine.leads() && machine.version() < version) {
                     client.io().send(Message.valueOf(ByteString.copyFrom(found)));
                 } else if (machine.due()) {
--- a/daemon/src/test/java/tallyweir/config/OperatorsTest.java
+++ b/daemon/src/test/java/tallyweir/config/OperatorsTest.java
@@ -56,6 +56,12 @@
             {"durable":{"dir":"d","namespaces":[{"name":"a b","bound_mb":1}]}}; durable.namespaces[0].name
             {"durable":{"dir":"d","namespaces":[{"name":"a","bound_mb":1,"at_bound":"x"}]}}; durable.namespaces[0].at_bound is 'x'
             {"durable":{"dir":"d","namespaces":[{"name":"a","bound_mb":1},{"name":"a","bound_mb":1}]}}; durable.namespaces[1].name is 'a'
+            {"fleet":{}};                                                 fleet.name is missing
+            {"fleet":{"name":"f","voters":{"a":"h:1","b":"h:2"}}};         fleet.voters has 2 entries
+            {"fleet":{"name":"f","voters":{"a":"h"}}};                   fleet.voters.a is 'h'
+            {"fleet":{"name":"f","voters":{"a":"h:1"},"drift":0.5}};     fleet.drift is 0.5
+            {"fleet":{"name":"f","voters":{"a":"h:1"},"lease_ms":1}};    fleet.lease_ms is 1
+            {"fleet":{"name":"f","voters":{"a":"h:1"},"when_out":"x"}};  fleet.when_out is 'x'
             {"results":{"bound_mb":1}};                                    results needs a durable part
             {"durable":{"dir":"d"},"results":{}};                          results.bound_mb is missing
             {"durable":{"dir":"d"},"results":{"bound":1,"bound_mb":1}};    results.bound is unknown
--- a/fleet/src/main/java/tallyweir/fleet/Fault.java
+++ b/fleet/src/main/java/tallyweir/fleet/Fault.java
@@ -85,10 +85,10 @@
     }
 
     /** Too many servers said that they cannot take a revision. */
-    record CannotTake(long revision, int cannot, int of, String reasons) implements Fault {
+    record CannotTake(long revision, String reasons) implements Fault {
         @Override
         public String what() {
-            return cannot + " of " + of + " servers cannot take revision " + revision + ": " + reasons;
+            return "revision " + revision + " was turned down: " + reasons;
         }
 
         @Override
--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -39,7 +39,7 @@
 
 @Command(name = "fleet", mixinStandardHelpOptions = true,
         description = "What a fleet routes by: its revisions, who acts on which, and what its promises rest on.",
-        subcommands = {FleetCommand.Publish.class, FleetCommand.Rollback.class, FleetCommand.Audit.class,
+        subcommands = {FleetCommand.Publish.class, FleetCommand.Rollback.class, FleetCommand.Audit.class, FleetCommand.Caps.class,
             FleetCommand.Explore.class, FleetDrill.class})
 final class FleetCommand implements Runnable {
     @Spec
@@ -118,7 +118,7 @@
                 JsonNode audit = link.audit();
                 JsonNode r = revision(audit, done.value());
                 if (r.get("fate").textValue().equals("TURNED_DOWN")) {
-                    throw new Fault.CannotTake(done.value(), 0, 0, r.get("reasons").textValue()).thrown();
+                    throw new Fault.CannotTake(done.value(), r.get("reasons").textValue()).thrown();
                 }
                 int acts = 0;
                 int behind = 0;
@@ -270,6 +270,39 @@
         }
     }
 
+    @Command(name = "caps", mixinStandardHelpOptions = true,
+            description = "Shows each tenant's cap, what of it may be relied on, and whether a cap that was lowered is reached.")
+    static final class Caps implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Mixin
+        private Which which;
+
+        @Override
+        public Integer call() {
+            JsonNode a;
+            try (Link link = which.open()) {
+                a = link.audit();
+            } catch (FleetException e) {
+                return say(spec, e.fault());
+            }
+            long behind = 0;
+            for (JsonNode s : a.get("servers")) {
+                behind += s.get("acting").longValue() < a.get("in_force").longValue() ? 1 : 0;
+            }
+            PrintWriter out = spec.commandLine().getOut();
+            out.println("revision " + a.get("in_force").longValue() + ", " + behind + " servers under an earlier one");
+            for (JsonNode c : a.get("caps")) {
+                long spoken = c.get("spoken").longValue();
+                long cap = c.get("cap").longValue();
+                out.println(c.get("tenant").textValue() + ": cap " + cap + ", floor of each place " + c.get("floor").longValue()
+                        + ", lent " + c.get("lent").longValue() + ", spoken for " + spoken
+                        + (spoken <= cap && behind == 0 ? ", reached" : ", not reached yet"));
+            }
+            return 0;
+        }
+    }
+
     @Command(name = "explore", mixinStandardHelpOptions = true,
             description = "Plays every order of events of a few servers over the real classes, and each guard switched off, which"
                     + " must be missed: stop, restart and race are the scenes. Exit code 1 if not.")
--- a/tool/src/main/java/tallyweir/tool/FleetDrill.java
+++ b/tool/src/main/java/tallyweir/tool/FleetDrill.java
@@ -47,7 +47,8 @@
     private long seed;
     @Option(names = "--servers", defaultValue = "4", description = "Processes, 3 of them voters (${DEFAULT-VALUE}).")
     private int size;
-    @Option(names = "--seconds", defaultValue = "40", description = "How long faults are drawn (${DEFAULT-VALUE}).")
+    @Option(names = "--seconds", defaultValue = "40", description = "How long faults are drawn, and each once in any case"
+            + " (${DEFAULT-VALUE}).")
     private int seconds;
     @Option(names = "--dir", required = true, description = "A directory for the drill's own files; made if not there.")
     private Path dir;
@@ -56,7 +57,7 @@
     @Spec
     private CommandSpec spec;
 
-    /** What happens; each comes once before any comes again. */
+    /** What happens; each comes once before any comes again, so that no drill shows nothing. */
     private enum Event { KILL, STOP_SHORT, STOP_LONG, RESET, SILENCE, ONE_WAY, NO_MAJORITY, PUBLISH, PUBLISH_AGAIN, ROLLBACK }
 
     private final History history = new History();
@@ -99,7 +100,7 @@
             }
             long end = System.nanoTime() + seconds * 1_000_000_000L;
             List<Event> deck = new ArrayList<>();
-            while (System.nanoTime() < end) {
+            for (int played = 0; played < Event.values().length || System.nanoTime() < end; played++) {
                 if (deck.isEmpty()) {
                     deck.addAll(List.of(Event.values()));
                     for (int i = deck.size(); i > 1; i--) {
