Rules in one place; Ratis ends no process; a stranger and a taken address are told as such

Need: read again, the loop over ordered rules stood three times; an entry that could not be applied left a server waiting for ever; Ratis ends the process where its server fails, and serving must not depend on it. Change: tallyweir.rules in core under Marks, Member and State; system exits by Ratis are off; a useless answer counts as none; a group that does not match is a Stranger, a taken address NameTaken; who stands back does not report on a move. Measured: VotersTest (with an address in use, which ended the test's process before) and the tests of fleet and results pass.

--- a/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
@@ -10,6 +10,7 @@
 import org.apache.ratis.client.RaftClient;
 import org.apache.ratis.protocol.Message;
 import org.apache.ratis.protocol.RaftClientReply;
+import org.apache.ratis.protocol.exceptions.GroupMismatchException;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -98,7 +99,13 @@
                 deciding.execute(failed);
                 return;
             }
-            deciding.execute(() -> Wire.answer(answer, to));
+            deciding.execute(() -> {
+                if (Wire.isAnswer(answer)) {
+                    Wire.answer(answer, to);
+                } else {
+                    failed.run();  // the state could make nothing of it
+                }
+            });
         });
     }
 
@@ -144,6 +151,11 @@
             return ask(Wire.bytes(q), true);
         } catch (IOException | RuntimeException e) {
             LOG.debug("no answer from the fleet", e);
+            for (Throwable t = e; t != null; t = t.getCause()) {
+                if (t instanceof GroupMismatchException) {
+                    throw new Fault.Stranger(fleet, "at " + String.join(", ", voters.values())).thrown();
+                }
+            }
             throw new Fault.NoLeader(String.join(", ", voters.values()), giveUpMs).thrown();
         }
     }
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
@@ -1,6 +1,9 @@
 package tallyweir.fleet.ratis;
 
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -16,6 +19,7 @@
 import org.apache.ratis.server.RaftServerConfigKeys;
 import org.apache.ratis.server.storage.RaftStorage;
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.ExitUtils;
 import org.apache.ratis.util.SizeInBytes;
 import org.apache.ratis.util.TimeDuration;
 import org.slf4j.Logger;
@@ -85,12 +89,22 @@
      */
     public static Voter start(String fleet, Map<String, String> voters, String self, Path dir, Founding founding,
             LongSupplier clock, LongSupplier wall) throws IOException {
+        ExitUtils.disableSystemExit();  // whatever becomes of this part, the server goes on
         Files.createDirectories(dir);
+        // Looked at first: Ratis does not tell a taken address from a log that it cannot read.
+        String at = voters.get(self);
+        try (ServerSocket free = new ServerSocket()) {
+            free.setReuseAddress(true);
+            free.bind(new InetSocketAddress(at.substring(0, at.lastIndexOf(':')),
+                    Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))));
+        } catch (BindException e) {
+            throw new Fault.NameTaken(self, at).thrown();
+        }
         Voter v;
         try {
             v = new Voter(fleet, voters, self, dir, founding.command(fleet), founding.version(), clock, wall);
             v.server.start();
-        } catch (IOException | IllegalStateException e) {
+        } catch (IOException | RuntimeException e) {
             throw new Fault.LogDamaged(self, e.toString()).thrown();
         }
         v.clockwork.start();
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
@@ -224,6 +224,10 @@
         }
     }
 
+    static boolean isAnswer(JsonNode a) {
+        return !text(a, "a").equals("none");
+    }
+
     /** Tells what an answer says. */
     static void answer(JsonNode a, Answers to) {
         switch (text(a, "a")) {
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -37,6 +37,8 @@
 /** Three voters on loopback, one of them ended or started anew, and what was acknowledged. */
 class VotersTest {
     private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final Voter.Founding FOUNDING =
+            new Voter.Founding(1, 20_000, 5_000, 100_000, 50_000, 0.01, 0.5, 0.25, 8, 0.5, 0, 2, 0.5);
     private static final TenantId T = new TenantId("t");
 
     @TempDir
@@ -61,8 +63,7 @@
 
     private Voter voter(String name, Map<String, String> all, String fleet) throws IOException {
         return Voter.start(fleet, all, name, dir.resolve(name),
-                new Voter.Founding(1, 20_000, 5_000, 100_000, 50_000, 0.01, 0.5, 0.25, 8, 0.5, 0, 2, 0.5),
-                () -> System.nanoTime() / 100_000, System::currentTimeMillis);
+                FOUNDING, () -> System.nanoTime() / 100_000, System::currentTimeMillis);
     }
 
     @AfterEach
@@ -158,8 +159,10 @@
     @Test
     void withoutAMajorityNothingIsAcknowledgedAndAStrangerFindsNoFleet() throws Exception {
         try (Link strange = new Link("g", addresses, 1_000)) {
-            assertThrows(FleetException.class, strange::audit);
+            assertInstanceOf(Fault.Stranger.class, assertThrows(FleetException.class, strange::audit).fault());
         }
+        assertInstanceOf(Fault.NameTaken.class, assertThrows(FleetException.class,
+                () -> Voter.start("f", addresses, "v1", dir.resolve("other"), FOUNDING, () -> 0, () -> 0)).fault(), "its address is in use");
         voters.remove("v1").close();
         voters.remove("v2").close();
         try (Link shortOf = new Link("f", addresses, 1_500)) {
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -122,7 +122,9 @@
     public void moved() {
         guard(() -> queries.kernel().moved());
         guard(() -> queries.store().moved());
-        guard(() -> links.report(Report.of(name, !queries.draining())));
+        if (queries.announced()) {
+            guard(() -> links.report(Report.of(name, !queries.draining())));
+        }
     }
 
     /**
--- a/fleet/src/main/java/tallyweir/fleet/Answers.java
+++ b/fleet/src/main/java/tallyweir/fleet/Answers.java
@@ -12,7 +12,9 @@
      * @param floorShare the part of a cap that is spread over them
      * @param next how soon it should report, by its own clock
      */
-    void joined(Incarnation as, int places, double floorShare, long next);
+    default void joined(Incarnation as, int places, double floorShare, long next) {
+        throw new IllegalStateException("nobody here asked for a place");
+    }
 
     /**
      * A report was taken.
@@ -28,8 +30,10 @@
      * @param shares what it is lent, only tenants with anything
      * @param next how soon it should report again at the latest, by its own clock
      */
-    void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age, RevisionId toCheck,
-            Map<TenantId, Grant> shares, long next);
+    default void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age, RevisionId toCheck,
+            Map<TenantId, Grant> shares, long next) {
+        throw new IllegalStateException("nobody here reported");
+    }
 
     /** Done, under this number where it is about a revision. */
     void done(RevisionId revision);
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -234,17 +234,6 @@
                 this.name = name;
             }
 
-            @Override
-            public void joined(Incarnation as, int places, double floorShare, long next) {
-                throw new IllegalStateException("no operator joins");
-            }
-
-            @Override
-            public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age, RevisionId toCheck,
-                    Map<TenantId, Grant> shares, long next) {
-                throw new IllegalStateException("no operator reports");
-            }
-
             @Override
             public void done(RevisionId revision) {
                 if (name != null) {
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -1,12 +1,10 @@
 package tallyweir.fleet;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.BooleanSupplier;
 import tallyweir.ids.TenantId;
+import tallyweir.rules.Rules;
 
 /**
  * A server's own side of the fleet: what it may do at this moment, by what it was told and its own clock. Nothing here
@@ -16,8 +14,6 @@
 public final class Member {
     private static final int AGAIN_MOST = 16;   // doublings of the wait are bounded: no fleet is left alone for long
 
-    private record Rule(BooleanSupplier when, Runnable then) {}
-
     private final Acts out;
     private final Gate gate;
     private final Set<Guard> without;
@@ -26,7 +22,7 @@
     private final boolean backWhole;
     private final long again;
     private final SplittableRandom chance;
-    private final List<Rule> rules = new ArrayList<>();
+    private final Rules rules = new Rules();
     private long now;
     private Incarnation as;
     private boolean inHand;          // asked, and no answer yet
@@ -68,17 +64,13 @@
         chance = new SplittableRandom(seed);
         dueAt = now;
         // What is over comes first, then what is to be found out or done here, then what is to be said.
-        rule(() -> member && now() >= leaseUntil && !without.contains(Guard.LEASE), this::leaseOver);
-        rule(() -> shouldStandBack() != back, () -> out.standBack(back = shouldStandBack()));
-        rule(() -> checked.before(toCheck) && !checking.equals(toCheck), () -> out.check(checking = toCheck));
-        rule(() -> acting.before(wanted) && moving.value() == 0 && !(failed.equals(wanted) && now() < failedAt + this.again),
+        rules.add(() -> member && now() >= leaseUntil && !without.contains(Guard.LEASE), this::leaseOver);
+        rules.add(() -> shouldStandBack() != back, () -> out.standBack(back = shouldStandBack()));
+        rules.add(() -> checked.before(toCheck) && !checking.equals(toCheck), () -> out.check(checking = toCheck));
+        rules.add(() -> acting.before(wanted) && moving.value() == 0 && !(failed.equals(wanted) && now() < failedAt + this.again),
                 () -> out.act(moving = wanted));
-        rule(() -> !inHand && as == null && now() >= dueAt, this::join);
-        rule(() -> !inHand && as != null && now() >= dueAt, this::report);
-    }
-
-    private void rule(BooleanSupplier when, Runnable then) {
-        rules.add(new Rule(when, then));
+        rules.add(() -> !inHand && as == null && now() >= dueAt, this::join);
+        rules.add(() -> !inHand && as != null && now() >= dueAt, this::report);
     }
 
     private long now() {
@@ -86,14 +78,7 @@
     }
 
     private void settle() {
-        for (int i = 0; i < rules.size();) {
-            if (rules.get(i).when.getAsBoolean()) {
-                rules.get(i).then.run();
-                i = 0;
-            } else {
-                i++;
-            }
-        }
+        rules.settle();
     }
 
     private boolean shouldStandBack() {
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.BooleanSupplier;
 import tallyweir.ids.TenantId;
+import tallyweir.rules.Rules;
 
 /**
  * What the voters agree on: which servers there are, which revision is in force, what each tenant's cap is lent to. Each
@@ -40,11 +40,9 @@
         }
     }
 
-    private record Rule(BooleanSupplier when, Runnable then) {}
-
     private final Set<Guard> without;
-    private final List<Rule> ofSeat = new ArrayList<>();
-    private final List<Rule> ofFleet = new ArrayList<>();
+    private final Rules ofSeat = new Rules();
+    private final Rules ofFleet = new Rules();
     private final Lending lending;
     private final Revisions revisions = new Revisions();
     private final TreeMap<ServerId, Seat> seats = new TreeMap<>();
@@ -86,48 +84,33 @@
         this.without = without.isEmpty() ? EnumSet.noneOf(Guard.class) : EnumSet.copyOf(without);
         lending = new Lending(!has(Guard.FLOOR));
         // Of a server: first what its silence means, then whether it goes out, then what comes back from it.
-        rule(ofSeat, () -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + behindMost, () -> out("did not come in"));
-        rule(ofSeat, () -> s.standing == Seat.Standing.LIVE && !s.silent && now >= s.leaseUntil, this::silent);
-        rule(ofSeat, () -> stays() && s.marked, this::unmark);
-        rule(ofSeat, () -> mustGo() && room(), () -> out(whyGo()));
-        rule(ofSeat, () -> mustGo() && !s.marked, this::mark);
-        rule(ofSeat, () -> now >= s.leaseUntil + held(tail) && lending.holds(s.place), () -> lending.back(s.place));
-        rule(ofSeat, () -> places.get(s.place) == s && (s.standing == Seat.Standing.OUT || s.silent)
+        ofSeat.add(() -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + behindMost, () -> out("did not come in"));
+        ofSeat.add(() -> s.standing == Seat.Standing.LIVE && !s.silent && now >= s.leaseUntil, this::silent);
+        ofSeat.add(() -> stays() && s.marked, this::unmark);
+        ofSeat.add(() -> mustGo() && room(), () -> out(whyGo()));
+        ofSeat.add(() -> mustGo() && !s.marked, this::mark);
+        ofSeat.add(() -> now >= s.leaseUntil + held(tail) && lending.holds(s.place), () -> lending.back(s.place));
+        ofSeat.add(() -> places.get(s.place) == s && (s.standing == Seat.Standing.OUT || s.silent)
                 && now >= Math.max(s.floorUntil + held(tail), s.mayReturn), this::forget);
         // Of the fleet: what is proposed comes into force or not.
-        rule(ofFleet, () -> revisions.open() && !revisions.allSaid() && now >= revisions.proposedUntil(), revisions::timeOver);
-        rule(ofFleet, () -> revisions.open() && (revisions.forced()
+        ofFleet.add(() -> revisions.open() && !revisions.allSaid() && now >= revisions.proposedUntil(), revisions::timeOver);
+        ofFleet.add(() -> revisions.open() && (revisions.forced()
                 || revisions.allSaid() && revisions.cannotShare() <= mostCannot), this::comesIntoForce);
-        rule(ofFleet, () -> revisions.open() && revisions.allSaid(), revisions::turnDown);
-        rule(ofFleet, () -> onProbation() && now >= judgedAt + Math.max(1, lease / LEVELS_IN_LEASE), this::judge);
+        ofFleet.add(() -> revisions.open() && revisions.allSaid(), revisions::turnDown);
+        ofFleet.add(() -> onProbation() && now >= judgedAt + Math.max(1, lease / LEVELS_IN_LEASE), this::judge);
     }
 
     private boolean has(Guard g) {
         return !without.contains(g);
     }
 
-    private static void rule(List<Rule> rules, BooleanSupplier when, Runnable then) {
-        rules.add(new Rule(when, then));
-    }
-
-    private static void settle(List<Rule> rules) {
-        for (int i = 0; i < rules.size();) {
-            if (rules.get(i).when.getAsBoolean()) {
-                rules.get(i).then.run();
-                i = 0;
-            } else {
-                i++;
-            }
-        }
-    }
-
     /** One more round of the rules for a server, after which it is noted when it is to be looked at again. */
     private void settle(Seat of) {
         if (places.get(of.place) != of) {
             return;
         }
         s = of;
-        settle(ofSeat);
+        ofSeat.settle();
         if (places.get(of.place) == of) {
             due(of);
         }
@@ -164,7 +147,7 @@
             dueAt.remove(d.place);
             settle(places.get(d.place));
         }
-        settle(ofFleet);
+        ofFleet.settle();
         while (!marked.isEmpty() && out + 1 <= outMost()) {
             int before = out;
             settle(seats.get(marked.first()));
--- a/results/src/main/java/tallyweir/results/Marks.java
+++ b/results/src/main/java/tallyweir/results/Marks.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import tallyweir.rules.Rules;
 
 /**
  * What is recorded when, and what a repeat gets. Knows no disk, kernel or clock: each input is a call, each wish leaves
@@ -64,15 +64,13 @@
         }
     }
 
-    private record Rule(BooleanSupplier when, Runnable then) {}
-
     private final Keeping out;
     private final int most;
     private final Set<Guard> without;
     private final Map<Mark, Entry> entries = new HashMap<>();
     private final Map<RunId, Entry> held = new HashMap<>();
     private final Set<Mark> passedOver = new HashSet<>();  // only where a check has switched a guard off
-    private final List<Rule> rules = new ArrayList<>();
+    private final Rules rules = new Rules();
     private Entry e;   // what the input is about
 
     /**
@@ -84,40 +82,29 @@
         this.most = most;
         this.without = without.isEmpty() ? EnumSet.noneOf(Guard.class) : EnumSet.copyOf(without);
         // What must not begin comes first, then what may, then what is over, then who waits for it.
-        rule(() -> e.stage == Stage.INTENDING && e.done && e.failed, this::neverBegan);
-        rule(() -> (e.stage == Stage.INTENDING && e.done || e.stage == Stage.READY) && e.given, this::withdraw);
-        rule(() -> e.stage == Stage.BEGUN && e.given && !has(Guard.PROOF), this::withdraw);
-        rule(() -> e.stage == Stage.INTENDING && (e.done || e.wanted && !has(Guard.INTENT)), () -> e.stage = Stage.READY);
-        rule(() -> e.stage == Stage.READY && e.wanted, this::begin);
-        rule(() -> e.stage == Stage.BEGUN && e.over, this::record);
-        rule(() -> e.stage == Stage.RECORDING && !e.asking.isEmpty() && !has(Guard.ORDER), this::answer);
-        rule(() -> e.stage == Stage.RECORDING && e.done, () -> e.stage = e.failed ? Stage.LOST : Stage.KEPT);
-        rule(() -> e.stage == Stage.LOST && e.done && !e.asking.isEmpty(), this::answerUnknown);
-        rule(() -> e.stage == Stage.LOST && e.outlived && !e.dropped, this::drop);
-        rule(() -> e.stage == Stage.LOOKING && e.done, () -> e.stage = Stage.KEPT);
-        rule(() -> e.stage == Stage.KEPT && !e.asking.isEmpty(), this::answer);
-        rule(() -> e.stage == Stage.WITHDRAWING && e.done, () -> e.stage = Stage.GONE);
-        rule(() -> (e.stage == Stage.KEPT || e.stage == Stage.GONE) && !e.dropped, this::drop);
+        rules.add(() -> e.stage == Stage.INTENDING && e.done && e.failed, this::neverBegan);
+        rules.add(() -> (e.stage == Stage.INTENDING && e.done || e.stage == Stage.READY) && e.given, this::withdraw);
+        rules.add(() -> e.stage == Stage.BEGUN && e.given && !has(Guard.PROOF), this::withdraw);
+        rules.add(() -> e.stage == Stage.INTENDING && (e.done || e.wanted && !has(Guard.INTENT)), () -> e.stage = Stage.READY);
+        rules.add(() -> e.stage == Stage.READY && e.wanted, this::begin);
+        rules.add(() -> e.stage == Stage.BEGUN && e.over, this::record);
+        rules.add(() -> e.stage == Stage.RECORDING && !e.asking.isEmpty() && !has(Guard.ORDER), this::answer);
+        rules.add(() -> e.stage == Stage.RECORDING && e.done, () -> e.stage = e.failed ? Stage.LOST : Stage.KEPT);
+        rules.add(() -> e.stage == Stage.LOST && e.done && !e.asking.isEmpty(), this::answerUnknown);
+        rules.add(() -> e.stage == Stage.LOST && e.outlived && !e.dropped, this::drop);
+        rules.add(() -> e.stage == Stage.LOOKING && e.done, () -> e.stage = Stage.KEPT);
+        rules.add(() -> e.stage == Stage.KEPT && !e.asking.isEmpty(), this::answer);
+        rules.add(() -> e.stage == Stage.WITHDRAWING && e.done, () -> e.stage = Stage.GONE);
+        rules.add(() -> (e.stage == Stage.KEPT || e.stage == Stage.GONE) && !e.dropped, this::drop);
     }
 
     private boolean has(Guard g) {
         return !without.contains(g);
     }
 
-    private void rule(BooleanSupplier when, Runnable then) {
-        rules.add(new Rule(when, then));
-    }
-
     private void settle(Entry about) {
         e = about;
-        for (int i = 0; i < rules.size();) {
-            if (rules.get(i).when.getAsBoolean()) {
-                rules.get(i).then.run();
-                i = 0;
-            } else {
-                i++;
-            }
-        }
+        rules.settle();
     }
 
     /** How many marks are in memory. */
--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -28,13 +28,10 @@
 import tallyweir.fleet.Explorer;
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.FleetException;
-import tallyweir.fleet.Grant;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Incarnation;
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ratis.Link;
-import tallyweir.ids.TenantId;
 import tallyweir.search.Search;
 
 @Command(name = "fleet", mixinStandardHelpOptions = true,
@@ -171,17 +168,6 @@
         public void refused(Fault why) {
             fault = why;
         }
-
-        @Override
-        public void joined(Incarnation as, int places, double floorShare, long next) {
-            throw new IllegalStateException("an operator does not join");
-        }
-
-        @Override
-        public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age,
-                RevisionId toCheck, Map<TenantId, Grant> shares, long next) {
-            throw new IllegalStateException("an operator does not report");
-        }
     }
 
     /** Prints what is the matter and what can be done; the exit code goes by the kind. */
