Fleet: a join long on its way frees nothing; standing back needs no tenant

Seen on reading the diff again: a process's first join, given up and heard late, freed a share that the same process had been lent since, so a cap could be exceeded; who stands back took queries where settings have no tenants; a move between the start's reading and the watching of the file was missed. Change: a join carries its process's life, and only a higher one than before frees anything; standing back does not ask for a tenant; the first look at a watched file always reads it. Measured: StateTest shows the late join, by the same life and by an earlier one; ServerTest, BackendTest, three FleetTests pass.

--- a/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
@@ -56,8 +56,8 @@
     // ---- for a server: what comes back is told on its own thread
 
     @Override
-    public void join(ServerId server, String listen, boolean newLife, Executor deciding, Answers to, Runnable failed) {
-        send(Wire.join(fleet, server, listen, newLife), deciding, to, failed);
+    public void join(ServerId server, String listen, long life, Executor deciding, Answers to, Runnable failed) {
+        send(Wire.join(fleet, server, listen, life), deciding, to, failed);
     }
 
     @Override
--- a/consensus/src/main/java/tallyweir/fleet/ratis/RatisSeating.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/RatisSeating.java
@@ -40,8 +40,8 @@
     /** The link of a server, and its part of the log. */
     private record Seated(Link link, Voter voter) implements Way {
         @Override
-        public void join(ServerId server, String listen, boolean newLife, Executor deciding, Answers to, Runnable failed) {
-            link.join(server, listen, newLife, deciding, to, failed);
+        public void join(ServerId server, String listen, long life, Executor deciding, Answers to, Runnable failed) {
+            link.join(server, listen, life, deciding, to, failed);
         }
 
         @Override
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Wire.java
@@ -64,9 +64,9 @@
                 .put("probation", probation).put("worse", worseRatio).put("sick", sickShare));
     }
 
-    static byte[] join(String fleet, ServerId server, String listen, boolean newLife) {
+    static byte[] join(String fleet, ServerId server, String listen, long life) {
         return bytes(command("join").put("fleet", fleet).put("server", server.value()).put("listen", listen)
-                .put("new", newLife));
+                .put("life", life));
     }
 
     static byte[] report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
@@ -116,7 +116,7 @@
                     number(c, "floor_lease"), number(c, "behind"), c.get("drift").doubleValue(), c.get("out").doubleValue(),
                     c.get("cannot").doubleValue(), c.get("servers").intValue(), c.get("floor").doubleValue(),
                     number(c, "probation"), c.get("worse").doubleValue(), c.get("sick").doubleValue(), to);
-            case "join" -> state.join(text(c, "fleet"), server(c), text(c, "listen"), yes(c, "new"), to);
+            case "join" -> state.join(text(c, "fleet"), server(c), text(c, "listen"), number(c, "life"), to);
             case "report" -> {
                 Map<TenantId, Need> needs = new HashMap<>();
                 c.get("needs").fields().forEachRemaining(e -> needs.put(new TenantId(e.getKey()),
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -130,7 +130,7 @@
     @Test
     void whatWasAcknowledgedOutlivesTheLeaderAndComesBackFromItsDisk() throws Exception {
         Heard joined = new Heard();
-        link.join(new ServerId("s"), "127.0.0.1:1", true, Runnable::run, joined, () -> joined.what.complete("failed"));
+        link.join(new ServerId("s"), "127.0.0.1:1", 1, Runnable::run, joined, () -> joined.what.complete("failed"));
         Incarnation as = (Incarnation) joined.get();
         assertTrue(report(as, 1, 0, "", 0, new Need(0, 0)).get("lease") > 0);
         assertEquals(new RevisionId(1), publish("c1", 0, 8));
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -133,12 +133,13 @@
      * @param linger how long a connection counts for a tenant after its last query
      * @param again how long it waits at the least before it asks again what was not answered
      * @param backWhole whether it stands back whole while it is out
+     * @param life of this process: higher than that of the one before it
      * @param without guards that are off, for checks only
      */
     public void seat(Way way, Executor deciding, String listen, long linger, long again, boolean backWhole, long seed,
-            Set<Guard> without) {
+            long life, Set<Guard> without) {
         queries.seat(new FleetSeat(queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now,
-                without));
+                life, without));
     }
 
     /** Tells the fleet that this server has answered all and ends. */
--- a/daemon/src/main/java/tallyweir/backend/Callers.java
+++ b/daemon/src/main/java/tallyweir/backend/Callers.java
@@ -325,10 +325,15 @@
             }
             Way way = new Way(this, id, keep);
             FleetSeat fleet = queries.fleet();
+            if (back) {
+                counters.add(Count.STOOD_BACK);
+                way.deferred(fleet.backOff(), false);
+                return;
+            }
             if (fleet != null && tenant != null) {
-                if (back || !fleet.enter(slot, new TenantId(tenant))) {
-                    counters.add(back ? Count.STOOD_BACK : Count.CAPPED);
-                    way.deferred(fleet.backOff(), !back && fleet.full(new TenantId(tenant)));
+                if (!fleet.enter(slot, new TenantId(tenant))) {
+                    counters.add(Count.CAPPED);
+                    way.deferred(fleet.backOff(), fleet.full(new TenantId(tenant)));
                     return;
                 }
                 way.counts = new TenantId(tenant);
--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -46,7 +46,7 @@
     private final Ring begun = new Ring(BEGUN_SPAN, BEGUN_BUCKETS);
     private InetSocketAddress kernel;      // by the revision in force, null for as configured
     private InetSocketAddress announce;
-    private boolean newLife = true;
+    private final long life;               // of this process, by the wall's clock at its start
     private boolean backByRevision;
     private boolean backByFleet;
     private boolean leaving;
@@ -55,7 +55,8 @@
     private Deadlines.Deadline next;
 
     FleetSeat(Queries queries, Links links, Deadlines deadlines, Way way, Executor deciding, String name, String listen,
-            long linger, long again, boolean backWhole, long seed, long now, Set<Guard> without) {
+            long linger, long again, boolean backWhole, long seed, long now, long life, Set<Guard> without) {
+        this.life = life;
         this.queries = queries;
         this.links = links;
         this.deadlines = deadlines;
@@ -137,15 +138,14 @@
 
     @Override
     public void join(ServerId server, String listen) {
-        boolean fresh = newLife;
-        newLife = false;
-        way.join(server, listen, fresh, this::decide, this, member::failed);
+        way.join(server, listen, life, this::decide, this, member::failed);
     }
 
     @Override
     public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
             RevisionId checked, String cannot, Map<TenantId, Need> needs) {
-        way.report(server, as, number, acting, inForce, outdated, checked, cannot, queries.ended(), queries.bad(), needs, this::decide, this, member::failed);
+        way.report(server, as, number, acting, inForce, outdated, checked, cannot, queries.ended(), queries.bad(), needs,
+                this::decide, this, member::failed);
     }
 
     private void decide(Runnable news) {
--- a/daemon/src/main/java/tallyweir/cli/Reload.java
+++ b/daemon/src/main/java/tallyweir/cli/Reload.java
@@ -54,9 +54,8 @@
         asked.release();
     }
 
-    /** From now on the file is looked at every quarter of a second. */
+    /** From now on the file is looked at every quarter of a second; it may have changed since the start, so at once. */
     void watchFile() {
-        file = look(Path.of(environment.get("EDGE_CONFIG")));
         watches = true;
         asked.release();
     }
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -464,7 +464,7 @@
     /** This server is in a fleet; to be called before it runs. */
     public void seat(Way way, long linger, long again, boolean backWhole, Set<Guard> without) {
         backend.seat(way, this::tell, config.listen.getHostString() + ":" + config.listen.getPort(), linger, again, backWhole,
-                config.seed, without);
+                config.seed, startWall, without);
     }
 
     /** All is answered: the fleet need not find out by itself that this server has ended. */
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -46,7 +46,7 @@
         private Runnable asked;      // on its way to the fleet
         private Runnable answer;     // on its way back
         private Runnable late;       // on its way to the fleet, given up here
-        private boolean newLife;
+        private long life;
         private RevisionId said = RevisionId.NONE;  // that it acts on
         private RevisionId acts = RevisionId.NONE;  // that it does act on
         private RevisionId toAct = RevisionId.NONE;
@@ -66,7 +66,7 @@
         private void start() {
             gate = new Gate(0);
             member = new Member(this, gate, id, id.value(), 1, false, 1, in.time, in.without);
-            newLife = true;
+            life++;
             said = RevisionId.NONE;
             acts = RevisionId.NONE;
             toAct = RevisionId.NONE;
@@ -78,7 +78,7 @@
         }
 
         String describe() {
-            return id.value() + member.describe(in.time) + gate.describe(in.time) + (late != null) + newLife + said.value()
+            return id.value() + member.describe(in.time) + gate.describe(in.time) + (late != null) + life + said.value()
                     + acts.value() + toAct.value() + toCheck.value() + open.stream().map(t -> in.time - t).toList() + crowds + speaks;
         }
 
@@ -130,9 +130,8 @@
 
         @Override
         public void join(ServerId server, String listen) {
-            boolean fresh = newLife;
-            newLife = false;
-            asked = () -> in.state.join("f", server, listen, fresh, this);
+            long now = life;
+            asked = () -> in.state.join("f", server, listen, now, this);
         }
 
         @Override
--- a/fleet/src/main/java/tallyweir/fleet/Seat.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seat.java
@@ -13,6 +13,7 @@
     final ServerId server;
     final String listen;
     Incarnation as;
+    long life;             // of its process
     Standing standing = Standing.ENTERING;
     long number;           // of its last report
     long leaseUntil;
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -362,9 +362,10 @@
      * A server wants a place, its own if it had one. That another process listens at the same address proves that the
      * one before has ended.
      *
-     * @param life differs with each process
+     * @param life of the process, higher than that of any before at this address; one that is no higher frees nothing, so
+     *     that a word which was long on its way takes nothing from who has come in since
      */
-    public void join(String fleet, ServerId server, String listen, boolean newLife, Answers to) {
+    public void join(String fleet, ServerId server, String listen, long life, Answers to) {
         if (!fleet.equals(this.fleet)) {
             to.refused(this.fleet.isEmpty() ? new Fault.NotFounded(fleet) : new Fault.Stranger(fleet, this.fleet));
             return;
@@ -378,7 +379,7 @@
         } else if (seat != null && seat.standing == Seat.Standing.OUT && now < seat.mayReturn) {
             to.refused(new Fault.NotYet(server.value(), seat.mayReturn - now));
         } else {
-            enter(seat != null ? seat : seat(server, listen), newLife);
+            enter(seat != null ? seat : seat(server, listen), life);
             to.joined(seats.get(server).as, serversMost, floorShare, next(seats.get(server)));
         }
         settle();
@@ -391,8 +392,9 @@
         return seat;
     }
 
-    private void enter(Seat seat, boolean newLife) {
-        if (newLife) {
+    private void enter(Seat seat, long life) {
+        if (life > seat.life) {
+            seat.life = life;
             lending.free(seat.place);
             seat.health.begin();
             seat.acting = RevisionId.NONE;
@@ -653,7 +655,7 @@
         return List.of(of.place, of.server.value(), of.listen, of.as.value(), of.standing.name(), of.number, of.leaseUntil,
                 of.floorUntil, of.silent, of.marked, of.cause, of.acting.value(), of.inForce.value(), of.odd,
                 of.behindSince, of.flaps, of.steadySince, of.mayReturn, of.heardWall, of.outWall, of.folded,
-                of.foldedOutdated, passages, of.health.save());
+                of.foldedOutdated, passages, of.health.save(), of.life);
     }
 
     private static Seat loaded(List<?> f) {
@@ -678,6 +680,7 @@
         of.folded = (int) Revisions.number(f.get(20));
         of.foldedOutdated = Revisions.number(f.get(21));
         of.health.load((List<?>) f.get(23));
+        of.life = Revisions.number(f.get(24));
         for (Object each : (List<?>) f.get(22)) {
             List<?> p = (List<?>) each;
             of.passages.add(new Passage(new Incarnation(Revisions.number(p.get(0))), new RevisionId(Revisions.number(p.get(1))),
--- a/fleet/src/test/java/tallyweir/fleet/StateTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/StateTest.java
@@ -73,7 +73,7 @@
     }
 
     private void join(int i) {
-        state.join("f", new ServerId("s" + i), "at" + i, false, here);
+        state.join("f", new ServerId("s" + i), "at" + i, 1, here);
         if (fault == null) {
             lives[i] = as;
             numbers[i] = 0;
@@ -250,9 +250,9 @@
         acts(0, 0);
         acts(1, 0);
         report(0, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
-        state.join("f", new ServerId("s0"), "elsewhere", true, here);
+        state.join("f", new ServerId("s0"), "elsewhere", 2, here);
         assertEquals("at0", ((Fault.NameTaken) fault).listen());
-        state.join("f", new ServerId("s0"), "at0", true, here);
+        state.join("f", new ServerId("s0"), "at0", 2, here);
         report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
         assertEquals(4, shares.get(T).granted());
     }
@@ -295,9 +295,27 @@
         }
     }
 
+    @Test
+    void aJoinThatWasLongOnItsWayTakesNothingFromTheProcessThatHasComeInSince() {
+        live(2);
+        publish("c1", 0, 4);
+        acts(0, 0);
+        acts(1, 0);
+        state.join("f", new ServerId("s0"), "at0", 5, here);
+        lives[0] = as;
+        numbers[0] = 0;
+        report(0, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+        assertEquals(4, shares.get(T).granted());
+        for (long late : new long[] {5, 3}) {  // its own word again, and one of a process before it
+            state.join("f", new ServerId("s0"), "at0", late, here);
+            report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+            assertEquals(0, shares.get(T).granted(), "life " + late);
+        }
+    }
+
     @Test
     void strangersAndTooManyAreTurnedDown() {
-        state.join("g", new ServerId("x"), "at", true, here);
+        state.join("g", new ServerId("x"), "at", 1, here);
         assertEquals("f", ((Fault.Stranger) fault).ours());
         for (int i = 0; i < 6; i++) {
             join(i);
