Choice goes through its rules by the class that others use; settings keep their own rings

It held a second copy of rules.Rules, and the rings of Workload and Calls were laid out at the call. Now Rules runs its list, both classes make their own rings, and the crowd survived and the surplus of a tenant are computed a step a line. No decision changes: same order of operations in each sum.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -3,10 +3,9 @@
 import static tallyweir.Query.State.*;
 
 import java.util.*;
-import java.util.function.BooleanSupplier;
-import java.util.function.DoubleSupplier;
 import tallyweir.ids.*;
 import tallyweir.ring.Ring;
+import tallyweir.rules.Rules;
 
 /**
  * Every decision of one server. A front makes one Choice a process life, hands it the settings (machine to
@@ -18,41 +17,39 @@
     // The source's two readings and ours. The cut is where the lowest revenue starts to be shed, the end is
     // where the highest is certain; the distinct revenues share the stretch between evenly.
     static final double CPU_CUT = 0.90;
-    static final double CPU_END = 1.10;     // past 1: busy cores alone never turn all of the top revenue away
+    static final double CPU_END = 1.10; // past 1: busy cores alone never turn all of the top revenue away
     static final double LATE_CUT = 0.25;
     static final double LATE_END = 1.0;
-    static final double WAIT_CUT = 0.25;    // the third reading: wait ahead, of the time a query has to spare
+    static final double WAIT_CUT = 0.25; // the third reading: wait ahead, of the time a query has to spare
     static final double WAIT_END = 1.0;
-    static final long LATE_SPAN = 3 * 10_000;   // a few seconds, as the source's reading
+    static final long LATE_SPAN = 3 * 10_000; // a few seconds, as the source's reading
     static final long SECOND = 10_000;
     static final long GAUGE_EVERY = SECOND / 10;
     static final int BUCKETS = 12;
     // The guards, as ratios to what the settings allow.
-    static final double CROWD_SAFE = 0.85;  // of the crowd survived now
-    static final double MEMORY_RUN = 0.95;  // of memory, to start a run
+    static final double CROWD_SAFE = 0.85; // of the crowd survived now
+    static final double MEMORY_RUN = 0.95; // of memory, to start a run
     static final double MEMORY_HOLD = 0.85; // of memory, to take a query in
     static final double MEMORY_KEYS = 0.30; // of memory, for entries of harmless queries
-    static final double BELOW_SAFE = 0.90;  // of this server's share of calls in hand
-    static final double CROWDED = 1.25;     // run queue over the cores at which the runs allowed shrink again
-    static final double NEEDS = 0.5;        // of a mean run: time a query must have left to be started
-    static final double SHARE_SLACK = 1.1;  // of a tenant's share, before its surplus counts as such
-    static final double CHANCE = 2;         // deviations of a count that chance alone may make
-    static final double AGAIN_MANY = 0.20;  // of the reads: further tries, at which all the fleet is in need
+    static final double BELOW_SAFE = 0.90; // of this server's share of calls in hand
+    static final double CROWDED = 1.25; // run queue over the cores at which the runs allowed shrink again
+    static final double NEEDS = 0.5; // of a mean run: time a query must have left to be started
+    static final double SHARE_SLACK = 1.1; // of a tenant's share, before its surplus counts as such
+    static final double CHANCE = 2; // deviations of a count that chance alone may make
+    static final double AGAIN_MANY = 0.20; // of the reads: further tries, at which all the fleet is in need
     static final double TURNED_MANY = 0.20; // of the reads: refusals that tell the same without a mark
-    static final double AGAIN_DOWN = 3;     // bands lower for a further try, times their share past that
-    static final double CALL_SLOW = 3;      // times the usual: length of calls at which fewer go out
-    static final double CALLS_FEW = 3;      // calls that their mean is taken over at least
-    static final double CALLS_LEAST = 0.2;  // of this server's share of calls in hand
-    static final double CALLS_CUT = 0.9;    // each time the gauges are read
-    static final double CALL_PART = 0.25;   // of the time that calls may take in the span: for one at first
-    static final double SAY_STEP = 0.1;     // of what was said last: the least change worth saying
-    static final double DEAR = 5;           // times unread time over run length: how much advice is given
+    static final double AGAIN_DOWN = 3; // bands lower for a further try, times their share past that
+    static final double CALL_SLOW = 3; // times the usual: length of calls at which fewer go out
+    static final double CALLS_FEW = 3; // calls that their mean is taken over at least
+    static final double CALLS_LEAST = 0.2; // of this server's share of calls in hand
+    static final double CALLS_CUT = 0.9; // each time the gauges are read
+    static final double CALL_PART = 0.25; // of the time that calls may take in the span: for one at first
+    static final double SAY_STEP = 0.1; // of what was said last: the least change worth saying
+    static final double DEAR = 5; // times unread time over run length: how much advice is given
     static final int CALL_TRIES = 3;
-    static final double IDLE_COST = 2;      // openings that cost what one idle for the longest does
-    static final int IDLE_STEPS = 6;        // idle spans looked at,
-    static final int IDLE_STEP = 5;         // each this part of the one before
-
-    private record Rule(BooleanSupplier when, Runnable then) {}
+    static final double IDLE_COST = 2; // openings that cost what one idle for the longest does
+    static final int IDLE_STEPS = 6; // idle spans looked at,
+    static final int IDLE_STEP = 5; // each this part of the one before
 
     private final Outgoing out;
     private final SplittableRandom chance;
@@ -90,16 +87,18 @@
     private Memory memory;
     private Calls calls;
     private int cores;
-    private double runsAllowed;   // on the cores at once
-    private long pauseAgain;      // no run is asked to pause before
-    private DoubleSupplier survived;
+    private double runsAllowed; // on the cores at once
+    private long pauseAgain; // no run is asked to pause before
+    private double fallMultiple;
+    private double coldFrom;
+    private long coldFor;
     private double callsShare;
-    private double callsAllowed;  // in hand at once
+    private double callsAllowed; // in hand at once
     private double callUsual = Double.MAX_VALUE;
-    private boolean cold;         // just begun, in another's place
+    private boolean cold; // just begun, in another's place
     private long callSpan;
-    private double callTime;      // that this server's calls in hand may take in the span
-    private double callPart;      // of that: promised to one that can be made again
+    private double callTime; // that this server's calls in hand may take in the span
+    private double callPart; // of that: promised to one that can be made again
     private Halt halt = Halt.OFF;
     private Said said = Said.OFF;
     private double saidLast;
@@ -111,7 +110,7 @@
     private double surplusWorth = 1;
     private long draining = -1;
     private long stopBy = Long.MAX_VALUE;
-    private final List<Rule> rules = new ArrayList<>();
+    private final Rules rules = new Rules();
 
     public Choice(Outgoing out, long seed, long now) {
         this.out = out;
@@ -119,50 +118,44 @@
         this.born = now;
         this.now = now;
         // What is owed comes first, then what was just read, then what waits below, then the cores.
-        rule(this::somethingDue, this::answerDue);
-        rule(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
-        rule(() -> fresh != null && fresh.leader == null && (draw < chanceFor(fresh) || tooLate(fresh)),
+        rules.add(this::somethingDue, this::answerDue);
+        rules.add(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
+        rules.add(
+                () -> fresh != null && fresh.leader == null && (draw < chanceFor(fresh) || tooLate(fresh)),
                 () -> deferFresh(adviceFor(), nowhereElse(fresh)));
-        rule(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(adviceFor(), false));
-        rule(() -> fresh != null && fresh.leader != null, this::follow);
-        rule(() -> fresh != null, () -> takeFresh(HELD));
-        rule(() -> !reuses.isEmpty(), this::reuse);
-        rule(this::callFails, this::giveUpCall);
-        rule(this::callFits, this::call);
-        rule(() -> !hold.isEmpty() && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
-        rule(() -> !hold.isEmpty() && coresFree() && fitsRun(hold.peek()), this::begin);
-        rule(() -> !hold.isEmpty() && mayPause() && pausable() != null, () -> pause(pausable()));
-        rule(() -> gaugeDue, this::readGauges);
-        rule(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
-    }
-
-    private void rule(BooleanSupplier when, Runnable then) {
-        rules.add(new Rule(when, then));
+        rules.add(() -> fresh != null && !fitsHold(fresh), () -> deferFresh(adviceFor(), false));
+        rules.add(() -> fresh != null && fresh.leader != null, this::follow);
+        rules.add(() -> fresh != null, () -> takeFresh(HELD));
+        rules.add(() -> !reuses.isEmpty(), this::reuse);
+        rules.add(this::callFails, this::giveUpCall);
+        rules.add(this::callFits, this::call);
+        rules.add(() -> !hold.isEmpty() && cannotMake(hold.peek()), () -> giveUp(hold.peek()));
+        rules.add(() -> !hold.isEmpty() && coresFree() && fitsRun(hold.peek()), this::begin);
+        rules.add(() -> !hold.isEmpty() && mayPause() && pausable() != null, () -> pause(pausable()));
+        rules.add(() -> gaugeDue, this::readGauges);
+        rules.add(() -> !dues.isEmpty() && dues.peek().at() < wakeAt, this::setTimer);
     }
 
     private void settle() {
-        for (int i = 0; i < rules.size();) {
-            Rule rule = rules.get(i);
-            if (rule.when.getAsBoolean()) {
-                rule.then.run();
-                i = 0;
-            } else {
-                i++;
-            }
-        }
+        rules.settle();
     }
 
     // ---- settings, each to the part that needs it
 
-    public void machine(int cores, double fallMultiple, boolean cold, double coldFrom, long coldFor,
-            Halt halt) {
+    public void machine(int cores, double fallMultiple, boolean cold, double coldFrom, long coldFor, Halt halt) {
         this.cores = cores;
         this.cold = cold;
         this.halt = halt;
         runsAllowed = cores;
-        // It never warms more slowly than in even steps.
-        survived = () -> cores * (1 + (fallMultiple - 1) * (!cold || coldFor <= 0 ? 1
-                : coldFrom + (1 - coldFrom) * Math.min(1, (now - born) / (double) coldFor)));
+        this.fallMultiple = fallMultiple;
+        this.coldFrom = coldFrom;
+        this.coldFor = cold ? coldFor : 0;
+    }
+
+    /** The crowd on the cores that is survived now; a cold server never warms more slowly than in even steps. */
+    private double survived() {
+        double warm = coldFor <= 0 ? 1 : coldFrom + (1 - coldFrom) * Math.min(1, (now - born) / (double) coldFor);
+        return cores * (1 + (fallMultiple - 1) * warm);
     }
 
     public void memory(double limitKb, double runFactor, double entryKb) {
@@ -170,8 +163,7 @@
     }
 
     public void below(double callsOut, long span, long linger) {
-        calls = new Calls(new Ring(span + linger, BUCKETS), new Ring(SECOND, BUCKETS),
-                new Ring(LATE_SPAN, BUCKETS), linger);
+        calls = new Calls(span, SECOND, LATE_SPAN, BUCKETS, linger);
         callsShare = callsOut <= 0 ? Double.MAX_VALUE : callsOut;
         callsAllowed = callsShare;
         callSpan = span;
@@ -179,10 +171,19 @@
         callPart = callTime * CALL_PART;
     }
 
-    public void workload(WorkloadId id, Effect effect, long expected, long hard, double revenue,
-            double lateValue, long window, boolean callsBelow, double poorerValue) {
-        workloads.put(id, new Workload(effect, expected, hard, revenue, lateValue, window,
-                callsBelow, poorerValue, new Ring(LATE_SPAN, BUCKETS), new Ring(LATE_SPAN, BUCKETS)));
+    public void workload(
+            WorkloadId id,
+            Effect effect,
+            long expected,
+            long hard,
+            double revenue,
+            double lateValue,
+            long window,
+            boolean callsBelow,
+            double poorerValue) {
+        Workload settings = new Workload(effect, expected, hard, revenue, lateValue, window, callsBelow, poorerValue);
+        settings.measuredOver(LATE_SPAN, BUCKETS);
+        workloads.put(id, settings);
         revenues.add(revenue);
         shortest = Math.min(shortest, expected);
     }
@@ -228,8 +229,18 @@
         this.now = Math.max(this.now, now);
     }
 
-    public void read(QueryId id, QueryId earlier, CallerId caller, SubjectId subject, WorkloadId workload,
-            double sizeKb, long age, double rank, long patience, boolean again, TenantId tenant,
+    public void read(
+            QueryId id,
+            QueryId earlier,
+            CallerId caller,
+            SubjectId subject,
+            WorkloadId workload,
+            double sizeKb,
+            long age,
+            double rank,
+            long patience,
+            boolean again,
+            TenantId tenant,
             long predicted) {
         Query q = new Query();
         q.id = id;
@@ -248,10 +259,10 @@
         if (earlier != null) {
             q.leader = live.get(earlier);
             if (q.leader == null) {
-                q.leader = new Query();  // known from before: the reuse tells whether its result stands
+                q.leader = new Query(); // known from before: the reuse tells whether its result stands
                 q.leader.state = OVER;
             } else if (q.harmless() && q.leader.answered) {
-                q.leader = null;         // given up on, so nothing will come of it
+                q.leader = null; // given up on, so nothing will come of it
             }
         }
         if (q.tenant != null && !again) {
@@ -313,7 +324,8 @@
         }
         calls.ended(now, q, how == Outcome.OVERDUE || how == Outcome.SEVERED);
         // A call cut short was promised too little, where calls have become longer than a part.
-        callPart = how == Outcome.OVERDUE ? Math.min(callTime, 2 * callPart)
+        callPart = how == Outcome.OVERDUE
+                ? Math.min(callTime, 2 * callPart)
                 : how == Outcome.COMPLETED ? Math.max(callTime * CALL_PART, callPart * CALLS_CUT) : callPart;
         if (how == Outcome.COMPLETED) { // a lost reply is no slowness of what lies below
             calls.took.add(now, took);
@@ -349,7 +361,9 @@
     public void drain(long left) {
         draining = now;
         stopBy = now + left;
-        for (Query q : live.values().stream().sorted(Comparator.comparingLong(q -> q.order)).toList()) {
+        for (Query q : live.values().stream()
+                .sorted(Comparator.comparingLong(q -> q.order))
+                .toList()) {
             q.answerBy = Math.min(q.answerBy, stopBy - round);
             q.useBy = Math.min(q.useBy, q.answerBy);
             q.goodBy = Math.min(q.goodBy, q.answerBy);
@@ -390,7 +404,8 @@
     /** The part of a tenant's reads here that is past this server's part of its share and past chance. */
     private double surplus(Tenant tenant) {
         double fits = tenant.perSecond() * LATE_SPAN / SECOND * SHARE_SLACK;
-        return Math.max(0, 1 - (fits + CHANCE * Math.sqrt(fits)) / Math.max(1, tenant.reads().count(now)));
+        double usual = fits + CHANCE * Math.sqrt(fits);
+        return Math.max(0, 1 - usual / Math.max(1, tenant.reads().count(now)));
     }
 
     private double bandChance(double band, double wait, boolean calls) {
@@ -400,8 +415,8 @@
         // What lies below makes late only what calls it, so the rest is not shed for that.
         double ended = late.count(now) + (calls ? lateBelow.count(now) : 0);
         double lateShare = (late.sum(now) + (calls ? lateBelow.sum(now) : 0)) / Math.max(ended, cores);
-        return Math.max(rise(wait, WAIT_CUT, WAIT_END, band),
-                Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band)));
+        return Math.max(
+                rise(wait, WAIT_CUT, WAIT_END, band), Math.max(busy, rise(lateShare, LATE_CUT, LATE_END, band)));
     }
 
     private double rise(double reading, double cut, double end, double band) {
@@ -414,8 +429,7 @@
      * this server's own refusals, where tries bear no mark. Harms where this server alone is in need.
      */
     private boolean nowhereElse(Query q) {
-        return q.again || manyAgain() > 0
-                || turned.count(now) > TURNED_MANY * Math.max(cores, tries.count(now));
+        return q.again || manyAgain() > 0 || turned.count(now) > TURNED_MANY * Math.max(cores, tries.count(now));
     }
 
     /** How far the share of further tries in the reads is past what one server's trouble makes of it. */
@@ -451,7 +465,7 @@
         } else if (runQueue > cores * CROWDED) {
             runsAllowed -= 1;
         }
-        runsAllowed = Math.max(cores, Math.min(runsAllowed, survived.getAsDouble()));
+        runsAllowed = Math.max(cores, Math.min(runsAllowed, survived()));
         saySoon();
         keepIdle();
         atCall.addAll(callLater);
@@ -509,7 +523,7 @@
     }
 
     private boolean coresFree() {
-        return crowd.on < runsAllowed && crowd.all + 1 <= survived.getAsDouble() * CROWD_SAFE;
+        return crowd.on < runsAllowed && crowd.all + 1 <= survived() * CROWD_SAFE;
     }
 
     /** A repeat is served from its forerunner: at once when that has begun, else when it begins. */
@@ -601,7 +615,8 @@
     }
 
     private boolean somethingDue() {
-        return !dues.isEmpty() && (dues.peek().at() <= now || !dues.peek().query().open());
+        return !dues.isEmpty()
+                && (dues.peek().at() <= now || !dues.peek().query().open());
     }
 
     private void answerDue() {
@@ -722,7 +737,8 @@
         Query least = null;
         for (Query q : live.values()) {
             boolean may = q.state == RUNNING && q.harmless() && !q.answered;
-            if (may && q.workload.revenue < hold.peek().workload.revenue
+            if (may
+                    && q.workload.revenue < hold.peek().workload.revenue
                     && (least == null || DEARER.compare(q, least) > 0)) {
                 least = q;
             }
@@ -786,8 +802,11 @@
 
     private boolean callFails() {
         Query q = atCall.peek();
-        return q != null && (q.state != AT_CALL || q.answered || q.calls >= CALL_TRIES
-                || q.workload.poorerValue > 0 && (q.calls > 0 || callsAllowed < callsShare && !callFits()));
+        return q != null
+                && (q.state != AT_CALL
+                        || q.answered
+                        || q.calls >= CALL_TRIES
+                        || q.workload.poorerValue > 0 && (q.calls > 0 || callsAllowed < callsShare && !callFits()));
     }
 
     private void giveUpCall() {
@@ -835,7 +854,8 @@
      * the span holds: such a call would never go out, nor any behind it. So none waits for more than a part.
      */
     private boolean callFits() {
-        return !atCall.isEmpty() && calls.inHand < Math.max(1, callsAllowed)
+        return !atCall.isEmpty()
+                && calls.inHand < Math.max(1, callsAllowed)
                 && Math.min(timeOut(atCall.peek()), callTime * callPace() * CALL_PART) <= callRoom();
     }
 
--- a/core/src/main/java/tallyweir/Workload.java
+++ b/core/src/main/java/tallyweir/Workload.java
@@ -12,12 +12,19 @@
     final long window;
     final boolean callsBelow;
     final double poorerValue;
-    final Ring runs;
-    final Ring predicted;
+    Ring runs;
+    Ring predicted;
     int begun;
 
-    Workload(Effect effect, long expected, long hard, double revenue, double lateValue, long window,
-            boolean callsBelow, double poorerValue, Ring runs, Ring predicted) {
+    Workload(
+            Effect effect,
+            long expected,
+            long hard,
+            double revenue,
+            double lateValue,
+            long window,
+            boolean callsBelow,
+            double poorerValue) {
         this.effect = effect;
         this.expected = expected;
         this.hard = hard;
@@ -26,7 +33,11 @@
         this.window = window;
         this.callsBelow = callsBelow;
         this.poorerValue = poorerValue;
-        this.runs = runs;
-        this.predicted = predicted;
+    }
+
+    /** Lengths of runs, as measured and as predicted, count over this span. */
+    void measuredOver(long span, int buckets) {
+        runs = new Ring(span, buckets);
+        predicted = new Ring(span, buckets);
     }
 }
