--- a/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Link.java
@@ -61,9 +61,26 @@
     }
 
     @Override
-    public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed) {
-        send(Wire.report(server, as, number, acting, inForce, outdated, checked, cannot, ended, bad, needs), deciding, to, failed);
+    public void report(
+            ServerId server,
+            Incarnation as,
+            long number,
+            RevisionId acting,
+            Digest inForce,
+            long outdated,
+            RevisionId checked,
+            String cannot,
+            long ended,
+            long bad,
+            Map<TenantId, Need> needs,
+            Executor deciding,
+            Answers to,
+            Runnable failed) {
+        send(
+                Wire.report(server, as, number, acting, inForce, outdated, checked, cannot, ended, bad, needs),
+                deciding,
+                to,
+                failed);
     }
 
     @Override
@@ -103,7 +120,7 @@
                 if (Wire.isAnswer(answer)) {
                     Wire.answer(answer, to);
                 } else {
-                    failed.run();  // the state could make nothing of it
+                    failed.run(); // the state could make nothing of it
                 }
             });
         });
@@ -111,12 +128,25 @@
 
     // ---- for operators, and what may wait
 
-    public void publish(OperatorCommand command, RevisionId expected, Digest digest, Body body, String by, String why,
-            boolean force, Answers to) {
+    public void publish(
+            OperatorCommand command,
+            RevisionId expected,
+            Digest digest,
+            Body body,
+            String by,
+            String why,
+            boolean force,
+            Answers to) {
         change(command, Wire.publish(command, expected, digest, body, by, why, force), to);
     }
 
-    public void rollback(OperatorCommand command, RevisionId expected, RevisionId back, String by, String why, boolean force,
+    public void rollback(
+            OperatorCommand command,
+            RevisionId expected,
+            RevisionId back,
+            String by,
+            String why,
+            boolean force,
             Answers to) {
         change(command, Wire.rollback(command, expected, back, by, why, force), to);
     }
@@ -162,7 +192,8 @@
 
     private JsonNode ask(byte[] bytes, boolean question) throws IOException {
         Message m = Message.valueOf(ByteString.copyFrom(bytes));
-        RaftClientReply reply = question ? client.io().sendReadOnly(m) : client.io().send(m);
+        RaftClientReply reply =
+                question ? client.io().sendReadOnly(m) : client.io().send(m);
         if (!reply.isSuccess()) {
             throw new IOException("turned down", reply.getException());
         }
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Machine.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Machine.java
@@ -45,13 +45,13 @@
     private static final int STAMP = 16;
 
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
-    private final LongSupplier clock;    // tenths of a millisecond; only goes forward
-    private final LongSupplier wall;     // ms since 1970
+    private final LongSupplier clock; // tenths of a millisecond; only goes forward
+    private final LongSupplier wall; // ms since 1970
     private State state = new State();
     private boolean leads;
-    private long ledFrom;                // by the fleet's clock,
-    private long ledSince;               // and by this voter's
-    private Throwable failed;            // the log's
+    private long ledFrom; // by the fleet's clock,
+    private long ledSince; // and by this voter's
+    private Throwable failed; // the log's
 
     Machine(LongSupplier clock, LongSupplier wall) {
         this.clock = clock;
@@ -88,8 +88,11 @@
         state.load(Wire.CBOR.readValue(file, Map.class));
         TermIndex at = SimpleStateMachineStorage.getTermIndexFromSnapshotFile(file);
         setLastAppliedTermIndex(at);
-        LOG.atInfo().addKeyValue("index", at.getIndex()).addKeyValue("revision", state.inForce().value())
-                .addKeyValue("servers", state.seats().size()).log("the fleet's state comes from a snapshot");
+        LOG.atInfo()
+                .addKeyValue("index", at.getIndex())
+                .addKeyValue("revision", state.inForce().value())
+                .addKeyValue("servers", state.seats().size())
+                .log("the fleet's state comes from a snapshot");
     }
 
     @Override
@@ -158,9 +161,16 @@
 
     @Override
     public TransactionContext startTransaction(RaftClientRequest request) {
-        ByteBuffer stamp = ByteBuffer.allocate(STAMP).putLong(stamp()).putLong(wall.getAsLong()).flip();
-        return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
-                .setLogData(ByteString.copyFrom(stamp).concat(request.getMessage().getContent())).build();
+        ByteBuffer stamp = ByteBuffer.allocate(STAMP)
+                .putLong(stamp())
+                .putLong(wall.getAsLong())
+                .flip();
+        return TransactionContext.newBuilder()
+                .setStateMachine(this)
+                .setClientRequest(request)
+                .setLogData(
+                        ByteString.copyFrom(stamp).concat(request.getMessage().getContent()))
+                .build();
     }
 
     @Override
@@ -203,33 +213,64 @@
     }
 
     private void audit(ObjectNode a) {
-        a.put("fleet", state.fleet()).put("version", state.version()).put("in_force", state.inForce().value())
-                .put("proposed", state.proposed().value()).put("live", state.live()).put("out", state.out());
+        a.put("fleet", state.fleet())
+                .put("version", state.version())
+                .put("in_force", state.inForce().value())
+                .put("proposed", state.proposed().value())
+                .put("live", state.live())
+                .put("out", state.out());
         ArrayNode revisions = a.putArray("revisions");
         for (Revision r : state.revisions()) {
-            revisions.addObject().put("revision", r.id().value()).put("of", r.of().value()).put("digest", r.body().value())
-                    .put("by", r.by()).put("why", r.why()).put("fate", r.fate().name())
-                    .put("proposed_ms", r.proposedWall()).put("since_ms", r.sinceWall()).put("reasons", r.reasons());
+            revisions
+                    .addObject()
+                    .put("revision", r.id().value())
+                    .put("of", r.of().value())
+                    .put("digest", r.body().value())
+                    .put("by", r.by())
+                    .put("why", r.why())
+                    .put("fate", r.fate().name())
+                    .put("proposed_ms", r.proposedWall())
+                    .put("since_ms", r.sinceWall())
+                    .put("reasons", r.reasons());
         }
         ArrayNode servers = a.putArray("servers");
         state.seats().forEach(s -> seat(servers.addObject(), s));
         ArrayNode gone = a.putArray("gone");
         state.gone().forEach(s -> seat(gone.addObject(), s));
         ArrayNode caps = a.putArray("caps");
-        state.caps().forEach((t, cap) -> caps.addObject().put("tenant", t.value()).put("cap", cap)
-                .put("floor", state.floor(cap)).put("lent", state.lent(t)).put("spoken", state.spoken(t)));
+        state.caps()
+                .forEach((t, cap) -> caps.addObject()
+                        .put("tenant", t.value())
+                        .put("cap", cap)
+                        .put("floor", state.floor(cap))
+                        .put("lent", state.lent(t))
+                        .put("spoken", state.spoken(t)));
     }
 
     private static void seat(ObjectNode a, Seat s) {
-        a.put("server", s.server().value()).put("listen", s.listen()).put("incarnation", s.as().value())
-                .put("standing", s.standing().name()).put("silent", s.silent()).put("marked", s.marked()).put("odd", s.odd())
-                .put("cause", s.cause()).put("acting", s.acting().value()).put("digest", s.inForce().value())
-                .put("heard_ms", s.heardWall()).put("out_ms", s.outWall()).put("outdated", s.outdated())
+        a.put("server", s.server().value())
+                .put("listen", s.listen())
+                .put("incarnation", s.as().value())
+                .put("standing", s.standing().name())
+                .put("silent", s.silent())
+                .put("marked", s.marked())
+                .put("odd", s.odd())
+                .put("cause", s.cause())
+                .put("acting", s.acting().value())
+                .put("digest", s.inForce().value())
+                .put("heard_ms", s.heardWall())
+                .put("out_ms", s.outWall())
+                .put("outdated", s.outdated())
                 .put("folded", s.folded());
         ArrayNode passages = a.putArray("passages");
         for (Passage p : s.passages()) {
-            passages.addObject().put("incarnation", p.as().value()).put("from", p.from().value()).put("to", p.to().value())
-                    .put("behind_ms", p.behind() / 10.0).put("outdated", p.outdated()).put("at_ms", p.wall());
+            passages.addObject()
+                    .put("incarnation", p.as().value())
+                    .put("from", p.from().value())
+                    .put("to", p.to().value())
+                    .put("behind_ms", p.behind() / 10.0)
+                    .put("outdated", p.outdated())
+                    .put("at_ms", p.wall());
         }
     }
 }
--- a/consensus/src/main/java/tallyweir/fleet/ratis/RatisSeating.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/RatisSeating.java
@@ -21,14 +21,47 @@
     private static final int TRIES_IN_LEASE = 5;
 
     @Override
-    public Way open(String fleet, Map<String, String> voters, String self, String dir, long version, long lease, long tail,
-            long floorLease, long behindMost, double drift, double mostOut, double mostCannot, int serversMost,
-            double floorShare, long probation, double worseRatio, double sickShare) {
+    public Way open(
+            String fleet,
+            Map<String, String> voters,
+            String self,
+            String dir,
+            long version,
+            long lease,
+            long tail,
+            long floorLease,
+            long behindMost,
+            double drift,
+            double mostOut,
+            double mostCannot,
+            int serversMost,
+            double floorShare,
+            long probation,
+            double worseRatio,
+            double sickShare) {
         Voter voter = null;
         if (voters.containsKey(self)) {
             try {
-                voter = Voter.start(fleet, voters, self, Path.of(dir), new Voter.Founding(version, lease, tail, floorLease,
-                        behindMost, drift, mostOut, mostCannot, serversMost, floorShare, probation, worseRatio, sickShare), () -> System.nanoTime() / 100_000,
+                voter = Voter.start(
+                        fleet,
+                        voters,
+                        self,
+                        Path.of(dir),
+                        new Voter.Founding(
+                                version,
+                                lease,
+                                tail,
+                                floorLease,
+                                behindMost,
+                                drift,
+                                mostOut,
+                                mostCannot,
+                                serversMost,
+                                floorShare,
+                                probation,
+                                worseRatio,
+                                sickShare),
+                        () -> System.nanoTime() / 100_000,
                         System::currentTimeMillis);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
@@ -45,10 +78,24 @@
         }
 
         @Override
-        public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-                RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs,
-                Executor deciding, Answers to, Runnable failed) {
-            link.report(server, as, number, acting, inForce, outdated, checked, cannot, ended, bad, needs, deciding, to, failed);
+        public void report(
+                ServerId server,
+                Incarnation as,
+                long number,
+                RevisionId acting,
+                Digest inForce,
+                long outdated,
+                RevisionId checked,
+                String cannot,
+                long ended,
+                long bad,
+                Map<TenantId, Need> needs,
+                Executor deciding,
+                Answers to,
+                Runnable failed) {
+            link.report(
+                    server, as, number, acting, inForce, outdated, checked, cannot, ended, bad, needs, deciding, to,
+                    failed);
         }
 
         @Override
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
@@ -29,8 +29,8 @@
 /** One of the servers that keep the log: Ratis's server round the shared state, and what its leader does by the clock. */
 public final class Voter implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
-    private static final long ELECTION_MS = 300;        // a leader not heard for so long to twice as long is replaced
-    private static final long SNAPSHOT_EVERY = 20_000;  // entries
+    private static final long ELECTION_MS = 300; // a leader not heard for so long to twice as long is replaced
+    private static final long SNAPSHOT_EVERY = 20_000; // entries
     private static final int LOOK_MS = 10;
     private static final int SEGMENT_MB = 8;
     private static final int ENTRY_MB = 4;
@@ -48,8 +48,16 @@
      * @param dir where the log is kept
      * @param found the command by which its leader founds the fleet, or gives it newer settings, of this version
      */
-    private Voter(String fleet, Map<String, String> voters, String self, Path dir, byte[] found, long version,
-            LongSupplier clock, LongSupplier wall) throws IOException {
+    private Voter(
+            String fleet,
+            Map<String, String> voters,
+            String self,
+            Path dir,
+            byte[] found,
+            long version,
+            LongSupplier clock,
+            LongSupplier wall)
+            throws IOException {
         this.fleet = fleet;
         this.found = found;
         this.version = version;
@@ -58,8 +66,10 @@
         RaftServerConfigKeys.setStorageDir(p, List.of(dir.toFile()));
         RaftServerConfigKeys.Rpc.setTimeoutMin(p, TimeDuration.valueOf(ELECTION_MS, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Rpc.setTimeoutMax(p, TimeDuration.valueOf(2 * ELECTION_MS, TimeUnit.MILLISECONDS));
-        RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMin(p, TimeDuration.valueOf(ELECTION_MS, TimeUnit.MILLISECONDS));
-        RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMax(p, TimeDuration.valueOf(2 * ELECTION_MS, TimeUnit.MILLISECONDS));
+        RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMin(
+                p, TimeDuration.valueOf(ELECTION_MS, TimeUnit.MILLISECONDS));
+        RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMax(
+                p, TimeDuration.valueOf(2 * ELECTION_MS, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(p, true);
         RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(p, SNAPSHOT_EVERY);
         RaftServerConfigKeys.Snapshot.setRetentionFileNum(p, 2);
@@ -72,10 +82,15 @@
         int colon = at.lastIndexOf(':');
         GrpcConfigKeys.Server.setHost(p, at.substring(0, colon));
         GrpcConfigKeys.Server.setPort(p, Integer.parseInt(at.substring(colon + 1)));
-        boolean there = Files.isDirectory(dir.resolve(Voters.id(fleet).getUuid().toString()).resolve("current"));
-        server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(self)).setGroup(Voters.group(fleet, voters))
-                .setProperties(p).setStateMachine(machine)
-                .setOption(there ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT).build();
+        boolean there = Files.isDirectory(
+                dir.resolve(Voters.id(fleet).getUuid().toString()).resolve("current"));
+        server = RaftServer.newBuilder()
+                .setServerId(RaftPeerId.valueOf(self))
+                .setGroup(Voters.group(fleet, voters))
+                .setProperties(p)
+                .setStateMachine(machine)
+                .setOption(there ? RaftStorage.StartupOption.RECOVER : RaftStorage.StartupOption.FORMAT)
+                .build();
         client = Voters.client(fleet, Map.of(self, at), 1_000);
         clockwork = new Thread(this::lead, "fleet clock");
         clockwork.setDaemon(true);
@@ -87,16 +102,23 @@
      * @param clock tenths of a millisecond, only going forward
      * @param wall ms since 1970
      */
-    public static Voter start(String fleet, Map<String, String> voters, String self, Path dir, Founding founding,
-            LongSupplier clock, LongSupplier wall) throws IOException {
-        ExitUtils.disableSystemExit();  // whatever becomes of this part, the server goes on
+    public static Voter start(
+            String fleet,
+            Map<String, String> voters,
+            String self,
+            Path dir,
+            Founding founding,
+            LongSupplier clock,
+            LongSupplier wall)
+            throws IOException {
+        ExitUtils.disableSystemExit(); // whatever becomes of this part, the server goes on
         Files.createDirectories(dir);
         // Looked at first: Ratis does not tell a taken address from a log that it cannot read.
         String at = voters.get(self);
         try (ServerSocket free = new ServerSocket()) {
             free.setReuseAddress(true);
-            free.bind(new InetSocketAddress(at.substring(0, at.lastIndexOf(':')),
-                    Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))));
+            free.bind(new InetSocketAddress(
+                    at.substring(0, at.lastIndexOf(':')), Integer.parseInt(at.substring(at.lastIndexOf(':') + 1))));
         } catch (BindException e) {
             throw new Fault.NameTaken(self, at).thrown();
         }
@@ -112,11 +134,36 @@
     }
 
     /** The settings by which a fleet is founded; a later version replaces an earlier one. */
-    public record Founding(long version, long lease, long tail, long floorLease, long behindMost, double drift, double mostOut,
-            double mostCannot, int serversMost, double floorShare, long probation, double worseRatio, double sickShare) {
+    public record Founding(
+            long version,
+            long lease,
+            long tail,
+            long floorLease,
+            long behindMost,
+            double drift,
+            double mostOut,
+            double mostCannot,
+            int serversMost,
+            double floorShare,
+            long probation,
+            double worseRatio,
+            double sickShare) {
         private byte[] command(String fleet) {
-            return Wire.found(fleet, version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
-                    floorShare, probation, worseRatio, sickShare);
+            return Wire.found(
+                    fleet,
+                    version,
+                    lease,
+                    tail,
+                    floorLease,
+                    behindMost,
+                    drift,
+                    mostOut,
+                    mostCannot,
+                    serversMost,
+                    floorShare,
+                    probation,
+                    worseRatio,
+                    sickShare);
         }
     }
 
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voters.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voters.java
@@ -19,21 +19,31 @@
     private Voters() {}
 
     static RaftGroupId id(String fleet) {
-        return RaftGroupId.valueOf(UUID.nameUUIDFromBytes(("tallyweir fleet " + fleet).getBytes(StandardCharsets.UTF_8)));
+        return RaftGroupId.valueOf(
+                UUID.nameUUIDFromBytes(("tallyweir fleet " + fleet).getBytes(StandardCharsets.UTF_8)));
     }
 
     static RaftGroup group(String fleet, Map<String, String> voters) {
-        return RaftGroup.valueOf(id(fleet), voters.entrySet().stream()
-                .map(e -> RaftPeer.newBuilder().setId(e.getKey()).setAddress(e.getValue()).build()).toList());
+        return RaftGroup.valueOf(
+                id(fleet),
+                voters.entrySet().stream()
+                        .map(e -> RaftPeer.newBuilder()
+                                .setId(e.getKey())
+                                .setAddress(e.getValue())
+                                .build())
+                        .toList());
     }
 
     /** One that gives up after so many milliseconds. */
     static RaftClient client(String fleet, Map<String, String> voters, long giveUpMs) {
         RaftProperties p = new RaftProperties();
-        RaftClientConfigKeys.Rpc.setRequestTimeout(p, TimeDuration.valueOf(Math.max(100, giveUpMs / 3),
-                java.util.concurrent.TimeUnit.MILLISECONDS));
-        return RaftClient.newBuilder().setProperties(p).setRaftGroup(group(fleet, voters))
-                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep((int) Math.max(3, giveUpMs / TRIES_MS),
+        RaftClientConfigKeys.Rpc.setRequestTimeout(
+                p, TimeDuration.valueOf(Math.max(100, giveUpMs / 3), java.util.concurrent.TimeUnit.MILLISECONDS));
+        return RaftClient.newBuilder()
+                .setProperties(p)
+                .setRaftGroup(group(fleet, voters))
+                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(
+                        (int) Math.max(3, giveUpMs / TRIES_MS),
                         TimeDuration.valueOf(TRIES_MS, java.util.concurrent.TimeUnit.MILLISECONDS)))
                 .build();
     }
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -43,6 +43,7 @@
 
     @TempDir
     private Path dir;
+
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private final Map<String, Voter> voters = new LinkedHashMap<>();
     private Link link;
@@ -62,8 +63,14 @@
     }
 
     private Voter voter(String name, Map<String, String> all, String fleet) throws IOException {
-        return Voter.start(fleet, all, name, dir.resolve(name),
-                FOUNDING, () -> System.nanoTime() / 100_000, System::currentTimeMillis);
+        return Voter.start(
+                fleet,
+                all,
+                name,
+                dir.resolve(name),
+                FOUNDING,
+                () -> System.nanoTime() / 100_000,
+                System::currentTimeMillis);
     }
 
     @AfterEach
@@ -84,10 +91,19 @@
         }
 
         @Override
-        public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age,
-                RevisionId toCheck, Map<TenantId, Grant> shares, long next) {
-            what.complete(Map.of("lease", lease, "in_force", inForce.value(), "check", toCheck.value(),
-                    "granted", (long) shares.getOrDefault(T, new Grant(0, 0)).granted()));
+        public void told(
+                long number,
+                long lease,
+                long floorLease,
+                boolean floorsFree,
+                RevisionId inForce,
+                long age,
+                RevisionId toCheck,
+                Map<TenantId, Grant> shares,
+                long next) {
+            what.complete(Map.of(
+                    "lease", lease, "in_force", inForce.value(), "check", toCheck.value(), "granted", (long)
+                            shares.getOrDefault(T, new Grant(0, 0)).granted()));
         }
 
         @Override
@@ -108,8 +124,15 @@
     private Object publish(String command, long expected, int cap) throws Exception {
         Heard heard = new Heard();
         byte[] text = {1, 2, (byte) cap};
-        link.publish(new OperatorCommand(command), new RevisionId(expected), Digest.of(text),
-                new Body(text, Map.of(T, cap), Map.of("", new Digest("d" + cap))), "ann", "because", false, heard);
+        link.publish(
+                new OperatorCommand(command),
+                new RevisionId(expected),
+                Digest.of(text),
+                new Body(text, Map.of(T, cap), Map.of("", new Digest("d" + cap))),
+                "ann",
+                "because",
+                false,
+                heard);
         return heard.get();
     }
 
@@ -117,14 +140,31 @@
     private Map<String, Long> report(Incarnation as, long number, long acting, String digest, long checked, Need need)
             throws Exception {
         Heard heard = new Heard();
-        link.report(new ServerId("s"), as, number, new RevisionId(acting), new Digest(digest), 0, new RevisionId(checked), "",
-                0, 0, Map.of(T, need), Runnable::run, heard, () -> heard.what.complete("failed"));
+        link.report(
+                new ServerId("s"),
+                as,
+                number,
+                new RevisionId(acting),
+                new Digest(digest),
+                0,
+                new RevisionId(checked),
+                "",
+                0,
+                0,
+                Map.of(T, need),
+                Runnable::run,
+                heard,
+                () -> heard.what.complete("failed"));
         return (Map<String, Long>) heard.get();
     }
 
     private String leader() {
         await().atMost(PATIENCE).until(() -> voters.values().stream().anyMatch(Voter::leads));
-        return voters.entrySet().stream().filter(e -> e.getValue().leads()).findFirst().orElseThrow().getKey();
+        return voters.entrySet().stream()
+                .filter(e -> e.getValue().leads())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
     }
 
     @Test
@@ -159,10 +199,18 @@
     @Test
     void withoutAMajorityNothingIsAcknowledgedAndAStrangerFindsNoFleet() throws Exception {
         try (Link strange = new Link("g", addresses, 1_000)) {
-            assertInstanceOf(Fault.Stranger.class, assertThrows(FleetException.class, strange::audit).fault());
+            assertInstanceOf(
+                    Fault.Stranger.class,
+                    assertThrows(FleetException.class, strange::audit).fault());
         }
-        assertInstanceOf(Fault.NameTaken.class, assertThrows(FleetException.class,
-                () -> Voter.start("f", addresses, "v1", dir.resolve("other"), FOUNDING, () -> 0, () -> 0)).fault(), "its address is in use");
+        assertInstanceOf(
+                Fault.NameTaken.class,
+                assertThrows(
+                                FleetException.class,
+                                () -> Voter.start(
+                                        "f", addresses, "v1", dir.resolve("other"), FOUNDING, () -> 0, () -> 0))
+                        .fault(),
+                "its address is in use");
         voters.remove("v1").close();
         voters.remove("v2").close();
         try (Link shortOf = new Link("f", addresses, 1_500)) {
--- a/core/src/main/java/tallyweir/Effect.java
+++ b/core/src/main/java/tallyweir/Effect.java
@@ -1,3 +1,8 @@
 package tallyweir;
 
-public enum Effect { HARMLESS, STAMPED, ONE_SHOT }
+/** What a repeat of a query does: no harm, nothing within its window if it has the same key, or damage. */
+public enum Effect {
+    HARMLESS,
+    STAMPED,
+    ONE_SHOT
+}
--- a/core/src/main/java/tallyweir/Halt.java
+++ b/core/src/main/java/tallyweir/Halt.java
@@ -1,3 +1,8 @@
 package tallyweir;
 
-public enum Halt { OFF, ABORT, SUSPEND }
+/** What the machine can do with a query that is running: nothing, end it, or pause it and go on later. */
+public enum Halt {
+    OFF,
+    ABORT,
+    SUSPEND
+}
--- a/core/src/main/java/tallyweir/Outcome.java
+++ b/core/src/main/java/tallyweir/Outcome.java
@@ -1,3 +1,13 @@
 package tallyweir;
 
-public enum Outcome { COMPLETED, ERRORED, SATURATED, OVERDUE, REFUSED_CONN, SEVERED, RECALLED, SUPERSEDED }
+/** How a run or a call ended. */
+public enum Outcome {
+    COMPLETED,
+    ERRORED,
+    SATURATED,
+    OVERDUE,
+    REFUSED_CONN,
+    SEVERED,
+    RECALLED,
+    SUPERSEDED
+}
--- a/core/src/main/java/tallyweir/Outgoing.java
+++ b/core/src/main/java/tallyweir/Outgoing.java
@@ -8,8 +8,8 @@
 public interface Outgoing {
     /** Asks nobody: for decisions that lead nowhere. */
     static Outgoing nowhere() {
-        return (Outgoing) Proxy.newProxyInstance(Outgoing.class.getClassLoader(),
-                new Class<?>[] {Outgoing.class}, (proxy, method, arguments) -> null);
+        return (Outgoing) Proxy.newProxyInstance(
+                Outgoing.class.getClassLoader(), new Class<?>[] {Outgoing.class}, (proxy, method, arguments) -> null);
     }
 
     void run(QueryId query);
--- a/core/src/main/java/tallyweir/Returns.java
+++ b/core/src/main/java/tallyweir/Returns.java
@@ -8,7 +8,7 @@
 
 /** For each of a few idle spans: what connections kept so long would have saved, less what they would have cost. */
 final class Returns {
-    private final Map<CallerId, Long> last = new LinkedHashMap<>();  // the one read longest ago comes first
+    private final Map<CallerId, Long> last = new LinkedHashMap<>(); // the one read longest ago comes first
     private final long born;
     private final long[] spans;
     private final Ring[] gains;
@@ -28,7 +28,7 @@
         last.put(caller, now);
         // One away for longer than the longest span counts as one never seen: callers with ever new numbers would
         // fill the memory.
-        for (Iterator<Long> oldest = last.values().iterator(); now - oldest.next() > spans[0];) {
+        for (Iterator<Long> oldest = last.values().iterator(); now - oldest.next() > spans[0]; ) {
             oldest.remove();
         }
         long gap = now - (before == null ? born : before);
--- a/core/src/main/java/tallyweir/Said.java
+++ b/core/src/main/java/tallyweir/Said.java
@@ -1,4 +1,7 @@
 package tallyweir;
 
 /** What callers may be told of the load here: a level, under which they send nothing, or nothing. */
-public enum Said { OFF, THRESHOLD }
+public enum Said {
+    OFF,
+    THRESHOLD
+}
--- a/core/src/main/java/tallyweir/ids/CallerId.java
+++ b/core/src/main/java/tallyweir/ids/CallerId.java
@@ -1,3 +1,4 @@
 package tallyweir.ids;
 
+/** A caller, as far as a connection tells. */
 public record CallerId(long value) {}
--- a/core/src/main/java/tallyweir/rules/Rules.java
+++ b/core/src/main/java/tallyweir/rules/Rules.java
@@ -16,7 +16,7 @@
 
     /** The first whose condition holds takes effect, then from the first again. */
     public void settle() {
-        for (int i = 0; i < all.size();) {
+        for (int i = 0; i < all.size(); ) {
             if (all.get(i).when.getAsBoolean()) {
                 all.get(i).then.run();
                 i = 0;
--- a/core/src/test/java/tallyweir/ColdFleetTest.java
+++ b/core/src/test/java/tallyweir/ColdFleetTest.java
@@ -25,14 +25,14 @@
  * cores, and what all of them together have sent below, those before the start too, stays within what the settings allow.
  */
 class ColdFleetTest {
-    private static final long TICK = 100;             // a hundredth of a second
+    private static final long TICK = 100; // a hundredth of a second
     private static final long SPAN = 50_000;
     private static final long LINGER = 2_000;
     private static final int CORES = 4;
     private static final double FALL = 8;
     private static final double COLD_FROM = 0.25;
     private static final long COLD_FOR = 100_000;
-    private static final long RUN = 300;              // on the cores, before the call and after it
+    private static final long RUN = 300; // on the cores, before the call and after it
     private static final WorkloadId CALLS = new WorkloadId("calls");
 
     /** One server, its cores and what it has in the store's hands. */
@@ -41,17 +41,24 @@
         final long born;
         final boolean cold;
         final double callLength;
-        final boolean calls;                                  // else all the time is spent on the cores
-        final double asked;                                   // queries in a tick
-        final Map<QueryId, Long> onCores = new HashMap<>();   // until when
-        final Set<QueryId> called = new HashSet<>();          // those whose call went well
-        final Map<QueryId, long[]> inHand = new HashMap<>();  // when the reply comes, until when it is waited for
+        final boolean calls; // else all the time is spent on the cores
+        final double asked; // queries in a tick
+        final Map<QueryId, Long> onCores = new HashMap<>(); // until when
+        final Set<QueryId> called = new HashSet<>(); // those whose call went well
+        final Map<QueryId, long[]> inHand = new HashMap<>(); // when the reply comes, until when it is waited for
         final SplittableRandom chance;
         long now;
         long last;
         int served;
 
-        Place(long now, boolean cold, double callsOut, double callLength, double asked, boolean calls, SplittableRandom chance) {
+        Place(
+                long now,
+                boolean cold,
+                double callsOut,
+                double callLength,
+                double asked,
+                boolean calls,
+                SplittableRandom chance) {
             this.calls = calls;
             this.asked = asked;
             this.now = now;
@@ -72,7 +79,10 @@
         }
 
         double allowed() {
-            return CORES * (1 + (FALL - 1) * (cold ? Math.min(1, COLD_FROM + (1 - COLD_FROM) * (now - born) / COLD_FOR) : 1));
+            return CORES
+                    * (1
+                            + (FALL - 1)
+                                    * (cold ? Math.min(1, COLD_FROM + (1 - COLD_FROM) * (now - born) / COLD_FOR) : 1));
         }
 
         @Override
@@ -150,7 +160,7 @@
                 }
             }
             if (now / TICK % 10 == 0) {
-                choice.gauges(0.5, calls ? onCores.size() : 0);  // the cores seem free, so as many run as are let
+                choice.gauges(0.5, calls ? onCores.size() : 0); // the cores seem free, so as many run as are let
                 choice.timer(Choice.GAUGES);
             }
             choice.timer(new TimerId(2));
@@ -158,12 +168,18 @@
     }
 
     @Property(tries = 24, seed = "20261202", shrinking = ShrinkingMode.OFF)
-    void aFleetThatStartsAnewStaysWithinWhatTheStoreAndEachColdServerSurvive(@ForAll @IntRange(min = 20, max = 30) int servers,
-            @ForAll long seed, @ForAll boolean calls, @ForAll @LongRange(min = 20, max = 250) long down) {
+    void aFleetThatStartsAnewStaysWithinWhatTheStoreAndEachColdServerSurvive(
+            @ForAll @IntRange(min = 20, max = 30) int servers,
+            @ForAll long seed,
+            @ForAll boolean calls,
+            @ForAll @LongRange(min = 20, max = 250) long down) {
         SplittableRandom chance = new SplittableRandom(seed);
         double callsOut = 0.8 + 4 * chance.nextDouble();
         double length = 1_000 + 4_000 * chance.nextDouble();
-        double asked = callsOut * TICK / length * (0.8 + 2 * chance.nextDouble());  // of what may be called, somewhat less or far more
+        double asked = callsOut
+                * TICK
+                / length
+                * (0.8 + 2 * chance.nextDouble()); // of what may be called, somewhat less or far more
         long start = 1_000_000;
         List<Place> fleet = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
@@ -178,7 +194,7 @@
         int warm = 0;
         for (int t = 1; t < 2_500; t++) {
             long now = start + t * TICK;
-            if (t == 1_000) {  // all end; what they have sent lingers
+            if (t == 1_000) { // all end; what they have sent lingers
                 fleet.forEach(p -> p.inHand.keySet().forEach(q -> lingering.add(now + LINGER)));
                 warm = fleet.stream().mapToInt(p -> p.served).sum();
                 fleet.clear();
@@ -207,10 +223,23 @@
             served += p.served;
         }
         double budget = servers * callsOut * SPAN / length;
-        System.out.printf("cold fleet: %d servers, down %d, calls out %.2f of %.0f: most %.0f of %.0f (%.2f), on cores %.2f, asked %.2f, served %d then %d%n", servers, down,
-                callsOut, length, most, budget, most / budget, mostOnCores, asked * length / TICK / callsOut, warm, served);
+        System.out.printf(
+                "cold fleet: %d servers, down %d, calls out %.2f of %.0f: most %.0f of %.0f (%.2f), on cores %.2f, asked %.2f, served %d then %d%n",
+                servers,
+                down,
+                callsOut,
+                length,
+                most,
+                budget,
+                most / budget,
+                mostOnCores,
+                asked * length / TICK / callsOut,
+                warm,
+                served);
         assertTrue(mostOnCores <= 1, "on the cores, of what is allowed: " + mostOnCores);
-        assertTrue(most <= budget + 2 * Math.sqrt(budget) + 2, most + " calls of mean length in the span, allowed are " + budget);
+        assertTrue(
+                most <= budget + 2 * Math.sqrt(budget) + 2,
+                most + " calls of mean length in the span, allowed are " + budget);
         assertTrue(served > warm * 0.4, "they serve " + served + ", and before the start " + warm);
     }
 }
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -159,7 +159,9 @@
             m.read(3, 0, 40_000, 10, false, null);
             m.pass(1_000, 0.1, 1);
         }
-        assertEquals(List.of("closeIdle 100"), m.log.stream().filter(a -> a.startsWith("closeIdle")).toList());
+        assertEquals(
+                List.of("closeIdle 100"),
+                m.log.stream().filter(a -> a.startsWith("closeIdle")).toList());
         Model few = new Model(7, false, Halt.ABORT, Said.OFF, 6, 0);
         for (int i = 0; i < 40; i++) {
             few.caller = i % 4;
@@ -184,7 +186,8 @@
             for (int i = 0; i < 8; i++) {
                 many.read(0, 0, 40_000, 10, again, null);
             }
-            taken.add(8 - (int) many.log.stream().filter(a -> a.startsWith("defer")).count());
+            taken.add(8
+                    - (int) many.log.stream().filter(a -> a.startsWith("defer")).count());
         }
         assertTrue(taken.get(0) > taken.get(1), "" + taken);
     }
@@ -225,7 +228,9 @@
     @Test
     void aShareSmallerThanAQuerysTimeStillCallsAtOnceAndForAll() {
         m.choice.below(0.3, Model.SPAN, Model.LINGER);
-        List<Seen> all = List.of(m.read(3, 0, 40_000, 10, false, null), m.read(1, 0, 40_000, 10, false, null),
+        List<Seen> all = List.of(
+                m.read(3, 0, 40_000, 10, false, null),
+                m.read(1, 0, 40_000, 10, false, null),
                 m.read(3, 0, 40_000, 10, false, null));
         for (Seen q : all) {
             m.needs(q);
@@ -288,13 +293,16 @@
         Seen q = m.read(0, 0, 40_000, 10, false, null);
         m.needs(q);
         m.pass(1_000, 0.1, 1);
-        assertEquals(List.of("call " + q.id), m.log.stream().filter(a -> a.startsWith("call")).toList());
+        assertEquals(
+                List.of("call " + q.id),
+                m.log.stream().filter(a -> a.startsWith("call")).toList());
         assertEquals(List.of(), m.wrong);
     }
 
     private List<Seen> reads(int n, int workload) {
         return java.util.stream.IntStream.range(0, n)
-                .mapToObj(i -> m.read(workload, 0, 40_000, 10, false, null)).toList();
+                .mapToObj(i -> m.read(workload, 0, 40_000, 10, false, null))
+                .toList();
     }
 
     /** Where tries bear no mark nothing told callers to stop, and the tries took the cores from the runs. */
--- a/core/src/test/java/tallyweir/Model.java
+++ b/core/src/test/java/tallyweir/Model.java
@@ -51,7 +51,7 @@
     final List<String> log = new ArrayList<>();
     final TreeMap<Long, List<Long>> timers = new TreeMap<>();
     final Map<Long, Long> entries = new HashMap<>();
-    final List<long[]> calls = new ArrayList<>();  // from, until, id; until is MAX while in hand
+    final List<long[]> calls = new ArrayList<>(); // from, until, id; until is MAX while in hand
     final Choice choice;
     final boolean cold;
     final Halt halt;
@@ -77,8 +77,16 @@
         choice.below(callsOut, SPAN, LINGER);
         Effect[] effects = {Effect.HARMLESS, Effect.STAMPED, Effect.ONE_SHOT, Effect.HARMLESS};
         for (int i = 0; i < NAMES.length; i++) {
-            choice.workload(new WorkloadId(NAMES[i]), effects[i], 18_000, HARD, i == 3 ? 10 : 1, i == 2 ? 0.2 : 0,
-                    WINDOW, i < 3, i == 0 ? 0.5 : 0);
+            choice.workload(
+                    new WorkloadId(NAMES[i]),
+                    effects[i],
+                    18_000,
+                    HARD,
+                    i == 3 ? 10 : 1,
+                    i == 2 ? 0.2 : 0,
+                    WINDOW,
+                    i < 3,
+                    i == 0 ? 0.5 : 0);
         }
         choice.tenant(new TenantId("a"), 40, 4);
         choice.duties(ROUND, GRACE, 0.05);
@@ -98,9 +106,19 @@
         q.size = size;
         q.earlier = earlier;
         seen.put(q.id, q);
-        choice.read(new QueryId(q.id), earlier == null ? null : new QueryId(earlier.id), new CallerId(caller),
-                new SubjectId("k" + workload), new WorkloadId(q.workload), size, age, 0.5, patience, again,
-                new TenantId("a"), 0);
+        choice.read(
+                new QueryId(q.id),
+                earlier == null ? null : new QueryId(earlier.id),
+                new CallerId(caller),
+                new SubjectId("k" + workload),
+                new WorkloadId(q.workload),
+                size,
+                age,
+                0.5,
+                patience,
+                again,
+                new TenantId("a"),
+                0);
         check();
         return q;
     }
@@ -159,7 +177,7 @@
 
     /** Lets time pass in rounds, firing what is due with these gauges. */
     void pass(long span, double busy, double queue) {
-        for (long end = now + span; now < end && now < stopAt - ROUND;) {
+        for (long end = now + span; now < end && now < stopAt - ROUND; ) {
             now = Math.min(end, now + ROUND);
             choice.clock(now);
             while (!timers.isEmpty() && timers.firstKey() <= now) {
@@ -174,7 +192,9 @@
     }
 
     List<Seen> at(String... places) {
-        return seen.values().stream().filter(q -> List.of(places).contains(q.place)).toList();
+        return seen.values().stream()
+                .filter(q -> List.of(places).contains(q.place))
+                .toList();
     }
 
     private static Seen first(Seen q) {
@@ -233,8 +253,12 @@
         Seen q = known(id, "run");
         deny(!q.place.equals("held") || q.answered, "run of what is not held " + q.id);
         deny(q.ran && !harmless(q), "rerun " + q.id);
-        deny(q.workload.equals("stamp") && seen.values().stream().anyMatch(o -> o != q && o.ran && first(o) == first(q)
-                && q.arrived <= o.arrived + WINDOW), "duplicate " + q.id);
+        deny(
+                q.workload.equals("stamp")
+                        && seen.values().stream()
+                                .anyMatch(o ->
+                                        o != q && o.ran && first(o) == first(q) && q.arrived <= o.arrived + WINDOW),
+                "duplicate " + q.id);
         deny(q.workload.equals("stamp") && entries.getOrDefault(q.id, 0L) < q.arrived + WINDOW, "unkept " + q.id);
         deny(drainAt >= 0 && q.arrived > drainAt + GRACE, "run after the grace " + q.id);
         q.place = "running";
@@ -328,8 +352,16 @@
 
     static byte[] record(int type, int id, int padding, byte[] content) {
         byte[] r = new byte[8 + content.length + padding];
-        byte[] head = {1, (byte) type, (byte) (id >> 8), (byte) id, (byte) (content.length >> 8),
-            (byte) content.length, (byte) padding, 0};
+        byte[] head = {
+            1,
+            (byte) type,
+            (byte) (id >> 8),
+            (byte) id,
+            (byte) (content.length >> 8),
+            (byte) content.length,
+            (byte) padding,
+            0
+        };
         System.arraycopy(head, 0, r, 0, 8);
         System.arraycopy(content, 0, r, 8, content.length);
         return r;
@@ -345,8 +377,16 @@
 
     static byte[] pair(String name, String value, boolean wide) {
         byte[] lengths = wide || value.length() > 127
-                ? new byte[] {(byte) 0x80, 0, 0, (byte) name.length(), (byte) (0x80 | value.length() >> 24),
-                    (byte) (value.length() >> 16), (byte) (value.length() >> 8), (byte) value.length()}
+                ? new byte[] {
+                    (byte) 0x80,
+                    0,
+                    0,
+                    (byte) name.length(),
+                    (byte) (0x80 | value.length() >> 24),
+                    (byte) (value.length() >> 16),
+                    (byte) (value.length() >> 8),
+                    (byte) value.length()
+                }
                 : new byte[] {(byte) name.length(), (byte) value.length()};
         return join(lengths, (name + value).getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
     }
@@ -358,17 +398,19 @@
             params = join(params, pair(fields[i], fields[i + 1], wide));
         }
         int half = params.length / 2;
-        return join(record(1, id, padding, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}),
+        return join(
+                record(1, id, padding, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}),
                 record(4, id, padding, java.util.Arrays.copyOf(params, half)),
                 half == 0 ? params : record(4, id, 0, java.util.Arrays.copyOfRange(params, half, params.length)),
-                record(4, id, padding, new byte[0]), body.length == 0 ? body : record(5, id, padding, body),
+                record(4, id, padding, new byte[0]),
+                body.length == 0 ? body : record(5, id, padding, body),
                 record(5, id, 0, new byte[0]));
     }
 
     static List<Answered> answers(byte[] bytes) {
         List<Answered> all = new ArrayList<>();
         Map<Integer, String> out = new HashMap<>();
-        for (int at = 0; at < bytes.length;) {
+        for (int at = 0; at < bytes.length; ) {
             int id = (bytes[at + 2] & 0xff) << 8 | bytes[at + 3] & 0xff;
             int length = (bytes[at + 4] & 0xff) << 8 | bytes[at + 5] & 0xff;
             String content = new String(bytes, at + 8, length, java.nio.charset.StandardCharsets.ISO_8859_1);
@@ -377,8 +419,12 @@
             } else if (bytes[at + 1] == 3) {
                 String text = out.containsKey(id) ? out.remove(id) : "Status: 0\r\n\r\n";
                 int end = text.indexOf("\r\n\r\n");
-                all.add(new Answered(id, content.charAt(4), Integer.parseInt(text.substring(8, text.indexOf('\r'))),
-                        text.substring(0, end), text.substring(end + 4)));
+                all.add(new Answered(
+                        id,
+                        content.charAt(4),
+                        Integer.parseInt(text.substring(8, text.indexOf('\r'))),
+                        text.substring(0, end),
+                        text.substring(end + 4)));
             }
             at += 8 + length + (bytes[at + 6] & 0xff);
         }
--- a/core/src/test/java/tallyweir/RulesTest.java
+++ b/core/src/test/java/tallyweir/RulesTest.java
@@ -19,14 +19,26 @@
 
     @Provide
     Arbitrary<List<Step>> steps() {
-        return Combinators.combine(Arbitraries.integers().between(0, 99), Arbitraries.integers().between(0, 999),
-                Arbitraries.longs().between(0, 3_000), Arbitraries.doubles().between(5, 60))
-                .as(Step::new).list().ofMinSize(40).ofMaxSize(250);
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 99),
+                        Arbitraries.integers().between(0, 999),
+                        Arbitraries.longs().between(0, 3_000),
+                        Arbitraries.doubles().between(5, 60))
+                .as(Step::new)
+                .list()
+                .ofMinSize(40)
+                .ofMaxSize(250);
     }
 
     @Property(tries = 400, seed = "20261201", shrinking = ShrinkingMode.OFF)
-    void keepsTheRules(@ForAll("steps") List<Step> steps, @ForAll boolean cold, @ForAll Halt halt, @ForAll Said said,
-            @ForAll boolean tightBelow, @ForAll boolean shares, @ForAll long seed) {
+    void keepsTheRules(
+            @ForAll("steps") List<Step> steps,
+            @ForAll boolean cold,
+            @ForAll Halt halt,
+            @ForAll Said said,
+            @ForAll boolean tightBelow,
+            @ForAll boolean shares,
+            @ForAll long seed) {
         Model m = new Model(seed, cold, halt, said, tightBelow ? 0.4 : 6, shares ? 10_000 : 0);
         for (Step s : steps) {
             step(m, s);
@@ -45,21 +57,23 @@
             int workload = earlier == null ? s.pick % 4 : List.of(Model.NAMES).indexOf(earlier.workload);
             m.read(workload, s.span, s.pick % 5 == 0 ? 0 : s.span * 12 + 1, s.size, s.pick % 7 == 0, earlier);
         } else if (s.kind < 50) {
-            pick(m.at("running"), s).ifPresent(q -> m.settled(q, s.pick % 9 == 0 ? Outcome.ERRORED : Outcome.COMPLETED));
+            pick(m.at("running"), s)
+                    .ifPresent(q -> m.settled(q, s.pick % 9 == 0 ? Outcome.ERRORED : Outcome.COMPLETED));
         } else if (s.kind < 58) {
             pick(m.at("running"), s).ifPresent(m::needs);
         } else if (s.kind < 68) {
             pick(m.at("calling"), s).ifPresent(q -> m.called(q, Outcome.values()[s.pick % 6]));
         } else if (s.kind < 72) {
-            pick(m.at("at call", "calling"), s).filter(q -> q.answered)
-                    .ifPresent(q -> m.settled(q, Outcome.RECALLED));
+            pick(m.at("at call", "calling"), s).filter(q -> q.answered).ifPresent(q -> m.settled(q, Outcome.RECALLED));
         } else if (s.kind < 75) {
             pick(m.at("waits on reuse"), s).ifPresent(q -> m.settled(q, Outcome.COMPLETED));
         } else if (s.kind < 78) {
             pick(m.at("held", "running", "at call", "calling", "waits on reuse"), s)
-                    .filter(q -> !q.answered).ifPresent(m::gone);
+                    .filter(q -> !q.answered)
+                    .ifPresent(m::gone);
         } else if (s.kind < 80) {
-            pick(m.at("running"), s).filter(q -> m.halt != Halt.OFF && (q.answered || m.harmless(q)))
+            pick(m.at("running"), s)
+                    .filter(q -> m.halt != Halt.OFF && (q.answered || m.harmless(q)))
                     .ifPresent(q -> m.settled(q, Outcome.RECALLED));
         } else if (s.kind == 80 && s.pick < 100 && m.drainAt < 0) {
             m.drain(30_000 + s.span);
@@ -70,8 +84,9 @@
 
     /** Only what the wire would mark: a kept harmless query alive, or a stamped one that is held or has run. */
     private Seen forerunner(Model m, int pick) {
-        List<Seen> all = m.seen.values().stream().filter(q -> m.entries.containsKey(q.id)
-                && (q.ran || q.place.equals("held"))).toList();
+        List<Seen> all = m.seen.values().stream()
+                .filter(q -> m.entries.containsKey(q.id) && (q.ran || q.place.equals("held")))
+                .toList();
         return all.isEmpty() ? null : all.get(pick % all.size());
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -24,11 +24,12 @@
     // The announce service drops what is silent for three seconds, and reports get lost on their way: a dozen in
     // a row has to.
     private static final long REPORT_EVERY = 2_500;
-    private static final int SOCKETS_STORE = 8;       // one in so many is for links to the store,
+    private static final int SOCKETS_STORE = 8; // one in so many is for links to the store,
     // so many for the process itself: sixteen of its files, selectors and its listener, two links to the kernel, the
     // reports, the configuration's file, and some for what is being closed.
     private static final int SOCKETS_OWN = 24;
-    private static final int SOCKETS_APART = 8;       // of the rest, one in so many is let in only until others have given way
+    private static final int SOCKETS_APART =
+            8; // of the rest, one in so many is let in only until others have given way
 
     private final Deadlines deadlines = new Deadlines();
     private final Counters counters = new Counters();
@@ -49,9 +50,16 @@
         this.now = now;
         name = config.name;
         stopAfter = config.stopAfter;
-        queries = new Queries(links, deadlines, counters, config.settings,
-                callersMost(config.sockets) - callersMost(config.sockets) / SOCKETS_APART, config.sockets / SOCKETS_STORE,
-                config.seed, now, shelf);
+        queries = new Queries(
+                links,
+                deadlines,
+                counters,
+                config.settings,
+                callersMost(config.sockets) - callersMost(config.sockets) / SOCKETS_APART,
+                config.sockets / SOCKETS_STORE,
+                config.seed,
+                now,
+                shelf);
         queries.clock(now, wall);
     }
 
@@ -161,10 +169,19 @@
      * @param life of this process: higher than that of the one before it
      * @param without guards that are off, for checks only
      */
-    public void seat(Way way, Executor deciding, String listen, long linger, long again, boolean backWhole, long seed,
-            long life, Set<Guard> without) {
-        queries.seat(new FleetSeat(queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now,
-                life, without));
+    public void seat(
+            Way way,
+            Executor deciding,
+            String listen,
+            long linger,
+            long again,
+            boolean backWhole,
+            long seed,
+            long life,
+            Set<Guard> without) {
+        queries.seat(new FleetSeat(
+                queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now, life,
+                without));
     }
 
     /** Tells the fleet that this server has answered all and ends. */
@@ -185,7 +202,7 @@
 
     private void report() {
         deadlines.set(now + REPORT_EVERY, this::report);
-        if (queries.announced()) {  // who stands back lets its announcing lapse
+        if (queries.announced()) { // who stands back lets its announcing lapse
             links.report(Report.of(name, !queries.draining()));
             counters.add(Count.REPORTS_SENT);
         }
--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -27,12 +27,12 @@
     private static final String RUN_PATH = "/do/";
     private static final String CHECK_PATH = "/check";
     private static final String COUNTERS_PATH = "/counters";
-    private static final double SIZE_MOST = 2_000;  // KB, by the protocol
-    private static final long HALF_MOST = 20_000;   // a silent or half sent thing is told so within three seconds
+    private static final double SIZE_MOST = 2_000; // KB, by the protocol
+    private static final long HALF_MOST = 20_000; // a silent or half sent thing is told so within three seconds
     private static final int HALVES_MOST = 1_024;
-    private static final long LEAVE_AGAIN = 100;    // what lies unread when it is to be ended is read first
-    private static final long LINGER = 10_000;      // a second: the other side sees the end sooner, or never
-    private static final int LINGERS_APART = 8;     // of the table, one in so many may linger
+    private static final long LEAVE_AGAIN = 100; // what lies unread when it is to be ended is read first
+    private static final long LINGER = 10_000; // a second: the other side sees the end sooner, or never
+    private static final int LINGERS_APART = 8; // of the table, one in so many may linger
     private static final byte[] NONE = {};
 
     private final Links links;
@@ -50,9 +50,10 @@
     private long idleFor;
     private int halves;
     private boolean good = true;
-    private boolean back;     // stands back
-    private boolean leaving;  // nothing more is taken in, as the stop is near
-    private final ArrayDeque<Connection> lingering = new ArrayDeque<>();  // ended by us and not yet by them, the oldest first
+    private boolean back; // stands back
+    private boolean leaving; // nothing more is taken in, as the stop is near
+    private final ArrayDeque<Connection> lingering =
+            new ArrayDeque<>(); // ended by us and not yet by them, the oldest first
 
     Connections(Links links, Deadlines deadlines, Counters counters, Queries queries, Settings settings, int most) {
         this.links = links;
@@ -78,9 +79,9 @@
         Connection c = new Connection();
         c.slot = new ConnectionId(slots.add(c));
         c.idleSince = queries.now();
-        c.rest(halfFor);  // one that has sent nothing yet is about to
+        c.rest(halfFor); // one that has sent nothing yet is about to
         if (leaving) {
-            deadlines.set(queries.now() + LEAVE_AGAIN, c::leave);  // its request is on its way
+            deadlines.set(queries.now() + LEAVE_AGAIN, c::leave); // its request is on its way
         }
         return c.slot;
     }
@@ -170,8 +171,10 @@
             lingering.peek().drop();
             return true;
         }
-        List<Connection> quiet = slots.all().stream().filter(c -> !c.closing && !c.ending && c.owed.isEmpty())
-                .sorted((a, b) -> a.before(b) ? -1 : b.before(a) ? 1 : 0).toList();
+        List<Connection> quiet = slots.all().stream()
+                .filter(c -> !c.closing && !c.ending && c.owed.isEmpty())
+                .sorted((a, b) -> a.before(b) ? -1 : b.before(a) ? 1 : 0)
+                .toList();
         for (Connection c : quiet) {
             if (c.closeIdle()) {
                 return true;
@@ -189,15 +192,16 @@
         private final Map<RequestId, Deadlines.Deadline> half = new HashMap<>();
         private Deadlines.Deadline idle;
         private long idleSince;
-        private boolean used;      // something came
-        private boolean asked;     // a whole request came
-        private boolean ending;    // it is read no more, what is owed is answered, then it is closed
-        private boolean closing;   // we have ended our side
+        private boolean used; // something came
+        private boolean asked; // a whole request came
+        private boolean ending; // it is read no more, what is owed is answered, then it is closed
+        private boolean closing; // we have ended our side
         private Deadlines.Deadline lingers;
         private ConnectionId slot;
 
         private boolean before(Connection o) {
-            return asked != o.asked ? !asked
+            return asked != o.asked
+                    ? !asked
                     : (idle != null) != (o.idle != null) ? idle != null : idleSince < o.idleSince;
         }
 
@@ -228,7 +232,7 @@
             if (left > 0) {
                 rest(left);
             } else if (!closeIdle()) {
-                rest(halfFor);  // something is about to be read, or to go out
+                rest(halfFor); // something is about to be read, or to go out
             }
         }
 
@@ -431,9 +435,19 @@
                 way.counts = new TenantId(tenant);
             }
             owed.put(id, way);
-            way.taken = queries.read(way, job, workload, body, receivedAt, caller,
-                    subject == null ? null : new SubjectId(subject), mark == null ? null : new SubjectId(mark),
-                    tenant == null ? null : new TenantId(tenant), size, rank, patience,
+            way.taken = queries.read(
+                    way,
+                    job,
+                    workload,
+                    body,
+                    receivedAt,
+                    caller,
+                    subject == null ? null : new SubjectId(subject),
+                    mark == null ? null : new SubjectId(mark),
+                    tenant == null ? null : new TenantId(tenant),
+                    size,
+                    rank,
+                    patience,
                     "1".equals(fields.text(Fields.AGAIN)));
         }
 
@@ -491,7 +505,7 @@
         private final boolean keep;
         private InFlight taken;
         private boolean over;
-        private TenantId counts;  // against whose cap its connection counts while it is open, null for nobody's
+        private TenantId counts; // against whose cap its connection counts while it is open, null for nobody's
 
         private Responder(Connection caller, RequestId id, boolean keep) {
             this.caller = caller;
@@ -506,8 +520,11 @@
 
         @Override
         public void deferred(long keepOff, boolean nowhereElse) {
-            send(503, (keepOff >= 10 ? "Back-Off-Ms: " + keepOff / 10 + "\r\n" : "")
-                    + (nowhereElse ? "Final-Refusal: 1\r\n" : ""), NONE);
+            send(
+                    503,
+                    (keepOff >= 10 ? "Back-Off-Ms: " + keepOff / 10 + "\r\n" : "")
+                            + (nowhereElse ? "Final-Refusal: 1\r\n" : ""),
+                    NONE);
         }
 
         @Override
--- a/daemon/src/main/java/tallyweir/backend/Counters.java
+++ b/daemon/src/main/java/tallyweir/backend/Counters.java
@@ -9,15 +9,64 @@
 /** What was taken in, sent and answered since the start; printed on request and at exit. */
 public final class Counters {
     enum Count {
-        CONNECTIONS_ACCEPTED, CONNECTIONS_WAITED, CONNECTIONS_CLOSED_IDLE, CONNECTIONS_CLOSED_BAD,
-        CONNECTIONS_CLOSED_ASKED, CONNECTIONS_CLOSED_LEAVING, CONNECTIONS_CLOSED_UNREAD, CONNECTIONS_CLOSED_STUCK,
-        CONNECTIONS_DROPPED, CONNECTIONS_RESET, CONNECTIONS_ENDED, CHECKS, QUERIES_READ, QUERIES_MALFORMED, QUERIES_HALF, QUERIES_GONE, ANSWERED_HANDLED,
-        ANSWERED_DEFERRED, ANSWERED_ERRORED, ANSWERED_BY_THE_LAST_GUARD, ANSWERS_UNDELIVERABLE, RUNS_ASKED,
-        RUNS_STOPPED, RUNS_GOOD, RUNS_BAD, RUNS_CUT, RUNS_GONE, RUNS_NOT_DONE, CALLS_ASKED, CALLS_SENT, CALLS_OK,
-        CALLS_BUSY, CALLS_ERR, CALLS_LATE, CALLS_VOID, CALLS_TIMED_OUT, CALLS_BROKEN, CALLS_NEVER_SENT,
-        KERNEL_LINKS, KERNEL_NOTICES, KERNEL_NOTICES_REPEATED, KERNEL_NOTICES_UNKNOWN, KERNEL_NOTICES_MISSED,
-        GAUGES_READ, GAUGES_MISSED, STORE_LINKS, REPLIES_SPOILT, REPLIES_OF_NOTHING, REPORTS_SENT, PEERS_MISSED, CAPPED, STOOD_BACK, FAULTS,
-        MARKS_REPEATED, MARKS_OTHER_BODY, MARKS_NO_ROOM, MARKS_NOT_BEGUN, MARKS_SETTLED
+        CONNECTIONS_ACCEPTED,
+        CONNECTIONS_WAITED,
+        CONNECTIONS_CLOSED_IDLE,
+        CONNECTIONS_CLOSED_BAD,
+        CONNECTIONS_CLOSED_ASKED,
+        CONNECTIONS_CLOSED_LEAVING,
+        CONNECTIONS_CLOSED_UNREAD,
+        CONNECTIONS_CLOSED_STUCK,
+        CONNECTIONS_DROPPED,
+        CONNECTIONS_RESET,
+        CONNECTIONS_ENDED,
+        CHECKS,
+        QUERIES_READ,
+        QUERIES_MALFORMED,
+        QUERIES_HALF,
+        QUERIES_GONE,
+        ANSWERED_HANDLED,
+        ANSWERED_DEFERRED,
+        ANSWERED_ERRORED,
+        ANSWERED_BY_THE_LAST_GUARD,
+        ANSWERS_UNDELIVERABLE,
+        RUNS_ASKED,
+        RUNS_STOPPED,
+        RUNS_GOOD,
+        RUNS_BAD,
+        RUNS_CUT,
+        RUNS_GONE,
+        RUNS_NOT_DONE,
+        CALLS_ASKED,
+        CALLS_SENT,
+        CALLS_OK,
+        CALLS_BUSY,
+        CALLS_ERR,
+        CALLS_LATE,
+        CALLS_VOID,
+        CALLS_TIMED_OUT,
+        CALLS_BROKEN,
+        CALLS_NEVER_SENT,
+        KERNEL_LINKS,
+        KERNEL_NOTICES,
+        KERNEL_NOTICES_REPEATED,
+        KERNEL_NOTICES_UNKNOWN,
+        KERNEL_NOTICES_MISSED,
+        GAUGES_READ,
+        GAUGES_MISSED,
+        STORE_LINKS,
+        REPLIES_SPOILT,
+        REPLIES_OF_NOTHING,
+        REPORTS_SENT,
+        PEERS_MISSED,
+        CAPPED,
+        STOOD_BACK,
+        FAULTS,
+        MARKS_REPEATED,
+        MARKS_OTHER_BODY,
+        MARKS_NO_ROOM,
+        MARKS_NOT_BEGUN,
+        MARKS_SETTLED
     }
 
     private final long[] counts = new long[Count.values().length];
@@ -56,7 +105,8 @@
     /** Name and number, a line each. */
     public String text() {
         StringBuilder text = new StringBuilder();
-        all().forEach((name, number) -> text.append(name).append(' ').append(number).append('\n'));
+        all().forEach((name, number) ->
+                text.append(name).append(' ').append(number).append('\n'));
         return text.toString();
     }
 
--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -29,8 +29,8 @@
 /** This server in its fleet: carries words between its own side, the way to the fleet and the parts that are routed by it. */
 final class FleetSeat implements Acts, Answers {
     private static final Logger LOG = LoggerFactory.getLogger(FleetSeat.class);
-    private static final long PRESSED = 500;      // a tenant that was turned away is reported within so long
-    private static final long BACK_OFF = 2_500;   // and told to come back after it has had an answer
+    private static final long PRESSED = 500; // a tenant that was turned away is reported within so long
+    private static final long BACK_OFF = 2_500; // and told to come back after it has had an answer
     private static final long BEGUN_SPAN = 600_000;
     private static final int BEGUN_BUCKETS = 600;
 
@@ -42,20 +42,33 @@
     private final Gate gate;
     private final Member member;
     private final String name;
-    private final Map<RevisionId, Routing> read = new HashMap<>();  // the one in force here and what may follow
+    private final Map<RevisionId, Routing> read = new HashMap<>(); // the one in force here and what may follow
     private final Ring begun = new Ring(BEGUN_SPAN, BEGUN_BUCKETS);
-    private InetSocketAddress kernel;      // by the revision in force, null for as configured
+    private InetSocketAddress kernel; // by the revision in force, null for as configured
     private InetSocketAddress announce;
-    private final long life;               // of this process, by the wall's clock at its start
+    private final long life; // of this process, by the wall's clock at its start
     private boolean backByRevision;
     private boolean backByFleet;
     private boolean leaving;
     private final boolean whole;
-    private long newerSince;               // by this server's clock: the revision that is wanted came into force
+    private long newerSince; // by this server's clock: the revision that is wanted came into force
     private Deadlines.Deadline next;
 
-    FleetSeat(Queries queries, Links links, Deadlines deadlines, Way way, Executor deciding, String name, String listen,
-            long linger, long again, boolean backWhole, long seed, long now, long life, Set<Guard> without) {
+    FleetSeat(
+            Queries queries,
+            Links links,
+            Deadlines deadlines,
+            Way way,
+            Executor deciding,
+            String name,
+            String listen,
+            long linger,
+            long again,
+            boolean backWhole,
+            long seed,
+            long now,
+            long life,
+            Set<Guard> without) {
         this.life = life;
         this.queries = queries;
         this.links = links;
@@ -142,10 +155,31 @@
     }
 
     @Override
-    public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, Map<TenantId, Need> needs) {
-        way.report(server, as, number, acting, inForce, outdated, checked, cannot, queries.ended(), queries.bad(), needs,
-                this::decide, this, member::failed);
+    public void report(
+            ServerId server,
+            Incarnation as,
+            long number,
+            RevisionId acting,
+            Digest inForce,
+            long outdated,
+            RevisionId checked,
+            String cannot,
+            Map<TenantId, Need> needs) {
+        way.report(
+                server,
+                as,
+                number,
+                acting,
+                inForce,
+                outdated,
+                checked,
+                cannot,
+                queries.ended(),
+                queries.bad(),
+                needs,
+                this::decide,
+                this,
+                member::failed);
     }
 
     private void decide(Runnable news) {
@@ -190,7 +224,10 @@
             if (why.isEmpty()) {
                 take(revision);
             } else {
-                LOG.atWarn().addKeyValue("revision", revision.value()).addKeyValue("why", why).log("cannot act on a revision");
+                LOG.atWarn()
+                        .addKeyValue("revision", revision.value())
+                        .addKeyValue("why", why)
+                        .log("cannot act on a revision");
                 member.cannotAct(revision);
             }
         });
@@ -210,7 +247,10 @@
         }
         backByRevision = r.standBack.contains(name);
         queries.standsBack();
-        LOG.atInfo().addKeyValue("revision", revision.value()).addKeyValue("outdated", outdated).log("acts on a revision");
+        LOG.atInfo()
+                .addKeyValue("revision", revision.value())
+                .addKeyValue("outdated", outdated)
+                .log("acts on a revision");
         // Later, as this is asked for by the side that hears of it.
         decide(() -> member.acting(revision, inForce(), outdated));
     }
@@ -240,8 +280,16 @@
     }
 
     @Override
-    public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age,
-            RevisionId toCheck, Map<TenantId, Grant> shares, long next) {
+    public void told(
+            long number,
+            long lease,
+            long floorLease,
+            boolean floorsFree,
+            RevisionId inForce,
+            long age,
+            RevisionId toCheck,
+            Map<TenantId, Grant> shares,
+            long next) {
         if (member.acting().before(inForce) && newerSince == 0) {
             newerSince = Math.max(1, queries.now() - age);
         }
@@ -250,12 +298,15 @@
 
     @Override
     public void done(RevisionId revision) {
-        member.failed();  // no answer to what this server asks
+        member.failed(); // no answer to what this server asks
     }
 
     @Override
     public void refused(Fault why) {
-        LOG.atWarn().addKeyValue("why", why.what()).addKeyValue("advice", why.advice()).log("the fleet turned this server down");
+        LOG.atWarn()
+                .addKeyValue("why", why.what())
+                .addKeyValue("advice", why.advice())
+                .log("the fleet turned this server down");
         member.refused(why);
     }
 }
--- a/daemon/src/main/java/tallyweir/backend/KeptResults.java
+++ b/daemon/src/main/java/tallyweir/backend/KeptResults.java
@@ -25,11 +25,11 @@
     private final Queries queries;
     private final Shelf shelf;
     private final Marks marks;
-    private final Map<RunId, JobId> jobs = new HashMap<>();      // of runs under way, by what the kernel calls them
-    private final Map<JobId, RunId> before = new HashMap<>();    // runs of the process before, until they are settled
+    private final Map<RunId, JobId> jobs = new HashMap<>(); // of runs under way, by what the kernel calls them
+    private final Map<JobId, RunId> before = new HashMap<>(); // runs of the process before, until they are settled
     private final Map<RunId, Long> writtenAt = new HashMap<>();
     private final Set<RunId> admitted = new HashSet<>();
-    private boolean trying;  // the disk will be offered again what it refused
+    private boolean trying; // the disk will be offered again what it refused
 
     KeptResults(Queries queries, Shelf shelf) {
         this.queries = queries;
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -15,9 +15,9 @@
 final class Kernel implements Notices.Sink {
     private static final Logger LOG = LoggerFactory.getLogger(Kernel.class);
     private static final int WAITING_MOST = 4_000;
-    private static final long AGAIN_AFTER = 1_000;  // a tenth of a second
-    private static final int UNHEARD_MOST = 20;     // askings in a row; not a time, which a pause would use up
-    private static final long MAYBE_LOST = 2_000;   // what was sent so shortly before a break may not have come
+    private static final long AGAIN_AFTER = 1_000; // a tenth of a second
+    private static final int UNHEARD_MOST = 20; // askings in a row; not a time, which a pause would use up
+    private static final long MAYBE_LOST = 2_000; // what was sent so shortly before a break may not have come
     private static final long STARTS_APART = 10_000; // a second: the same start is told less exactly than this
     private static final String RESUMED = "resumed";
 
@@ -30,12 +30,12 @@
     private final RateLimitedLog warnings;
     private final PeerMonitor monitor;
     private Notices notices;
-    private LinkId link;       // the one that is up
-    private LinkId opening;    // the one that is to take its place
-    private boolean booted;    // on the link that is up
-    private int turn;          // how many links there have been
-    private long lastUp;       // when the link before was last seen up
-    private long started = Long.MAX_VALUE / 2;  // the kernel's start, by its own word
+    private LinkId link; // the one that is up
+    private LinkId opening; // the one that is to take its place
+    private boolean booted; // on the link that is up
+    private int turn; // how many links there have been
+    private long lastUp; // when the link before was last seen up
+    private long started = Long.MAX_VALUE / 2; // the kernel's start, by its own word
     private long last;
     private long tag;
     private int unheard;
@@ -173,7 +173,9 @@
     @Override
     public void booted(boolean fresh, long before) {
         booted = true;
-        LOG.atInfo().addKeyValue("since_ms", before / 10).addKeyValue("at_start", fresh ? "cold" : "warm")
+        LOG.atInfo()
+                .addKeyValue("since_ms", before / 10)
+                .addKeyValue("at_start", fresh ? "cold" : "warm")
                 .log("the kernel is up");
         if (queries.now() - before > started + STARTS_APART) {
             // Another kernel: its notices are numbered anew, and nothing that the one before ran is left.
@@ -183,7 +185,7 @@
         }
         started = queries.now() - before;
         if (turn > 1) {
-            links.to(link, Commands.gauges(RESUMED));  // its reply stands behind all repeated notices
+            links.to(link, Commands.gauges(RESUMED)); // its reply stands behind all repeated notices
         }
         while (!waiting.isEmpty()) {
             links.to(link, waiting.poll());
--- a/daemon/src/main/java/tallyweir/backend/Peer.java
+++ b/daemon/src/main/java/tallyweir/backend/Peer.java
@@ -1,4 +1,7 @@
 package tallyweir.backend;
 
 /** The parties that the backend itself connects to. */
-public enum Peer { KERNEL, STORE }
+public enum Peer {
+    KERNEL,
+    STORE
+}
--- a/daemon/src/main/java/tallyweir/backend/PeerMonitor.java
+++ b/daemon/src/main/java/tallyweir/backend/PeerMonitor.java
@@ -10,14 +10,14 @@
  */
 final class PeerMonitor {
     private static final Logger LOG = LoggerFactory.getLogger(PeerMonitor.class);
-    private static final long FIRST_AFTER = 10_000;  // a second: a kernel that starts anew is back by then
-    private static final int DOUBLED_MOST = 5;       // then every half minute
+    private static final long FIRST_AFTER = 10_000; // a second: a kernel that starts anew is back by then
+    private static final int DOUBLED_MOST = 5; // then every half minute
 
     private final Links links;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Peer peer;
-    private long since = -1;    // when it was last seen to be there, -1 while it is
+    private long since = -1; // when it was last seen to be there, -1 while it is
     private int looks;
     private Deadlines.Deadline next;
 
@@ -39,7 +39,10 @@
     /** It is there. */
     void there(long now) {
         if (looks > 0) {
-            LOG.atInfo().addKeyValue("peer", peer).addKeyValue("after_ms", (now - since) / 10).log("a peer is there again");
+            LOG.atInfo()
+                    .addKeyValue("peer", peer)
+                    .addKeyValue("after_ms", (now - since) / 10)
+                    .log("a peer is there again");
         }
         since = -1;
         looks = 0;
@@ -55,7 +58,9 @@
     private void look(long now) {
         looks++;
         counters.add(Count.PEERS_MISSED);
-        LOG.atWarn().addKeyValue("peer", peer).addKeyValue("for_ms", (now - since) / 10)
+        LOG.atWarn()
+                .addKeyValue("peer", peer)
+                .addKeyValue("for_ms", (now - since) / 10)
                 .log("a peer cannot be reached; it is tried on, and the configuration is looked at again");
         later(now);
         links.lookAgain();
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -29,8 +29,8 @@
  */
 final class Queries implements Outgoing {
     private static final int SLOT_BITS = 20;
-    private static final QueryId BEFORE = new QueryId(0);  // of no query here: known from before
-    private static final long ROUTING = 0x726f757465L;  // chance of its own, so that the decisions' is as without
+    private static final QueryId BEFORE = new QueryId(0); // of no query here: known from before
+    private static final long ROUTING = 0x726f757465L; // chance of its own, so that the decisions' is as without
     private static final long DAY = 24 * 3_600 * 10_000L;
 
     private final Deadlines deadlines;
@@ -41,15 +41,15 @@
     private final Kernel kernel;
     private final Store store;
     private final Connections connections;
-    private final KeptResults kept;  // null where no results are kept over restarts
+    private final KeptResults kept; // null where no results are kept over restarts
     private final long seed;
     private final int coresBusyAt;
     private final int runQueueAt;
     private final RateLimitedLog warnings = new RateLimitedLog(Queries.class, this::now);
     private final Slots<InFlight> slots = new Slots<>();
     private final Map<JobId, InFlight> jobs = new HashMap<>();
-    private Watch choice;      // from the kernel's first word on
-    private Settings watched;  // beside those in force, null for none
+    private Watch choice; // from the kernel's first word on
+    private Settings watched; // beside those in force, null for none
     private long serial;
     private long now;
     private long wall;
@@ -61,10 +61,18 @@
     private final Map<WorkloadId, Long> expected;
     private final SplittableRandom routing;
     private Routes routes = Routes.NONE;
-    private FleetSeat fleet;   // null where this server is in none
-
-    Queries(Links links, Deadlines deadlines, Counters counters, Settings settings, int connectionsMost, int storeLinks,
-            long seed, long now, Shelf shelf) {
+    private FleetSeat fleet; // null where this server is in none
+
+    Queries(
+            Links links,
+            Deadlines deadlines,
+            Counters counters,
+            Settings settings,
+            int connectionsMost,
+            int storeLinks,
+            long seed,
+            long now,
+            Shelf shelf) {
         this.deadlines = deadlines;
         this.counters = counters;
         this.settings = settings;
@@ -184,8 +192,19 @@
     }
 
     /** Takes a query in; null if it was answered at once. The wall's times are only used for what comes in. */
-    InFlight read(Answer way, JobId job, WorkloadId workload, byte[] body, long receivedAt, CallerId caller,
-            SubjectId subject, SubjectId mark, TenantId tenant, double size, double rank, long patience,
+    InFlight read(
+            Answer way,
+            JobId job,
+            WorkloadId workload,
+            byte[] body,
+            long receivedAt,
+            CallerId caller,
+            SubjectId subject,
+            SubjectId mark,
+            TenantId tenant,
+            double size,
+            double rank,
+            long patience,
             boolean again) {
         counters.add(Count.QUERIES_READ);
         if (choice == null) {
@@ -220,7 +239,8 @@
             return null;
         }
         QueryId earlier = mark != null && (stamped || settings.shareFor() > 0 && harmless(t))
-                ? repeats.earlier(t, mark, stamped, now - age, now) : null;
+                ? repeats.earlier(t, mark, stamped, now - age, now)
+                : null;
         if (kept != null && !harmless(t)) {
             switch (kept.read(t, stamped ? mark : new SubjectId(job.value()))) {
                 case OTHER_BODY -> {
@@ -239,7 +259,7 @@
                     counters.add(Count.MARKS_REPEATED);
                     earlier = earlier == null ? BEFORE : earlier;
                 }
-                default -> { }
+                default -> {}
             }
         }
         choice.read(t.id, earlier, caller, subject, workload, size, age, rank, left, again, tenant, 0);
@@ -263,7 +283,7 @@
     /** Guards against a fault in the decisions: what they forgot is failed when it is due. */
     private void overdue(InFlight t) {
         if (!t.answered && t.recording) {
-            errored(t);  // the disk is too slow: it ran, and a repeat will hear how it ended
+            errored(t); // the disk is too slow: it ran, and a repeat will hear how it ended
             kept.leave(t);
         } else if (!t.answered) {
             counters.add(Count.ANSWERED_BY_THE_LAST_GUARD);
@@ -349,8 +369,10 @@
     /** How the run of a query with an effect ended goes to the disk first; what is no result need not wait for that. */
     private void keptEnded(InFlight t, String how, byte[] result) {
         boolean good = how.equals("good");
-        counters.add(good ? Count.RUNS_GOOD : how.equals("cut") ? Count.RUNS_CUT : how.equals("gone") ? Count.RUNS_GONE
-                : Count.RUNS_BAD);
+        counters.add(
+                good
+                        ? Count.RUNS_GOOD
+                        : how.equals("cut") ? Count.RUNS_CUT : how.equals("gone") ? Count.RUNS_GONE : Count.RUNS_BAD);
         t.recording = good && !t.answered;
         if (!good) {
             errored(t);
@@ -400,7 +422,7 @@
                 errored(t);
             }
         } else {
-            deadlines.set(now, () -> serve(t, result));  // the decisions are told only after this input
+            deadlines.set(now, () -> serve(t, result)); // the decisions are told only after this input
         }
     }
 
@@ -584,7 +606,7 @@
         InFlight t = taken(query);
         if (t != null && t.call != null) {
             if (fleet != null && !fleet.whole()) {
-                t.store = routes.store(t.workload, routing);  // only where a drill has switched the guard off
+                t.store = routes.store(t.workload, routing); // only where a drill has switched the guard off
             }
             store.call(t, t.call, timeOut);
         }
@@ -624,7 +646,7 @@
         if (t != null && t.mark != null) {
             kept.await(t);
         } else if (t != null && repeats.over(t)) {
-            deadlines.set(now, () -> serveRepeat(t));  // the decisions are told only after this input
+            deadlines.set(now, () -> serveRepeat(t)); // the decisions are told only after this input
         }
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Rehearsal.java
+++ b/daemon/src/main/java/tallyweir/backend/Rehearsal.java
@@ -21,7 +21,7 @@
  */
 public final class Rehearsal implements Links {
     private static final int QUERIES = 1_500;
-    private static final long APART = 100;              // a hundredth of a second on the core's clock
+    private static final long APART = 100; // a hundredth of a second on the core's clock
     private static final long MOST_NANOS = 3_000_000_000L;
 
     private final Backend backend;
@@ -34,7 +34,10 @@
 
     private Rehearsal(Config config) {
         backend = new Backend(this, config, now, 0);
-        workloads = config.settings.workloads().keySet().stream().map(w -> w.value()).sorted().toList();
+        workloads = config.settings.workloads().keySet().stream()
+                .map(w -> w.value())
+                .sorted()
+                .toList();
         tenant = config.settings.tenants().stream().findFirst().orElse("");
         patience = config.settings.longestHard();
     }
@@ -69,11 +72,29 @@
     }
 
     private byte[] query(int i) {
-        return Records.query(1 + i % 32, "asked".getBytes(ISO_8859_1),
-                "REQUEST_METHOD", "POST", "SCRIPT_NAME", "/do/" + workloads.get(i % workloads.size()),
-                "HTTP_REQUEST_ID", String.format("%016x", i + 1), "HTTP_RECEIVED_AT", "" + now / 10,
-                "HTTP_SENT_BY", "" + i % 8, "HTTP_ACCOUNT", tenant, "HTTP_BUDGET_MS", "" + patience / 10,
-                "HTTP_FOOTPRINT_KB", "1.5", "HTTP_PRIORITY_RANK", "0.5", "HTTP_ONCE_KEY", "k" + i);
+        return Records.query(
+                1 + i % 32,
+                "asked".getBytes(ISO_8859_1),
+                "REQUEST_METHOD",
+                "POST",
+                "SCRIPT_NAME",
+                "/do/" + workloads.get(i % workloads.size()),
+                "HTTP_REQUEST_ID",
+                String.format("%016x", i + 1),
+                "HTTP_RECEIVED_AT",
+                "" + now / 10,
+                "HTTP_SENT_BY",
+                "" + i % 8,
+                "HTTP_ACCOUNT",
+                tenant,
+                "HTTP_BUDGET_MS",
+                "" + patience / 10,
+                "HTTP_FOOTPRINT_KB",
+                "1.5",
+                "HTTP_PRIORITY_RANK",
+                "0.5",
+                "HTTP_ONCE_KEY",
+                "k" + i);
     }
 
     @Override
@@ -132,8 +153,10 @@
     }
 
     private void notice(LinkId link, String type, String job) {
-        tell(link, "{\"type\":\"" + type + "\",\"n\":" + ++notices + ",\"job\":\"" + job
-                + "\",\"state\":\"good\",\"took\":3,\"data\":\"bWFkZQ==\"}\n");
+        tell(
+                link,
+                "{\"type\":\"" + type + "\",\"n\":" + ++notices + ",\"job\":\"" + job
+                        + "\",\"state\":\"good\",\"took\":3,\"data\":\"bWFkZQ==\"}\n");
     }
 
     private static String field(String json, String name) {
--- a/daemon/src/main/java/tallyweir/backend/Repeats.java
+++ b/daemon/src/main/java/tallyweir/backend/Repeats.java
@@ -15,14 +15,14 @@
     static final class Entry {
         private final Key key;
         private QueryId holder;
-        private boolean over;          // the holder's run has ended
+        private boolean over; // the holder's run has ended
         private long endedAt;
-        private long until;            // what arrives later repeats nothing
-        private byte[] result;         // null unless that run was good
+        private long until; // what arrives later repeats nothing
+        private byte[] result; // null unless that run was good
         private Deadlines.Deadline end;
         private final List<InFlight> waiting = new ArrayList<>(0);
 
-        private long body;             // its digest
+        private long body; // its digest
 
         private Entry(Key key) {
             this.key = key;
--- a/daemon/src/main/java/tallyweir/backend/Store.java
+++ b/daemon/src/main/java/tallyweir/backend/Store.java
@@ -51,7 +51,7 @@
     private final PeerMonitor monitor;
     private final Map<JobId, Call> calls = new LinkedHashMap<>();
     private final Map<LinkId, Line> lines = new HashMap<>();
-    private final ArrayDeque<Line> idle = new ArrayDeque<>();    // the one used last comes first
+    private final ArrayDeque<Line> idle = new ArrayDeque<>(); // the one used last comes first
     private final ArrayDeque<Call> waiting = new ArrayDeque<>(); // for a link, the table being full
 
     Store(Links links, LongSupplier numbers, Deadlines deadlines, Counters counters, Queries queries, int most) {
@@ -82,7 +82,10 @@
      * to a later call of the same query, so that goes another way.
      */
     private void place(Call c) {
-        Line free = idle.stream().filter(l -> Objects.equals(l.to, c.of.store) && !c.of.calledOn.contains(l.id)).findFirst().orElse(null);
+        Line free = idle.stream()
+                .filter(l -> Objects.equals(l.to, c.of.store) && !c.of.calledOn.contains(l.id))
+                .findFirst()
+                .orElse(null);
         if (free != null) {
             free.take(c);
             free.send();
@@ -164,7 +167,7 @@
     void moved() {
         for (Line line : List.copyOf(lines.values())) {
             if (line.to != null) {
-                continue;  // the fleet says where that one is
+                continue; // the fleet says where that one is
             }
             Call c = line.call;
             if (c != null && c.sent) {
@@ -182,7 +185,7 @@
     private final class Line implements Replies.Sink {
         private final LinkId id = new LinkId(numbers.getAsLong());
         private final Replies replies = new Replies(this);
-        private final InetSocketAddress to;  // by a revision of the fleet, null for where it was configured
+        private final InetSocketAddress to; // by a revision of the fleet, null for where it was configured
         private Call call;
         private boolean old;
         private Deadlines.Deadline idleEnd;
@@ -232,7 +235,7 @@
                 monitor.gone(queries.now());
             }
             if (c != null && unwritten) {
-                c.sent = false;  // an idle link that the store closed in the moment in which it was taken
+                c.sent = false; // an idle link that the store closed in the moment in which it was taken
             }
             release();
             if (c != null) {
--- a/daemon/src/main/java/tallyweir/backend/Watch.java
+++ b/daemon/src/main/java/tallyweir/backend/Watch.java
@@ -34,7 +34,20 @@
     private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
 
     /** DEFER: the others would have deferred it; TAKE: they would not; the rest: only one of the two, or otherwise. */
-    enum Kind { DEFER, TAKE, TOLD, FAIL, RUN, STOP, CALL, POORER, KEEP, REUSE, SAY, IDLE }
+    enum Kind {
+        DEFER,
+        TAKE,
+        TOLD,
+        FAIL,
+        RUN,
+        STOP,
+        CALL,
+        POORER,
+        KEEP,
+        REUSE,
+        SAY,
+        IDLE
+    }
 
     private record Act(Kind kind, QueryId query, double value, boolean nowhereElse) {
         boolean answers() {
@@ -48,13 +61,13 @@
 
     /** What each of the two has done with a query. */
     private static final class Pair {
-        boolean over;         // answered as decided, or its caller is gone
-        boolean runs;         // as decided
+        boolean over; // answered as decided, or its caller is gone
+        boolean runs; // as decided
         boolean othersOver;
         boolean othersRun;
         boolean parted;
-        final EnumSet<Kind> first = EnumSet.noneOf(Kind.class);   // so far only by what is decided,
-        final EnumSet<Kind> others = EnumSet.noneOf(Kind.class);  // or only by the others
+        final EnumSet<Kind> first = EnumSet.noneOf(Kind.class); // so far only by what is decided,
+        final EnumSet<Kind> others = EnumSet.noneOf(Kind.class); // or only by the others
     }
 
     private static final class Others extends Choice {
@@ -73,10 +86,10 @@
     private final Tap decided;
     private final Tap asked = new Tap(Outgoing.nowhere());
     private final Map<QueryId, Pair> pairs = new HashMap<>();
-    private final Set<QueryId> ending = new LinkedHashSet<>();  // of which this news may be the last
+    private final Set<QueryId> ending = new LinkedHashSet<>(); // of which this news may be the last
     private final ArrayDeque<Runnable> news = new ArrayDeque<>();
     private final long[] counts = new long[Kind.values().length];
-    private Others others;  // null while none are watched
+    private Others others; // null while none are watched
     private Settings settings;
     private double drawn;
     private long now;
@@ -135,18 +148,44 @@
     }
 
     @Override
-    public void read(QueryId id, QueryId earlier, CallerId caller, SubjectId subject, WorkloadId workload,
-            double sizeKb, long age, double rank, long patience, boolean again, TenantId tenant, long predicted) {
+    public void read(
+            QueryId id,
+            QueryId earlier,
+            CallerId caller,
+            SubjectId subject,
+            WorkloadId workload,
+            double sizeKb,
+            long age,
+            double rank,
+            long patience,
+            boolean again,
+            TenantId tenant,
+            long predicted) {
         double[] drew = new double[1];
-        both(() -> {
-            super.read(id, earlier, caller, subject, workload, sizeKb, age, rank, patience, again, tenant, predicted);
-            drew[0] = drawn;
-        }, () -> {
-            pairs.put(id, new Pair());
-            others.drawn = drew[0];
-            others.read(id, earlier, caller, subject, workload, sizeKb, age, rank,
-                    settings.tellsPatience() ? patience : 0, again && settings.marksTries(), tenant, predicted);
-        });
+        both(
+                () -> {
+                    super.read(
+                            id, earlier, caller, subject, workload, sizeKb, age, rank, patience, again, tenant,
+                            predicted);
+                    drew[0] = drawn;
+                },
+                () -> {
+                    pairs.put(id, new Pair());
+                    others.drawn = drew[0];
+                    others.read(
+                            id,
+                            earlier,
+                            caller,
+                            subject,
+                            workload,
+                            sizeKb,
+                            age,
+                            rank,
+                            settings.tellsPatience() ? patience : 0,
+                            again && settings.marksTries(),
+                            tenant,
+                            predicted);
+                });
     }
 
     @Override
--- a/daemon/src/main/java/tallyweir/cli/Leaving.java
+++ b/daemon/src/main/java/tallyweir/cli/Leaving.java
@@ -12,14 +12,14 @@
  * who did are seen off.
  */
 final class Leaving implements Runnable {
-    private static final long LAST_WORDS_MS = 100;  // before the stop: the counters are out by then
+    private static final long LAST_WORDS_MS = 100; // before the stop: the counters are out by then
     private static final long PAST_STOP_MS = 2_000; // for whoever sends the notice and never kills
 
     private final long stopMs;
     private final PrintStream err;
     private boolean told;
-    private Server server;    // null while nobody can connect
-    private FileStore store;  // null for none
+    private Server server; // null while nobody can connect
+    private FileStore store; // null for none
 
     Leaving(long stopMs, PrintStream err) {
         this.stopMs = stopMs;
@@ -57,7 +57,8 @@
         leaves.leaveFleet();
         if (store != null) {
             store.close();
-            err.println("tallyweir: the store is closed; " + store.store().figures().all());
+            err.println(
+                    "tallyweir: the store is closed; " + store.store().figures().all());
         }
         pause(stopMs - words + PAST_STOP_MS);
     }
--- a/daemon/src/main/java/tallyweir/cli/Main.java
+++ b/daemon/src/main/java/tallyweir/cli/Main.java
@@ -2,6 +2,7 @@
 
 import tallyweir.wirehost.WireHost;
 
+/** The command of the platform: its first argument names what is to be done. */
 public final class Main {
     private static final String USAGE = """
             usage: java -jar tallyweir.jar SUBCOMMAND
--- a/daemon/src/main/java/tallyweir/cli/Reload.java
+++ b/daemon/src/main/java/tallyweir/cli/Reload.java
@@ -22,8 +22,8 @@
  */
 final class Reload {
     private static final Logger LOG = LoggerFactory.getLogger(Reload.class);
-    private static final long AGAIN_MS = 250;       // a file that is being written is whole by then
-    private static final int DOUBLED_MOST = 7;      // then every half minute
+    private static final long AGAIN_MS = 250; // a file that is being written is whole by then
+    private static final int DOUBLED_MOST = 7; // then every half minute
     private static final long WATCH_MS = 250;
 
     private final Server server;
@@ -31,7 +31,7 @@
     private final Semaphore asked = new Semaphore(0);
     private volatile boolean told;
     private volatile boolean watches;
-    private String file = "";    // how it looked when it was read last
+    private String file = ""; // how it looked when it was read last
     private int faults;
     private String lastFault = "";
 
@@ -65,7 +65,7 @@
             BasicFileAttributes is = Files.readAttributes(at, BasicFileAttributes.class);
             return is.lastModifiedTime() + " " + is.size() + " " + is.fileKey();
         } catch (IOException e) {
-            return "";  // between the old one and the new one
+            return ""; // between the old one and the new one
         }
     }
 
@@ -109,8 +109,11 @@
         server.move(config);
         watch(config.settings);
         if (loud || faults > 0) {
-            LOG.atInfo().addKeyValue("kernel", config.kernel).addKeyValue("store", config.store)
-                    .addKeyValue("announce", config.announce).log("told to read the configuration again");
+            LOG.atInfo()
+                    .addKeyValue("kernel", config.kernel)
+                    .addKeyValue("store", config.store)
+                    .addKeyValue("announce", config.announce)
+                    .log("told to read the configuration again");
         }
     }
 
@@ -118,7 +121,9 @@
     private void fault(Throwable e) {
         String is = e instanceof BadSetting ? e.getMessage() : e.toString();
         if (faults++ == 0 || !is.equals(lastFault)) {
-            LOG.atWarn().addKeyValue("fault", is).log("told to read the configuration again, the old one stays in force");
+            LOG.atWarn()
+                    .addKeyValue("fault", is)
+                    .log("told to read the configuration again, the old one stays in force");
         }
         lastFault = is;
     }
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -75,7 +75,7 @@
         }
         try {
             if (!leaving.begins(server, store)) {
-                return 0;  // told to leave before anybody could have come
+                return 0; // told to leave before anybody could have come
             }
         } catch (IOException e) {
             err.println("tallyweir: cannot listen on " + config.listen + ": " + e.getMessage());
@@ -83,7 +83,8 @@
         }
         Reload reload = new Reload(server, environment);
         server.lookAgain(reload::look);
-        // Whoever starts it may ignore the signal (nohup does), which is inherited: the virtual machine then leaves it so,
+        // Whoever starts it may ignore the signal (nohup does), which is inherited: the virtual machine then leaves it
+        // so,
         // and no notice would ever come.
         if (Signal.handle(new Signal("HUP"), signal -> reload.told()) == SignalHandler.SIG_IGN) {
             LOG.warn("SIGHUP is ignored since the start: the configuration's file is watched instead");
@@ -94,7 +95,10 @@
         }
         // Logging loads what it needs at its first line. Where that came only once no descriptor was left, its
         // failure ended the thread that accepts.
-        LOG.atInfo().addKeyValue("name", config.name).addKeyValue("address", server.address()).log("listens");
+        LOG.atInfo()
+                .addKeyValue("name", config.name)
+                .addKeyValue("address", server.address())
+                .log("listens");
         server.run();
         return 1;
     }
@@ -104,10 +108,16 @@
         if (!operators.inFleet()) {
             return;
         }
-        Seating seating = ServiceLoader.load(Seating.class).findFirst().orElseThrow(() -> new BadSetting(
-                "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
-        server.seat(operators.openFleet(seating, config.name, config.settings.longestHard()), operators.linger(),
-                operators.lease() / 100, operators.standsBackWhenOut(), off("tallyweir.drill.fleet.without", Guard.class));
+        Seating seating = ServiceLoader.load(Seating.class)
+                .findFirst()
+                .orElseThrow(() -> new BadSetting(
+                        "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
+        server.seat(
+                operators.openFleet(seating, config.name, config.settings.longestHard()),
+                operators.linger(),
+                operators.lease() / 100,
+                operators.standsBackWhenOut(),
+                off("tallyweir.drill.fleet.without", Guard.class));
     }
 
     /** The store, null where there is to be none. */
@@ -116,11 +126,15 @@
             return null;
         }
         FileStore store = operators.openDurable();
-        LOG.atInfo().addKeyValue("keys", store.store().keys()).addKeyValue("opening", store.store().opening())
-                .addKeyValue("from_snapshot", store.store().openedFromSnapshot()).log("the store is open");
+        LOG.atInfo()
+                .addKeyValue("keys", store.store().keys())
+                .addKeyValue("opening", store.store().opening())
+                .addKeyValue("from_snapshot", store.store().openedFromSnapshot())
+                .log("the store is open");
         try {
-            store.openDesk(operators.desk(), operators.keepsResults()
-                    ? Settling.verbs(store.store(), store.committer()) : Map.of());
+            store.openDesk(
+                    operators.desk(),
+                    operators.keepsResults() ? Settling.verbs(store.store(), store.committer()) : Map.of());
         } catch (IOException e) {
             LOG.atWarn().addKeyValue("fault", e.getMessage()).log("operators cannot ask this process about its store");
         }
@@ -148,8 +162,14 @@
             t.setDaemon(true);
             return t;
         });
-        return new Server(config, deciding -> new DurableShelf(store.store(), store.committer(), deciding, reads,
-                off("tallyweir.drill.without", Marks.Guard.class)));
+        return new Server(
+                config,
+                deciding -> new DurableShelf(
+                        store.store(),
+                        store.committer(),
+                        deciding,
+                        reads,
+                        off("tallyweir.drill.without", Marks.Guard.class)));
     }
 
     /** Another process has the store now: whoever has been asked here is answered, and then it ends as on notice. */
@@ -157,5 +177,4 @@
         LOG.error("another process has taken the store over; this one leaves");
         System.exit(1);
     }
-
 }
--- a/daemon/src/main/java/tallyweir/config/Config.java
+++ b/daemon/src/main/java/tallyweir/config/Config.java
@@ -17,7 +17,7 @@
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress kernel;
-    public final InetSocketAddress store;  // null where no workload calls
+    public final InetSocketAddress store; // null where no workload calls
     public final InetSocketAddress announce;
     public final long seed;
     public final long stopAfter;
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -119,11 +119,24 @@
 
     /** Opens the way to the fleet; longestHard is how long any query is open at the most. */
     public Way openFleet(Seating seating, String self, long longestHard) {
-        return seating.open(fleetName(), voters(), self, fleet.text("dir", ""), fleet.whole("settings_version", 1, 1 << 30, 1),
-                lease(), longestHard + linger(), fleet.whole("floor_lease_ms", 1_000, 604_800_000, 3_600_000) * 10L,
-                fleet.whole("behind_ms", 500, 3_600_000, 30_000) * 10L, share("drift", 0.1, 0.01), share("most_out", 1, 0.34),
-                share("most_cannot", 1, 0.25), fleet.whole("servers_most", 1, 100_000, 64), share("floor_share", 1, 0.2),
-                fleet.whole("probation_ms", 0, 3_600_000, 30_000) * 10L, share("worse_ratio", 100, 2), share("sick_share", 1, 0.5));
+        return seating.open(
+                fleetName(),
+                voters(),
+                self,
+                fleet.text("dir", ""),
+                fleet.whole("settings_version", 1, 1 << 30, 1),
+                lease(),
+                longestHard + linger(),
+                fleet.whole("floor_lease_ms", 1_000, 604_800_000, 3_600_000) * 10L,
+                fleet.whole("behind_ms", 500, 3_600_000, 30_000) * 10L,
+                share("drift", 0.1, 0.01),
+                share("most_out", 1, 0.34),
+                share("most_cannot", 1, 0.25),
+                fleet.whole("servers_most", 1, 100_000, 64),
+                share("floor_share", 1, 0.2),
+                fleet.whole("probation_ms", 0, 3_600_000, 30_000) * 10L,
+                share("worse_ratio", 100, 2),
+                share("sick_share", 1, 0.5));
     }
 
     private double share(String key, double most, double absent) {
@@ -135,12 +148,29 @@
     }
 
     private void checkFleet() {
-        fleet.only("name", "voters", "dir", "settings_version", "lease_ms", "linger_ms", "floor_lease_ms", "behind_ms", "drift",
-                "most_out", "most_cannot", "servers_most", "floor_share", "probation_ms", "worse_ratio", "sick_share", "when_out");
+        fleet.only(
+                "name",
+                "voters",
+                "dir",
+                "settings_version",
+                "lease_ms",
+                "linger_ms",
+                "floor_lease_ms",
+                "behind_ms",
+                "drift",
+                "most_out",
+                "most_cannot",
+                "servers_most",
+                "floor_share",
+                "probation_ms",
+                "worse_ratio",
+                "sick_share",
+                "when_out");
         fleet.word("when_out", "serve", "stand_back");
         fleetName();
         if (voters().size() != 1 && voters().size() != 3 && voters().size() != 5) {
-            throw new BadSetting("fleet.voters has " + voters().size() + " entries: 3 or 5 are needed, 1 to try it out");
+            throw new BadSetting(
+                    "fleet.voters has " + voters().size() + " entries: 3 or 5 are needed, 1 to try it out");
         }
         voters().forEach((n, at) -> {
             if (!at.matches("[^ :]+:[0-9]{1,5}")) {
@@ -149,8 +179,26 @@
         });
         lease();
         linger();
-        openFleet((name, voters, self, dir, version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
-                floorShare, probation, worseRatio, sickShare) -> null, "", 0);
+        openFleet(
+                (name,
+                        voters,
+                        self,
+                        dir,
+                        version,
+                        lease,
+                        tail,
+                        floorLease,
+                        behindMost,
+                        drift,
+                        mostOut,
+                        mostCannot,
+                        serversMost,
+                        floorShare,
+                        probation,
+                        worseRatio,
+                        sickShare) -> null,
+                "",
+                0);
     }
 
     /** Whether there is to be a store. */
@@ -165,11 +213,17 @@
 
     /** Opens the store as the file has it. */
     public FileStore openDurable() throws IOException {
-        return new FileStore(first(), second(), segmentBytes(), sector(), deadShare(),
+        return new FileStore(
+                first(),
+                second(),
+                segmentBytes(),
+                sector(),
+                deadShare(),
                 durable.whole("scrub_every_h", 0, 8_760, 24) * 36_000_000L,
                 durable.whole("pending_mb", 1, 1_024, 64) * (long) MB,
                 durable.whole("force_every_ms", 0, 10_000, 0) * 1_000_000L,
-                durable.whole("upkeep_mb_per_s", 1, 10_000, 32) * (long) MB, namespaces());
+                durable.whole("upkeep_mb_per_s", 1, 10_000, 32) * (long) MB,
+                namespaces());
     }
 
     /** Where the first copy is. */
@@ -220,13 +274,15 @@
                 throw new BadSetting(at + ".at_bound is '" + then + "': refuse or drop_oldest is needed");
             }
             try {
-                all.add(new Namespace(n.text("name"), n.whole("bound_mb", 1, 1 << 20) * (long) MB,
-                        then.equals("drop_oldest")));
+                all.add(new Namespace(
+                        n.text("name"), n.whole("bound_mb", 1, 1 << 20) * (long) MB, then.equals("drop_oldest")));
             } catch (IllegalArgumentException e) {
                 throw new BadSetting(at + ".name: " + e.getMessage());
             }
-            if (results != null && (n.text("name").equals(DurableShelf.RESULTS)
-                    || n.text("name").equals(DurableShelf.INTENTS) || n.text("name").equals(Settling.AUDIT))) {
+            if (results != null
+                    && (n.text("name").equals(DurableShelf.RESULTS)
+                            || n.text("name").equals(DurableShelf.INTENTS)
+                            || n.text("name").equals(Settling.AUDIT))) {
                 throw new BadSetting(at + ".name is '" + n.text("name") + "', which belongs to the results part");
             }
             if (!names.add(n.text("name"))) {
@@ -249,8 +305,17 @@
         if (results != null) {
             results.only("bound_mb");
         }
-        durable.only("dir", "second_dir", "segment_mb", "sector_bytes", "dead_share", "scrub_every_h", "pending_mb",
-                "force_every_ms", "upkeep_mb_per_s", "namespaces");
+        durable.only(
+                "dir",
+                "second_dir",
+                "segment_mb",
+                "sector_bytes",
+                "dead_share",
+                "scrub_every_h",
+                "pending_mb",
+                "force_every_ms",
+                "upkeep_mb_per_s",
+                "namespaces");
         if (first().equals(second())) {
             throw new BadSetting("durable.second_dir is where the first copy is: another directory is needed");
         }
--- a/daemon/src/main/java/tallyweir/config/Routing.java
+++ b/daemon/src/main/java/tallyweir/config/Routing.java
@@ -34,7 +34,7 @@
     }
 
     public final List<Target> stores = new ArrayList<>();
-    public final InetSocketAddress announce;                // null: as each server was configured
+    public final InetSocketAddress announce; // null: as each server was configured
     public final Map<String, InetSocketAddress> kernels = new TreeMap<>();
     public final Map<TenantId, Integer> caps = new HashMap<>();
     public final Set<String> standBack = new TreeSet<>();
@@ -46,8 +46,14 @@
         check(faults, () -> targets.addAll(all.each("stores")));
         for (Tree t : targets) {
             check(faults, () -> t.only("address", "weight", "workloads"));
-            check(faults, () -> stores.add(new Target(t.address("address"), t.whole("weight", 1, WEIGHT_MOST, 1),
-                    new LinkedHashSet<>(t.texts("workloads").stream().map(WorkloadId::new).toList()))));
+            check(
+                    faults,
+                    () -> stores.add(new Target(
+                            t.address("address"),
+                            t.whole("weight", 1, WEIGHT_MOST, 1),
+                            new LinkedHashSet<>(t.texts("workloads").stream()
+                                    .map(WorkloadId::new)
+                                    .toList()))));
         }
         InetSocketAddress[] at = new InetSocketAddress[1];
         check(faults, () -> at[0] = all.has("announce") ? all.address("announce") : null);
@@ -110,12 +116,16 @@
     }
 
     /** The digest of what is in force at a server, of the parts in use there. */
-    public static Digest inForce(List<Target> stores, InetSocketAddress announce, InetSocketAddress kernel,
-            Map<TenantId, Integer> caps, boolean back) {
+    public static Digest inForce(
+            List<Target> stores,
+            InetSocketAddress announce,
+            InetSocketAddress kernel,
+            Map<TenantId, Integer> caps,
+            boolean back) {
         TreeMap<String, Integer> sorted = new TreeMap<>();
         caps.forEach((t, n) -> sorted.put(t.value(), n));
-        return Digest.of("stores " + stores.stream().map(Target::text).sorted().toList() + "\nannounce " + text(announce)
-                + "\nkernel " + text(kernel) + "\ncaps " + sorted + "\nback " + back);
+        return Digest.of("stores " + stores.stream().map(Target::text).sorted().toList() + "\nannounce "
+                + text(announce) + "\nkernel " + text(kernel) + "\ncaps " + sorted + "\nback " + back);
     }
 
     private static String text(InetSocketAddress at) {
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -41,19 +41,53 @@
      * as here, unless the others change it: whoever watches wants to see what it would do.
      */
     Settings watched(Tree others) {
-        others.only("Callers", "Classes", "FamilyInfo", "OverShareWorth", "Permissions", "Projects", "RoundUs",
-                "Rules", "Servers");
+        others.only(
+                "Callers",
+                "Classes",
+                "FamilyInfo",
+                "OverShareWorth",
+                "Permissions",
+                "Projects",
+                "RoundUs",
+                "Rules",
+                "Servers");
         Tree both = all.under(others);
         Tree family = both.in("FamilyInfo");
-        others.in("FamilyInfo").only("Below", "CallsOut", "ClassCalls", "ClassSkipWorth", "ClientsTotal", "Cold", "Cpus",
-                "EntryKb", "Gauges", "Halt", "IdleUs", "LingerUs", "MemLimitKb", "PassesDeadline", "RunMemFactor",
-                "SaidForUs", "ShareForUs", "ShareSpanUs", "Signal", "TellsGone");
+        others.in("FamilyInfo")
+                .only(
+                        "Below",
+                        "CallsOut",
+                        "ClassCalls",
+                        "ClassSkipWorth",
+                        "ClientsTotal",
+                        "Cold",
+                        "Cpus",
+                        "EntryKb",
+                        "Gauges",
+                        "Halt",
+                        "IdleUs",
+                        "LingerUs",
+                        "MemLimitKb",
+                        "PassesDeadline",
+                        "RunMemFactor",
+                        "SaidForUs",
+                        "ShareForUs",
+                        "ShareSpanUs",
+                        "Signal",
+                        "TellsGone");
         others.in("Rules").only("AnswerSlackUs", "ColdFrom", "ColdUs", "DrainGraceUs", "FallMultiple", "FallUs");
         others.in("Permissions").only("CpuUsPerRequest", "CpuUsPerS", "MaxRetryAfterUs", "RetryAfter");
         others.in("Callers").only("MarksRetry");
         family.word("Halt", "off", "abort", "suspend");
         family.word("Signal", "off", "threshold", "window", "share_of");
-        for (String name : List.of("CallsOut", "ClientsTotal", "EntryKb", "IdleUs", "LingerUs", "MemLimitKb", "ShareForUs",
+        for (String name : List.of(
+                "CallsOut",
+                "ClientsTotal",
+                "EntryKb",
+                "IdleUs",
+                "LingerUs",
+                "MemLimitKb",
+                "ShareForUs",
                 "ShareSpanUs")) {
             family.least(name, 0);
         }
@@ -68,8 +102,8 @@
             c.least("DeadlineUs", 0);
             c.least("RepeatWindowUs", 0);
         }
-        Settings watched = new Settings(both, !family.same("Halt", info), !family.same("ClassSkipWorth", info),
-                !family.same("Signal", info));
+        Settings watched = new Settings(
+                both, !family.same("Halt", info), !family.same("ClassSkipWorth", info), !family.same("Signal", info));
         for (WorkloadId id : workloads().keySet()) {
             if (!watched.workloads().containsKey(id)) {
                 throw new BadSetting("watch.settings.Classes lacks the class " + id.value() + " that is in force");
@@ -105,27 +139,40 @@
     /** Hands the settings over, with what the front's protocol has no message for left out, and starts. */
     public void start(Choice choice, boolean cold, boolean pauses, boolean poorer, boolean says) {
         Halt halt = halt();
-        choice.machine(info.whole("Cpus", 1, 1 << 16), rules.number("FallMultiple", 1), cold,
-                rules.number("ColdFrom", 1), rules.time("ColdUs"),
+        choice.machine(
+                info.whole("Cpus", 1, 1 << 16),
+                rules.number("FallMultiple", 1),
+                cold,
+                rules.number("ColdFrom", 1),
+                rules.time("ColdUs"),
                 halt == Halt.SUSPEND && !pauses ? Halt.OFF : halt);
         choice.memory(info.number("MemLimitKb"), info.number("RunMemFactor", 1), info.number("EntryKb", 0));
         choice.below(info.number("CallsOut", 0), info.time("ShareSpanUs"), info.time("LingerUs") + 1);
         List<Tree> classes = all.each("Classes");
         for (int i = 0; i < classes.size(); i++) {
             Tree c = classes.get(i);
-            choice.workload(new WorkloadId(c.text("Name", "")), effect(c), c.time("TargetUs"),
-                    c.time("DeadlineUs"), c.number("Worth", 1), c.number("LateValue", 0),
-                    c.time("RepeatWindowUs") + 1, info.yesAt("ClassCalls", i),
+            choice.workload(
+                    new WorkloadId(c.text("Name", "")),
+                    effect(c),
+                    c.time("TargetUs"),
+                    c.time("DeadlineUs"),
+                    c.number("Worth", 1),
+                    c.number("LateValue", 0),
+                    c.time("RepeatWindowUs") + 1,
+                    info.yesAt("ClassCalls", i),
                     poorer ? info.numberAt("ClassSkipWorth", i) : 0);
         }
         for (Tree t : all.each("Projects")) {
-            choice.tenant(new TenantId(t.text("Name", "")), t.number("QuotaPerS", 0),
-                    (int) all.number("Servers", 1));
+            choice.tenant(new TenantId(t.text("Name", "")), t.number("QuotaPerS", 0), (int) all.number("Servers", 1));
         }
-        choice.duties((long) Math.ceil(all.number("RoundUs", 0) / 100), rules.time("DrainGraceUs"),
+        choice.duties(
+                (long) Math.ceil(all.number("RoundUs", 0) / 100),
+                rules.time("DrainGraceUs"),
                 all.number("OverShareWorth", 1));
         Tree permissions = all.in("Permissions");
-        choice.callers(says ? said() : Said.OFF, shareFor(),
+        choice.callers(
+                says ? said() : Said.OFF,
+                shareFor(),
                 permissions.yes("RetryAfter") ? permissions.time("MaxRetryAfterUs") : 0);
         choice.connections(idleMost());
         choice.start();
@@ -181,7 +228,10 @@
 
     /** The longest time that any workload's caller waits in all. */
     public long longestHard() {
-        return all.each("Classes").stream().mapToLong(c -> c.time("DeadlineUs")).max().orElse(0);
+        return all.each("Classes").stream()
+                .mapToLong(c -> c.time("DeadlineUs"))
+                .max()
+                .orElse(0);
     }
 
     /** Where a gauge stands among those that come, -1 if it does not come. */
--- a/daemon/src/main/java/tallyweir/config/Tree.java
+++ b/daemon/src/main/java/tallyweir/config/Tree.java
@@ -137,8 +137,8 @@
     public int whole(String name, int least, int most) {
         double d = number(name);
         if (d != Math.rint(d) || d < least || d > most) {
-            throw new BadSetting(key(name) + " is " + d + ": a whole number from " + least + " to " + most
-                    + " is needed");
+            throw new BadSetting(
+                    key(name) + " is " + d + ": a whole number from " + least + " to " + most + " is needed");
         }
         return (int) d;
     }
@@ -174,8 +174,11 @@
     @SuppressWarnings("unchecked")
     private static Map<String, Object> merged(Map<String, Object> under, Map<String, Object> over) {
         Map<String, Object> all = new LinkedHashMap<>(under);
-        over.forEach((name, value) -> all.put(name, value instanceof Map && under.get(name) instanceof Map
-                ? merged((Map<String, Object>) under.get(name), (Map<String, Object>) value) : value));
+        over.forEach((name, value) -> all.put(
+                name,
+                value instanceof Map && under.get(name) instanceof Map
+                        ? merged((Map<String, Object>) under.get(name), (Map<String, Object>) value)
+                        : value));
         return all;
     }
 
--- a/daemon/src/main/java/tallyweir/fastcgi/Fields.java
+++ b/daemon/src/main/java/tallyweir/fastcgi/Fields.java
@@ -21,8 +21,8 @@
     public static final String STAMP = "HTTP_ONCE_KEY";
     public static final String PATH = "SCRIPT_NAME";
     public static final String METHOD = "REQUEST_METHOD";
-    private static final Set<String> NEEDED = Set.of(ID, RECEIVED, CALLER, TENANT, PATIENCE, AGAIN, SIZE, RANK,
-            SUBJECT, STAMP, PATH, METHOD);
+    private static final Set<String> NEEDED =
+            Set.of(ID, RECEIVED, CALLER, TENANT, PATIENCE, AGAIN, SIZE, RANK, SUBJECT, STAMP, PATH, METHOD);
     private static final int VALUE_MOST = 256;
 
     private final Map<String, String> values = new HashMap<>();
@@ -48,8 +48,7 @@
             if (name > params.length - at[0] || value > params.length - at[0] - name) {
                 throw new IllegalArgumentException("a pair reaches past the end");
             }
-            pairs.put(new String(params, at[0], name, ISO_8859_1),
-                    new String(params, at[0] + name, value, ISO_8859_1));
+            pairs.put(new String(params, at[0], name, ISO_8859_1), new String(params, at[0] + name, value, ISO_8859_1));
             at[0] += name + value;
         }
         return pairs;
--- a/daemon/src/main/java/tallyweir/fastcgi/Reader.java
+++ b/daemon/src/main/java/tallyweir/fastcgi/Reader.java
@@ -35,11 +35,17 @@
         void bad(String why);
     }
 
-    public enum Refusal { PARAMS, TOO_BIG, ROLE, OVERLOADED }
+    /** Why a request was refused before anybody looked at it. */
+    public enum Refusal {
+        PARAMS,
+        TOO_BIG,
+        ROLE,
+        OVERLOADED
+    }
 
     private static final class Request {
         boolean keep;
-        boolean told;          // handed over or refused; an answer is under way
+        boolean told; // handed over or refused; an answer is under way
         boolean paramsEnded;
         final Bytes params = new Bytes(PARAMS_MOST);
         final Bytes body = new Bytes(BODY_MOST);
@@ -53,7 +59,7 @@
     private int contentLeft;
     private int paddingLeft;
     private final Bytes whole = new Bytes(MANAGEMENT_MOST); // a record that is taken only whole
-    private long passed;  // bytes in a row that belong to no request, or to one refused
+    private long passed; // bytes in a row that belong to no request, or to one refused
     private boolean over;
 
     public Reader(Sink sink) {
@@ -156,7 +162,7 @@
         }
         passed += Records.HEADER;
         if (passed > PASSED_MOST) {
-            bad("over " + PASSED_MOST + " bytes that belong to no request");  // one that never ends
+            bad("over " + PASSED_MOST + " bytes that belong to no request"); // one that never ends
             return;
         }
         Request r = open.get(id());
@@ -177,14 +183,16 @@
                     bodyEnded(r);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
     private void managementEnded() {
         try {
-            sink.reply(type() == Records.GET_VALUES ? Records.values(Fields.pairs(whole.copy()).keySet())
-                    : Records.unknownType(type()));
+            sink.reply(
+                    type() == Records.GET_VALUES
+                            ? Records.values(Fields.pairs(whole.copy()).keySet())
+                            : Records.unknownType(type()));
         } catch (IllegalArgumentException e) {
             bad("a management record: " + e.getMessage());
         }
--- a/daemon/src/main/java/tallyweir/fastcgi/Records.java
+++ b/daemon/src/main/java/tallyweir/fastcgi/Records.java
@@ -116,7 +116,8 @@
     }
 
     private static void header(ByteArrayOutputStream out, int type, RequestId id, int length) {
-        out.writeBytes(new byte[] {VERSION, (byte) type, (byte) (id.value() >> 8), (byte) id.value(), (byte) (length >> 8),
-            (byte) length, 0, 0});
+        out.writeBytes(new byte[] {
+            VERSION, (byte) type, (byte) (id.value() >> 8), (byte) id.value(), (byte) (length >> 8), (byte) length, 0, 0
+        });
     }
 }
--- a/daemon/src/main/java/tallyweir/net/Arrivals.java
+++ b/daemon/src/main/java/tallyweir/net/Arrivals.java
@@ -12,19 +12,19 @@
  * a caller whose answers stand because it does not read them.
  */
 final class Arrivals {
-    static final int PIECES_MOST = 2;   // of one caller
-    static final int PEER_PIECES_MOST = 64;  // of one peer: guards against a reply without end, taken too slowly
-    static final int TURNS_MOST = 64;   // of callers, between two looks at the peers
+    static final int PIECES_MOST = 2; // of one caller
+    static final int PEER_PIECES_MOST = 64; // of one peer: guards against a reply without end, taken too slowly
+    static final int TURNS_MOST = 64; // of callers, between two looks at the peers
 
     /** The pieces of one connection; suspend and resume say whether it may be read. */
     static final class Inbox {
         private final ArrayDeque<Runnable> pieces = new ArrayDeque<>(PIECES_MOST);
         private final Runnable suspend;
         private final Runnable resume;
-        private int waiting;       // pieces here, of a caller or a peer
+        private int waiting; // pieces here, of a caller or a peer
         private final AtomicInteger unread = new AtomicInteger(); // the same, and those taken whose turn has not come
-        private volatile boolean reading;  // bytes have left the socket and are not here yet
-        private boolean stands;    // what was written to it has not gone out
+        private volatile boolean reading; // bytes have left the socket and are not here yet
+        private boolean stands; // what was written to it has not gone out
         private boolean suspended;
 
         Inbox(Runnable suspend, Runnable resume) {
@@ -123,7 +123,7 @@
     void take(List<Runnable> into, long nanos) throws InterruptedException {
         lock.lock();
         try {
-            for (long left = nanos; left > 0 && first.isEmpty() && turns.isEmpty();) {
+            for (long left = nanos; left > 0 && first.isEmpty() && turns.isEmpty(); ) {
                 left = something.awaitNanos(left);
             }
             into.addAll(first);
--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -17,7 +17,7 @@
     private final int most;
     private final Runnable shut;
     private final AtomicInteger open = new AtomicInteger();
-    private volatile SelectionKey waits;  // the listener's, while nobody is let in
+    private volatile SelectionKey waits; // the listener's, while nobody is let in
 
     /** @param shut told each time that nobody more is let in */
     GatedAcceptor(IoProcessor<NioSession> processor, int most, Runnable shut) {
@@ -34,7 +34,7 @@
             waits = key;
             shut.run();
             if (open.get() < most) {
-                letIn();  // one has ended meanwhile
+                letIn(); // one has ended meanwhile
             }
             return null;
         }
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -31,7 +31,6 @@
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
-import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramConnector;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -58,26 +57,28 @@
     private static final AttributeKey SLOT = new AttributeKey(Server.class, "slot");
     private static final AttributeKey LINK = new AttributeKey(Server.class, "link");
     private static final AttributeKey INBOX = new AttributeKey(Server.class, "inbox");
-    private static final AttributeKey WRITTEN = new AttributeKey(Server.class, "written"); // bytes, before what was written last
-    private static final AttributeKey WAITS = new AttributeKey(Server.class, "waits");     // for what was written to go out
-    private static final int READ_MOST = 8 << 10;        // a piece; a few of each caller lie here at the most
-    private static final int UNWRITTEN_MOST = 64 << 10;  // of one connection, then it is not read until that has gone out
-    private static final int UNWRITTEN_ALL = 4 << 20;    // of all, then the one with most is closed
-    private static final int WRITE_SECONDS = 10;         // that a peer may take nothing
+    private static final AttributeKey WRITTEN =
+            new AttributeKey(Server.class, "written"); // bytes, before what was written last
+    private static final AttributeKey WAITS = new AttributeKey(Server.class, "waits"); // for what was written to go out
+    private static final int READ_MOST = 8 << 10; // a piece; a few of each caller lie here at the most
+    private static final int UNWRITTEN_MOST =
+            64 << 10; // of one connection, then it is not read until that has gone out
+    private static final int UNWRITTEN_ALL = 4 << 20; // of all, then the one with most is closed
+    private static final int WRITE_SECONDS = 10; // that a peer may take nothing
     private static final int NO_PROGRESS_MILLIS = 1_000; // then a caller that takes nothing may give way to others
     private static final int CONNECT_MILLIS = 2_000;
     private static final int BACKLOG = 4_096;
-    private static final long FAR = 10_000;              // no sleep is longer than a second
+    private static final long FAR = 10_000; // no sleep is longer than a second
 
     private Config config;
     private final Arrivals arrived = new Arrivals();
-    private final ArrayDeque<Runnable> own = new ArrayDeque<>();  // what the deciding thread told itself
+    private final ArrayDeque<Runnable> own = new ArrayDeque<>(); // what the deciding thread told itself
     private final Map<ConnectionId, IoSession> callers = new HashMap<>();
-    private final Map<LinkId, Long> opening = new LinkedHashMap<>();  // since when, the oldest first
+    private final Map<LinkId, Long> opening = new LinkedHashMap<>(); // since when, the oldest first
     private final Map<LinkId, IoSession> peers = new HashMap<>();
     private final Map<IoSession, ByteArrayOutputStream> toWrite = new LinkedHashMap<>();
     private final Set<IoSession> toEnd = new LinkedHashSet<>();
-    private final Set<IoSession> standing = new LinkedHashSet<>();  // callers with answers that do not go out
+    private final Set<IoSession> standing = new LinkedHashSet<>(); // callers with answers that do not go out
     // Peers have a thread of their own, so that no flood of callers stands before them.
     private final IoProcessor<NioSession> callersProcessor = new SimpleIoProcessorPool<>(CallersProcessor.class, 1);
     private IoProcessor<NioSession> peersProcessor;
@@ -89,9 +90,9 @@
     private final Thread deciding = Thread.currentThread();
     private final Backend backend;
     private IoSession reports;
-    private long reportsOpening;   // since when, 0 for not
-    private Runnable lookAgain = () -> { };
-    private InetSocketAddress kernelAt;    // by a revision of the fleet, null for where it was configured
+    private long reportsOpening; // since when, 0 for not
+    private Runnable lookAgain = () -> {};
+    private InetSocketAddress kernelAt; // by a revision of the fleet, null for where it was configured
     private InetSocketAddress announceAt;
 
     /** Made and run by the thread that is to decide. */
@@ -109,7 +110,8 @@
         this.config = config;
         try {
             backend = new Backend(this, config, now(), startWall, shelves.make(this::tell));
-            acceptor = new GatedAcceptor(callersProcessor, Backend.callersMost(config.sockets), () -> tell(backend::full));
+            acceptor =
+                    new GatedAcceptor(callersProcessor, Backend.callersMost(config.sockets), () -> tell(backend::full));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -118,7 +120,7 @@
     /** Listens; the address being taken is the one thing that ends the start. */
     public void bind() throws IOException {
         acceptor.getSessionConfig().setMaxReadBufferSize(READ_MOST);
-        acceptor.getSessionConfig().setWriteTimeout(0);  // one that reads slowly gets all its answers
+        acceptor.getSessionConfig().setWriteTimeout(0); // one that reads slowly gets all its answers
         acceptor.getSessionConfig().setTcpNoDelay(true);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
@@ -257,7 +259,8 @@
         });
         toWrite.clear();
         goneOut();
-        toEnd.removeIf(session -> !session.isConnected() || session.getScheduledWriteBytes() == 0 && endOutput(session));
+        toEnd.removeIf(
+                session -> !session.isConnected() || session.getScheduledWriteBytes() == 0 && endOutput(session));
     }
 
     /** Whether nothing has left this process since the last time that something was to be written. */
@@ -275,9 +278,12 @@
             }
             return over;
         });
-        long all = standing.stream().mapToLong(IoSession::getScheduledWriteBytes).sum();
+        long all =
+                standing.stream().mapToLong(IoSession::getScheduledWriteBytes).sum();
         if (all > UNWRITTEN_ALL) {
-            IoSession most = standing.stream().max(Comparator.comparingLong(IoSession::getScheduledWriteBytes)).orElseThrow();
+            IoSession most = standing.stream()
+                    .max(Comparator.comparingLong(IoSession::getScheduledWriteBytes))
+                    .orElseThrow();
             LOG.warn("a connection is closed: answers that are not read take too much memory");
             backend.unread();
             most.closeNow();
@@ -292,7 +298,7 @@
         try {
             channel(session).shutdownOutput();
         } catch (IOException e) {
-            session.closeNow();  // it has ended by itself
+            session.closeNow(); // it has ended by itself
         }
         return true;
     }
@@ -356,7 +362,7 @@
             @Override
             public void exceptionCaught(IoSession session, Throwable cause) {
                 if (!channel(session).socket().isOutputShutdown()) {
-                    tell(backend::reset);  // else it is how some answer the end of our side
+                    tell(backend::reset); // else it is how some answer the end of our side
                 }
                 super.exceptionCaught(session, cause);
             }
@@ -364,7 +370,7 @@
             @Override
             public void messageSent(IoSession session, Object message) {
                 if (session.containsAttribute(WAITS)) {
-                    tell(() -> { });  // a round looks what has gone out
+                    tell(() -> {}); // a round looks what has gone out
                 }
             }
 
@@ -406,7 +412,7 @@
                         peers.put(link, session);
                         backend.up(link);
                     } else {
-                        session.closeNow();  // dropped meanwhile
+                        session.closeNow(); // dropped meanwhile
                     }
                 });
             }
@@ -462,8 +468,12 @@
     @Override
     public boolean endQuiet(ConnectionId caller) {
         IoSession session = callers.get(caller);
-        return session == null || !toWrite.containsKey(session) && session.getScheduledWriteBytes() == 0
-                && !unread(session) && Arrivals.isEmpty(inbox(session)) && endOutput(session);
+        return session == null
+                || !toWrite.containsKey(session)
+                        && session.getScheduledWriteBytes() == 0
+                        && !unread(session)
+                        && Arrivals.isEmpty(inbox(session))
+                        && endOutput(session);
     }
 
     @Override
@@ -478,8 +488,10 @@
     @Override
     public boolean dropStuck() {
         long before = System.currentTimeMillis() - NO_PROGRESS_MILLIS;
-        IoSession longest = standing.stream().filter(s -> s.getLastWriteTime() < before)
-                .min(Comparator.comparingLong(IoSession::getLastWriteTime)).orElse(null);
+        IoSession longest = standing.stream()
+                .filter(s -> s.getLastWriteTime() < before)
+                .min(Comparator.comparingLong(IoSession::getLastWriteTime))
+                .orElse(null);
         if (longest != null) {
             standing.remove(longest);
             longest.closeNow();
@@ -507,23 +519,27 @@
 
     private void to(IoSession session, byte[] bytes) {
         if (session != null) {
-            toWrite.computeIfAbsent(session, s -> new ByteArrayOutputStream(bytes.length)).writeBytes(bytes);
+            toWrite.computeIfAbsent(session, s -> new ByteArrayOutputStream(bytes.length))
+                    .writeBytes(bytes);
         }
     }
 
     @Override
     public void connect(LinkId link, Peer peer, InetSocketAddress at) {
         opening.put(link, now());
-        SocketAddress to = at != null ? at : peer == Peer.STORE ? config.store : kernelAt != null ? kernelAt : config.kernel;
-        if (to == null) {  // a run calls though no workload was to
+        SocketAddress to =
+                at != null ? at : peer == Peer.STORE ? config.store : kernelAt != null ? kernelAt : config.kernel;
+        if (to == null) { // a run calls though no workload was to
             tell(() -> refused(link));
             return;
         }
-        connector.connect(to, (session, future) -> session.setAttribute(LINK, link)).addListener(future -> {
-            if (!((ConnectFuture) future).isConnected()) {
-                tell(() -> refused(link));
-            }
-        });
+        connector
+                .connect(to, (session, future) -> session.setAttribute(LINK, link))
+                .addListener(future -> {
+                    if (!((ConnectFuture) future).isConnected()) {
+                        tell(() -> refused(link));
+                    }
+                });
     }
 
     private void refused(LinkId link) {
@@ -569,17 +585,20 @@
         } else if (reportsOpening == 0) {
             reportsOpening = now();
             SocketAddress to = announceAt();
-            datagrams.connect(to).addListener(future -> tell(() -> {
-                reportsOpening = 0;
-                IoSession opened = ((ConnectFuture) future).isConnected() ? ((ConnectFuture) future).getSession() : null;
-                if (opened != null && !to.equals(announceAt())) {
-                    opened.closeNow();  // the service has moved meanwhile
-                    report(datagram);
-                } else if (opened != null) {
-                    reports = opened;
-                    reports.write(IoBuffer.wrap(datagram));
-                }
-            }));
+            datagrams
+                    .connect(to)
+                    .addListener(future -> tell(() -> {
+                        reportsOpening = 0;
+                        IoSession opened =
+                                ((ConnectFuture) future).isConnected() ? ((ConnectFuture) future).getSession() : null;
+                        if (opened != null && !to.equals(announceAt())) {
+                            opened.closeNow(); // the service has moved meanwhile
+                            report(datagram);
+                        } else if (opened != null) {
+                            reports = opened;
+                            reports.write(IoBuffer.wrap(datagram));
+                        }
+                    }));
         }
     }
 
@@ -598,7 +617,9 @@
     /** Where the kernel, the store and the announce service are from now on; all else stays as at the start. */
     public void move(Config to) {
         tell(() -> {
-            if (to.kernel.equals(config.kernel) && Objects.equals(to.store, config.store) && to.announce.equals(config.announce)) {
+            if (to.kernel.equals(config.kernel)
+                    && Objects.equals(to.store, config.store)
+                    && to.announce.equals(config.announce)) {
                 return;
             }
             config = to;
@@ -613,8 +634,16 @@
 
     /** This server is in a fleet; to be called before it runs. */
     public void seat(Way way, long linger, long again, boolean backWhole, Set<Guard> without) {
-        backend.seat(way, this::tell, config.listen.getHostString() + ":" + config.listen.getPort(), linger, again, backWhole,
-                config.seed, startWall, without);
+        backend.seat(
+                way,
+                this::tell,
+                config.listen.getHostString() + ":" + config.listen.getPort(),
+                linger,
+                again,
+                backWhole,
+                config.seed,
+                startWall,
+                without);
     }
 
     /** All is answered: the fleet need not find out by itself that this server has ended. */
@@ -641,6 +670,7 @@
     public String counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
         tell(() -> line.complete(backend.counters().line()));
-        return line.completeOnTimeout("no counters: the server is stuck", 1, TimeUnit.SECONDS).join();
+        return line.completeOnTimeout("no counters: the server is stuck", 1, TimeUnit.SECONDS)
+                .join();
     }
 }
--- a/daemon/src/main/java/tallyweir/store/Replies.java
+++ b/daemon/src/main/java/tallyweir/store/Replies.java
@@ -20,7 +20,7 @@
     private final Sink sink;
     private final StringBuilder line = new StringBuilder();
     private JobId job;
-    private byte[] body;     // being read, with its line end; null between replies
+    private byte[] body; // being read, with its line end; null between replies
     private int bodyRead;
     private boolean over;
 
--- a/daemon/src/main/java/tallyweir/wirehost/News.java
+++ b/daemon/src/main/java/tallyweir/wirehost/News.java
@@ -39,13 +39,26 @@
     private double runQueue;
 
     void read(JsonParser in) throws IOException {
-        name = resource = grade = tenant = how = null;
-        id = earlier = from = age = budget = predicted = took = ctx = seed = NONE;
+        name = null;
+        resource = null;
+        grade = null;
+        tenant = null;
+        how = null;
+        id = NONE;
+        earlier = NONE;
+        from = NONE;
+        age = NONE;
+        budget = NONE;
+        predicted = NONE;
+        took = NONE;
+        ctx = NONE;
+        seed = NONE;
         size = NONE;
         rank = 0;
         again = false;
         params = null;
-        coresBusy = runQueue = 0;
+        coresBusy = 0;
+        runQueue = 0;
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String field = in.currentName();
             if (in.nextToken() == JsonToken.VALUE_NULL) {
@@ -91,7 +104,7 @@
             switch (gauge) {
                 case "core_use" -> coresBusy = in.getDoubleValue();
                 case "on_cores" -> runQueue = in.getDoubleValue();
-                default -> { }
+                default -> {}
             }
         }
     }
@@ -114,11 +127,20 @@
         choice.clock(wall / 100);
         switch (name) {
             case "Destroy" -> host.destroy();
-            case "Incoming" -> choice.read(query(), earlier == NONE || earlier == 0 ? null : new QueryId(earlier),
-                    new CallerId(from), resource == null ? null : new SubjectId(resource),
-                    new WorkloadId(needed(grade, "Grade")), needed(size, "SizeKb"),
-                    age == NONE ? 0 : (age + 99) / 100, rank, budget == NONE ? 0 : budget / 100, again,
-                    tenant == null ? null : new TenantId(tenant), predicted == NONE ? 0 : (predicted + 99) / 100);
+            case "Incoming" ->
+                choice.read(
+                        query(),
+                        earlier == NONE || earlier == 0 ? null : new QueryId(earlier),
+                        new CallerId(from),
+                        resource == null ? null : new SubjectId(resource),
+                        new WorkloadId(needed(grade, "Grade")),
+                        needed(size, "SizeKb"),
+                        age == NONE ? 0 : (age + 99) / 100,
+                        rank,
+                        budget == NONE ? 0 : budget / 100,
+                        again,
+                        tenant == null ? null : new TenantId(tenant),
+                        predicted == NONE ? 0 : (predicted + 99) / 100);
             case "Settled" -> choice.ended(query(), outcome());
             case "NeedsDep" -> choice.standsAtCall(query());
             case "DepReply" -> choice.callEnded(query(), outcome(), took == NONE ? 0 : (took + 99) / 100);
@@ -129,7 +151,7 @@
                 choice.gauges(coresBusy, runQueue);
                 choice.timer(new TimerId(ctx));
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -176,7 +198,8 @@
             throw new BadInput(field + " is not a whole number");
         }
         return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                ? in.getBigIntegerValue().longValue() : in.getLongValue();
+                ? in.getBigIntegerValue().longValue()
+                : in.getLongValue();
     }
 
     private static double number(JsonParser in, String field) throws IOException {
--- a/daemon/src/main/java/tallyweir/wirehost/WireHost.java
+++ b/daemon/src/main/java/tallyweir/wirehost/WireHost.java
@@ -21,7 +21,9 @@
 /** Reads batches, hands each piece of news to its instance, and writes one reply a batch. */
 public final class WireHost {
     private final JsonFactory json = JsonFactory.builder()
-            .streamReadConstraints(StreamReadConstraints.builder().maxStringLength(1 << 24).build()).build();
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxStringLength(1 << 24).build())
+            .build();
     private final Map<Integer, Host> hosts = new HashMap<>();
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(1 << 16);
     private final News news = new News();
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -50,7 +50,8 @@
               "Permissions":{"RetryAfter":true,"MaxRetryAfterUs":1000000},
               "Rules":{"AnswerSlackUs":60000,"DrainGraceUs":1000000,"FallMultiple":8,"FallUs":3000000}}}""";
     static final long SLACK = 600 + 500;
-    static final int MOST = 28;  // connections of callers that 64 sockets have room for, beside what the process itself needs
+    static final int MOST =
+            28; // connections of callers that 64 sockets have room for, beside what the process itself needs
 
     /** A request as its sidecar knows it. */
     static final class Asked {
@@ -66,7 +67,7 @@
         int answers;
         Answered answer;
         int ran;
-        boolean effectKept = true;  // no other call of it may have had its effect
+        boolean effectKept = true; // no other call of it may have had its effect
         String result;
     }
 
@@ -88,21 +89,21 @@
         final Map<Integer, ByteArrayOutputStream> conns = new LinkedHashMap<>();
         final Map<Integer, Integer> seen = new HashMap<>();
         final List<Asked> asked = new ArrayList<>();
-        final Map<String, String> jobs = new LinkedHashMap<>();   // running or at call, by name
-        final Map<String, String> calls = new LinkedHashMap<>();  // bodies of calls in the store's hands
-        final Map<String, String> owed = new HashMap<>();         // replies that the kernel has to see
+        final Map<String, String> jobs = new LinkedHashMap<>(); // running or at call, by name
+        final Map<String, String> calls = new LinkedHashMap<>(); // bodies of calls in the store's hands
+        final Map<String, String> owed = new HashMap<>(); // replies that the kernel has to see
         final List<String> log = new ArrayList<>();
         final List<String> wrong = new ArrayList<>();
         final Map<LinkId, Peer> opening = new LinkedHashMap<>();
         final Map<LinkId, Peer> up = new LinkedHashMap<>();
         final Map<String, LinkId> calledOn = new HashMap<>();
         long now = 1_000_000;
-        long wall = 100_000_000;  // ahead of the other clock
+        long wall = 100_000_000; // ahead of the other clock
         long n;
         boolean kernelUp;
         final List<Integer> closing = new ArrayList<>();
-        final Set<Integer> unread = new HashSet<>();  // connections on which bytes lie that nobody has read yet
-        boolean waiting;                              // callers that are not let in
+        final Set<Integer> unread = new HashSet<>(); // connections on which bytes lie that nobody has read yet
+        boolean waiting; // callers that are not let in
         String tag;
 
         Round() {
@@ -126,7 +127,10 @@
         }
 
         static LinkId last(Map<LinkId, Peer> of, Peer peer) {
-            return of.keySet().stream().filter(l -> of.get(l) == peer).reduce((a, b) -> b).orElse(null);
+            return of.keySet().stream()
+                    .filter(l -> of.get(l) == peer)
+                    .reduce((a, b) -> b)
+                    .orElse(null);
         }
 
         boolean wants(Peer peer) {
@@ -223,11 +227,28 @@
             a.body = body;
             a.due = now + patience;
             asked.add(a);
-            String[] fields = {"REQUEST_METHOD", "POST", "SCRIPT_NAME", "/do/" + workload, "HTTP_REQUEST_ID", a.job,
-                "HTTP_RECEIVED_AT", "" + (now + 100_000_000) / 10, "HTTP_SENT_BY", "4", "HTTP_ACCOUNT", "a",
-                "HTTP_BUDGET_MS", "" + patience / 10, "HTTP_FOOTPRINT_KB", "24.5", "HTTP_PRIORITY_RANK", "0.6250",
+            String[] fields = {
+                "REQUEST_METHOD",
+                "POST",
+                "SCRIPT_NAME",
+                "/do/" + workload,
+                "HTTP_REQUEST_ID",
+                a.job,
+                "HTTP_RECEIVED_AT",
+                "" + (now + 100_000_000) / 10,
+                "HTTP_SENT_BY",
+                "4",
+                "HTTP_ACCOUNT",
+                "a",
+                "HTTP_BUDGET_MS",
+                "" + patience / 10,
+                "HTTP_FOOTPRINT_KB",
+                "24.5",
+                "HTTP_PRIORITY_RANK",
+                "0.6250",
                 workload.equals("k") ? "HTTP_ONCE_KEY" : mark == null ? "X" : "HTTP_RESOURCE_KEY",
-                mark == null ? "" : mark};
+                mark == null ? "" : mark
+            };
             fields = Arrays.copyOf(fields, fields.length + more.length);
             System.arraycopy(more, 0, fields, fields.length - more.length, more.length);
             send(conn, Model.request(a.id, body.getBytes(UTF_8), false, 3, fields));
@@ -249,7 +270,7 @@
         }
 
         void pass(long span) {
-            for (long end = now + span; now < end;) {
+            for (long end = now + span; now < end; ) {
                 now = Math.min(end, Math.max(now + 1, backend.next()));
                 clock();
                 backend.pass();
@@ -276,7 +297,8 @@
                 List<Answered> all = answers(conn);
                 all.subList(seen.put(conn, all.size()), all.size()).forEach(w -> answered(conn, w));
             });
-            asked.stream().filter(a -> a.whole && !a.aborted && a.answers == 0 && now > a.due + SLACK)
+            asked.stream()
+                    .filter(a -> a.whole && !a.aborted && a.answers == 0 && now > a.due + SLACK)
                     .forEach(a -> deny(++a.answers == 1, "lost " + a.job));
         }
 
@@ -287,8 +309,12 @@
                     a.answers++;
                     a.answer = w;
                     deny(a.answers > 1, "answered twice " + a.job);
-                    deny(w.status() == 200 && asked.stream().noneMatch(o -> o.workload.equals(a.workload)
-                            && w.body().equals(o.result)), "served with what no run made " + a.job);
+                    deny(
+                            w.status() == 200
+                                    && asked.stream()
+                                            .noneMatch(o -> o.workload.equals(a.workload)
+                                                    && w.body().equals(o.result)),
+                            "served with what no run made " + a.job);
                     deny(w.status() == 503 && a.ran > 0 && !a.workload.equals("c"), "deferred once run " + a.job);
                     deny(!a.valid && w.status() / 100 != 4, "taken though malformed " + a.job);
                 }
@@ -457,13 +483,23 @@
             r.pass(1_000);
         }
         List.copyOf(r.conns.keySet()).forEach(r::end);
-        r.pass(110_000);  // past the window, and what came within it and lay unread for the longest
+        r.pass(110_000); // past the window, and what came within it and lay unread for the longest
         assertEquals(List.of(), r.wrong.stream().limit(5).toList());
-        assertEquals(List.of(0L, 0L, 0L, 0L), List.of(r.number("faults"), r.number("now_connections"),
-                r.number("now_queries"), r.number("now_entries")));
+        assertEquals(
+                List.of(0L, 0L, 0L, 0L),
+                List.of(
+                        r.number("faults"),
+                        r.number("now_connections"),
+                        r.number("now_queries"),
+                        r.number("now_entries")));
         assertTrue(r.number("now_deadlines") < 8, "" + r.number("now_deadlines"));
-        assertEquals(r.number("queries_read"), r.number("answered_handled") + r.number("answered_deferred")
-                + r.number("answered_errored") + r.number("queries_gone"), "each query has one end");
+        assertEquals(
+                r.number("queries_read"),
+                r.number("answered_handled")
+                        + r.number("answered_deferred")
+                        + r.number("answered_errored")
+                        + r.number("queries_gone"),
+                "each query has one end");
         assertEquals(0, r.number("answered_by_the_last_guard"));
     }
 
@@ -482,11 +518,17 @@
             r.open();
         } else if (kind < 40) {
             String workload = new String[] {"c", "c", "k", "u"}[chance.nextInt(4)];
-            Asked a = r.ask(conn, workload, "b" + chance.nextInt(1_000), 200 + chance.nextInt(20_000),
+            Asked a = r.ask(
+                    conn,
+                    workload,
+                    "b" + chance.nextInt(1_000),
+                    200 + chance.nextInt(20_000),
                     workload.equals("u") ? null : "m" + chance.nextInt(6));
             a.valid = true;
         } else if (kind < 44) {
-            List<Asked> open = r.asked.stream().filter(a -> a.conn == conn && a.answers == 0).toList();
+            List<Asked> open = r.asked.stream()
+                    .filter(a -> a.conn == conn && a.answers == 0)
+                    .toList();
             if (!open.isEmpty()) {
                 r.send(conn, Model.record(2, open.get(0).id, 0, new byte[0]));
             }
@@ -494,7 +536,7 @@
             r.send(conn, Model.record(1, 1_000 + r.asked.size(), 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
             r.end(conn);
         } else if (kind < 50) {
-            r.send(conn, new byte[] {1, 2});  // part of a record; what follows cannot be read
+            r.send(conn, new byte[] {1, 2}); // part of a record; what follows cannot be read
             r.end(conn);
         } else if (kind < 75 && r.kernelUp && job != null) {
             boolean runs = r.jobs.get(job).equals("runs");
@@ -505,7 +547,9 @@
                 r.notice("IOREQ", job, "", "call of " + job);
             } else if (runs) {
                 boolean over = r.of(job).answers > 0 || r.of(job).aborted;
-                r.reap(job, new String[] {"good", "good", "bad", over ? "gone" : "good"}[chance.nextInt(4)],
+                r.reap(
+                        job,
+                        new String[] {"good", "good", "bad", over ? "gone" : "good"}[chance.nextInt(4)],
                         "made for " + job);
             } else if (r.of(job).aborted || r.of(job).answers > 0) {
                 r.reap(job, "cut", "");
@@ -578,8 +622,11 @@
             r.pass(i == 38 ? 10_010 : 10);
         }
         log.removeHandler(handler);
-        assertEquals(List.of("404: no workload at '/do/nothing'", "left_out=38 404: no workload at '/do/nothing'"),
-                lines.stream().map(l -> l.replace("a query was not taken, ", "")).toList());
+        assertEquals(
+                List.of("404: no workload at '/do/nothing'", "left_out=38 404: no workload at '/do/nothing'"),
+                lines.stream()
+                        .map(l -> l.replace("a query was not taken, ", ""))
+                        .toList());
     }
 
     /** Two ends for one id would be the end of another request under the same id. */
@@ -598,11 +645,23 @@
         r.boot();
         int conn = r.open();
         List<Integer> statuses = new ArrayList<>();
-        for (String[] wrongField : new String[][] {{"SCRIPT_NAME", "/do/x"}, {"SCRIPT_NAME", "/else"}, {"REQUEST_METHOD", "GET"},
-            {"HTTP_REQUEST_ID", "xyz"}, {"HTTP_RECEIVED_AT", "1e9"}, {"HTTP_FOOTPRINT_KB", "0"}, {"HTTP_PRIORITY_RANK", "1.0"},
-            {"HTTP_BUDGET_MS", "-1"}, {"HTTP_SENT_BY", ""}, {"HTTP_REQUEST_ID", "8".repeat(300)}, {"HTTP_PRIORITY_RANK", "NaN"},
-            {"HTTP_BUDGET_MS", "4601"}, {"HTTP_FOOTPRINT_KB", "2000"}, {"HTTP_ACCOUNT", "b"},
-            {"HTTP_RECEIVED_AT", "999999999999999"}}) {
+        for (String[] wrongField : new String[][] {
+            {"SCRIPT_NAME", "/do/x"},
+            {"SCRIPT_NAME", "/else"},
+            {"REQUEST_METHOD", "GET"},
+            {"HTTP_REQUEST_ID", "xyz"},
+            {"HTTP_RECEIVED_AT", "1e9"},
+            {"HTTP_FOOTPRINT_KB", "0"},
+            {"HTTP_PRIORITY_RANK", "1.0"},
+            {"HTTP_BUDGET_MS", "-1"},
+            {"HTTP_SENT_BY", ""},
+            {"HTTP_REQUEST_ID", "8".repeat(300)},
+            {"HTTP_PRIORITY_RANK", "NaN"},
+            {"HTTP_BUDGET_MS", "4601"},
+            {"HTTP_FOOTPRINT_KB", "2000"},
+            {"HTTP_ACCOUNT", "b"},
+            {"HTTP_RECEIVED_AT", "999999999999999"}
+        }) {
             Asked a = r.ask(conn, "c", "b", 20_000, null, wrongField);
             a.valid = false;
             statuses.add(only(a).status());
@@ -650,12 +709,17 @@
     void aSpoiltStreamIsReadNoMoreAndClosedOnceItsQueriesAreAnswered() {
         Asked a = running("c");
         int conn = a.conn;
-        r.send(conn, Model.join(new byte[] {7, 1, 0, 1, 0, 0, 0, 0}, Model.request(9, new byte[0], false, 0, "SCRIPT_NAME", "/check")));
+        r.send(
+                conn,
+                Model.join(
+                        new byte[] {7, 1, 0, 1, 0, 0, 0, 0},
+                        Model.request(9, new byte[0], false, 0, "SCRIPT_NAME", "/check")));
         r.send(conn, Model.request(10, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
         assertEquals(0, logged("close " + conn));
         r.reap(a.job, "good", "made");
         assertEquals("made", only(a).body());
-        assertEquals(List.of(1L, 1), List.of(logged("close " + conn), r.answers(conn).size()));
+        assertEquals(
+                List.of(1L, 1), List.of(logged("close " + conn), r.answers(conn).size()));
         r.closings();
         assertEquals(List.of(0L, 1L), List.of(r.number("queries_gone"), r.number("connections_closed_bad")));
     }
@@ -681,7 +745,9 @@
         Asked late = r.ask(a.conn, "k", "other", 20_000, "m");
         Asked again = r.ask(a.conn, "k", "b", 20_000, "m");
         r.pass(10);
-        assertEquals(List.of(409, 409, "made"), List.of(only(early).status(), only(late).status(), only(again).body()));
+        assertEquals(
+                List.of(409, 409, "made"),
+                List.of(only(early).status(), only(late).status(), only(again).body()));
         assertEquals(1, logged("KERNEL {\"type\":\"SCHED\""));
     }
 
@@ -793,7 +859,9 @@
         r.pass(30_700);
         assertEquals(0, logged("close "));
         r.pass(200);
-        assertEquals(List.of(1L, 0L, 1L), List.of(logged("close " + idle), logged("close " + crossing), logged("listens no more")));
+        assertEquals(
+                List.of(1L, 0L, 1L),
+                List.of(logged("close " + idle), logged("close " + crossing), logged("listens no more")));
         Asked late = r.ask(crossing, "c", "b", 20_000, null);
         r.unread.clear();
         r.pass(400);
@@ -814,7 +882,8 @@
         r.reap(first.job, "good", "first");
         assertEquals(List.of("runs", false), List.of(r.jobs.get(heir.job), r.jobs.containsKey(like.job)));
         r.reap(heir.job, "good", "made");
-        assertEquals(List.of("made", "made"), List.of(only(heir).body(), only(like).body()));
+        assertEquals(
+                List.of("made", "made"), List.of(only(heir).body(), only(like).body()));
     }
 
     @Test
@@ -841,7 +910,10 @@
         r.down(Peer.KERNEL);
         r.pass(2_000);
         r.kernelUp();
-        List<String> asked = r.log.stream().filter(l -> l.contains("SCHED")).map(l -> Round.field(l, "job")).toList();
+        List<String> asked = r.log.stream()
+                .filter(l -> l.contains("SCHED"))
+                .map(l -> Round.field(l, "job"))
+                .toList();
         assertEquals(List.of(a.job, b.job, a.job), asked);
     }
 
@@ -949,7 +1021,10 @@
     void aNoticeThatBreaksOffWithItsLinkIsTakenFromTheNext() {
         Asked a = running("u");
         r.clock();
-        r.backend.read(Round.last(r.up, Peer.KERNEL), ByteBuffer.wrap(("{\"type\":\"REAP\",\"n\":1,\"job\":\"" + a.job + "\",\"state\":\"go").getBytes(UTF_8)));
+        r.backend.read(
+                Round.last(r.up, Peer.KERNEL),
+                ByteBuffer.wrap(
+                        ("{\"type\":\"REAP\",\"n\":1,\"job\":\"" + a.job + "\",\"state\":\"go").getBytes(UTF_8)));
         r.down(Peer.KERNEL);
         r.kernelUp();
         r.reap(a.job, "good", "made");
@@ -999,9 +1074,11 @@
         LinkId old = r.up(Peer.STORE);
         r.clock();
         r.backend.moved();
-        r.notice("IOREQ", b.job, "", "call of " + b.job);  // still on the old link
+        r.notice("IOREQ", b.job, "", "call of " + b.job); // still on the old link
         r.up(Peer.STORE);
-        assertEquals(List.of(true, 0L, 2L), List.of(r.wants(Peer.KERNEL), logged("drop KERNEL"), logged("announce n3 true")));
+        assertEquals(
+                List.of(true, 0L, 2L),
+                List.of(r.wants(Peer.KERNEL), logged("drop KERNEL"), logged("announce n3 true")));
         r.kernelUp();
         assertEquals(List.of(1L, 1L), List.of(logged("drop KERNEL"), logged("KERNEL {\"type\":\"OPEN\",\"n\":2}")));
         for (Asked q : List.of(a, b)) {
@@ -1103,7 +1180,9 @@
     @Test
     void theRehearsalGoesAllTheWay() {
         Map<String, Long> played = Rehearsal.play(Config.parse(CONFIG.getBytes(UTF_8), Map.of()));
-        assertEquals(List.of(0L, 0L, 0L), List.of(played.get("faults"), played.get("queries_malformed"), played.get("runs_not_done")));
+        assertEquals(
+                List.of(0L, 0L, 0L),
+                List.of(played.get("faults"), played.get("queries_malformed"), played.get("runs_not_done")));
         assertEquals(played.get("queries_read"), played.get("answered_handled") + played.get("answered_deferred"));
         assertTrue(played.get("calls_ok") > 20 && played.get("answered_handled") > 20, played.toString());
     }
@@ -1139,7 +1218,9 @@
             r.open();
             r.closings();
         }
-        assertEquals(List.of(0L, 201L - MOST, 0L), List.of(logged("close " + used), logged("close "), r.number("connections_waited")));
+        assertEquals(
+                List.of(0L, 201L - MOST, 0L),
+                List.of(logged("close " + used), logged("close "), r.number("connections_waited")));
     }
 
     @Test
@@ -1150,8 +1231,9 @@
             r.send(r.open(), Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
             r.pass(1);
         }
-        assertEquals(List.of(0L, 1L, 0L), List.of(r.number("connections_waited"), logged("close "),
-                logged("close " + a.conn)));
+        assertEquals(
+                List.of(0L, 1L, 0L),
+                List.of(r.number("connections_waited"), logged("close "), logged("close " + a.conn)));
     }
 
     @Test
--- a/daemon/src/test/java/tallyweir/CrossingsTest.java
+++ b/daemon/src/test/java/tallyweir/CrossingsTest.java
@@ -14,10 +14,8 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -57,7 +55,8 @@
     @AfterEach
     void end() throws IOException {
         release();
-        deciding.interrupt();  // or it would look for its peers for ever, and find those of a later test at the same port
+        deciding.interrupt(); // or it would look for its peers for ever, and find those of a later test at the same
+        // port
         kernelAt.close();
         storeAt.close();
         if (kernel != null) {
@@ -66,8 +65,10 @@
     }
 
     private void start(int sockets, String from, String to) throws Exception {
-        String text = BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\"")
-                .replace("127.0.0.1:3\"", "127.0.0.1:" + storeAt.getLocalPort() + "\"").replace("\"sockets\":64", "\"sockets\":" + sockets)
+        String text = BackendTest.CONFIG
+                .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\"")
+                .replace("127.0.0.1:3\"", "127.0.0.1:" + storeAt.getLocalPort() + "\"")
+                .replace("\"sockets\":64", "\"sockets\":" + sockets)
                 .replace(from, to);
         CompletableFuture<Server> bound = new CompletableFuture<>();
         deciding = new Thread(() -> {
@@ -120,7 +121,8 @@
     }
 
     private void reap(String job) throws IOException {
-        tell("{\"type\":\"REAP\",\"n\":" + ++notices + ",\"job\":\"" + job + "\",\"state\":\"good\",\"took\":1,\"data\":\"bWFkZQ==\"}");
+        tell("{\"type\":\"REAP\",\"n\":" + ++notices + ",\"job\":\"" + job
+                + "\",\"state\":\"good\",\"took\":1,\"data\":\"bWFkZQ==\"}");
     }
 
     private void needs(String job) throws IOException {
@@ -195,7 +197,9 @@
             CompletableFuture<Void> sent = CompletableFuture.runAsync(() -> {
                 try {
                     while (asked.get() < many) {
-                        caller.getOutputStream().write(Model.request(1 + asked.get() % 32, new byte[0], false, 0, "SCRIPT_NAME", "/counters"));
+                        caller.getOutputStream()
+                                .write(Model.request(
+                                        1 + asked.get() % 32, new byte[0], false, 0, "SCRIPT_NAME", "/counters"));
                         asked.incrementAndGet();
                     }
                 } catch (IOException e) {
@@ -203,7 +207,9 @@
                 }
             });
             AtomicInteger before = new AtomicInteger(-1);
-            Awaitility.await().pollInterval(Duration.ofMillis(500)).until(() -> asked.get() == before.getAndSet(asked.get()));
+            Awaitility.await()
+                    .pollInterval(Duration.ofMillis(500))
+                    .until(() -> asked.get() == before.getAndSet(asked.get()));
             assertEquals(200, ServerTest.check(server.address()), "others are served meanwhile");
             for (int i = 0; i < many; i++) {
                 assertEquals(1 + i % 32, answer(caller.getInputStream()).id());
@@ -242,7 +248,7 @@
         for (Socket s : crowd) {
             s.getOutputStream().write(check(2));
         }
-        TimeUnit.MILLISECONDS.sleep(1_500);   // past the idle time of all of them
+        TimeUnit.MILLISECONDS.sleep(1_500); // past the idle time of all of them
         release();
         assertEquals(List.of(), answeredAll(crowd));
     }
@@ -287,7 +293,7 @@
             settled(kernel);
             release();
             CompletableFuture<Socket> taken = CompletableFuture.supplyAsync(() -> accept(storeAt));
-            while (!taken.isDone()) {  // calls are made again when the gauges are read
+            while (!taken.isDone()) { // calls are made again when the gauges are read
                 String tag = next(commands, "SYSINFO").replaceAll(".*\"ref\":\"(\\w+)\".*", "$1");
                 tell("{\"type\":\"INFO\",\"ref\":\"" + tag + "\",\"gauges\":[0.1,1]}");
             }
@@ -312,7 +318,8 @@
     }
 
     private static byte[] ofWorkload(String name, byte[] query) {
-        return new String(query, java.nio.charset.StandardCharsets.ISO_8859_1).replace("/do/c", "/do/" + name)
+        return new String(query, java.nio.charset.StandardCharsets.ISO_8859_1)
+                .replace("/do/c", "/do/" + name)
                 .getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
     }
 
--- a/daemon/src/test/java/tallyweir/KeptResultsTest.java
+++ b/daemon/src/test/java/tallyweir/KeptResultsTest.java
@@ -59,8 +59,8 @@
         }
 
         @Override
-        public void record(Mark mark, JobId job, long body, Known known, byte[] result, long until,
-                Consumer<Boolean> done) {
+        public void record(
+                Mark mark, JobId job, long body, Known known, byte[] result, long until, Consumer<Boolean> done) {
             write(mark, new Kept(mark, job, body, known, result, now, until), done);
         }
 
@@ -187,7 +187,8 @@
         Asked b = ask("m", "b");
         r.pass(50);
         assertEquals(0, status(b), "it waits for what the kernel tells");
-        r.kernel("{\"type\":\"REAP\",\"n\":1,\"job\":\"" + a.job + "\",\"state\":\"good\",\"took\":5,\"data\":\"cmVzdWx0\"}");
+        r.kernel("{\"type\":\"REAP\",\"n\":1,\"job\":\"" + a.job
+                + "\",\"state\":\"good\",\"took\":5,\"data\":\"cmVzdWx0\"}");
         disk(true);
         assertEquals(200, status(b));
         assertEquals("result", b.answer.body());
--- a/daemon/src/test/java/tallyweir/ParsersTest.java
+++ b/daemon/src/test/java/tallyweir/ParsersTest.java
@@ -32,7 +32,7 @@
 
     private static void split(byte[] bytes, long seed, Consumer<ByteBuffer> to) {
         SplittableRandom chance = new SplittableRandom(seed);
-        for (int at = 0; at < bytes.length;) {
+        for (int at = 0; at < bytes.length; ) {
             int take = Math.min(bytes.length - at, 1 + chance.nextInt(chance.nextInt(4) == 0 ? 400 : 9));
             to.accept(ByteBuffer.wrap(bytes, at, take));
             at += take;
@@ -51,7 +51,8 @@
 
             @Override
             public void request(RequestId id, Fields fields, byte[] body, boolean keep) {
-                out.add("request " + id.value() + " " + fields.text(Fields.PATH) + " " + new String(body, ISO_8859_1) + " " + keep);
+                out.add("request " + id.value() + " " + fields.text(Fields.PATH) + " " + new String(body, ISO_8859_1)
+                        + " " + keep);
                 done(id);
             }
 
@@ -75,7 +76,8 @@
 
             @Override
             public void reply(byte[] record) {
-                out.add("reply " + record[1] + " " + new String(record, 8, record.length - 8, ISO_8859_1).replace("\0", ""));
+                out.add("reply " + record[1] + " "
+                        + new String(record, 8, record.length - 8, ISO_8859_1).replace("\0", ""));
             }
 
             @Override
@@ -100,8 +102,17 @@
         for (int i = 0; i < 5; i++) {
             int id = 1 + chance.nextInt(0xffff);
             String body = "b".repeat(chance.nextInt(3) == 0 ? 0 : chance.nextInt(Reader.BODY_MOST + 1));
-            stream = Model.join(stream, Model.request(id, body.getBytes(ISO_8859_1), wide, chance.nextInt(256),
-                    "SCRIPT_NAME", "/do/x" + i, "OTHER", "o".repeat(chance.nextInt(300))));
+            stream = Model.join(
+                    stream,
+                    Model.request(
+                            id,
+                            body.getBytes(ISO_8859_1),
+                            wide,
+                            chance.nextInt(256),
+                            "SCRIPT_NAME",
+                            "/do/x" + i,
+                            "OTHER",
+                            "o".repeat(chance.nextInt(300))));
             expected.add("request " + id + " /do/x" + i + " " + body + " true");
         }
         Reader r = reader(true);
@@ -117,8 +128,17 @@
         SplittableRandom chance = new SplittableRandom(seed);
         byte[] stream = {};
         for (int i = 0; i < 6; i++) {
-            stream = Model.join(stream, Model.request(1 + chance.nextInt(3), new byte[chance.nextInt(3_000)], i % 2 == 0, i,
-                    "SCRIPT_NAME", "/do/x", "O", "o".repeat(chance.nextInt(9_000))));
+            stream = Model.join(
+                    stream,
+                    Model.request(
+                            1 + chance.nextInt(3),
+                            new byte[chance.nextInt(3_000)],
+                            i % 2 == 0,
+                            i,
+                            "SCRIPT_NAME",
+                            "/do/x",
+                            "O",
+                            "o".repeat(chance.nextInt(9_000))));
         }
         for (int i = chance.nextInt(12); i > 0; i--) {
             stream[chance.nextInt(stream.length)] = (byte) chance.nextInt();
@@ -135,9 +155,11 @@
         byte[] a = Model.request(1, "one".getBytes(UTF_8), false, 3, "SCRIPT_NAME", "/do/a");
         byte[] b = Model.request(2, "two".getBytes(UTF_8), false, 0, "SCRIPT_NAME", "/do/b");
         byte[] begun = Arrays.copyOf(a, 19);
-        assertEquals(List.of("request 2 /do/b two true", "request 1 /do/a one true"),
+        assertEquals(
+                List.of("request 2 /do/b two true", "request 1 /do/a one true"),
                 of(begun, b, Arrays.copyOfRange(a, 19, a.length)));
-        assertEquals(List.of("aborted 1", "request 1 /do/a one true"),
+        assertEquals(
+                List.of("aborted 1", "request 1 /do/a one true"),
                 of(begun, Model.record(2, 1, 0, new byte[0]), Model.record(5, 1, 0, new byte[9]), a));
     }
 
@@ -145,16 +167,24 @@
     void whatIsTooBigOrUnreadableIsRefusedOnceAndTheNextGoesOn() {
         byte[] next = Model.request(1, "x".getBytes(UTF_8), false, 0, "SCRIPT_NAME", "/do/a");
         String fine = "request 1 /do/a x true";
-        assertEquals(List.of("refused 1 TOO_BIG", fine),
+        assertEquals(
+                List.of("refused 1 TOO_BIG", fine),
                 of(Model.request(1, new byte[Reader.BODY_MOST + 1], false, 9, "SCRIPT_NAME", "/do/a"), next));
-        assertEquals(List.of("refused 1 TOO_BIG", fine),
+        assertEquals(
+                List.of("refused 1 TOO_BIG", fine),
                 of(Model.request(1, new byte[0], true, 0, "A", "a".repeat(Reader.PARAMS_MOST)), next));
         byte[] begin = Model.record(1, 1, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0});
-        assertEquals(List.of("refused 1 PARAMS", fine), of(begin, Model.record(4, 1, 0, new byte[] {9, 9, 1}),
-                Model.record(4, 1, 0, new byte[0]), Model.record(5, 1, 0, new byte[0]), next));
+        assertEquals(
+                List.of("refused 1 PARAMS", fine),
+                of(
+                        begin,
+                        Model.record(4, 1, 0, new byte[] {9, 9, 1}),
+                        Model.record(4, 1, 0, new byte[0]),
+                        Model.record(5, 1, 0, new byte[0]),
+                        next));
         assertEquals(List.of("refused 1 PARAMS", fine), of(begin, Model.record(5, 1, 0, new byte[0]), next));
-        assertEquals(List.of("refused 1 ROLE", fine),
-                of(Model.record(1, 1, 0, new byte[] {0, 2, 1, 0, 0, 0, 0, 0}), next));
+        assertEquals(
+                List.of("refused 1 ROLE", fine), of(Model.record(1, 1, 0, new byte[] {0, 2, 1, 0, 0, 0, 0, 0}), next));
     }
 
     /** Bytes without end once kept a connection for ever; 60 MB of a body are passed over and keep nothing. */
@@ -186,8 +216,11 @@
 
     @Test
     void managementRecordsAreAnswered() {
-        assertEquals(List.of("reply 10 \17\1FCGI_MPXS_CONNS1", "reply 11 \115"),
-                of(Model.record(9, 0, 1, Model.pair("FCGI_MPXS_CONNS", "", false)), Model.record(77, 0, 0, new byte[0])));
+        assertEquals(
+                List.of("reply 10 \17\1FCGI_MPXS_CONNS1", "reply 11 \115"),
+                of(
+                        Model.record(9, 0, 1, Model.pair("FCGI_MPXS_CONNS", "", false)),
+                        Model.record(77, 0, 0, new byte[0])));
     }
 
     @Test
@@ -251,15 +284,29 @@
     void noticesComeOutHoweverTheyAreSplit(@ForAll long seed) {
         String result = Base64.getEncoder().encodeToString("made".getBytes(UTF_8));
         String lines = "{\"type\":\"BOOTED\",\"state\":\"new\",\"took\":12.34}\n"
-                + "{\"n\":1,\"new\":[{}],\"type\":\"REAP\",\"job\":\"j\",\"state\":\"good\",\"took\":3,\"data\":\"" + result + "\"}\r\n"
+                + "{\"n\":1,\"new\":[{}],\"type\":\"REAP\",\"job\":\"j\",\"state\":\"good\",\"took\":3,\"data\":\""
+                + result + "\"}\r\n"
                 + "{\"type\":\"IOREQ\",\"n\":2,\"job\":\"k\",\"data\":\"" + result + "\"}\n"
                 + "{\"type\":\"INFO\",\"ref\":\"t\",\"gauges\":[0.5,3,1e-1]}\n"
                 + "{\"type\":\"EINVAL\",\"state\":\"SCHED\",\"job\":\"j\"}\n{\"type\":\"DMESG\",\"n\":3,\"state\":\"x\"}\n"
                 + "\n[]\n{\"type\":\n{\"type\":\"REAP\",\"data\":\"*\"}\n{\"type\":\"LATER\"}\n{\"type\":\"INFO\",\"gauges\":1}\n";
         out.clear();
         split(lines.getBytes(UTF_8), seed, notices::read);
-        assertEquals(List.of("booted true 124", "ended 1 j good made", "needs 2 k made", "gauges t [0.5, 3.0, 0.1]",
-                "not done SCHED j", "remark 3", "unknown", "unknown", "unknown", "unknown", "unknown", "unknown"), out);
+        assertEquals(
+                List.of(
+                        "booted true 124",
+                        "ended 1 j good made",
+                        "needs 2 k made",
+                        "gauges t [0.5, 3.0, 0.1]",
+                        "not done SCHED j",
+                        "remark 3",
+                        "unknown",
+                        "unknown",
+                        "unknown",
+                        "unknown",
+                        "unknown",
+                        "unknown"),
+                out);
     }
 
     @Test
@@ -273,9 +320,12 @@
     @Test
     void commandsAreOneJsonLineEach() {
         assertEquals("{\"type\":\"OPEN\",\"n\":7}\n", new String(Commands.open(7), UTF_8));
-        assertEquals("{\"type\":\"SCHED\",\"job\":\"a1\",\"kind\":\"c\\\"\",\"data\":\"/wA=\"}\n",
+        assertEquals(
+                "{\"type\":\"SCHED\",\"job\":\"a1\",\"kind\":\"c\\\"\",\"data\":\"/wA=\"}\n",
                 new String(Commands.run(new JobId("a1"), "c\"", new byte[] {-1, 0}), UTF_8));
-        assertEquals("{\"type\":\"IODONE\",\"job\":\"a1\",\"data\":\"\"}\n", new String(Commands.reply(new JobId("a1"), new byte[0]), UTF_8));
+        assertEquals(
+                "{\"type\":\"IODONE\",\"job\":\"a1\",\"data\":\"\"}\n",
+                new String(Commands.reply(new JobId("a1"), new byte[0]), UTF_8));
     }
 
     // ---- the store
@@ -297,7 +347,10 @@
     @Property(tries = 20, seed = "5", shrinking = ShrinkingMode.OFF)
     void repliesComeOutHoweverTheyAreSplit(@ForAll long seed) {
         out.clear();
-        split("a1 OK 5\r\nx\r\ny \r\nb BUSY\r\na1 OK 0\r\n\r\nc VOID\r\nd ERR\r\ne LATE\r\nf WHAT\r\ng BUSY\r\n".getBytes(UTF_8), seed,
+        split(
+                "a1 OK 5\r\nx\r\ny \r\nb BUSY\r\na1 OK 0\r\n\r\nc VOID\r\nd ERR\r\ne LATE\r\nf WHAT\r\ng BUSY\r\n"
+                        .getBytes(UTF_8),
+                seed,
                 replies()::read);
         assertEquals(List.of("a1 OK x\r\ny ", "b BUSY ", "a1 OK ", "c VOID ", "d ERR ", "e LATE ", "bad"), out);
     }
@@ -308,12 +361,22 @@
         replies.read(ByteBuffer.wrap("a OK 3\r\nabcde".getBytes(UTF_8)));
         replies.read(ByteBuffer.wrap("b BUSY\r\n".getBytes(UTF_8)));
         assertEquals(List.of("bad"), out);
-        for (String line : new String[] {"a OK 99999999999\r\n", "a OK 65537\r\n", "a OK x\r\n", "a OK \r\n", "a OK 1\n", " BUSY\r\n",
-            "BUSY\r\n", "a BUSY\n", "\r\n"}) {
+        for (String line : new String[] {
+            "a OK 99999999999\r\n",
+            "a OK 65537\r\n",
+            "a OK x\r\n",
+            "a OK \r\n",
+            "a OK 1\n",
+            " BUSY\r\n",
+            "BUSY\r\n",
+            "a BUSY\n",
+            "\r\n"
+        }) {
             out.clear();
             replies().read(ByteBuffer.wrap(line.getBytes(UTF_8)));
             assertEquals(List.of("bad"), out, line);
         }
-        assertArrayEquals("CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call(new JobId("a1"), 250, new byte[] {13, 10}));
+        assertArrayEquals(
+                "CALL a1 250 2\r\n\r\n\r\n".getBytes(UTF_8), Calls.call(new JobId("a1"), 250, new byte[] {13, 10}));
     }
 }
--- a/daemon/src/test/java/tallyweir/ProcessTest.java
+++ b/daemon/src/test/java/tallyweir/ProcessTest.java
@@ -47,7 +47,8 @@
     private Path dir;
 
     private static String config(ServerSocket kernel, ServerSocket store, int announce) {
-        return BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernel.getLocalPort() + "\"")
+        return BackendTest.CONFIG
+                .replace("127.0.0.1:1\"", "127.0.0.1:" + kernel.getLocalPort() + "\"")
                 .replace("127.0.0.1:3\"", "127.0.0.1:" + store.getLocalPort() + "\"")
                 .replace("127.0.0.1:2\"", "127.0.0.1:" + announce + "\"");
     }
@@ -73,7 +74,8 @@
             try (BufferedReader in = new BufferedReader(new InputStreamReader(link.getInputStream(), UTF_8))) {
                 for (String line = in.readLine(); line != null; line = in.readLine()) {
                     if (line.contains("SYSINFO")) {
-                        send("{\"type\":\"INFO\",\"ref\":" + line.replaceAll(".*\"ref\":(\"\\w+\").*", "$1") + ",\"gauges\":[0.1,1]}");
+                        send("{\"type\":\"INFO\",\"ref\":" + line.replaceAll(".*\"ref\":(\"\\w+\").*", "$1")
+                                + ",\"gauges\":[0.1,1]}");
                     } else {
                         commands.add(line);
                     }
@@ -97,7 +99,8 @@
         }
 
         void tell(String type, int n, String job, String data) throws IOException {
-            send("{\"type\":\"" + type + "\",\"n\":" + n + ",\"job\":\"" + job + "\",\"state\":\"good\",\"took\":1,\"data\":\"" + data + "\"}");
+            send("{\"type\":\"" + type + "\",\"n\":" + n + ",\"job\":\"" + job
+                    + "\",\"state\":\"good\",\"took\":1,\"data\":\"" + data + "\"}");
         }
     }
 
@@ -108,18 +111,23 @@
     @Test
     @Timeout(60)
     void idleClientsWithoutEndKeepNeitherPeersNorCallersOut() throws Exception {
-        long jars = Stream.of(System.getProperty("java.class.path").split(":")).filter(p -> p.endsWith(".jar")).count();
+        long jars = Stream.of(System.getProperty("java.class.path").split(":"))
+                .filter(p -> p.endsWith(".jar"))
+                .count();
         Path file = dir.resolve("config.json");
         int deaf;
         try (DatagramSocket gone = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             deaf = gone.getLocalPort();
         }
         List<Socket> crowd = new ArrayList<>();
-        try (ServerSocket first = listener(); ServerSocket second = listener(); ServerSocket storeAt = listener();
+        try (ServerSocket first = listener();
+                ServerSocket second = listener();
+                ServerSocket storeAt = listener();
                 DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             Files.writeString(file, config(first, storeAt, deaf));
             Process backend = program("ulimit -n " + (64 + jars) + "; ", file, dir.resolve("none"));
-            try (BufferedReader log = backend.inputReader(UTF_8); Socket old = first.accept()) {
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket old = first.accept()) {
                 new KernelEnd(old).await("OPEN");
                 InetSocketAddress at = listens(log);
                 for (int i = 0; i < 300; i++) {
@@ -127,7 +135,8 @@
                 }
                 Files.writeString(file, config(second, storeAt, announce.getLocalPort()));
                 signal("HUP", backend);
-                try (Socket kernel = second.accept(); Socket caller = dial(at)) {
+                try (Socket kernel = second.accept();
+                        Socket caller = dial(at)) {
                     KernelEnd end = new KernelEnd(kernel);
                     announce.setSoTimeout(PATIENCE_MS);
                     announce.receive(new DatagramPacket(new byte[64], 64));
@@ -154,7 +163,7 @@
 
     /** Asks until a query runs: one that has waited too long behind the crowd is refused, and then the next one's turn is short. */
     private static String running(Socket caller, KernelEnd end) throws Exception {
-        for (int i = 1;; i++) {
+        for (int i = 1; ; i++) {
             String job = String.format("%016x", 160 + i);
             caller.getOutputStream().write(query(i, job));
             while (caller.getInputStream().available() == 0) {
@@ -175,7 +184,8 @@
         List<Long> millis = new ArrayList<>();
         try {
             for (int i = 0; i < many; i++) {
-                Process first = program(Files.writeString(dir.resolve("c" + i), BackendTest.CONFIG), dir.resolve("none"));
+                Process first =
+                        program(Files.writeString(dir.resolve("c" + i), BackendTest.CONFIG), dir.resolve("none"));
                 backends.add(first);
             }
             for (int i = 0; i < many; i++) {
@@ -183,7 +193,9 @@
                 try (BufferedReader log = backends.get(i).inputReader(UTF_8)) {
                     at = listens(log);
                 }
-                files.add(Files.writeString(dir.resolve("c" + i), BackendTest.CONFIG.replace("127.0.0.1:0\"", "127.0.0.1:" + at.getPort() + "\"")));
+                files.add(Files.writeString(
+                        dir.resolve("c" + i),
+                        BackendTest.CONFIG.replace("127.0.0.1:0\"", "127.0.0.1:" + at.getPort() + "\"")));
                 backends.get(i).destroyForcibly().waitFor();
             }
             long from = System.nanoTime();
@@ -205,7 +217,8 @@
             backends.forEach(Process::destroyForcibly);
         }
         Collections.sort(millis);
-        System.out.println("ready after ms: p50 " + millis.get(many / 2) + ", p90 " + millis.get(many * 9 / 10) + ", max " + millis.get(many - 1));
+        System.out.println("ready after ms: p50 " + millis.get(many / 2) + ", p90 " + millis.get(many * 9 / 10)
+                + ", max " + millis.get(many - 1));
         assertTrue(millis.get(many * 9 / 10) <= 10_000, millis.toString());
     }
 
@@ -221,14 +234,19 @@
     /** At the kill nothing lay unread any more: connections have ended before, without a reset, and nobody can connect. */
     @Test
     void theNoticeToLeaveTwiceWithAQueryInHand() throws Exception {
-        try (ServerSocket kernelAt = listener(); ServerSocket storeAt = listener()) {
-            Path file = Files.writeString(dir.resolve("config.json"), config(kernelAt, storeAt, 2).replace("\"stop_ms\":3200", "\"stop_ms\":2500"));
+        try (ServerSocket kernelAt = listener();
+                ServerSocket storeAt = listener()) {
+            Path file = Files.writeString(
+                    dir.resolve("config.json"),
+                    config(kernelAt, storeAt, 2).replace("\"stop_ms\":3200", "\"stop_ms\":2500"));
             Process backend = program(file, dir.resolve("none"));
-            try (BufferedReader log = backend.inputReader(UTF_8); Socket kernel = kernelAt.accept()) {
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket kernel = kernelAt.accept()) {
                 KernelEnd end = new KernelEnd(kernel);
                 InetSocketAddress at = listens(log);
                 logged(log, "the kernel is up");
-                try (Socket caller = dial(at); Socket idle = dial(at)) {
+                try (Socket caller = dial(at);
+                        Socket idle = dial(at)) {
                     caller.getOutputStream().write(query(1, "00000000000000aa"));
                     end.await("SCHED");
                     signal("TERM", backend);
