--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -33,7 +33,7 @@
 
 /** The configuration, and one server on loopback sockets with a kernel that this test plays. */
 public class ServerTest {
-    static final int PATIENCE_MS = 20_000;  // only so that a failure ends; nothing is timed
+    static final int PATIENCE_MS = 20_000; // only so that a failure ends; nothing is timed
 
     /** A customer with one class, which is one-shot, no tenants, nothing below and so no store. */
     private static final String NOTHING_BELOW = """
@@ -91,7 +91,8 @@
     }
 
     private Server started(int kernelPort, int announcePort) throws Exception {
-        return started(BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelPort + "\"")
+        return started(BackendTest.CONFIG
+                .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelPort + "\"")
                 .replace("127.0.0.1:2\"", "127.0.0.1:" + announcePort + "\""));
     }
 
@@ -142,9 +143,29 @@
     }
 
     static byte[] query(int id, String job) {
-        return Model.request(id, "asked".getBytes(UTF_8), false, 0, "REQUEST_METHOD", "POST", "SCRIPT_NAME", "/do/c",
-                "HTTP_REQUEST_ID", job, "HTTP_RECEIVED_AT", "" + System.currentTimeMillis(), "HTTP_SENT_BY", "1",
-                "HTTP_ACCOUNT", "a", "HTTP_BUDGET_MS", "4600", "HTTP_FOOTPRINT_KB", "20", "HTTP_PRIORITY_RANK", "0.5");
+        return Model.request(
+                id,
+                "asked".getBytes(UTF_8),
+                false,
+                0,
+                "REQUEST_METHOD",
+                "POST",
+                "SCRIPT_NAME",
+                "/do/c",
+                "HTTP_REQUEST_ID",
+                job,
+                "HTTP_RECEIVED_AT",
+                "" + System.currentTimeMillis(),
+                "HTTP_SENT_BY",
+                "1",
+                "HTTP_ACCOUNT",
+                "a",
+                "HTTP_BUDGET_MS",
+                "4600",
+                "HTTP_FOOTPRINT_KB",
+                "20",
+                "HTTP_PRIORITY_RANK",
+                "0.5");
     }
 
     static String next(BufferedReader from, String type) throws IOException {
@@ -157,13 +178,16 @@
 
     @Test
     void aQueryGoesThroughToTheKernelAndItsResultBackAlsoUnderTheNoticeToLeave() throws Exception {
-        try (ServerSocket kernelAt = listener(); DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
+        try (ServerSocket kernelAt = listener();
+                DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             Server server = started(kernelAt.getLocalPort(), announce.getLocalPort());
             announce.setSoTimeout(PATIENCE_MS);
             DatagramPacket report = new DatagramPacket(new byte[64], 64);
             announce.receive(report);
             assertEquals("announce n3 true", new String(report.getData(), 0, report.getLength(), UTF_8));
-            try (Socket kernel = kernelAt.accept(); Socket caller = dial(server.address()); Socket spoilt = dial(server.address())) {
+            try (Socket kernel = kernelAt.accept();
+                    Socket caller = dial(server.address());
+                    Socket spoilt = dial(server.address())) {
                 BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
                 assertEquals("{\"type\":\"OPEN\",\"n\":0}", commands.readLine());
                 kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
@@ -171,12 +195,15 @@
                 for (int i = 1; i < 3; i++) {
                     String job = "000000000000000" + i;
                     caller.getOutputStream().write(query(7, job));
-                    assertTrue(next(commands, "SCHED").contains("\"job\":\"" + job + "\",\"kind\":\"c\",\"data\":\"YXNrZWQ=\""));
-                    kernel.getOutputStream().write(("{\"type\":\"REAP\",\"n\":" + i + ",\"job\":\"" + job
-                            + "\",\"state\":\"good\",\"took\":1,\"data\":\"bWFkZQ==\"}\n").getBytes(UTF_8));
+                    assertTrue(next(commands, "SCHED")
+                            .contains("\"job\":\"" + job + "\",\"kind\":\"c\",\"data\":\"YXNrZWQ=\""));
+                    kernel.getOutputStream()
+                            .write(("{\"type\":\"REAP\",\"n\":" + i + ",\"job\":\"" + job
+                                            + "\",\"state\":\"good\",\"took\":1,\"data\":\"bWFkZQ==\"}\n")
+                                    .getBytes(UTF_8));
                     Model.Answered w = answer(caller.getInputStream());
                     assertEquals(List.of(7, 200, "made"), List.of(w.id(), w.status(), w.body()));
-                    server.drain();  // what comes within the grace still runs
+                    server.drain(); // what comes within the grace still runs
                 }
                 spoilt.getOutputStream().write(new byte[8]);
                 assertEquals(-1, spoilt.getInputStream().read(), "closed after a bad record");
@@ -189,11 +216,12 @@
     /** Out of descriptors, the first line of the log failed for want of one, and nobody was accepted again. */
     @Test
     void runningOutOfDescriptorsEndsWhenTheyAreGivenBack(@TempDir Path dir) throws Exception {
-        Path config = Files.writeString(dir.resolve("config.json"), BackendTest.CONFIG.replace("\"sockets\":64", "\"sockets\":1024"));
+        Path config = Files.writeString(
+                dir.resolve("config.json"), BackendTest.CONFIG.replace("\"sockets\":64", "\"sockets\":1024"));
         Process backend = program("ulimit -n 100; ", config, dir.resolve("none"));
         try (BufferedReader log = backend.inputReader(UTF_8)) {
             InetSocketAddress at = listens(log);
-            assertEquals(200, check(at));  // loads the classes, which takes descriptors where they lie in a folder
+            assertEquals(200, check(at)); // loads the classes, which takes descriptors where they lie in a folder
             List<Socket> crowd = new ArrayList<>();
             for (int i = 0; i < 150; i++) {
                 crowd.add(new Socket());
@@ -213,23 +241,33 @@
     @Test
     void aNewConfigurationIsTakenOnTheSignal(@TempDir Path dir) throws Exception {
         Path file = dir.resolve("config.json");
-        try (ServerSocket first = listener(); ServerSocket second = listener();
+        try (ServerSocket first = listener();
+                ServerSocket second = listener();
                 DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
-            Files.writeString(file, BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + first.getLocalPort() + "\""));
+            Files.writeString(
+                    file, BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + first.getLocalPort() + "\""));
             Process backend = program(file, dir.resolve("none"));
-            try (BufferedReader log = backend.inputReader(UTF_8); Socket old = first.accept()) {
-                old.getOutputStream().write(("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n"
-                        + "{\"type\":\"DMESG\",\"n\":7,\"state\":\"hello\"}\n").getBytes(UTF_8));
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket old = first.accept()) {
+                old.getOutputStream()
+                        .write(("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n"
+                                        + "{\"type\":\"DMESG\",\"n\":7,\"state\":\"hello\"}\n")
+                                .getBytes(UTF_8));
                 logged(log, "the kernel is up");
                 Files.writeString(file, "{\"name\":\"n3\"}");
                 hangUp(backend);
                 assertTrue(logged(log, "the old one stays in force").contains("listen is"));
-                Files.writeString(file, BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + second.getLocalPort() + "\"")
-                        .replace("127.0.0.1:2\"", "127.0.0.1:" + announce.getLocalPort() + "\""));
+                Files.writeString(
+                        file,
+                        BackendTest.CONFIG
+                                .replace("127.0.0.1:1\"", "127.0.0.1:" + second.getLocalPort() + "\"")
+                                .replace("127.0.0.1:2\"", "127.0.0.1:" + announce.getLocalPort() + "\""));
                 hangUp(backend);
                 try (Socket kernel = second.accept()) {
                     kernel.setSoTimeout(PATIENCE_MS);
-                    assertEquals("{\"type\":\"OPEN\",\"n\":7}", new String(kernel.getInputStream().readNBytes(22), UTF_8).strip());
+                    assertEquals(
+                            "{\"type\":\"OPEN\",\"n\":7}",
+                            new String(kernel.getInputStream().readNBytes(22), UTF_8).strip());
                 }
                 announce.setSoTimeout(PATIENCE_MS);
                 announce.receive(new DatagramPacket(new byte[64], 64));
@@ -255,7 +293,7 @@
                 first.close();
                 old.close();
                 assertTrue(logged(log, "cannot be reached").contains("KERNEL"));
-                Files.writeString(file, moved(second));  // and no signal
+                Files.writeString(file, moved(second)); // and no signal
                 try (Socket kernel = second.accept()) {
                     assertEquals('{', kernel.getInputStream().read());
                 }
@@ -270,10 +308,13 @@
     @Test
     void aFileThatIsNotWholeYetIsReadAgainAndTheLastOfTwoMovesCounts(@TempDir Path dir) throws Exception {
         Path file = dir.resolve("config.json");
-        try (ServerSocket first = listener(); ServerSocket second = listener(); ServerSocket third = listener()) {
+        try (ServerSocket first = listener();
+                ServerSocket second = listener();
+                ServerSocket third = listener()) {
             Files.writeString(file, moved(first));
             Process backend = program(file, dir.resolve("none"));
-            try (BufferedReader log = backend.inputReader(UTF_8); Socket old = first.accept()) {
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket old = first.accept()) {
                 old.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
                 logged(log, "the kernel is up");
                 Files.writeString(file, moved(second).substring(0, 200));
@@ -281,7 +322,8 @@
                 logged(log, "stays in force");
                 Files.writeString(file, moved(second));
                 try (Socket kernel = second.accept()) {
-                    kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
+                    kernel.getOutputStream()
+                            .write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
                     hangUp(backend);
                     Files.writeString(file, moved(third));
                     hangUp(backend);
@@ -299,10 +341,12 @@
     @Test
     void aMoveIsTakenThoughTheSignalIsIgnoredSinceTheStart(@TempDir Path dir) throws Exception {
         Path file = dir.resolve("config.json");
-        try (ServerSocket first = listener(); ServerSocket second = listener()) {
+        try (ServerSocket first = listener();
+                ServerSocket second = listener()) {
             Files.writeString(file, moved(first));
             Process backend = program("trap '' HUP; ", file, dir.resolve("none"));
-            try (BufferedReader log = backend.inputReader(UTF_8); Socket old = first.accept()) {
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket old = first.accept()) {
                 old.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
                 logged(log, "the kernel is up");
                 Files.writeString(file, moved(second));
@@ -327,15 +371,18 @@
         Path operators = dir.resolve("operators.json");
         String watch = "{\"watch\":{\"settings\":{\"FamilyInfo\":{\"Cpus\":%s}}}}";
         try (ServerSocket kernelAt = listener()) {
-            Path file = Files.writeString(dir.resolve("config.json"),
+            Path file = Files.writeString(
+                    dir.resolve("config.json"),
                     BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\""));
             Files.writeString(operators, watch.formatted("0.5"));
             Process refused = program(file, operators);
-            assertTrue(new String(refused.getInputStream().readAllBytes(), UTF_8).contains("watch.settings.FamilyInfo.Cpus is 0.5"));
+            assertTrue(new String(refused.getInputStream().readAllBytes(), UTF_8)
+                    .contains("watch.settings.FamilyInfo.Cpus is 0.5"));
             assertEquals(2, refused.waitFor());
             Files.writeString(operators, watch.formatted("1"));
             Process backend = program(file, operators);
-            try (BufferedReader log = backend.inputReader(UTF_8); Socket kernel = kernelAt.accept()) {
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket kernel = kernelAt.accept()) {
                 BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
                 InetSocketAddress at = listens(log);
                 kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":1}\n".getBytes(UTF_8));
@@ -348,7 +395,7 @@
                     Files.writeString(operators, watch.formatted("\"x\""));
                     hangUp(backend);
                     assertTrue(logged(log, "stays as it was").contains("watch.settings.FamilyInfo.Cpus"));
-                    logged(log, "told to read the configuration again");  // the platform's move is not held up
+                    logged(log, "told to read the configuration again"); // the platform's move is not held up
                     assertEquals(1, watched(at), "the old ones stay");
                     Files.writeString(operators, "{}");
                     hangUp(backend);
@@ -365,8 +412,13 @@
     private static long watched(SocketAddress at) throws IOException {
         try (Socket s = dial(at)) {
             s.getOutputStream().write(Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/counters"));
-            return answer(s.getInputStream()).body().lines().filter(l -> l.startsWith("watch_run "))
-                    .mapToLong(l -> Long.parseLong(l.substring(10))).findFirst().orElse(-1);
+            return answer(s.getInputStream())
+                    .body()
+                    .lines()
+                    .filter(l -> l.startsWith("watch_run "))
+                    .mapToLong(l -> Long.parseLong(l.substring(10)))
+                    .findFirst()
+                    .orElse(-1);
         }
     }
 
@@ -381,16 +433,20 @@
      */
     static Process program(String before, Path config, Path operators) throws IOException {
         String exec = before.contains("HUP") ? "exec " : "exec env --default-signal=HUP ";
-        ProcessBuilder of = new ProcessBuilder("sh", "-c", before + exec + "\"$0\" -Xmx64m -cp \"$1\" tallyweir.cli.Main serve",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), System.getProperty("java.class.path"));
+        ProcessBuilder of = new ProcessBuilder(
+                "sh",
+                "-c",
+                before + exec + "\"$0\" -Xmx64m -cp \"$1\" tallyweir.cli.Main serve",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                System.getProperty("java.class.path"));
         of.environment().put("EDGE_CONFIG", config.toString());
         of.environment().put("EDGE_OPERATORS", Files.exists(operators) ? operators.toString() : "");
         return of.redirectErrorStream(true).start();
     }
 
     static InetSocketAddress listens(BufferedReader log) throws IOException {
-        return new InetSocketAddress("127.0.0.1",
-                Integer.parseInt(logged(log, "listens").replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
+        return new InetSocketAddress(
+                "127.0.0.1", Integer.parseInt(logged(log, "listens").replaceAll(".*address=\\S*:([0-9]+) .*", "$1")));
     }
 
     static String logged(BufferedReader log, String what) throws IOException {
@@ -406,25 +462,36 @@
     }
 
     static void signal(String name, Process program) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + program.pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, "" + program.pid())
+                        .start()
+                        .waitFor());
     }
 
     /** Where nothing calls below no store is told of; such a backend refused to start. A run that calls all the same is failed. */
     @Test
     void whereNothingCallsBelowThereNeedsToBeNoStore() throws Exception {
         try (ServerSocket kernelAt = listener()) {
-            Server server = started(NOTHING_BELOW.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\""));
-            try (Socket kernel = kernelAt.accept(); Socket caller = dial(server.address())) {
+            Server server =
+                    started(NOTHING_BELOW.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\""));
+            try (Socket kernel = kernelAt.accept();
+                    Socket caller = dial(server.address())) {
                 BufferedReader commands = new BufferedReader(new InputStreamReader(kernel.getInputStream(), UTF_8));
-                kernel.getOutputStream().write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":100000}\n".getBytes(UTF_8));
+                kernel.getOutputStream()
+                        .write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":100000}\n".getBytes(UTF_8));
                 next(commands, "SYSINFO");
                 caller.getOutputStream().write(query(1, "00000000000000aa"));
                 next(commands, "SCHED");
-                kernel.getOutputStream().write("{\"type\":\"IOREQ\",\"n\":1,\"job\":\"00000000000000aa\",\"data\":\"\"}\n".getBytes(UTF_8));
+                kernel.getOutputStream()
+                        .write("{\"type\":\"IOREQ\",\"n\":1,\"job\":\"00000000000000aa\",\"data\":\"\"}\n"
+                                .getBytes(UTF_8));
                 caller.getOutputStream().write(query(2, "00000000000000ab"));
                 next(commands, "SCHED");
-                kernel.getOutputStream().write(("{\"type\":\"REAP\",\"n\":2,\"job\":\"00000000000000ab\",\"state\":\"good\",\"took\":1,"
-                        + "\"data\":\"bWFkZQ==\"}\n").getBytes(UTF_8));
+                kernel.getOutputStream()
+                        .write(("{\"type\":\"REAP\",\"n\":2,\"job\":\"00000000000000ab\",\"state\":\"good\",\"took\":1,"
+                                        + "\"data\":\"bWFkZQ==\"}\n")
+                                .getBytes(UTF_8));
                 Model.Answered w = answer(caller.getInputStream());
                 assertEquals(List.of(2, 200, "made"), List.of(w.id(), w.status(), w.body()));
                 w = answer(caller.getInputStream());
@@ -446,7 +513,8 @@
                     kernel.setSoTimeout(PATIENCE_MS);
                     byte[] first = kernel.getInputStream().readNBytes(22);
                     assertEquals("{\"type\":\"OPEN\",\"n\":" + i + "}", new String(first, UTF_8).strip());
-                    kernel.getOutputStream().write("{\"type\":\"DMESG\",\"n\":1,\"state\":\"hello\"}\n".getBytes(UTF_8));
+                    kernel.getOutputStream()
+                            .write("{\"type\":\"DMESG\",\"n\":1,\"state\":\"hello\"}\n".getBytes(UTF_8));
                 }
             }
         }
--- a/daemon/src/test/java/tallyweir/WatchTest.java
+++ b/daemon/src/test/java/tallyweir/WatchTest.java
@@ -53,7 +53,8 @@
     }
 
     private static Map<String, Long> counts(Round r) {
-        return r.backend.counters().all().entrySet().stream().filter(e -> e.getKey().startsWith("watch_"))
+        return r.backend.counters().all().entrySet().stream()
+                .filter(e -> e.getKey().startsWith("watch_"))
                 .collect(Collectors.toMap(e -> e.getKey().substring(6), Map.Entry::getValue));
     }
 
--- a/daemon/src/test/java/tallyweir/WireTest.java
+++ b/daemon/src/test/java/tallyweir/WireTest.java
@@ -14,8 +14,8 @@
     private static final String PARAMS = "{\"Classes\":[{\"Name\":\"c\",\"Effect\":\"safe\",\"TargetUs\":1800000,"
             + "\"DeadlineUs\":4600000,\"Worth\":1.0}],\"FamilyInfo\":{\"Cpus\":2,\"MemLimitKb\":9000,\"New\":[{}]},"
             + "\"Rules\":{\"FallMultiple\":8,\"Odd\":null}}";
-    private static final String START = batch(0, "{\"Nonce64\":9223372036854775807,\"Params\":" + PARAMS
-            + ",\"t\":\"Configure\"}");
+    private static final String START =
+            batch(0, "{\"Nonce64\":9223372036854775807,\"Params\":" + PARAMS + ",\"t\":\"Configure\"}");
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
@@ -25,7 +25,9 @@
     }
 
     private int serve(String lines) {
-        return WireHost.serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out,
+        return WireHost.serve(
+                new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)),
+                out,
                 new PrintStream(err, true, StandardCharsets.UTF_8));
     }
 
@@ -46,8 +48,10 @@
         String read = "{\"t\":\"Incoming\",\"Id\":77,\"Grade\":\"c\",\"SizeKb\":20,\"Earlier\":null,\"New\":[1,{}]}";
         assertEquals(0, serve("{\"WallUs\":5,\"groups\":[]}\n" + START + batch(9000, read)));
         assertEquals("{\"groups\":[]}", replies()[0]);
-        assertEquals("{\"groups\":[{\"Backend\":3,\"actions\":[{\"t\":\"SetHealth\",\"On\":true,\"FromState\":true},"
-                + "{\"t\":\"WakeAt\",\"DueAtUs\":100000,\"Ctx\":1}]}]}", replies()[1]);
+        assertEquals(
+                "{\"groups\":[{\"Backend\":3,\"actions\":[{\"t\":\"SetHealth\",\"On\":true,\"FromState\":true},"
+                        + "{\"t\":\"WakeAt\",\"DueAtUs\":100000,\"Ctx\":1}]}]}",
+                replies()[1]);
         assertTrue(replies()[2].contains("{\"t\":\"Execute\",\"Id\":77}"), replies()[2]);
     }
 
--- a/daemon/src/test/java/tallyweir/config/OperatorsTest.java
+++ b/daemon/src/test/java/tallyweir/config/OperatorsTest.java
@@ -34,9 +34,13 @@
     void theExampleIsGood() {
         Operators o = Operators.read(Path.of("../deploy/operators.example.json"));
         assertTrue(o.hasDurable());
-        assertEquals(List.of(new Namespace("traces", 1024L << 20, true), new Namespace("results", 512L << 20, false),
-                new Namespace("intents", Long.MAX_VALUE, false),
-                new Namespace("audit", Long.MAX_VALUE, false)), o.namespaces());
+        assertEquals(
+                List.of(
+                        new Namespace("traces", 1024L << 20, true),
+                        new Namespace("results", 512L << 20, false),
+                        new Namespace("intents", Long.MAX_VALUE, false),
+                        new Namespace("audit", Long.MAX_VALUE, false)),
+                o.namespaces());
         assertTrue(o.keepsResults());
         assertEquals(Path.of("/mnt/disk2/tallyweir/durable-second"), o.second());
     }
--- a/daemon/src/test/java/tallyweir/config/RoutingTest.java
+++ b/daemon/src/test/java/tallyweir/config/RoutingTest.java
@@ -28,16 +28,23 @@
         Map<String, Digest> all = r.digests();
         assertEquals(Set.of("", "n3", "n7"), all.keySet());
         assertEquals(3, Set.copyOf(all.values()).size());
-        assertEquals(all.get(""), Routing.inForce(r.stores, r.announce, null, r.caps, false), "as worked out where it is in force");
+        assertEquals(
+                all.get(""),
+                Routing.inForce(r.stores, r.announce, null, r.caps, false),
+                "as worked out where it is in force");
         assertEquals(all.get("n3"), Routing.inForce(r.stores, r.announce, r.kernels.get("n3"), r.caps, false));
         assertNotEquals(all.get(""), Routing.inForce(r.stores, r.announce, null, Map.of(), false), "caps not in use");
     }
 
     @Test
     void ofAFaultyOneAllKeysAreNamedAtOnce() {
-        BadSetting e = assertThrows(BadSetting.class, () -> parse("{\"stores\":[{\"address\":\"here:80\"},{\"address\":\"1.2.3.4:5\","
-                + "\"weight\":0}],\"announce\":7,\"kernels\":{\"n1\":\"x\"},\"caps\":{\"t\":-1},\"colour\":1}"));
-        for (String key : new String[] {"stores[0].address", "stores[1].weight", "announce", "kernels.n1", "caps.t", "colour"}) {
+        BadSetting e = assertThrows(
+                BadSetting.class,
+                () -> parse(
+                        "{\"stores\":[{\"address\":\"here:80\"},{\"address\":\"1.2.3.4:5\","
+                                + "\"weight\":0}],\"announce\":7,\"kernels\":{\"n1\":\"x\"},\"caps\":{\"t\":-1},\"colour\":1}"));
+        for (String key :
+                new String[] {"stores[0].address", "stores[1].weight", "announce", "kernels.n1", "caps.t", "colour"}) {
             assertTrue(e.getMessage().contains(key), key + " in " + e.getMessage());
         }
     }
@@ -47,7 +54,11 @@
         Set<WorkloadId> here = Set.of(new WorkloadId("a"), new WorkloadId("b"));
         assertEquals("", parse("{}").cannot(here));
         assertEquals("", parse("{\"stores\":[{\"address\":\"1.2.3.4:5\"}]}").cannot(here));
-        assertTrue(parse("{\"stores\":[{\"address\":\"1.2.3.4:5\",\"workloads\":[\"a\",\"z\"]}]}").cannot(here).contains("z is unknown"));
-        assertTrue(parse("{\"stores\":[{\"address\":\"1.2.3.4:5\",\"workloads\":[\"a\"]}]}").cannot(here).contains("no store serves"));
+        assertTrue(parse("{\"stores\":[{\"address\":\"1.2.3.4:5\",\"workloads\":[\"a\",\"z\"]}]}")
+                .cannot(here)
+                .contains("z is unknown"));
+        assertTrue(parse("{\"stores\":[{\"address\":\"1.2.3.4:5\",\"workloads\":[\"a\"]}]}")
+                .cannot(here)
+                .contains("no store serves"));
     }
 }
--- a/daemon/src/test/java/tallyweir/net/ArrivalsTest.java
+++ b/daemon/src/test/java/tallyweir/net/ArrivalsTest.java
@@ -51,7 +51,7 @@
     void aPeerIsNotReadWhileMuchOfItLiesHere() throws InterruptedException {
         Arrivals.Inbox peer = inbox("store");
         for (int i = 0; i < Arrivals.PEER_PIECES_MOST; i++) {
-            arrivals.putFirst(peer, () -> { });
+            arrivals.putFirst(peer, () -> {});
         }
         assertEquals(List.of("store suspended"), log);
         assertEquals(List.of("store suspended", "store resumed"), taken());
--- a/durable/src/main/java/tallyweir/durable/Backup.java
+++ b/durable/src/main/java/tallyweir/durable/Backup.java
@@ -41,10 +41,21 @@
             }
         }
         try (View view = from.view();
-                Durable copy = new Durable(new FileDisk(to.resolve("first")), new FileDisk(to.resolve("second")),
-                        Both.IN_TURN, SEGMENT, from.sector(), 0.5, 0, view.namespaces().stream()
-                        .map(n -> new Namespace(n, Long.MAX_VALUE, false)).toList(),
-                        ThreadLocalRandom.current().nextLong(), FileStore::clock, Runnable::run, Set.of())) {
+                Durable copy = new Durable(
+                        new FileDisk(to.resolve("first")),
+                        new FileDisk(to.resolve("second")),
+                        Both.IN_TURN,
+                        SEGMENT,
+                        from.sector(),
+                        0.5,
+                        0,
+                        view.namespaces().stream()
+                                .map(n -> new Namespace(n, Long.MAX_VALUE, false))
+                                .toList(),
+                        ThreadLocalRandom.current().nextLong(),
+                        FileStore::clock,
+                        Runnable::run,
+                        Set.of())) {
             long records = copy(view, copy, progress);
             return new Made(records, (Long) copy.info().get("bytes_of_each_copy"));
         }
@@ -63,7 +74,7 @@
         for (String namespace : from.namespaces()) {
             List<Found> piece = new ArrayList<>();
             long bytes = 0;
-            for (Iterator<Found> in = from.range(namespace, new byte[0], null); in.hasNext();) {
+            for (Iterator<Found> in = from.range(namespace, new byte[0], null); in.hasNext(); ) {
                 Found f;
                 try {
                     f = in.next();
--- a/durable/src/main/java/tallyweir/durable/Committer.java
+++ b/durable/src/main/java/tallyweir/durable/Committer.java
@@ -17,8 +17,8 @@
  */
 public final class Committer implements AutoCloseable {
     private static final int STEP = 64 << 10;
-    private static final int REST = 3;                 // times as long as a step took, before the next while writers wait
-    private static final long IDLE_LOOK = 20_000_000;  // ns between looks for upkeep where nothing is written
+    private static final int REST = 3; // times as long as a step took, before the next while writers wait
+    private static final long IDLE_LOOK = 20_000_000; // ns between looks for upkeep where nothing is written
 
     private record Waiting(Batch batch, CompletableFuture<Void> answer) {}
 
@@ -173,7 +173,7 @@
             waiting = new ArrayDeque<>();
             return all;
         } catch (InterruptedException e) {
-            return new ArrayDeque<>();  // nobody has a reason to
+            return new ArrayDeque<>(); // nobody has a reason to
         } finally {
             lock.unlock();
         }
@@ -197,7 +197,8 @@
             pending -= bytes;
             lock.unlock();
         }
-        // Before the next group begins: whoever writes on and on is then in it. Answers given beside it were measured to
+        // Before the next group begins: whoever writes on and on is then in it. Answers given beside it were measured
+        // to
         // halve the groups, and with them the writes a second.
         answer(group, refused);
     }
--- a/durable/src/main/java/tallyweir/durable/Compaction.java
+++ b/durable/src/main/java/tallyweir/durable/Compaction.java
@@ -51,7 +51,7 @@
 
     private void frame(Group g, long now) {
         int end = walk.content() + walk.contentLength();
-        for (int at = walk.content(); at < end;) {
+        for (int at = walk.content(); at < end; ) {
             Format.Rec r = new Format.Rec(walk.buffer(), at);
             if (!r.whole(end, log.has(Defence.CHECKSUM))) {
                 return;
--- a/durable/src/main/java/tallyweir/durable/Desk.java
+++ b/durable/src/main/java/tallyweir/durable/Desk.java
@@ -46,9 +46,9 @@
         void answer(List<String> words, Consumer<String> line, LongConsumer progress) throws IOException;
     }
 
-    private static final int AT_ONCE = 4;             // questions that are answered; one more is told to come again
-    private static final int LONGEST = 16 << 10;      // characters of a question
-    private static final int QUESTION_SECONDS = 5;    // until it has been asked
+    private static final int AT_ONCE = 4; // questions that are answered; one more is told to come again
+    private static final int LONGEST = 16 << 10; // characters of a question
+    private static final int QUESTION_SECONDS = 5; // until it has been asked
 
     private final Path socket;
     private final Map<String, Verb> verbs;
@@ -99,7 +99,7 @@
             } catch (ClosedChannelException | RejectedExecutionException e) {
                 return;
             } catch (IOException e) {
-                rest();  // no descriptor is left, say
+                rest(); // no descriptor is left, say
             }
         }
     }
@@ -115,15 +115,17 @@
     private void serve(SocketChannel c) {
         boolean mine = room.tryAcquire();
         ScheduledFuture<?> late = null;
-        try (c; BufferedReader in = new BufferedReader(new InputStreamReader(Channels.newInputStream(c),
-                StandardCharsets.UTF_8)); BufferedWriter out = new BufferedWriter(new OutputStreamWriter(
-                Channels.newOutputStream(c), StandardCharsets.UTF_8))) {
+        try (c;
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(Channels.newInputStream(c), StandardCharsets.UTF_8));
+                BufferedWriter out = new BufferedWriter(
+                        new OutputStreamWriter(Channels.newOutputStream(c), StandardCharsets.UTF_8))) {
             late = patience.schedule(() -> close(c), QUESTION_SECONDS, TimeUnit.SECONDS);
             String question = question(in);
             late.cancel(false);
             answer(question, mine, out);
         } catch (IOException | UncheckedIOException gone) {
-            return;  // whoever asked has left, or never asked
+            return; // whoever asked has left, or never asked
         } finally {
             if (late != null) {
                 late.cancel(false);
@@ -138,7 +140,7 @@
         try {
             c.close();
         } catch (IOException e) {
-            return;  // the end of the process closes it
+            return; // the end of the process closes it
         }
     }
 
@@ -163,7 +165,9 @@
             if (verb == null) {
                 throw new IOException("not known here: " + words.get(0));
             }
-            verb.answer(words.subList(1, words.size()), line -> say(out, "+" + line, false),
+            verb.answer(
+                    words.subList(1, words.size()),
+                    line -> say(out, "+" + line, false),
                     far -> say(out, "*" + far, true));
             say(out, ".", true);
         } catch (IOException | RuntimeException e) {
@@ -202,9 +206,10 @@
             }
         }
         try (SocketChannel c = SocketChannel.open(UnixDomainSocketAddress.of(socket));
-                BufferedReader in = new BufferedReader(new InputStreamReader(Channels.newInputStream(c),
-                        StandardCharsets.UTF_8)); BufferedWriter out = new BufferedWriter(new OutputStreamWriter(
-                        Channels.newOutputStream(c), StandardCharsets.UTF_8))) {
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(Channels.newInputStream(c), StandardCharsets.UTF_8));
+                BufferedWriter out = new BufferedWriter(
+                        new OutputStreamWriter(Channels.newOutputStream(c), StandardCharsets.UTF_8))) {
             say(out, String.join("\t", words), true);
             for (String l = in.readLine(); l != null; l = in.readLine()) {
                 switch (l.isEmpty() ? ' ' : l.charAt(0)) {
@@ -237,10 +242,10 @@
         try {
             server.close();
             if (key(socket).equals(file)) {
-                Files.delete(socket);  // and not that of whoever has taken the store over
+                Files.delete(socket); // and not that of whoever has taken the store over
             }
         } catch (IOException e) {
-            return;  // what is left is taken away by the next process that opens the store
+            return; // what is left is taken away by the next process that opens the store
         } finally {
             workers.shutdownNow();
             patience.shutdownNow();
--- a/durable/src/main/java/tallyweir/durable/DeskVerbs.java
+++ b/durable/src/main/java/tallyweir/durable/DeskVerbs.java
@@ -72,7 +72,10 @@
     /** The record that a line of the desk says. */
     public static Found record(String line) {
         String[] w = line.split("\t", -1);
-        return new Found(HexFormat.of().parseHex(w[0]), HexFormat.of().parseHex(w[3]), Long.parseLong(w[1]),
+        return new Found(
+                HexFormat.of().parseHex(w[0]),
+                HexFormat.of().parseHex(w[3]),
+                Long.parseLong(w[1]),
                 Long.parseLong(w[2]));
     }
 
@@ -112,7 +115,8 @@
         byte[] from = key(words.get(1));
         try (View view = store.view()) {
             known(view, words.get(0));
-            Iterator<Found> in = byTime ? view.between(words.get(0), since, Math.min(until, Stamp.LATEST))
+            Iterator<Found> in = byTime
+                    ? view.between(words.get(0), since, Math.min(until, Stamp.LATEST))
                     : view.range(words.get(0), from == null ? new byte[0] : from, key(words.get(2)));
             for (long n = 0; in.hasNext() && n < most; n++) {
                 line.accept(line(in.next()));
--- a/durable/src/main/java/tallyweir/durable/Drill.java
+++ b/durable/src/main/java/tallyweir/durable/Drill.java
@@ -142,8 +142,19 @@
 
     static Durable open(Disk first, Disk second, java.util.function.LongSupplier clock, long seed, Set<Defence> without)
             throws IOException {
-        return new Durable(first, second, Both.IN_TURN, SEGMENT, SECTOR, DEAD, 10_000, History.SPACES, seed, clock,
-                Runnable::run, without);
+        return new Durable(
+                first,
+                second,
+                Both.IN_TURN,
+                SEGMENT,
+                SECTOR,
+                DEAD,
+                10_000,
+                History.SPACES,
+                seed,
+                clock,
+                Runnable::run,
+                without);
     }
 
     /**
@@ -156,7 +167,7 @@
      */
     public static Tally cuts(long seed, int steps, int every, int fates, Set<Defence> without) {
         Tally t = new Tally();
-        for (long at = 1;; at += every) {
+        for (long at = 1; ; at += every) {
             boolean through = false;
             for (int fate = 0; fate < fates; fate++) {
                 through |= cut(seed, steps, at, fate, t, without);
@@ -299,7 +310,9 @@
                 String key = "k" + chance.nextInt(6);
                 byte[] value = new byte[chance.nextInt(1, 400)];
                 value[0] = ++version;
-                if (d.commit(List.of(new Batch().put("plain", key.getBytes(), value))).get(0) == null) {
+                if (d.commit(List.of(new Batch().put("plain", key.getBytes(), value)))
+                                .get(0)
+                        == null) {
                     acknowledged.put(key, version);
                     perhaps.remove(key);
                 } else {
@@ -314,7 +327,9 @@
         acknowledged.forEach((key, is) -> {
             try {
                 Found f = d.get("plain", key.getBytes());
-                if (f == null || f.value()[0] != is && !perhaps.getOrDefault(key, List.of()).contains(f.value()[0])) {
+                if (f == null
+                        || f.value()[0] != is
+                                && !perhaps.getOrDefault(key, List.of()).contains(f.value()[0])) {
                     t.take(List.of("lost: " + key + " as " + is), when);
                 }
             } catch (IOException e) {
@@ -332,7 +347,7 @@
                 d.upkeep(SEGMENT);
             }
         } catch (IOException hindered) {
-            return;  // whoever has been taken over from
+            return; // whoever has been taken over from
         }
     }
 
@@ -387,7 +402,10 @@
             if (opening < 2) {
                 if (chance.nextBoolean()) {
                     d.abandon();
-                    m.first.names().stream().filter(n -> n.endsWith(".idx")).toList().forEach(m.first::lose);
+                    m.first.names().stream()
+                            .filter(n -> n.endsWith(".idx"))
+                            .toList()
+                            .forEach(m.first::lose);
                 } else {
                     d.close();
                 }
@@ -479,8 +497,9 @@
 
         @Override
         public String toString() {
-            return (copy == 0 ? "first/" : "second/") + name + (at < 0 ? " gone" : flip == 0 ? " cut off at " + at
-                    : " changed at " + at);
+            return (copy == 0 ? "first/" : "second/")
+                    + name
+                    + (at < 0 ? " gone" : flip == 0 ? " cut off at " + at : " changed at " + at);
         }
     }
 
--- a/durable/src/main/java/tallyweir/durable/Durable.java
+++ b/durable/src/main/java/tallyweir/durable/Durable.java
@@ -23,7 +23,7 @@
  * never wait for it.
  */
 public final class Durable implements AutoCloseable {
-    private static final long SWEEP_AT_BOUND = 10_000;  // not more often than once a second
+    private static final long SWEEP_AT_BOUND = 10_000; // not more often than once a second
 
     private final Log log;
     private final Both both;
@@ -64,9 +64,20 @@
      * @throws Refused IN_USE, NEWER_FORMAT
      * @throws IOException where neither copy of something can be read
      */
-    public Durable(Disk first, Disk second, Both both, int segmentBytes, int sector, double deadShare,
-            long scrubEvery, List<Namespace> opened, long seed, LongSupplier clock, Executor aside,
-            Set<Defence> without) throws IOException {
+    public Durable(
+            Disk first,
+            Disk second,
+            Both both,
+            int segmentBytes,
+            int sector,
+            double deadShare,
+            long scrubEvery,
+            List<Namespace> opened,
+            long seed,
+            LongSupplier clock,
+            Executor aside,
+            Set<Defence> without)
+            throws IOException {
         this.both = both;
         this.clock = clock;
         this.aside = aside;
@@ -101,7 +112,7 @@
         } catch (Refused r) {
             throw r;
         } catch (IOException e) {
-            figures.add(Figures.Of.TURNS_NOT_TAKEN);  // reading goes on; the first write tries again
+            figures.add(Figures.Of.TURNS_NOT_TAKEN); // reading goes on; the first write tries again
         }
     }
 
@@ -173,7 +184,7 @@
      */
     public synchronized List<Refused> commit(List<Batch> batches) {
         Refused[] answers = new Refused[batches.size()];
-        for (int from = 0; from < batches.size();) {
+        for (int from = 0; from < batches.size(); ) {
             int to = from;
             long bytes = 0;
             while (to < batches.size() && (to == from || bytes + batches.get(to).bytes() <= Format.GROUP_MOST)) {
@@ -213,7 +224,7 @@
                         g = new Group(state, log.room(bytes), namespaces, bytes + 2 * Format.FRAME);
                         answers[i] = add(g, batches.get(i), now);
                     } else {
-                        sweptAtBound = Long.MIN_VALUE / 2;  // its turn is the next group's
+                        sweptAtBound = Long.MIN_VALUE / 2; // its turn is the next group's
                     }
                 }
             }
@@ -302,8 +313,10 @@
                 byte[] oldest = namespaces[n].dropOldest() ? g.oldest(n, first) : null;
                 if (oldest == null) {
                     g.back();
-                    return new Refused(Cause.AT_BOUND, "namespace " + namespaces[n].name() + " holds "
-                            + before[n] + " of " + namespaces[n].boundBytes() + " bytes and would pass them");
+                    return new Refused(
+                            Cause.AT_BOUND,
+                            "namespace " + namespaces[n].name() + " holds " + before[n] + " of "
+                                    + namespaces[n].boundBytes() + " bytes and would pass them");
                 }
                 g.delete(n, oldest, now);
                 figures.add(Figures.Of.DROPPED_OLDEST);
@@ -313,8 +326,9 @@
     }
 
     private Refused wrong(Batch b) {
-        String what = b.bytes() > Format.BATCH_MOST ? "a batch of " + b.bytes() + " bytes, the most is "
-                + Format.BATCH_MOST : null;
+        String what = b.bytes() > Format.BATCH_MOST
+                ? "a batch of " + b.bytes() + " bytes, the most is " + Format.BATCH_MOST
+                : null;
         for (Batch.Write w : b.writes) {
             if (!numbers.containsKey(w.namespace())) {
                 what = "namespace " + w.namespace() + " was not opened";
@@ -358,7 +372,7 @@
                 if (closed) {
                     throw figures.count(new Refused(Cause.CLOSED, "the store is closed"));
                 }
-                continue;  // compacted away just now: the next look finds it where it was moved to
+                continue; // compacted away just now: the next look finds it where it was moved to
             }
             try {
                 long second = figures.get(Figures.Of.SECOND_READS);
@@ -459,8 +473,8 @@
             return false;
         }
         long now = now();
-        switch (upkeep.next(now, log.segments(), log.active(), log.hasRetired(), !damaged.isEmpty(),
-                compaction != null)) {
+        switch (upkeep.next(
+                now, log.segments(), log.active(), log.hasRetired(), !damaged.isEmpty(), compaction != null)) {
             case DELETE -> log.deleteRetired();
             case MEND -> mend(damaged.poll());
             case COMPACT -> compact(bytes, now);
@@ -516,7 +530,7 @@
             }
         } catch (IOException e) {
             compactionWrote = 0;
-            compaction = null;  // begins anew when there is room; what was moved stays moved
+            compaction = null; // begins anew when there is room; what was moved stays moved
             throw e;
         }
     }
@@ -565,7 +579,7 @@
 
     /** Writes all that is current anew. */
     public void compactAll() throws IOException {
-        compactAll(done -> { });
+        compactAll(done -> {});
     }
 
     /**
@@ -635,8 +649,14 @@
             segments.put(s.number, new IndexFile.Of(s.endFrame, s.end, s.puts, s.tombstones, s.lastTombstone));
         }
         Log.Last last = log.last();
-        IndexFile f = new IndexFile(log.nextFrame(), log.lastStamp(), last.segment(), last.place(), last.sum(),
-                segments, state.index().leaves());
+        IndexFile f = new IndexFile(
+                log.nextFrame(),
+                log.lastStamp(),
+                last.segment(),
+                last.place(),
+                last.sum(),
+                segments,
+                state.index().leaves());
         upkeep.snapshot(state.index().size() * 48);
         aside.execute(() -> {
             try {
@@ -679,7 +699,7 @@
             try {
                 lock.close();
             } catch (IOException e) {
-                continue;  // the process's end gives it back
+                continue; // the process's end gives it back
             }
         }
         locks.clear();
--- a/durable/src/main/java/tallyweir/durable/Fence.java
+++ b/durable/src/main/java/tallyweir/durable/Fence.java
@@ -38,7 +38,7 @@
                 files[copy] = disks[copy].open(NAME);
             }
         } catch (IOException e) {
-            files[copy] = null;  // the other copy tells
+            files[copy] = null; // the other copy tells
         }
     }
 
@@ -117,7 +117,7 @@
                     f.close();
                 }
             } catch (IOException e) {
-                continue;  // nothing is owed to it
+                continue; // nothing is owed to it
             }
         }
     }
--- a/durable/src/main/java/tallyweir/durable/FileDisk.java
+++ b/durable/src/main/java/tallyweir/durable/FileDisk.java
@@ -72,19 +72,33 @@
 
     @Override
     public Handle create(String name) throws IOException {
-        return file(name, FileChannel.open(dir.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE,
-                StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING));
+        return file(
+                name,
+                FileChannel.open(
+                        dir.resolve(name),
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING));
     }
 
     @Override
     public Handle createNew(String name) throws IOException {
-        return file(name, FileChannel.open(dir.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE,
-                StandardOpenOption.CREATE_NEW));
+        return file(
+                name,
+                FileChannel.open(
+                        dir.resolve(name),
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE,
+                        StandardOpenOption.CREATE_NEW));
     }
 
     private File file(String name, FileChannel channel) {
         boolean log = name.endsWith(Format.SUFFIX);
-        return new File(channel, times, !log ? Times.Of.SNAPSHOT : second ? Times.Of.FORCE_SECOND : Times.Of.FORCE_FIRST,
+        return new File(
+                channel,
+                times,
+                !log ? Times.Of.SNAPSHOT : second ? Times.Of.FORCE_SECOND : Times.Of.FORCE_FIRST,
                 !log ? null : second ? Times.Of.WRITE_SECOND : Times.Of.WRITE_FIRST);
     }
 
@@ -104,13 +118,13 @@
     @Override
     public Closeable lock() throws IOException {
         if (Boolean.getBoolean("tallyweir.drill.nolock")) {
-            return () -> { };  // a drill plays a shared directory whose locks do not hold
+            return () -> {}; // a drill plays a shared directory whose locks do not hold
         }
         FileChannel c;
         try {
             c = FileChannel.open(dir.resolve(LOCK), StandardOpenOption.WRITE, StandardOpenOption.CREATE);
         } catch (AccessDeniedException e) {
-            return () -> { };  // a directory that cannot be written is read, and every write refused
+            return () -> {}; // a directory that cannot be written is read, and every write refused
         }
         try {
             FileLock lock = c.tryLock();
--- a/durable/src/main/java/tallyweir/durable/FileStore.java
+++ b/durable/src/main/java/tallyweir/durable/FileStore.java
@@ -29,11 +29,31 @@
      * @param first the directory of one copy
      * @param second the directory of the other
      */
-    public FileStore(Path first, Path second, int segmentBytes, int sector, double deadShare, long scrubEvery,
-            long pendingMost, long forceEvery, long upkeepRate, List<Namespace> namespaces) throws IOException {
+    public FileStore(
+            Path first,
+            Path second,
+            int segmentBytes,
+            int sector,
+            double deadShare,
+            long scrubEvery,
+            long pendingMost,
+            long forceEvery,
+            long upkeepRate,
+            List<Namespace> namespaces)
+            throws IOException {
         try {
-            store = new Durable(new FileDisk(first, times, false), new FileDisk(second, times, true), both, segmentBytes, sector, deadShare,
-                    scrubEvery, namespaces, ThreadLocalRandom.current().nextLong(), FileStore::clock, aside,
+            store = new Durable(
+                    new FileDisk(first, times, false),
+                    new FileDisk(second, times, true),
+                    both,
+                    segmentBytes,
+                    sector,
+                    deadShare,
+                    scrubEvery,
+                    namespaces,
+                    ThreadLocalRandom.current().nextLong(),
+                    FileStore::clock,
+                    aside,
                     Boolean.getBoolean("tallyweir.drill.nofence") ? Set.of(Defence.FENCE) : Set.of());
         } catch (IOException | RuntimeException e) {
             both.close();
--- a/durable/src/main/java/tallyweir/durable/Format.java
+++ b/durable/src/main/java/tallyweir/durable/Format.java
@@ -14,6 +14,7 @@
 final class Format {
     /** Of the files; a greater one is refused, a smaller one read. */
     static final int VERSION = 1;
+
     static final int MAGIC = 0x54574431;
     static final byte HEAD = 1;
     static final byte DATA = 2;
@@ -22,6 +23,7 @@
     static final byte DELETE = 2;
     /** The segment whose number is the key is gone. */
     static final byte DROPPED = 3;
+
     static final int RECORD = 29;
     static final int KEY_MOST = 1_024;
     static final int VALUE_MOST = 16 << 20;
@@ -38,7 +40,8 @@
 
     /** The segment that a file name stands for, -1 for any other name. */
     static int segment(String name) {
-        return name.matches("[0-9]{10}\\.seg") ? (int) Math.min(Integer.MAX_VALUE, Long.parseLong(name.substring(0, 10)))
+        return name.matches("[0-9]{10}\\.seg")
+                ? (int) Math.min(Integer.MAX_VALUE, Long.parseLong(name.substring(0, 10)))
                 : -1;
     }
 
@@ -55,7 +58,11 @@
     /** Of a frame whose bytes begin at an index; the field of the checksum itself is left out. */
     private static int frameChecksum(long storeId, int segment, long place, byte[] b, int at, int length) {
         CRC32C crc = new CRC32C();
-        crc.update(ByteBuffer.allocate(20).putLong(storeId).putInt(segment).putLong(place).flip());
+        crc.update(ByteBuffer.allocate(20)
+                .putLong(storeId)
+                .putInt(segment)
+                .putLong(place)
+                .flip());
         crc.update(b, at, 12);
         crc.update(b, at + 16, 8 + length);
         return (int) crc.getValue();
@@ -63,7 +70,12 @@
 
     /** Fills in the header before a content of so many bytes; a head's checksum knows no store id. */
     static void seal(byte[] b, int at, byte kind, int length, long number, long storeId, int segment, long place) {
-        ByteBuffer.wrap(b, at, FRAME).putInt(MAGIC).putInt(kind << 24).putInt(length).putInt(0).putLong(number);
+        ByteBuffer.wrap(b, at, FRAME)
+                .putInt(MAGIC)
+                .putInt(kind << 24)
+                .putInt(length)
+                .putInt(0)
+                .putLong(number);
         int sum = frameChecksum(kind == HEAD ? 0 : storeId, segment, place, b, at, length);
         ByteBuffer.wrap(b).putInt(at + 12, sum);
     }
@@ -91,8 +103,13 @@
         int length = value == null ? 0 : value.length;
         ByteBuffer out = ByteBuffer.wrap(b);
         out.position(at + 4);
-        out.put(type).putShort((short) namespace).putShort((short) key.length).putInt(length).putLong(stamp)
-                .putLong(expires).put(key);
+        out.put(type)
+                .putShort((short) namespace)
+                .putShort((short) key.length)
+                .putInt(length)
+                .putLong(stamp)
+                .putLong(expires)
+                .put(key);
         if (length > 0) {
             out.put(value);
         }
@@ -142,7 +159,9 @@
 
         /** Whether a whole record stands here that ends by an index, and its checksum matches. */
         boolean whole(int end, boolean checked) {
-            return end - at >= RECORD && valueLength() >= 0 && keyLength() <= end - at - RECORD
+            return end - at >= RECORD
+                    && valueLength() >= 0
+                    && keyLength() <= end - at - RECORD
                     && valueLength() <= end - at - RECORD - keyLength()
                     && (!checked || ByteBuffer.wrap(in).getInt(at) == checksum(in, at + 4, length() - 4));
         }
--- a/durable/src/main/java/tallyweir/durable/Group.java
+++ b/durable/src/main/java/tallyweir/durable/Group.java
@@ -223,7 +223,13 @@
 
     /** Says that a segment is gone. */
     void dropped(int segment) {
-        write(Format.DROPPED, 0, lastStamp, 0, ByteBuffer.allocate(4).putInt(segment).array(), null);
+        write(
+                Format.DROPPED,
+                0,
+                lastStamp,
+                0,
+                ByteBuffer.allocate(4).putInt(segment).array(),
+                null);
     }
 
     /** The key of the oldest record of a namespace, if it is older than a stamp; else null. */
--- a/durable/src/main/java/tallyweir/durable/Head.java
+++ b/durable/src/main/java/tallyweir/durable/Head.java
@@ -22,7 +22,13 @@
  * @param names of the namespaces, each at its number
  * @param older the older segments that count
  */
-record Head(long storeId, int segment, long firstFrame, long lastStamp, long opening, List<String> names,
+record Head(
+        long storeId,
+        int segment,
+        long firstFrame,
+        long lastStamp,
+        long opening,
+        List<String> names,
         List<Older> older) {
     /** A segment that counts, up to and without this end. */
     record Older(int segment, long firstFrame, long created, long endFrame, long end) {}
@@ -63,8 +69,10 @@
             ByteBuffer in = ByteBuffer.wrap(content);
             int version = in.getInt();
             if (version > Format.VERSION) {
-                throw new Refused(Refused.Cause.NEWER_FORMAT, "the store is of format " + version
-                        + ", this program knows formats up to " + Format.VERSION + ": use the program that wrote it");
+                throw new Refused(
+                        Refused.Cause.NEWER_FORMAT,
+                        "the store is of format " + version + ", this program knows formats up to " + Format.VERSION
+                                + ": use the program that wrote it");
             }
             long id = in.getLong();
             int segment = in.getInt();
--- a/durable/src/main/java/tallyweir/durable/History.java
+++ b/durable/src/main/java/tallyweir/durable/History.java
@@ -24,8 +24,10 @@
         Durable open() throws IOException;
     }
 
-    static final List<Namespace> SPACES = List.of(new Namespace("plain", 1L << 40, false),
-            new Namespace("ring", 900, true), new Namespace("full", 1_200, false));
+    static final List<Namespace> SPACES = List.of(
+            new Namespace("plain", 1L << 40, false),
+            new Namespace("ring", 900, true),
+            new Namespace("full", 1_200, false));
 
     private record Value(byte[] bytes, long expires) {
         boolean is(Found f) {
@@ -47,7 +49,8 @@
 
         private long used(String space) {
             return spaces.get(space).entrySet().stream()
-                    .mapToLong(e -> 29L + e.getKey().length() + e.getValue().bytes.length).sum();
+                    .mapToLong(e -> 29L + e.getKey().length() + e.getValue().bytes.length)
+                    .sum();
         }
 
         /** The model with a batch in it, null where it must be refused. */
@@ -178,7 +181,7 @@
             expected.add(next != null);
             maybe = next == null ? maybe : next;
         }
-        possible.add(maybe);  // from here on it may be on the disk
+        possible.add(maybe); // from here on it may be on the disk
         List<Refused> answers = store.commit(group);
         for (int i = 0; i < answers.size(); i++) {
             Refused r = answers.get(i);
@@ -205,8 +208,11 @@
             if (chance.nextInt(5) == 0) {
                 b.delete(space, key);
             } else {
-                b.put(space, key, value(), space.equals("plain") && chance.nextInt(3) == 0
-                        ? clock + chance.nextInt(1, 6_000) : 0);
+                b.put(
+                        space,
+                        key,
+                        value(),
+                        space.equals("plain") && chance.nextInt(3) == 0 ? clock + chance.nextInt(1, 6_000) : 0);
             }
         }
         return b;
@@ -218,7 +224,8 @@
     }
 
     private byte[] value() {
-        byte[] v = new byte[chance.nextInt(8) == 0 ? 0 : chance.nextInt(12) == 0 ? chance.nextInt(900) : chance.nextInt(90)];
+        byte[] v = new byte
+                [chance.nextInt(8) == 0 ? 0 : chance.nextInt(12) == 0 ? chance.nextInt(900) : chance.nextInt(90)];
         for (int i = 0; i < v.length; i++) {
             v[i] = (byte) chance.nextInt(256);
         }
@@ -279,8 +286,8 @@
                     if (v == null) {
                         off.add("returned: " + n.name() + "/" + key + " is not to be there");
                     } else if (!v.is(f)) {
-                        off.add((written.contains(Arrays.hashCode(f.value())) ? "lost: " : "returned: ")
-                                + n.name() + "/" + key + " is not as last written");
+                        off.add((written.contains(Arrays.hashCode(f.value())) ? "lost: " : "returned: ") + n.name()
+                                + "/" + key + " is not as last written");
                     }
                 }
                 left.keySet().forEach(key -> off.add("lost: " + n.name() + "/" + key));
--- a/durable/src/main/java/tallyweir/durable/Index.java
+++ b/durable/src/main/java/tallyweir/durable/Index.java
@@ -26,7 +26,7 @@
     private static final int KIDS_MOST = 64;
     private static final int KIDS_FEW = KIDS_MOST / 4;
 
-    private final Object root;   // a leaf (byte[]), an inner node (Object[]) or null
+    private final Object root; // a leaf (byte[]), an inner node (Object[]) or null
     private final long size;
 
     private Index(Object root, long size) {
@@ -137,8 +137,9 @@
             List<Object> above = new ArrayList<>();
             int groups = (level.size() + KIDS_MOST * 3 / 4 - 1) / (KIDS_MOST * 3 / 4);
             for (int g = 0; g < groups; g++) {
-                above.add(level.subList((int) ((long) level.size() * g / groups),
-                        (int) ((long) level.size() * (g + 1) / groups)).toArray());
+                above.add(level.subList((int) ((long) level.size() * g / groups), (int)
+                                ((long) level.size() * (g + 1) / groups))
+                        .toArray());
             }
             level = above;
         }
@@ -177,7 +178,11 @@
             ByteBuffer in = ByteBuffer.wrap(leaf);
             for (int i = 0; i < count(leaf); i++) {
                 int from = from(leaf, i);
-                to.entry(u16(leaf, from + META), in.getLong(from), in.getInt(from + 8), in.getInt(from + 16),
+                to.entry(
+                        u16(leaf, from + META),
+                        in.getLong(from),
+                        in.getInt(from + 8),
+                        in.getInt(from + 16),
                         (long) u16(leaf, from + 20) << 32 | in.getInt(from + 22) & 0xffff_ffffL);
             }
         }
@@ -210,14 +215,25 @@
         int from = from(leaf, i);
         ByteBuffer in = ByteBuffer.wrap(leaf);
         long expires = (long) u16(leaf, from + 20) << 32 | in.getInt(from + 22) & 0xffff_ffffL;
-        return new Entry(Arrays.copyOfRange(leaf, from + META, to(leaf, i)), in.getLong(from), in.getInt(from + 8),
-                in.getInt(from + 12), in.getInt(from + 16), expires);
+        return new Entry(
+                Arrays.copyOfRange(leaf, from + META, to(leaf, i)),
+                in.getLong(from),
+                in.getInt(from + 8),
+                in.getInt(from + 12),
+                in.getInt(from + 16),
+                expires);
     }
 
     private static byte[] bytes(Entry e) {
         byte[] b = new byte[META + e.key.length];
-        ByteBuffer.wrap(b).putLong(e.stamp).putInt(e.segment).putInt(e.offset).putInt(e.length)
-                .putShort((short) (e.expires >> 32)).putInt((int) e.expires).put(e.key);
+        ByteBuffer.wrap(b)
+                .putLong(e.stamp)
+                .putInt(e.segment)
+                .putInt(e.offset)
+                .putInt(e.length)
+                .putShort((short) (e.expires >> 32))
+                .putInt((int) e.expires)
+                .put(e.key);
         return b;
     }
 
@@ -343,7 +359,7 @@
             if (fuller.length <= LEAF_MOST || n < 2) {
                 return fuller;
             }
-            int cut = 1;  // keys that come in order leave full leaves behind
+            int cut = 1; // keys that come in order leave full leaves behind
             if (at == n - 1) {
                 cut = n - 1;
             } else {
@@ -425,5 +441,4 @@
         System.arraycopy(r, 0, all, l.length, r.length);
         return all;
     }
-
 }
--- a/durable/src/main/java/tallyweir/durable/IndexFile.java
+++ b/durable/src/main/java/tallyweir/durable/IndexFile.java
@@ -25,8 +25,14 @@
  * @param lastSum that frame's checksum
  * @param segments what is known of each segment that counted
  */
-record IndexFile(long nextFrame, long lastStamp, int lastSegment, long lastPlace, int lastSum,
-        Map<Integer, Of> segments, List<byte[]> leaves) {
+record IndexFile(
+        long nextFrame,
+        long lastStamp,
+        int lastSegment,
+        long lastPlace,
+        int lastSum,
+        Map<Integer, Of> segments,
+        List<byte[]> leaves) {
     /** One segment as far as it is covered. */
     record Of(long endFrame, long end, long puts, long tombstones, long lastTombstone) {}
 
@@ -39,7 +45,10 @@
     }
 
     private static List<String> names(Disk disk) throws IOException {
-        return disk.names().stream().filter(n -> n.matches(FORM)).sorted(Comparator.reverseOrder()).toList();
+        return disk.names().stream()
+                .filter(n -> n.matches(FORM))
+                .sorted(Comparator.reverseOrder())
+                .toList();
     }
 
     /** Writes and forces it, then takes the older ones away; how many bytes. */
@@ -119,8 +128,10 @@
                 return null;
             }
             byte[] b = new byte[(int) file.size()];
-            if (file.readFully(0, ByteBuffer.wrap(b)) < b.length || distrust
-                    && Format.checksum(b, 0, b.length - 4) != ByteBuffer.wrap(b).getInt(b.length - 4)) {
+            if (file.readFully(0, ByteBuffer.wrap(b)) < b.length
+                    || distrust
+                            && Format.checksum(b, 0, b.length - 4)
+                                    != ByteBuffer.wrap(b).getInt(b.length - 4)) {
                 return null;
             }
             DataInputStream in = new DataInputStream(new ByteArrayInputStream(b));
@@ -134,7 +145,8 @@
             int lastSum = in.readInt();
             Map<Integer, Of> segments = new HashMap<>();
             for (int n = in.readInt(); n > 0; n--) {
-                segments.put(in.readInt(),
+                segments.put(
+                        in.readInt(),
                         new Of(in.readLong(), in.readLong(), in.readLong(), in.readLong(), in.readLong()));
             }
             List<byte[]> leaves = new ArrayList<>();
--- a/durable/src/main/java/tallyweir/durable/Kills.java
+++ b/durable/src/main/java/tallyweir/durable/Kills.java
@@ -59,11 +59,19 @@
     private static void writer(Path dir, SplittableRandom chance, Set<Defence> without, Map<Integer, Long> told)
             throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Kills.class.getName(),
-                dir.toString(), Long.toString(chance.nextLong())));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Kills.class.getName(),
+                dir.toString(),
+                Long.toString(chance.nextLong())));
         without.forEach(d -> command.add(d.name()));
-        Process writer = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        Process writer = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         int lines = chance.nextInt(1, 4_000);
         long pause = chance.nextInt(3);
         try (BufferedReader in = writer.inputReader(StandardCharsets.US_ASCII)) {
@@ -73,7 +81,7 @@
                 tell(line, told);
             }
             TimeUnit.MILLISECONDS.sleep(pause);
-            writer.toHandle().destroyForcibly();  // unlike the process's own method it leaves what was said to be read
+            writer.toHandle().destroyForcibly(); // unlike the process's own method it leaves what was said to be read
             for (line = in.readLine(); line != null; line = in.readLine()) {
                 tell(line, told);
             }
@@ -84,13 +92,14 @@
 
     private static void tell(String line, Map<Integer, Long> told) {
         String[] parts = line == null ? new String[0] : line.split(" ");
-        if (parts.length == 3 && parts[2].equals(".")) {  // whole lines only
+        if (parts.length == 3 && parts[2].equals(".")) { // whole lines only
             told.merge(Integer.parseInt(parts[0]), Long.parseLong(parts[1]), Math::max);
         }
     }
 
     private static void look(Path dir, Set<Defence> without, Map<Integer, Long> told, Drill.Tally t, String when) {
-        try (SideBySide both = new SideBySide(); Durable d = open(dir, both, without)) {
+        try (SideBySide both = new SideBySide();
+                Durable d = open(dir, both, without)) {
             t.opened();
             for (int key = 0; key < WRITERS * KEYS; key++) {
                 Found f = d.get(SPACE.name(), key(key));
@@ -122,8 +131,19 @@
     }
 
     private static Durable open(Path dir, Both both, Set<Defence> without) throws IOException {
-        return new Durable(new FileDisk(dir.resolve("first")), new FileDisk(dir.resolve("second")), both, SEGMENT,
-                Drill.SECTOR, 0.4, 20_000, List.of(SPACE), 7, FileStore::clock, Runnable::run, without);
+        return new Durable(
+                new FileDisk(dir.resolve("first")),
+                new FileDisk(dir.resolve("second")),
+                both,
+                SEGMENT,
+                Drill.SECTOR,
+                0.4,
+                20_000,
+                List.of(SPACE),
+                7,
+                FileStore::clock,
+                Runnable::run,
+                without);
     }
 
     /** The writing process: a directory, a seed and the names of defences that are off. Writes until it is killed. */
--- a/durable/src/main/java/tallyweir/durable/Log.java
+++ b/durable/src/main/java/tallyweir/durable/Log.java
@@ -83,7 +83,13 @@
     }
 
     /** What opening found; from here on frames are appended behind it, in a new segment. */
-    void resume(long storeId, long opening, List<String> names, int lastSegment, long nextFrame, long lastStamp,
+    void resume(
+            long storeId,
+            long opening,
+            List<String> names,
+            int lastSegment,
+            long nextFrame,
+            long lastStamp,
             Last last) {
         this.storeId = storeId;
         this.opening = opening;
@@ -118,9 +124,9 @@
             return;
         }
         try {
-            noteOthers();  // whoever writes goes on
+            noteOthers(); // whoever writes goes on
             fence.raise();
-            noteOthers();  // and did not just now
+            noteOthers(); // and did not just now
         } catch (Refused r) {
             othersWrote = true;
             throw figures.count(r);
@@ -132,8 +138,10 @@
     private void noteOthers() throws IOException {
         Segment newest = segments.isEmpty() ? null : segments.lastEntry().getValue();
         for (int c = 0; c < copies(); c++) {
-            othersWrote |= disks[c].names().stream().anyMatch(n -> Format.segment(n) > lastSegment) || newest != null
-                    && new Window(newest.copies[c]).frame(newest.end, nextFrame, storeId, newest.number, true) >= 0;
+            othersWrote |= disks[c].names().stream().anyMatch(n -> Format.segment(n) > lastSegment)
+                    || newest != null
+                            && new Window(newest.copies[c]).frame(newest.end, nextFrame, storeId, newest.number, true)
+                                    >= 0;
         }
         if (othersWrote) {
             throw new Refused(Cause.FENCED, "another process has written since: open the store again");
@@ -279,19 +287,23 @@
         Arrays.fill(b, Format.FRAME + contentLength, length, (byte) 0);
         Format.seal(b, 0, Format.DATA, contentLength, nextFrame, storeId, s.number, s.end);
         try {
-            both.run(() -> put(s.copies[0], s.end, b, length), () -> {
-                if (copies() > 1) {
-                    put(s.copies[1], s.end, b, length);
-                }
-            }, meanwhile);
+            both.run(
+                    () -> put(s.copies[0], s.end, b, length),
+                    () -> {
+                        if (copies() > 1) {
+                            put(s.copies[1], s.end, b, length);
+                        }
+                    },
+                    meanwhile);
         } catch (IOException e) {
             if (has(Defence.VOID_AFTER_FAILURE)) {
                 active = null;
                 figures.add(Figures.Of.ABANDONED);
             }
-            throw figures.count(e instanceof ForceFailed || !wiped(s)
-                    ? new Refused(Cause.UNKNOWN, "the disk did not confirm the records: " + e.getMessage(), e)
-                    : new Refused(Cause.NO_ROOM, "the records cannot be written: " + e.getMessage(), e));
+            throw figures.count(
+                    e instanceof ForceFailed || !wiped(s)
+                            ? new Refused(Cause.UNKNOWN, "the disk did not confirm the records: " + e.getMessage(), e)
+                            : new Refused(Cause.NO_ROOM, "the records cannot be written: " + e.getMessage(), e));
         }
         stillOurs();
         last = new Last(s.number, s.end, ByteBuffer.wrap(b).getInt(12));
@@ -305,7 +317,8 @@
         try {
             for (int c = 0; c < copies(); c++) {
                 if (s.copies[c].size() > s.end) {
-                    s.copies[c].writeFully(s.end, ByteBuffer.allocate((int) Math.min(sector, s.copies[c].size() - s.end)));
+                    s.copies[c].writeFully(s.end, ByteBuffer.allocate((int)
+                            Math.min(sector, s.copies[c].size() - s.end)));
                     force(s.copies[c]);
                 }
             }
@@ -323,7 +336,8 @@
         for (int c = 0; c < copies(); c++) {
             byte[] b = new byte[e.length()];
             try {
-                if (s.copies[c] != null && s.copies[c].readFully(e.offset(), ByteBuffer.wrap(b)) == b.length
+                if (s.copies[c] != null
+                        && s.copies[c].readFully(e.offset(), ByteBuffer.wrap(b)) == b.length
                         && (has(Defence.CHECKSUM) ? isOf(b, e) : new Format.Rec(b, 0).whole(b.length, false))) {
                     if (c > 0) {
                         figures.add(Figures.Of.SECOND_READS);
@@ -340,7 +354,9 @@
 
     private static boolean isOf(byte[] b, Index.Entry e) {
         Format.Rec r = new Format.Rec(b, 0);
-        return r.whole(b.length, true) && r.type() == Format.PUT && r.stamp() == e.stamp()
+        return r.whole(b.length, true)
+                && r.type() == Format.PUT
+                && r.stamp() == e.stamp()
                 && r.namespace() == e.namespace()
                 && Arrays.equals(b, Format.RECORD, Format.RECORD + r.keyLength(), e.key(), 2, e.key().length);
     }
@@ -375,7 +391,7 @@
             try {
                 forceNames(c);
             } catch (IOException e) {
-                continue;  // a file that comes back is known as gone by the next head
+                continue; // a file that comes back is known as gone by the next head
             }
         }
     }
@@ -386,7 +402,7 @@
                 disks[copy].delete(Format.name(number));
             }
         } catch (IOException e) {
-            return;  // what is left is in no head and goes at the next opening
+            return; // what is left is in no head and goes at the next opening
         }
     }
 
@@ -396,7 +412,7 @@
                 file.close();
             }
         } catch (IOException e) {
-            return;  // nothing was owed to it
+            return; // nothing was owed to it
         }
     }
 
--- a/durable/src/main/java/tallyweir/durable/Opening.java
+++ b/durable/src/main/java/tallyweir/durable/Opening.java
@@ -56,8 +56,14 @@
         }
         Head newest = heads.lastEntry().getValue();
         lastStamp = newest.lastStamp();
-        log.resume(newest.storeId(), newest.opening() + 1, new ArrayList<>(newest.names()), lastFile,
-                nextFrame, lastStamp, last);
+        log.resume(
+                newest.storeId(),
+                newest.opening() + 1,
+                new ArrayList<>(newest.names()),
+                lastFile,
+                nextFrame,
+                lastStamp,
+                last);
         Map<Integer, Head.Older> older = new HashMap<>();
         newest.older().forEach(o -> older.put(o.segment(), o));
         add(newest.segment(), newest.firstFrame(), newest.lastStamp(), files, suspect);
@@ -70,7 +76,10 @@
         }
         takeAway(files, counting(newest));
         for (Segment s : log.segments()) {
-            read(s, older.get(s.number), snapshot == null ? null : snapshot.segments().get(s.number),
+            read(
+                    s,
+                    older.get(s.number),
+                    snapshot == null ? null : snapshot.segments().get(s.number),
                     suspect.contains(s.number));
         }
         if (snapshot != null) {
@@ -81,8 +90,14 @@
             s.current++;
             s.live += length;
         });
-        log.resume(newest.storeId(), newest.opening() + 1, new ArrayList<>(newest.names()), lastFile,
-                nextFrame, lastStamp, last);
+        log.resume(
+                newest.storeId(),
+                newest.opening() + 1,
+                new ArrayList<>(newest.names()),
+                lastFile,
+                nextFrame,
+                lastStamp,
+                last);
     }
 
     /** All segment files that are there, opened; null for a copy that is not. */
@@ -92,7 +107,8 @@
             for (String name : log.disk(c).names()) {
                 int segment = Format.segment(name);
                 if (segment > 0 && segment < Integer.MAX_VALUE) {
-                    files.computeIfAbsent(segment, s -> new Disk.Handle[2])[c] = log.disk(c).open(name);
+                    files.computeIfAbsent(segment, s -> new Disk.Handle[2])[c] =
+                            log.disk(c).open(name);
                 }
             }
         }
@@ -121,8 +137,8 @@
     }
 
     /** A segment that counts; a copy that is not there is made anew, empty as yet. */
-    private void add(int segment, long firstFrame, long created, Map<Integer, Disk.Handle[]> files,
-            Set<Integer> suspect) {
+    private void add(
+            int segment, long firstFrame, long created, Map<Integer, Disk.Handle[]> files, Set<Integer> suspect) {
         if (log.segment(segment) != null) {
             return;
         }
@@ -159,8 +175,8 @@
         return counting;
     }
 
-    private IndexFile snapshot(Map<Integer, Head.Older> older, Map<Integer, Disk.Handle[]> files,
-            Set<Integer> suspect) {
+    private IndexFile snapshot(
+            Map<Integer, Head.Older> older, Map<Integer, Disk.Handle[]> files, Set<Integer> suspect) {
         boolean distrust = log.has(Defence.SNAPSHOT_DISTRUST);
         IndexFile f = IndexFile.newest(log.disk(0), log.storeId(), distrust, log.figures());
         if (f == null) {
@@ -185,11 +201,12 @@
     /** The segments that were compacted away since the newest was begun: it says so, or the snapshot knows no more of them. */
     private void findDropped(Segment newest, Iterable<Head.Older> older, IndexFile snapshot) throws IOException {
         IndexFile.Of covered = snapshot == null ? null : snapshot.segments().get(newest.number);
-        Walk walk = covered == null ? new Walk(log, newest, 0, newest.firstFrame, Long.MAX_VALUE, true)
+        Walk walk = covered == null
+                ? new Walk(log, newest, 0, newest.firstFrame, Long.MAX_VALUE, true)
                 : new Walk(log, newest, covered.end(), covered.endFrame(), Long.MAX_VALUE, true);
         while (walk.next()) {
             int end = walk.content() + walk.contentLength();
-            for (int at = walk.content(); walk.start() > 0 && at < end;) {
+            for (int at = walk.content(); walk.start() > 0 && at < end; ) {
                 Format.Rec r = new Format.Rec(walk.buffer(), at);
                 if (!r.whole(end, log.has(Defence.CHECKSUM))) {
                     break;
@@ -202,7 +219,8 @@
         }
         walk.finish();
         for (Head.Older o : older) {
-            if (snapshot != null && o.firstFrame() < snapshot.nextFrame()
+            if (snapshot != null
+                    && o.firstFrame() < snapshot.nextFrame()
                     && !snapshot.segments().containsKey(o.segment())) {
                 dropped.add(o.segment());
             }
@@ -239,8 +257,10 @@
             }
         }
         walk.finish();
-        log.figures().add(Figures.Of.LOST_FRAMES, walk.lost()
-                + (bounds == null ? 0 : Math.max(0, limit - walk.nextFrame())));
+        log.figures()
+                .add(
+                        Figures.Of.LOST_FRAMES,
+                        walk.lost() + (bounds == null ? 0 : Math.max(0, limit - walk.nextFrame())));
         s.endFrame = bounds == null ? walk.nextFrame() : bounds.endFrame();
         s.end = bounds == null ? Math.max(walk.nextPlace(), log.sector()) : bounds.end();
         nextFrame = Math.max(nextFrame, s.endFrame);
@@ -286,7 +306,7 @@
                     index = index.remove(key);
                 }
             }
-            default -> { }  // that a segment was dropped is known by now; the time that it carries counts
+            default -> {} // that a segment was dropped is known by now; the time that it carries counts
         }
         lastStamp = Math.max(lastStamp, r.stamp());
     }
--- a/durable/src/main/java/tallyweir/durable/Segment.java
+++ b/durable/src/main/java/tallyweir/durable/Segment.java
@@ -30,6 +30,7 @@
     long tombstones;
     /** and the highest stamp of one. */
     long lastTombstone;
+
     private final AtomicInteger pins = new AtomicInteger();
 
     Segment(int number, long firstFrame, long created, Disk.Handle first, Disk.Handle second) {
--- a/durable/src/main/java/tallyweir/durable/SideBySide.java
+++ b/durable/src/main/java/tallyweir/durable/SideBySide.java
@@ -62,7 +62,7 @@
                     done.get();
                     return null;
                 } catch (InterruptedException e) {
-                    interrupted = true;  // what was begun on a file is waited for all the same
+                    interrupted = true; // what was begun on a file is waited for all the same
                 } catch (ExecutionException e) {
                     return e.getCause() instanceof IOException io ? io : new IOException(e.getCause());
                 }
--- a/durable/src/main/java/tallyweir/durable/SimDisk.java
+++ b/durable/src/main/java/tallyweir/durable/SimDisk.java
@@ -298,7 +298,7 @@
             synchronized (SimDisk.this) {
                 boolean cut = power.step();
                 int length = power.part(from.remaining());
-                int more = (int) Math.max(0, at + length - c.size);  // what is there already needs no room
+                int more = (int) Math.max(0, at + length - c.size); // what is there already needs no room
                 length -= more - power.taken(more);
                 c.grow((int) at + length);
                 from.get(c.seen, (int) at, length);
@@ -329,7 +329,7 @@
                     }
                     c.safeSize = c.size;
                 }
-                c.dirty.clear();  // where it fails, the system takes the pages for clean all the same
+                c.dirty.clear(); // where it fails, the system takes the pages for clean all the same
                 if (fails) {
                     throw new IOException("Input/output error");
                 }
--- a/durable/src/main/java/tallyweir/durable/Times.java
+++ b/durable/src/main/java/tallyweir/durable/Times.java
@@ -33,8 +33,8 @@
     }
 
     private static final int BUCKETS = 12;
-    private static final long BUCKET = 5_000_000_000L;  // ns; all of them together are the last minute
-    private static final long UNIT = 100_000;           // ns in a tenth of a millisecond
+    private static final long BUCKET = 5_000_000_000L; // ns; all of them together are the last minute
+    private static final long UNIT = 100_000; // ns in a tenth of a millisecond
 
     private final long[] counts = new long[Of.values().length];
     private final long[] sums = new long[counts.length];
--- a/durable/src/main/java/tallyweir/durable/Upkeep.java
+++ b/durable/src/main/java/tallyweir/durable/Upkeep.java
@@ -10,12 +10,22 @@
  */
 final class Upkeep {
     /** The jobs, each done in small steps. */
-    enum Job { DELETE, MEND, COMPACT, CHOOSE, SWEEP, SNAPSHOT, SCRUB, NONE }
+    enum Job {
+        DELETE,
+        MEND,
+        COMPACT,
+        CHOOSE,
+        SWEEP,
+        SNAPSHOT,
+        SCRUB,
+        NONE
+    }
 
     private record Rule(BooleanSupplier when, Job then) {}
 
     /** Of the bytes a store takes, the share that may be dead before segments are compacted. */
     private final double deadShare;
+
     private final int segmentBytes;
     private final long scrubEvery;
     private final long sweepEvery;
@@ -56,7 +66,9 @@
         rule(() -> worst != null, Job.CHOOSE);
         rule(() -> sweeping || this.now - lastSweep >= this.sweepEvery, Job.SWEEP);
         rule(() -> sinceSnapshot > Math.max(this.segmentBytes, 2 * snapshotSize), Job.SNAPSHOT);
-        rule(() -> scrubbing || scrubWanted || this.scrubEvery > 0 && this.now - lastScrub >= this.scrubEvery, Job.SCRUB);
+        rule(
+                () -> scrubbing || scrubWanted || this.scrubEvery > 0 && this.now - lastScrub >= this.scrubEvery,
+                Job.SCRUB);
     }
 
     private void rule(BooleanSupplier when, Job then) {
@@ -70,8 +82,8 @@
      * @param damage whether reads came upon damage
      * @param compacting whether a segment is being compacted
      */
-    Job next(long now, Iterable<Segment> segments, Segment active, boolean retired, boolean damage,
-            boolean compacting) {
+    Job next(
+            long now, Iterable<Segment> segments, Segment active, boolean retired, boolean damage, boolean compacting) {
         this.now = now;
         this.retired = retired;
         this.damage = damage;
@@ -119,7 +131,7 @@
         }
         long dead = size - kept;
         if (tombstones > deadShare * kept && tombstones > segmentBytes && oldestStale != null) {
-            return oldestStale;  // until it goes, no tombstone may
+            return oldestStale; // until it goes, no tombstone may
         }
         return anyway ? worst : dead >= Math.max(segmentBytes, deadShare * size) ? worst : null;
     }
@@ -175,7 +187,7 @@
     }
 
     void scrub(boolean goesOn) {
-        scrubWanted &= scrubbing;  // a pass under way is not the one that was asked for, one that begins is
+        scrubWanted &= scrubbing; // a pass under way is not the one that was asked for, one that begins is
         scrubbing = goesOn;
         lastScrub = now;
     }
--- a/durable/src/main/java/tallyweir/durable/View.java
+++ b/durable/src/main/java/tallyweir/durable/View.java
@@ -69,8 +69,9 @@
         }
         Format.Rec r = of == null ? null : log.read(of, e);
         if (r == null) {
-            throw figures.count(new Refused(Refused.Cause.DAMAGED, "a record of segment " + e.segment() + " at "
-                    + e.offset() + " can be read in neither copy"));
+            throw figures.count(new Refused(
+                    Refused.Cause.DAMAGED,
+                    "a record of segment " + e.segment() + " at " + e.offset() + " can be read in neither copy"));
         }
         return new Found(r.key(), r.value(), r.stamp(), r.expires());
     }
@@ -91,8 +92,11 @@
                 while (next != null && isOver(next)) {
                     next = state.index().after(next.key());
                 }
-                return next == null || next.namespace() != n
-                        || end != null && Arrays.compareUnsigned(next.key(), end) >= 0 ? null : next;
+                return next == null
+                                || next.namespace() != n
+                                || end != null && Arrays.compareUnsigned(next.key(), end) >= 0
+                        ? null
+                        : next;
             }
 
             @Override
@@ -122,7 +126,8 @@
         long end = Stamp.first(to);
         List<Index.Entry> all = new ArrayList<>();
         for (Index.Entry e = n < 0 ? null : state.index().atOrAfter(Index.key(n, new byte[0]));
-                e != null && e.namespace() == n; e = state.index().after(e.key())) {
+                e != null && e.namespace() == n;
+                e = state.index().after(e.key())) {
             if (e.stamp() >= first && e.stamp() < end && !isOver(e)) {
                 all.add(e);
             }
--- a/durable/src/main/java/tallyweir/durable/Walk.java
+++ b/durable/src/main/java/tallyweir/durable/Walk.java
@@ -34,8 +34,7 @@
         this.limit = limit;
         next = place;
         nextFrame = frame;
-        windows = new Window[] {new Window(segment.copies[0]),
-                new Window(log.copies() > 1 ? segment.copies[1] : null)};
+        windows = new Window[] {new Window(segment.copies[0]), new Window(log.copies() > 1 ? segment.copies[1] : null)};
     }
 
     /** Moves to the next frame that counts; false at the end. Fails only where neither copy can be read at all. */
--- a/durable/src/test/java/tallyweir/durable/CommitterTest.java
+++ b/durable/src/test/java/tallyweir/durable/CommitterTest.java
@@ -28,8 +28,19 @@
     private final SimDisk second = new SimDisk(power, 512, "second");
 
     private Durable open(Both both) throws IOException {
-        return new Durable(first, second, both, 1 << 14, 512, 0.5, 0, List.of(new Namespace("a", 1L << 30, false)), 1,
-                FileStore::clock, Runnable::run, Set.of());
+        return new Durable(
+                first,
+                second,
+                both,
+                1 << 14,
+                512,
+                0.5,
+                0,
+                List.of(new Namespace("a", 1L << 30, false)),
+                1,
+                FileStore::clock,
+                Runnable::run,
+                Set.of());
     }
 
     private static byte[] bytes(long n) {
@@ -39,7 +50,8 @@
     @Test
     void eachWriterFindsWhatItWroteAndNeverAnOlderOne() throws Exception {
         AtomicReference<String> wrong = new AtomicReference<>();
-        try (SideBySide both = new SideBySide(); Durable d = open(both);
+        try (SideBySide both = new SideBySide();
+                Durable d = open(both);
                 Committer c = new Committer(d, 1 << 20, 0, 64 << 20)) {
             List<Thread> threads = new ArrayList<>();
             for (int w = 0; w < WRITERS; w++) {
@@ -54,7 +66,8 @@
                                 wrong.set("a writer does not find what was acknowledged");
                             }
                             Found f = d.get("a", other);
-                            long now = f == null ? 0 : ByteBuffer.wrap(f.value()).getLong();
+                            long now =
+                                    f == null ? 0 : ByteBuffer.wrap(f.value()).getLong();
                             if (now < seen) {
                                 wrong.set("a reader went back from " + seen + " to " + now);
                             }
@@ -78,7 +91,8 @@
 
     @Test
     void nothingIsAcknowledgedByAForceThatFailed() throws Exception {
-        try (Durable d = open(Both.IN_TURN); Committer c = new Committer(d, 1 << 20, 0, 1 << 20)) {
+        try (Durable d = open(Both.IN_TURN);
+                Committer c = new Committer(d, 1 << 20, 0, 1 << 20)) {
             c.write(new Batch().put("a", bytes(1), bytes(1)));
             power.failForce(1);
             List<CompletableFuture<Void>> group = new ArrayList<>();
@@ -105,11 +119,12 @@
         List<CompletableFuture<Void>> all = new ArrayList<>();
         int busy = 0;
         Committer c = new Committer(d, 2_000, 200_000_000, 1 << 20);
-        c.write(new Batch().put("a", bytes(0), bytes(0)));  // the next group is a while off
+        c.write(new Batch().put("a", bytes(0), bytes(0))); // the next group is a while off
         for (int i = 0; i < 50; i++) {
             CompletableFuture<Void> f = c.submit(new Batch().put("a", bytes(i), new byte[100]));
             if (f.isCompletedExceptionally()) {
-                Refused r = (Refused) assertThrows(CompletionException.class, f::join).getCause();
+                Refused r = (Refused)
+                        assertThrows(CompletionException.class, f::join).getCause();
                 assertEquals(Cause.BUSY, r.why());
                 busy++;
             } else {
@@ -121,8 +136,9 @@
         for (CompletableFuture<Void> f : all) {
             f.get();
         }
-        Refused after = (Refused) assertThrows(CompletionException.class,
-                c.submit(new Batch().put("a", bytes(1), bytes(1)))::join).getCause();
+        Refused after = (Refused) assertThrows(
+                        CompletionException.class, c.submit(new Batch().put("a", bytes(1), bytes(1)))::join)
+                .getCause();
         assertEquals(Cause.CLOSED, after.why());
         d.close();
     }
--- a/durable/src/test/java/tallyweir/durable/CutTest.java
+++ b/durable/src/test/java/tallyweir/durable/CutTest.java
@@ -35,7 +35,7 @@
         for (int seed = 0; seed < SEEDS; seed++) {
             all.add(Drill.faults(seed, 80, Set.of()));
         }
-        all.add(Drill.faults(7, 400, Set.of()));  // the clock steps back behind an expiry that compaction went by
+        all.add(Drill.faults(7, 400, Set.of())); // the clock steps back behind an expiry that compaction went by
         assertEquals(List.of(), all.wrong());
     }
 
--- a/durable/src/test/java/tallyweir/durable/DeskTest.java
+++ b/durable/src/test/java/tallyweir/durable/DeskTest.java
@@ -31,12 +31,13 @@
 
     @TempDir
     private Path dir;
+
     private Path desk;
     private FileStore store;
 
     private FileStore open() throws IOException {
-        return new FileStore(dir.resolve("first"), dir.resolve("second"), 64 << 10, 4_096, 0.5, 0, 1 << 20, 0, 256 << 20,
-                SPACES);
+        return new FileStore(
+                dir.resolve("first"), dir.resolve("second"), 64 << 10, 4_096, 0.5, 0, 1 << 20, 0, 256 << 20, SPACES);
     }
 
     @BeforeEach
@@ -62,7 +63,7 @@
 
     private List<String> ask(String... words) throws IOException {
         List<String> lines = new ArrayList<>();
-        Desk.ask(desk, List.of(words), lines::add, n -> { });
+        Desk.ask(desk, List.of(words), lines::add, n -> {});
         return lines;
     }
 
@@ -120,12 +121,23 @@
         List<String> said = ask("backup", to.toString());
         int after = acknowledged.get();
         while (acknowledged.get() < after + 50) {
-            Thread.onSpinWait();  // it goes on
+            Thread.onSpinWait(); // it goes on
         }
         stop.set(true);
         writer.join();
-        try (Durable d = new Durable(new FileDisk(to.resolve("first")), new FileDisk(to.resolve("second")), Both.IN_TURN,
-                1 << 20, 4_096, 0.5, 0, SPACES, 1, FileStore::clock, Runnable::run, Set.of())) {
+        try (Durable d = new Durable(
+                new FileDisk(to.resolve("first")),
+                new FileDisk(to.resolve("second")),
+                Both.IN_TURN,
+                1 << 20,
+                4_096,
+                0.5,
+                0,
+                SPACES,
+                1,
+                FileStore::clock,
+                Runnable::run,
+                Set.of())) {
             assertTrue(d.keys() >= before && d.keys() <= after + 2, before + " " + d.keys() + " " + after);
             for (int n = 0; n < d.keys(); n++) {
                 assertArrayEquals(b("v" + n), d.get("a", b("k" + n)).value());
@@ -140,13 +152,19 @@
         for (int i = 0; i < 200; i++) {
             store.committer().write(new Batch().put("a", b("k" + i), new byte[3_900]));
         }
-        assertEquals(List.of("repaired\t0", "unrepaired\t0", "damaged_in_both_copies\t0"), ask("verify").subList(0, 3));
+        assertEquals(
+                List.of("repaired\t0", "unrepaired\t0", "damaged_in_both_copies\t0"),
+                ask("verify").subList(0, 3));
         Path file = dir.resolve("second").resolve("0000000001.seg");
         byte[] bytes = Files.readAllBytes(file);
         bytes[20_000] ^= 4;
         Files.write(file, bytes);
-        assertEquals(List.of("repaired\t1", "unrepaired\t0", "damaged_in_both_copies\t0"), ask("verify").subList(0, 3));
-        assertEquals(List.of("repaired\t0", "unrepaired\t0", "damaged_in_both_copies\t0"), ask("verify").subList(0, 3));
+        assertEquals(
+                List.of("repaired\t1", "unrepaired\t0", "damaged_in_both_copies\t0"),
+                ask("verify").subList(0, 3));
+        assertEquals(
+                List.of("repaired\t0", "unrepaired\t0", "damaged_in_both_copies\t0"),
+                ask("verify").subList(0, 3));
     }
 
     @Test
@@ -194,6 +212,7 @@
         }
         store = open();
         assertTrue(assertThrows(IOException.class, () -> store.openDesk(dir.resolve("x".repeat(120)), Map.of()))
-                .getMessage().contains("no desk at"));
+                .getMessage()
+                .contains("no desk at"));
     }
 }
--- a/durable/src/test/java/tallyweir/durable/DurableTest.java
+++ b/durable/src/test/java/tallyweir/durable/DurableTest.java
@@ -22,8 +22,8 @@
 
 /** The store as its users see it. */
 class DurableTest {
-    private static final List<Namespace> SPACES = List.of(new Namespace("a", 1L << 30, false),
-            new Namespace("few", 400, false), new Namespace("ring", 400, true));
+    private static final List<Namespace> SPACES = List.of(
+            new Namespace("a", 1L << 30, false), new Namespace("few", 400, false), new Namespace("ring", 400, true));
 
     private SimDisk.Power power = new SimDisk.Power(1);
     private SimDisk first = new SimDisk(power, 512, "first");
@@ -31,8 +31,19 @@
     private long clock = 17_000_000_000_000L;
 
     private Durable open(int segmentBytes) throws IOException {
-        return new Durable(first, second, Both.IN_TURN, segmentBytes, 512, 0.5, 0, SPACES, 1, () -> clock,
-                Runnable::run, Set.of());
+        return new Durable(
+                first,
+                second,
+                Both.IN_TURN,
+                segmentBytes,
+                512,
+                0.5,
+                0,
+                SPACES,
+                1,
+                () -> clock,
+                Runnable::run,
+                Set.of());
     }
 
     private Durable open() throws IOException {
@@ -73,7 +84,9 @@
             d.commit(new Batch().put("a", new byte[0], new byte[0]).put("a", longest, largest));
             assertEquals(Cause.TOO_LONG, refusal(d, new Batch().put("a", new byte[Format.KEY_MOST + 1], b(""))));
             assertEquals(Cause.TOO_LONG, refusal(d, new Batch().put("a", b("k"), new byte[Format.VALUE_MOST + 1])));
-            assertEquals(Cause.TOO_LONG, refusal(d, new Batch().put("a", b("k"), largest).put("a", b("l"), largest)));
+            assertEquals(
+                    Cause.TOO_LONG,
+                    refusal(d, new Batch().put("a", b("k"), largest).put("a", b("l"), largest)));
             assertEquals(Cause.TOO_LONG, refusal(d, new Batch().put("other", b("k"), b("v"))));
             d.commit(new Batch());
         }
@@ -91,12 +104,16 @@
             for (int i = 0; i < 4; i++) {
                 d.commit(new Batch().put("few", b("k" + i), new byte[60]).put("ring", b("k" + i), new byte[60]));
             }
-            assertEquals(Cause.AT_BOUND, refusal(d, new Batch().put("a", b("x"), b("y")).put("few", b("k4"), new byte[60])));
+            assertEquals(
+                    Cause.AT_BOUND,
+                    refusal(d, new Batch().put("a", b("x"), b("y")).put("few", b("k4"), new byte[60])));
             assertNull(d.get("a", b("x")), "a refused batch left something");
             d.commit(new Batch().put("few", b("k0"), new byte[50]));
             d.commit(new Batch().put("ring", b("k0"), new byte[60]));
             d.commit(new Batch().put("ring", b("k4"), new byte[60]));
-            assertEquals(List.of("k0", "k2", "k3", "k4"), keys(d.view().range("ring", new byte[0], null)),
+            assertEquals(
+                    List.of("k0", "k2", "k3", "k4"),
+                    keys(d.view().range("ring", new byte[0], null)),
                     "k1 is the oldest, for k0 was written again");
             d.commit(new Batch().delete("few", b("k1")));
             d.commit(new Batch().put("few", b("k4"), new byte[60]));
@@ -133,7 +150,8 @@
             clock -= 50_000;
             assertNull(d.get("a", b("k")), "what had expired is back");
             d.commit(new Batch().put("a", b("n"), b("v")));
-            assertEquals(List.of("l", "m", "n"), keys(d.view().between("a", 0, 1L << 45)), "not in the order of writing");
+            assertEquals(
+                    List.of("l", "m", "n"), keys(d.view().between("a", 0, 1L << 45)), "not in the order of writing");
             assertEquals(List.of("m", "n"), keys(d.view().between("a", then + 1, then + 50_000)));
         }
         try (Durable d = open()) {
@@ -241,10 +259,26 @@
         open().close();
         FileDisk one = new FileDisk(dir.resolve("one"));
         FileDisk other = new FileDisk(dir.resolve("other"));
-        try (Durable d = new Durable(one, other, Both.IN_TURN, 4_096, 512, 0.5, 0, SPACES, 1, () -> clock,
-                Runnable::run, Set.of())) {
-            assertEquals(Cause.IN_USE, assertThrows(Refused.class, () -> new Durable(one, other, Both.IN_TURN, 4_096,
-                    512, 0.5, 0, SPACES, 1, () -> clock, Runnable::run, Set.of())).why());
+        try (Durable d = new Durable(
+                one, other, Both.IN_TURN, 4_096, 512, 0.5, 0, SPACES, 1, () -> clock, Runnable::run, Set.of())) {
+            assertEquals(
+                    Cause.IN_USE,
+                    assertThrows(
+                                    Refused.class,
+                                    () -> new Durable(
+                                            one,
+                                            other,
+                                            Both.IN_TURN,
+                                            4_096,
+                                            512,
+                                            0.5,
+                                            0,
+                                            SPACES,
+                                            1,
+                                            () -> clock,
+                                            Runnable::run,
+                                            Set.of()))
+                            .why());
             d.commit(new Batch().put("a", b("k"), b("v")));
         }
     }
@@ -328,7 +362,7 @@
             damage(first, Format.name(1), 512 * 4 + 30, 3);
             d.abandon();
         }
-        try (Durable d = open()) {  // by the snapshot: the damage is not seen yet
+        try (Durable d = open()) { // by the snapshot: the damage is not seen yet
             assertTrue(d.openedFromSnapshot());
             assertEquals(0, d.figures().get(Figures.Of.REPAIRED));
             for (int i = 0; i < 10; i++) {
@@ -350,8 +384,8 @@
         }
         damage(second, Format.name(2), 512 * 3 + 30, 40);
         damage(first, Format.name(3), 10, 4);
-        try (Durable d = new Durable(first, second, Both.IN_TURN, 4_096, 512, 0.5, 1_000, SPACES, 1, () -> clock,
-                Runnable::run, Set.of())) {
+        try (Durable d = new Durable(
+                first, second, Both.IN_TURN, 4_096, 512, 0.5, 1_000, SPACES, 1, () -> clock, Runnable::run, Set.of())) {
             clock += 2_000;
             while (d.figures().get(Figures.Of.SCRUBS) == 0) {
                 assertTrue(d.upkeep(1_024), "the scrub has ended early");
@@ -368,8 +402,14 @@
             d.commit(new Batch().put("a", b("k"), b("v")));
             for (long room = 0; room < 4_000; room += 130) {
                 power.room(room);
-                assertEquals(Cause.NO_ROOM, refusal(d, new Batch().put("a", b("refused"), new byte[900])
-                        .put("a", b("k"), new byte[900])), "with room for " + room);
+                assertEquals(
+                        Cause.NO_ROOM,
+                        refusal(
+                                d,
+                                new Batch()
+                                        .put("a", b("refused"), new byte[900])
+                                        .put("a", b("k"), new byte[900])),
+                        "with room for " + room);
                 assertEquals("v", text(d.get("a", b("k"))));
             }
             d.abandon();
@@ -463,7 +503,10 @@
         try (Durable d = open(4_096)) {
             d.commit(new Batch().put("a", b("k"), b("old")));
         }
-        String old = first.names().stream().filter(n -> n.endsWith(".idx")).findFirst().orElseThrow();
+        String old = first.names().stream()
+                .filter(n -> n.endsWith(".idx"))
+                .findFirst()
+                .orElseThrow();
         byte[] oldBytes = first.content(old);
         try (Durable d = open(4_096)) {
             for (int i = 0; i < 60; i++) {
@@ -483,13 +526,16 @@
         SimDisk mineToo = second;
         first = new SimDisk(power, 512, "first");
         second = new SimDisk(power, 512, "second");
-        try (Durable d = new Durable(first, second, Both.IN_TURN, 4_096, 512, 0.5, 0, SPACES, 99, () -> clock,
-                Runnable::run, Set.of())) {
+        try (Durable d = new Durable(
+                first, second, Both.IN_TURN, 4_096, 512, 0.5, 0, SPACES, 99, () -> clock, Runnable::run, Set.of())) {
             for (int i = 0; i < 300; i++) {
                 d.commit(new Batch().put("a", b("k"), b("foreign")));
             }
         }
-        String foreign = first.names().stream().filter(n -> n.endsWith(".idx")).findFirst().orElseThrow();
+        String foreign = first.names().stream()
+                .filter(n -> n.endsWith(".idx"))
+                .findFirst()
+                .orElseThrow();
         mine.load(foreign, first.content(foreign));
         first = mine;
         second = mineToo;
@@ -503,14 +549,28 @@
     void aBackupIsAStoreWithTheSameRecords(@TempDir Path dir) throws IOException {
         try (Durable d = open(4_096)) {
             for (int i = 0; i < 200; i++) {
-                d.commit(new Batch().put("a", b("k" + i), b("v" + i), i % 3 == 0 ? clock + 100_000 : 0)
+                d.commit(new Batch()
+                        .put("a", b("k" + i), b("v" + i), i % 3 == 0 ? clock + 100_000 : 0)
                         .put("ring", b("r" + i), b("v")));
                 clock += 10;
             }
-            List<Namespace> free = SPACES.stream().map(n -> new Namespace(n.name(), 1L << 40, false)).toList();
-            try (View view = d.view(); Durable copy = new Durable(new FileDisk(dir.resolve("first")),
-                    new FileDisk(dir.resolve("second")), Both.IN_TURN, 1 << 16, 512, 0.5, 0, free, 5, () -> clock,
-                    Runnable::run, Set.of())) {
+            List<Namespace> free = SPACES.stream()
+                    .map(n -> new Namespace(n.name(), 1L << 40, false))
+                    .toList();
+            try (View view = d.view();
+                    Durable copy = new Durable(
+                            new FileDisk(dir.resolve("first")),
+                            new FileDisk(dir.resolve("second")),
+                            Both.IN_TURN,
+                            1 << 16,
+                            512,
+                            0.5,
+                            0,
+                            free,
+                            5,
+                            () -> clock,
+                            Runnable::run,
+                            Set.of())) {
                 d.commit(new Batch().put("a", b("later"), b("v")));
                 long[] told = new long[1];
                 long copied = Backup.copy(view, copy, n -> told[0] = n);
@@ -519,7 +579,7 @@
                 try (View there = copy.view()) {
                     for (String space : List.of("a", "ring")) {
                         Iterator<Found> is = there.between(space, 0, 1L << 45);
-                        for (Iterator<Found> was = view.between(space, 0, 1L << 45); was.hasNext();) {
+                        for (Iterator<Found> was = view.between(space, 0, 1L << 45); was.hasNext(); ) {
                             Found f = was.next();
                             Found g = is.next();
                             assertArrayEquals(f.key(), g.key());
@@ -530,7 +590,7 @@
                         assertFalse(is.hasNext());
                     }
                 }
-                assertThrows(Refused.class, () -> Backup.copy(view, copy, n -> { }));
+                assertThrows(Refused.class, () -> Backup.copy(view, copy, n -> {}));
             }
         }
     }
--- a/durable/src/test/java/tallyweir/durable/IndexTest.java
+++ b/durable/src/test/java/tallyweir/durable/IndexTest.java
@@ -27,8 +27,13 @@
     }
 
     private static Index.Entry entry(SplittableRandom chance, byte[] key) {
-        return new Index.Entry(key, chance.nextLong(Long.MAX_VALUE), chance.nextInt(1 << 20), chance.nextInt(1 << 30),
-                chance.nextInt(1 << 24), chance.nextLong(1L << 47));
+        return new Index.Entry(
+                key,
+                chance.nextLong(Long.MAX_VALUE),
+                chance.nextInt(1 << 20),
+                chance.nextInt(1 << 30),
+                chance.nextInt(1 << 24),
+                chance.nextLong(1L << 47));
     }
 
     private static List<String> all(Index index) {
@@ -40,13 +45,18 @@
     }
 
     private static String text(Index.Entry e) {
-        return e == null ? "none" : Arrays.toString(e.key()) + e.stamp() + "/" + e.segment() + "/" + e.offset() + "/"
-                + e.length() + "/" + e.expires();
+        return e == null
+                ? "none"
+                : Arrays.toString(e.key()) + e.stamp() + "/" + e.segment() + "/" + e.offset() + "/" + e.length() + "/"
+                        + e.expires();
     }
 
     @Property(tries = 300, seed = "15", shrinking = ShrinkingMode.OFF)
-    void isLikeASortedMap(@ForAll long seed, @ForAll @IntRange(min = 2, max = 7) int alphabet,
-            @ForAll @IntRange(min = 1, max = 1_500) int steps, @ForAll @IntRange(min = 10, max = 90) int puts) {
+    void isLikeASortedMap(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 7) int alphabet,
+            @ForAll @IntRange(min = 1, max = 1_500) int steps,
+            @ForAll @IntRange(min = 10, max = 90) int puts) {
         SplittableRandom chance = new SplittableRandom(seed);
         TreeMap<byte[], Index.Entry> plain = new TreeMap<>(Arrays::compareUnsigned);
         Index index = Index.EMPTY;
@@ -79,7 +89,10 @@
         assertEquals(wanted, all(Index.ofSorted(new ArrayList<>(plain.values()))));
         long[] seen = new long[1];
         index.each((namespace, stamp, segment, length, expires) -> seen[0] += stamp + segment + length + expires);
-        assertEquals(plain.values().stream().mapToLong(e -> e.stamp() + e.segment() + e.length() + e.expires()).sum(),
+        assertEquals(
+                plain.values().stream()
+                        .mapToLong(e -> e.stamp() + e.segment() + e.length() + e.expires())
+                        .sum(),
                 seen[0]);
     }
 
--- a/durable/src/test/java/tallyweir/durable/LinearTest.java
+++ b/durable/src/test/java/tallyweir/durable/LinearTest.java
@@ -23,9 +23,21 @@
 
     public LinearTest() throws IOException {
         SimDisk.Power power = new SimDisk.Power(1);
-        STORES.put(this, new Durable(new SimDisk(power, 512, "first"), new SimDisk(power, 512, "second"), Both.IN_TURN, 4_096,
-                512, 0.5, 0, List.of(new Namespace("a", 1 << 20, false)), 1, () -> 17_000_000_000_000L, Runnable::run,
-                Set.of()));
+        STORES.put(
+                this,
+                new Durable(
+                        new SimDisk(power, 512, "first"),
+                        new SimDisk(power, 512, "second"),
+                        Both.IN_TURN,
+                        4_096,
+                        512,
+                        0.5,
+                        0,
+                        List.of(new Namespace("a", 1 << 20, false)),
+                        1,
+                        () -> 17_000_000_000_000L,
+                        Runnable::run,
+                        Set.of()));
     }
 
     private Durable store() {
@@ -76,7 +88,14 @@
 
     @Test
     void isLinearizable() {
-        LinChecker.check(LinearTest.class, new StressOptions().iterations(20).invocationsPerIteration(400)
-                .threads(3).actorsPerThread(3).actorsBefore(2).actorsAfter(2));
+        LinChecker.check(
+                LinearTest.class,
+                new StressOptions()
+                        .iterations(20)
+                        .invocationsPerIteration(400)
+                        .threads(3)
+                        .actorsPerThread(3)
+                        .actorsBefore(2)
+                        .actorsAfter(2));
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Acts.java
+++ b/fleet/src/main/java/tallyweir/fleet/Acts.java
@@ -9,8 +9,16 @@
     void join(ServerId server, String listen);
 
     /** Reports to the fleet; told, refused or failed comes back. */
-    void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, Map<TenantId, Need> needs);
+    void report(
+            ServerId server,
+            Incarnation as,
+            long number,
+            RevisionId acting,
+            Digest inForce,
+            long outdated,
+            RevisionId checked,
+            String cannot,
+            Map<TenantId, Need> needs);
 
     /** Finds out whether this server could act on a revision; checked comes back. */
     void check(RevisionId revision);
--- a/fleet/src/main/java/tallyweir/fleet/Answers.java
+++ b/fleet/src/main/java/tallyweir/fleet/Answers.java
@@ -30,8 +30,16 @@
      * @param shares what it is lent, only tenants with anything
      * @param next how soon it should report again at the latest, by its own clock
      */
-    default void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age, RevisionId toCheck,
-            Map<TenantId, Grant> shares, long next) {
+    default void told(
+            long number,
+            long lease,
+            long floorLease,
+            boolean floorsFree,
+            RevisionId inForce,
+            long age,
+            RevisionId toCheck,
+            Map<TenantId, Grant> shares,
+            long next) {
         throw new IllegalStateException("nobody here reported");
     }
 
--- a/fleet/src/main/java/tallyweir/fleet/Digest.java
+++ b/fleet/src/main/java/tallyweir/fleet/Digest.java
@@ -11,7 +11,8 @@
 
     public static Digest of(byte[] bytes) {
         try {
-            return new Digest(HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes)));
+            return new Digest(HexFormat.of()
+                    .formatHex(MessageDigest.getInstance("SHA-256").digest(bytes)));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java has SHA-256", e);
         }
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -19,16 +19,20 @@
  */
 public final class Explorer {
     /** What is explored. */
-    public enum Scene { STOP, RESTART, RACE }
+    public enum Scene {
+        STOP,
+        RESTART,
+        RACE
+    }
 
     private static final TenantId TENANT = new TenantId("t");
     private static final long LEASE = 2;
-    private static final long OPEN_MOST = 2;   // how long a query is open at the most
+    private static final long OPEN_MOST = 2; // how long a query is open at the most
     private static final long HORIZON = 5;
-    private static final int CAP = 4;          // of which each of two servers has a floor of one
-    private static final int EXCHANGES = 8;    // more than a server needs in a row
-    private static final int CROWDS = 2;       // of one server
-    private static final int SPEAKS = 3;       // so often it speaks with the fleet, where a share is lent
+    private static final int CAP = 4; // of which each of two servers has a floor of one
+    private static final int EXCHANGES = 8; // more than a server needs in a row
+    private static final int CROWDS = 2; // of one server
+    private static final int SPEAKS = 3; // so often it speaks with the fleet, where a share is lent
 
     private Explorer() {}
 
@@ -43,15 +47,15 @@
         private final ServerId id;
         private Gate gate;
         private Member member;
-        private Runnable asked;      // on its way to the fleet
-        private Runnable answer;     // on its way back
-        private Runnable late;       // on its way to the fleet, given up here
+        private Runnable asked; // on its way to the fleet
+        private Runnable answer; // on its way back
+        private Runnable late; // on its way to the fleet, given up here
         private long life;
-        private RevisionId said = RevisionId.NONE;  // that it acts on
-        private RevisionId acts = RevisionId.NONE;  // that it does act on
+        private RevisionId said = RevisionId.NONE; // that it acts on
+        private RevisionId acts = RevisionId.NONE; // that it does act on
         private RevisionId toAct = RevisionId.NONE;
         private RevisionId toCheck = RevisionId.NONE;
-        private final ArrayDeque<Long> open = new ArrayDeque<>();  // since when; each on a connection of its own
+        private final ArrayDeque<Long> open = new ArrayDeque<>(); // since when; each on a connection of its own
         private final ArrayDeque<ConnectionId> on = new ArrayDeque<>();
         private int connections;
         private int crowds;
@@ -78,8 +82,18 @@
         }
 
         String describe() {
-            return id.value() + member.describe(in.time) + gate.describe(in.time) + (late != null) + life + said.value()
-                    + acts.value() + toAct.value() + toCheck.value() + open.stream().map(t -> in.time - t).toList() + crowds + speaks;
+            return id.value()
+                    + member.describe(in.time)
+                    + gate.describe(in.time)
+                    + (late != null)
+                    + life
+                    + said.value()
+                    + acts.value()
+                    + toAct.value()
+                    + toCheck.value()
+                    + open.stream().map(t -> in.time - t).toList()
+                    + crowds
+                    + speaks;
         }
 
         /** It speaks with the fleet until it has nothing more to say. */
@@ -135,9 +149,18 @@
         }
 
         @Override
-        public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-                RevisionId checked, String cannot, Map<TenantId, Need> needs) {
-            asked = () -> in.state.report(server, as, number, acting, inForce, outdated, checked, cannot, 0, 0, needs, this);
+        public void report(
+                ServerId server,
+                Incarnation as,
+                long number,
+                RevisionId acting,
+                Digest inForce,
+                long outdated,
+                RevisionId checked,
+                String cannot,
+                Map<TenantId, Need> needs) {
+            asked = () ->
+                    in.state.report(server, as, number, acting, inForce, outdated, checked, cannot, 0, 0, needs, this);
         }
 
         @Override
@@ -161,8 +184,16 @@
         }
 
         @Override
-        public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age, RevisionId check,
-                Map<TenantId, Grant> shares, long next) {
+        public void told(
+                long number,
+                long lease,
+                long floorLease,
+                boolean floorsFree,
+                RevisionId inForce,
+                long age,
+                RevisionId check,
+                Map<TenantId, Grant> shares,
+                long next) {
             answer = () -> member.told(number, lease, floorLease, floorsFree, inForce, check, shares, next + 1);
         }
 
@@ -198,8 +229,22 @@
             state = new State(without);
             boolean share = share();
             clock();
-            state.found("f", 1, LEASE, OPEN_MOST, 2 * HORIZON, share ? HORIZON : 2, 0, share ? 1 : 0.5, 0,
-                    share ? 2 : 3, share ? 0.5 : 0, 0, 1, 1, new Operator(null));
+            state.found(
+                    "f",
+                    1,
+                    LEASE,
+                    OPEN_MOST,
+                    2 * HORIZON,
+                    share ? HORIZON : 2,
+                    0,
+                    share ? 1 : 0.5,
+                    0,
+                    share ? 2 : 3,
+                    share ? 0.5 : 0,
+                    0,
+                    1,
+                    1,
+                    new Operator(null));
             propose("first", 0);
             for (int i = 0; i < (share ? 2 : 3); i++) {
                 servers.add(new Server(this, "s" + i));
@@ -222,8 +267,15 @@
 
         private void propose(String operator, long expected) {
             Digest digest = new Digest("d" + operator);
-            state.publish(new OperatorCommand(operator), new RevisionId(expected), digest,
-                    new Body(new byte[0], Map.of(TENANT, CAP), Map.of("", digest)), operator, "", false, new Operator(operator));
+            state.publish(
+                    new OperatorCommand(operator),
+                    new RevisionId(expected),
+                    digest,
+                    new Body(new byte[0], Map.of(TENANT, CAP), Map.of("", digest)),
+                    operator,
+                    "",
+                    false,
+                    new Operator(operator));
         }
 
         private final class Operator implements Answers {
@@ -250,9 +302,19 @@
 
         @Override
         public String describe() {
-            StringBuilder all = new StringBuilder().append(time).append(stopped).append(hasStopped).append(restarted).append(cut)
-                    .append(lied).append(operators).append(acknowledged).append(state.inForce()).append(state.proposed())
-                    .append(state.lent(TENANT)).append(state.spoken(TENANT));
+            StringBuilder all = new StringBuilder()
+                    .append(time)
+                    .append(stopped)
+                    .append(hasStopped)
+                    .append(restarted)
+                    .append(cut)
+                    .append(lied)
+                    .append(operators)
+                    .append(acknowledged)
+                    .append(state.inForce())
+                    .append(state.proposed())
+                    .append(state.lent(TENANT))
+                    .append(state.spoken(TENANT));
             state.seats().forEach(x -> all.append(x.describe(time)));
             servers.forEach(s -> all.append(s.describe()));
             return all.toString();
@@ -322,7 +384,7 @@
                 case "late" -> {
                     s.late.run();
                     s.late = null;
-                    s.answer = null;  // nobody waits for it
+                    s.answer = null; // nobody waits for it
                 }
                 case "crowd" -> crowd(s);
                 case "stop" -> {
@@ -348,7 +410,7 @@
             state.tick();
             for (Server x : servers) {
                 while (!x.open.isEmpty() && time - x.open.peek() >= OPEN_MOST) {
-                    x.open.poll();  // nobody waits for it any more, whatever the server does
+                    x.open.poll(); // nobody waits for it any more, whatever the server does
                     x.gate.over(x.on.poll(), TENANT);
                 }
             }
@@ -373,12 +435,20 @@
                 }
                 return;
             }
-            if (acknowledged.stream().filter(r -> state.revision(new RevisionId(r)).fate() != Revision.Fate.TURNED_DOWN).count() > 2) {
+            if (acknowledged.stream()
+                            .filter(r -> state.revision(new RevisionId(r)).fate() != Revision.Fate.TURNED_DOWN)
+                            .count()
+                    > 2) {
                 wrong.add("two operators were both told that theirs is the next");
             }
             for (Seat seat : state.seats()) {
-                Server s = servers.stream().filter(x -> x.id.equals(seat.server())).findFirst().orElseThrow();
-                if (seat.standing() == Seat.Standing.LIVE && !seat.odd() && s.said.equals(seat.acting())
+                Server s = servers.stream()
+                        .filter(x -> x.id.equals(seat.server()))
+                        .findFirst()
+                        .orElseThrow();
+                if (seat.standing() == Seat.Standing.LIVE
+                        && !seat.odd()
+                        && s.said.equals(seat.acting())
                         && !s.acts.equals(s.said)) {
                     wrong.add("nobody sees that a server does not do what it says");
                 }
@@ -390,15 +460,20 @@
 
         @Override
         public boolean rests(List<String> enabled) {
-            return time >= horizon() && enabled.stream().noneMatch(a -> a.startsWith("exchange") || a.startsWith("late"));
+            return time >= horizon()
+                    && enabled.stream().noneMatch(a -> a.startsWith("exchange") || a.startsWith("late"));
         }
 
         @Override
         public String wrongAtRest() {
             for (Seat seat : state.seats()) {
-                if (seat.standing() == Seat.Standing.LIVE && !seat.silent() && !seat.marked()
-                        && !seat.acting().equals(state.inForce()) && !state.proposed().equals(state.inForce())
-                        && servers.stream().anyMatch(s -> s.id.equals(seat.server()) && s.acts.equals(state.inForce()))) {
+                if (seat.standing() == Seat.Standing.LIVE
+                        && !seat.silent()
+                        && !seat.marked()
+                        && !seat.acting().equals(state.inForce())
+                        && !state.proposed().equals(state.inForce())
+                        && servers.stream()
+                                .anyMatch(s -> s.id.equals(seat.server()) && s.acts.equals(state.inForce()))) {
                     return "the fleet does not know what a server acts on";
                 }
             }
@@ -413,7 +488,20 @@
 
     /** The guards that the exploration must miss when they are off, and where. */
     public static Map<Guard, Scene> guards() {
-        return Map.of(Guard.LEASE, Scene.STOP, Guard.WAIT, Scene.STOP, Guard.FLOOR, Scene.STOP, Guard.INCARNATION,
-                Scene.RESTART, Guard.EXPECTED, Scene.RACE, Guard.DIGEST, Scene.RACE, Guard.MOST_OUT, Scene.RACE);
+        return Map.of(
+                Guard.LEASE,
+                Scene.STOP,
+                Guard.WAIT,
+                Scene.STOP,
+                Guard.FLOOR,
+                Scene.STOP,
+                Guard.INCARNATION,
+                Scene.RESTART,
+                Guard.EXPECTED,
+                Scene.RACE,
+                Guard.DIGEST,
+                Scene.RACE,
+                Guard.MOST_OUT,
+                Scene.RACE);
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Fault.java
+++ b/fleet/src/main/java/tallyweir/fleet/Fault.java
@@ -23,9 +23,21 @@
 
     /** Every kind there is, in the order of the exit codes. */
     static List<Class<? extends Fault>> kinds() {
-        return List.of(NoLeader.class, LostRace.class, BodyFaulty.class, CannotTake.class, NoSuchRevision.class,
-                OutcomeUnknown.class, ShutOut.class, NameTaken.class, NoPlace.class, NotYet.class, Stranger.class,
-                LogFull.class, LogDamaged.class, NotFounded.class);
+        return List.of(
+                NoLeader.class,
+                LostRace.class,
+                BodyFaulty.class,
+                CannotTake.class,
+                NoSuchRevision.class,
+                OutcomeUnknown.class,
+                ShutOut.class,
+                NameTaken.class,
+                NoPlace.class,
+                NotYet.class,
+                Stranger.class,
+                LogFull.class,
+                LogDamaged.class,
+                NotFounded.class);
     }
 
     /** No voter that could be reached leads, so nothing can be changed or asked of the shared state. */
@@ -147,8 +159,8 @@
 
         @Override
         public String advice() {
-            return "mend the cause; it comes back by itself once " + backAfter / 10 + " ms have passed and what is in force"
-                    + " there is what the revision says";
+            return "mend the cause; it comes back by itself once " + backAfter / 10
+                    + " ms have passed and what is in force" + " there is what the revision says";
         }
 
         @Override
--- a/fleet/src/main/java/tallyweir/fleet/Gate.java
+++ b/fleet/src/main/java/tallyweir/fleet/Gate.java
@@ -16,43 +16,44 @@
  * lent on top while its lease lasts. Deciding is a look at a counter.
  */
 public final class Gate {
-    private static final int AHEAD = 4;        // a share is taken ahead of need: one more in so many, and one
-    private static final int IDLE_TURNS = 8;   // reports after which what was not used is given back
+    private static final int AHEAD = 4; // a share is taken ahead of need: one more in so many, and one
+    private static final int IDLE_TURNS = 8; // reports after which what was not used is given back
 
     private record Lingering(long until, TenantId tenant, ConnectionId connection, long since) {}
 
     /** A connection that counts for a tenant. */
     private static final class Use {
-        int open;            // queries
+        int open; // queries
         long idleSince = -1; // none is open since, -1 while one is
-        boolean ending;      // takes no more queries: what may count has become less
+        boolean ending; // takes no more queries: what may count has become less
     }
 
     private static final class Tenant {
         final LinkedHashMap<ConnectionId, Use> uses = new LinkedHashMap<>();
-        int cap = -1;        // none
+        int cap = -1; // none
         int floor;
-        int floorThen;       // once the fleet has said that the floors are free
+        int floorThen; // once the fleet has said that the floors are free
         int granted;
         int target;
-        int ending;          // of those that count
-        int most;            // that counted at once, since the last reports
-        final HashSet<ConnectionId> turned = new HashSet<>();  // connections turned away since the last report
-        int wanted;          // by the last report
+        int ending; // of those that count
+        int most; // that counted at once, since the last reports
+        final HashSet<ConnectionId> turned = new HashSet<>(); // connections turned away since the last report
+        int wanted; // by the last report
         int turns;
-        boolean full;        // the fleet has less for it than is wanted
+        boolean full; // the fleet has less for it than is wanted
     }
 
     private final long linger;
     private final Map<TenantId, Tenant> tenants = new HashMap<>();
     private final Map<ConnectionId, ArrayDeque<TenantId>> ofConnection = new HashMap<>();
-    private final ArrayDeque<Lingering> lingering = new ArrayDeque<>();  // in the order of their ends
+    private final ArrayDeque<Lingering> lingering = new ArrayDeque<>(); // in the order of their ends
     private long now;
     private long leaseUntil = Long.MIN_VALUE;
     private long floorUntil = Long.MIN_VALUE;
     private int places = 1;
     private double floorShare;
-    private boolean known;   // which caps there are: a server that has never heard must take any tenant for one at its cap
+    private boolean
+            known; // which caps there are: a server that has never heard must take any tenant for one at its cap
 
     public Gate(long linger) {
         this.linger = linger;
@@ -143,7 +144,7 @@
             return;
         }
         for (Iterator<Map.Entry<ConnectionId, Use>> i = of.uses.entrySet().iterator();
-                i.hasNext() && of.uses.size() - of.ending > aim;) {
+                i.hasNext() && of.uses.size() - of.ending > aim; ) {
             Map.Entry<ConnectionId, Use> e = i.next();
             if (e.getValue().open == 0) {
                 i.remove();
@@ -288,12 +289,28 @@
 
     /** All that its future hangs on, times from this one on. */
     String describe(long from) {
-        StringBuilder all = new StringBuilder().append(leaseUntil > from ? leaseUntil - from : -1).append(',')
+        StringBuilder all = new StringBuilder()
+                .append(leaseUntil > from ? leaseUntil - from : -1)
+                .append(',')
                 .append(floorUntil > from ? floorUntil - from : -1);
         tenants.forEach((t, of) -> {
-            all.append(t.value()).append(of.cap).append(',').append(of.floor).append(of.floorThen).append(',').append(of.granted).append(',')
-                    .append(of.target).append(',').append(of.ending).append(',').append(of.most).append(',')
-                    .append(of.turned.size()).append(',').append(of.turns);
+            all.append(t.value())
+                    .append(of.cap)
+                    .append(',')
+                    .append(of.floor)
+                    .append(of.floorThen)
+                    .append(',')
+                    .append(of.granted)
+                    .append(',')
+                    .append(of.target)
+                    .append(',')
+                    .append(of.ending)
+                    .append(',')
+                    .append(of.most)
+                    .append(',')
+                    .append(of.turned.size())
+                    .append(',')
+                    .append(of.turns);
             of.uses.forEach((c, u) -> all.append(u.open).append(u.ending));
         });
         return all.toString();
--- a/fleet/src/main/java/tallyweir/fleet/Health.java
+++ b/fleet/src/main/java/tallyweir/fleet/Health.java
@@ -4,13 +4,13 @@
 
 /** How a server's queries ended before and since it acts on the revision in force: of how many, how many late or errored. */
 final class Health {
-    private long ended;       // by its last report, since its process began
+    private long ended; // by its last report, since its process began
     private long bad;
-    private long since;       // when the span under way began
+    private long since; // when the span under way began
     private final long[] span = new long[2];
     private final long[] before = new long[2];
     private final long[] after = new long[2];
-    private double usual = -1;   // the share before the revision in force, -1 for not known
+    private double usual = -1; // the share before the revision in force, -1 for not known
 
     /** Another process: its counts begin at zero. */
     void begin() {
--- a/fleet/src/main/java/tallyweir/fleet/Lending.java
+++ b/fleet/src/main/java/tallyweir/fleet/Lending.java
@@ -20,29 +20,30 @@
     static final class Share {
         int granted;
         int want;
-        boolean extra;   // gets one more than the level where the cap does not divide
-        int floorOver;   // by so much its floor may still be above that of the revision in force
+        boolean extra; // gets one more than the level where the cap does not divide
+        int floorOver; // by so much its floor may still be above that of the revision in force
     }
 
     private static final class Pool {
         int cap = UNCAPPED;
         int floor;
-        long granted;       // of all places
+        long granted; // of all places
         long wanted;
         long floorsOver;
         int level = Integer.MAX_VALUE;
         long levelAt = Long.MIN_VALUE;
         int turn;
-        final TreeMap<Integer, Share> shares = new TreeMap<>();  // by place
+        final TreeMap<Integer, Share> shares = new TreeMap<>(); // by place
     }
 
-    private final boolean floorsLent;  // only where a check has switched the guard off
+    private final boolean floorsLent; // only where a check has switched the guard off
     private int places;
     private double floorShare;
-    private boolean floorsFree;   // under the caps in force; once they are, they stay so
+    private boolean floorsFree; // under the caps in force; once they are, they stay so
     private long levelEvery;
     private final Map<TenantId, Pool> pools = new HashMap<>();
-    private final Map<Integer, Map<TenantId, Integer>> actingUnder = new HashMap<>();  // the caps that a place may be under
+    private final Map<Integer, Map<TenantId, Integer>> actingUnder =
+            new HashMap<>(); // the caps that a place may be under
 
     Lending(boolean floorsLent) {
         this.floorsLent = floorsLent;
@@ -99,8 +100,8 @@
     /** Whether the floors of all places and what is lent fit into each cap, so that all floors may be used. */
     boolean floorsFree() {
         if (!floorsFree) {
-            floorsFree = pools.values().stream().allMatch(p -> p.cap == UNCAPPED
-                    || (long) p.floor * places + p.floorsOver + p.granted <= p.cap);
+            floorsFree = pools.values().stream()
+                    .allMatch(p -> p.cap == UNCAPPED || (long) p.floor * places + p.floorsOver + p.granted <= p.cap);
         }
         return floorsFree;
     }
@@ -281,13 +282,12 @@
 
     List<Object> save() {
         List<Object> all = new ArrayList<>();
-        new TreeMap<>(pools.keySet().stream().collect(Collectors.toMap(TenantId::value, t -> t)))
-                .forEach((name, t) -> {
-                    Pool p = pools.get(t);
-                    List<Object> shares = new ArrayList<>();
-                    p.shares.forEach((place, s) -> shares.add(List.of(place, s.granted, s.want, s.extra, s.floorOver)));
-                    all.add(List.of(name, p.level, p.levelAt, p.turn, shares));
-                });
+        new TreeMap<>(pools.keySet().stream().collect(Collectors.toMap(TenantId::value, t -> t))).forEach((name, t) -> {
+            Pool p = pools.get(t);
+            List<Object> shares = new ArrayList<>();
+            p.shares.forEach((place, s) -> shares.add(List.of(place, s.granted, s.want, s.extra, s.floorOver)));
+            all.add(List.of(name, p.level, p.levelAt, p.turn, shares));
+        });
         return all;
     }
 
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -12,7 +12,7 @@
  * before the fleet lends it to another.
  */
 public final class Member {
-    private static final int AGAIN_MOST = 16;   // doublings of the wait are bounded: no fleet is left alone for long
+    private static final int AGAIN_MOST = 16; // doublings of the wait are bounded: no fleet is left alone for long
 
     private final Acts out;
     private final Gate gate;
@@ -25,10 +25,10 @@
     private final Rules rules = new Rules();
     private long now;
     private Incarnation as;
-    private boolean inHand;          // asked, and no answer yet
-    private long dueAt;              // of the next report or join
+    private boolean inHand; // asked, and no answer yet
+    private long dueAt; // of the next report or join
     private long number;
-    private long sentAt;             // the report of that number, when it went first
+    private long sentAt; // the report of that number, when it went first
     private boolean answered = true; // that report
     private long leaseUntil = Long.MIN_VALUE;
     private boolean member;
@@ -51,7 +51,15 @@
      * @param again how long it waits at the least before it asks again what was not answered
      * @param backWhole whether a server that is out stands back whole, or goes on but for what it was lent
      */
-    public Member(Acts out, Gate gate, ServerId server, String listen, long again, boolean backWhole, long seed, long now,
+    public Member(
+            Acts out,
+            Gate gate,
+            ServerId server,
+            String listen,
+            long again,
+            boolean backWhole,
+            long seed,
+            long now,
             Set<Guard> without) {
         this.out = out;
         this.gate = gate;
@@ -65,14 +73,32 @@
         dueAt = now;
         // What is over comes first, then what is to be found out or done here, then what is to be said.
         rules.add(() -> member && now() >= leaseUntil && !without.contains(Guard.LEASE), this::leaseOver);
-        rules.add(() -> shouldStandBack() != back, () -> out.standBack(back = shouldStandBack()));
-        rules.add(() -> checked.before(toCheck) && !checking.equals(toCheck), () -> out.check(checking = toCheck));
-        rules.add(() -> acting.before(wanted) && moving.value() == 0 && !(failed.equals(wanted) && now() < failedAt + this.again),
-                () -> out.act(moving = wanted));
+        rules.add(() -> shouldStandBack() != back, this::tellStandBack);
+        rules.add(() -> checked.before(toCheck) && !checking.equals(toCheck), this::check);
+        rules.add(
+                () -> acting.before(wanted)
+                        && moving.value() == 0
+                        && !(failed.equals(wanted) && now() < failedAt + this.again),
+                this::act);
         rules.add(() -> !inHand && as == null && now() >= dueAt, this::join);
         rules.add(() -> !inHand && as != null && now() >= dueAt, this::report);
     }
 
+    private void tellStandBack() {
+        back = shouldStandBack();
+        out.standBack(back);
+    }
+
+    private void check() {
+        checking = toCheck;
+        out.check(toCheck);
+    }
+
+    private void act() {
+        moving = wanted;
+        out.act(wanted);
+    }
+
     private long now() {
         return now;
     }
@@ -136,8 +162,15 @@
     }
 
     /** What the fleet answered to the report of this number; of an earlier one nothing counts. */
-    public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId wanted, RevisionId toCheck,
-            Map<TenantId, Grant> shares, long next) {
+    public void told(
+            long number,
+            long lease,
+            long floorLease,
+            boolean floorsFree,
+            RevisionId wanted,
+            RevisionId toCheck,
+            Map<TenantId, Grant> shares,
+            long next) {
         if (as == null || number != this.number || answered) {
             return;
         }
@@ -148,11 +181,14 @@
         member = lease > 0 && now < sentAt + lease;
         leaseUntil = sentAt + lease;
         if (lease > 0) {
-            gate.lent(shares, without.contains(Guard.LEASE) ? Long.MAX_VALUE : leaseUntil,
-                    without.contains(Guard.LEASE) ? Long.MAX_VALUE : sentAt + floorLease, floorsFree && wanted.equals(acting));
+            gate.lent(
+                    shares,
+                    without.contains(Guard.LEASE) ? Long.MAX_VALUE : leaseUntil,
+                    without.contains(Guard.LEASE) ? Long.MAX_VALUE : sentAt + floorLease,
+                    floorsFree && wanted.equals(acting));
         }
         if (wanted.value() == 0 && acting.value() == 0) {
-            gate.caps(Map.of());  // there is no revision yet
+            gate.caps(Map.of()); // there is no revision yet
         }
         this.wanted = wanted;
         this.toCheck = toCheck;
@@ -192,7 +228,7 @@
         this.inForce = inForce;
         this.outdated = outdated;
         moving = RevisionId.NONE;
-        dueAt = Math.min(dueAt, now);  // the fleet waits to hear of it
+        dueAt = Math.min(dueAt, now); // the fleet waits to hear of it
         settle();
     }
 
@@ -236,7 +272,9 @@
     /** All that its future hangs on, times from this one on. */
     String describe(long from) {
         return (as == null ? "-" : as.value()) + "," + inHand + "," + (dueAt - from) + "," + answered
-                + "," + (answered ? 0 : sentAt - from) + "," + (member ? leaseUntil - from : "-") + "," + failures + "," + acting.value()
-                + wanted.value() + moving.value() + failed.value() + toCheck.value() + checking.value() + checked.value() + back;
+                + "," + (answered ? 0 : sentAt - from) + "," + (member ? leaseUntil - from : "-") + "," + failures + ","
+                + acting.value()
+                + wanted.value() + moving.value() + failed.value() + toCheck.value() + checking.value()
+                + checked.value() + back;
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Revisions.java
+++ b/fleet/src/main/java/tallyweir/fleet/Revisions.java
@@ -19,7 +19,7 @@
     private RevisionId inForce = RevisionId.NONE;
     private RevisionId proposed = RevisionId.NONE;
     private long proposedUntil;
-    private final TreeSet<ServerId> unasked = new TreeSet<>();  // live ones that have not said whether they can take it
+    private final TreeSet<ServerId> unasked = new TreeSet<>(); // live ones that have not said whether they can take it
     private final TreeMap<ServerId, String> cannot = new TreeMap<>();
     private int can;
 
@@ -75,10 +75,26 @@
         return bodies.size();
     }
 
-    Revision propose(OperatorCommand command, RevisionId of, Digest digest, Body body, String by, String why,
-            boolean forced, long wall, long until, Collection<ServerId> ask) {
-        Revision r = new Revision(new RevisionId(all.isEmpty() ? 1 : all.lastKey().value() + 1), command, of, digest, by,
-                why, forced, wall);
+    Revision propose(
+            OperatorCommand command,
+            RevisionId of,
+            Digest digest,
+            Body body,
+            String by,
+            String why,
+            boolean forced,
+            long wall,
+            long until,
+            Collection<ServerId> ask) {
+        Revision r = new Revision(
+                new RevisionId(all.isEmpty() ? 1 : all.lastKey().value() + 1),
+                command,
+                of,
+                digest,
+                by,
+                why,
+                forced,
+                wall);
         bodies.putIfAbsent(digest, body);
         all.put(r.id, r);
         commands.put(command, r);
@@ -146,12 +162,16 @@
         Revision r = all.get(proposed);
         r.fate = Revision.Fate.TURNED_DOWN;
         StringBuilder s = new StringBuilder();
-        cannot.entrySet().stream().limit(REASONS_MOST)
-                .forEach(e -> s.append(s.length() == 0 ? "" : "; ").append(e.getKey().value()).append(": ").append(e.getValue()));
+        cannot.entrySet().stream()
+                .limit(REASONS_MOST)
+                .forEach(e -> s.append(s.length() == 0 ? "" : "; ")
+                        .append(e.getKey().value())
+                        .append(": ")
+                        .append(e.getValue()));
         r.reasons = cannot.size() + " of " + (can + cannot.size()) + " cannot take it: " + s;
         proposed = RevisionId.NONE;
         if (all.values().stream().noneMatch(x -> x != r && x.body.equals(r.body))) {
-            bodies.remove(r.body);  // nobody can come back to it
+            bodies.remove(r.body); // nobody can come back to it
         }
     }
 
@@ -160,8 +180,20 @@
     Map<String, Object> save() {
         Map<String, Object> s = new TreeMap<>();
         List<Object> revisions = new ArrayList<>();
-        all.values().forEach(r -> revisions.add(List.of(r.id.value(), r.command.value(), r.of.value(), r.body.value(), r.by,
-                r.why, r.forced, r.proposedWall, r.fate.name(), r.since, r.sinceWall, r.reasons)));
+        all.values()
+                .forEach(r -> revisions.add(List.of(
+                        r.id.value(),
+                        r.command.value(),
+                        r.of.value(),
+                        r.body.value(),
+                        r.by,
+                        r.why,
+                        r.forced,
+                        r.proposedWall,
+                        r.fate.name(),
+                        r.since,
+                        r.sinceWall,
+                        r.reasons)));
         List<Object> kept = new ArrayList<>();
         new TreeMap<>(byName()).forEach((digest, b) -> {
             Map<String, Object> caps = new TreeMap<>();
@@ -192,9 +224,15 @@
     void load(Map<?, ?> s) {
         for (Object each : (List<?>) s.get("all")) {
             List<?> f = (List<?>) each;
-            Revision r = new Revision(new RevisionId(number(f.get(0))), new OperatorCommand((String) f.get(1)),
-                    new RevisionId(number(f.get(2))), new Digest((String) f.get(3)), (String) f.get(4), (String) f.get(5),
-                    (Boolean) f.get(6), number(f.get(7)));
+            Revision r = new Revision(
+                    new RevisionId(number(f.get(0))),
+                    new OperatorCommand((String) f.get(1)),
+                    new RevisionId(number(f.get(2))),
+                    new Digest((String) f.get(3)),
+                    (String) f.get(4),
+                    (String) f.get(5),
+                    (Boolean) f.get(6),
+                    number(f.get(7)));
             r.fate = Revision.Fate.valueOf((String) f.get(8));
             r.since = number(f.get(9));
             r.sinceWall = number(f.get(10));
--- a/fleet/src/main/java/tallyweir/fleet/Seat.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seat.java
@@ -5,7 +5,12 @@
 /** One place of the fleet, and the server that has it. */
 public final class Seat {
     /** How it stands with the server. */
-    public enum Standing { ENTERING, LIVE, OUT, LEFT }
+    public enum Standing {
+        ENTERING,
+        LIVE,
+        OUT,
+        LEFT
+    }
 
     static final int PASSAGES_MOST = 32;
 
@@ -13,25 +18,25 @@
     final ServerId server;
     final String listen;
     Incarnation as;
-    long life;             // of its process
+    long life; // of its process
     Standing standing = Standing.ENTERING;
-    long number;           // of its last report
+    long number; // of its last report
     long leaseUntil;
     long floorUntil;
-    boolean silent;        // its lease is over
-    boolean marked;        // ought to be shut out, and too many are
-    String cause = "";     // of being out or marked
+    boolean silent; // its lease is over
+    boolean marked; // ought to be shut out, and too many are
+    String cause = ""; // of being out or marked
     RevisionId acting = RevisionId.NONE;
     Digest inForce = Digest.NONE;
-    boolean odd;           // the digest is not that of the revision
+    boolean odd; // the digest is not that of the revision
     long behindSince = Long.MAX_VALUE;
     int flaps;
-    long steadySince;      // when it came in last
+    long steadySince; // when it came in last
     long mayReturn;
     long heardWall;
     long outWall;
     final Health health = new Health();
-    int folded;            // passages that are no longer kept
+    int folded; // passages that are no longer kept
     long foldedOutdated;
     final ArrayDeque<Passage> passages = new ArrayDeque<>();
 
@@ -115,8 +120,10 @@
 
     /** All that its future hangs on, times from this one on. */
     String describe(long from) {
-        return server.value() + as.value() + standing + (leaseUntil - from) + "," + (floorUntil - from) + silent + marked
-                + acting.value() + inForce.value() + odd + (behindSince == Long.MAX_VALUE ? "-" : behindSince - from) + flaps + ","
+        return server.value() + as.value() + standing + (leaseUntil - from) + "," + (floorUntil - from) + silent
+                + marked
+                + acting.value() + inForce.value() + odd + (behindSince == Long.MAX_VALUE ? "-" : behindSince - from)
+                + flaps + ","
                 + (mayReturn - from);
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Seating.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seating.java
@@ -9,7 +9,22 @@
      * @param version of the settings that follow, by which the fleet is founded; times in tenths of a millisecond
      * @see State#found
      */
-    Way open(String fleet, Map<String, String> voters, String self, String dir, long version, long lease, long tail,
-            long floorLease, long behindMost, double drift, double mostOut, double mostCannot, int serversMost,
-            double floorShare, long probation, double worseRatio, double sickShare);
+    Way open(
+            String fleet,
+            Map<String, String> voters,
+            String self,
+            String dir,
+            long version,
+            long lease,
+            long tail,
+            long floorLease,
+            long behindMost,
+            double drift,
+            double mostOut,
+            double mostCannot,
+            int serversMost,
+            double floorShare,
+            long probation,
+            double worseRatio,
+            double sickShare);
 }
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -22,14 +22,15 @@
 public final class State {
     /** Of a lease: how often a fleet's share of a scarce cap is worked out anew, and servers report, at the least. */
     private static final int LEVELS_IN_LEASE = 40;
+
     private static final int REPORTS_IN_LEASE = 40;
     private static final int REPORTS_LEAST = 4;
-    private static final int REPORTS_PER_SECOND = 2_000;  // of all servers together
-    private static final int FLAPS_MOST = 7;              // doublings of the wait
-    private static final int STEADY_LEASES = 20;          // after which earlier times of being shut out are forgotten
-    private static final int ENDED_LEAST = 20;            // queries, before a server's share of bad ones tells anything
-    private static final double WORSE_LEAST = 0.05;       // a share below it is not worse, whatever it was before
-    private static final String PROBATION = "probation";   // who rolls back what made a fleet fare worse
+    private static final int REPORTS_PER_SECOND = 2_000; // of all servers together
+    private static final int FLAPS_MOST = 7; // doublings of the wait
+    private static final int STEADY_LEASES = 20; // after which earlier times of being shut out are forgotten
+    private static final int ENDED_LEAST = 20; // queries, before a server's share of bad ones tells anything
+    private static final double WORSE_LEAST = 0.05; // a share below it is not worse, whatever it was before
+    private static final String PROBATION = "probation"; // who rolls back what made a fleet fare worse
     private static final int GONE_MOST = 1_000;
     private static final long SECOND = 10_000;
 
@@ -73,7 +74,7 @@
     private int out;
     private long now;
     private long wall;
-    private Seat s;   // what the rules are about
+    private Seat s; // what the rules are about
 
     public State() {
         this(Set.of());
@@ -84,18 +85,27 @@
         this.without = without.isEmpty() ? EnumSet.noneOf(Guard.class) : EnumSet.copyOf(without);
         lending = new Lending(!has(Guard.FLOOR));
         // Of a server: first what its silence means, then whether it goes out, then what comes back from it.
-        ofSeat.add(() -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + behindMost, () -> out("did not come in"));
+        ofSeat.add(
+                () -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + behindMost,
+                () -> out("did not come in"));
         ofSeat.add(() -> s.standing == Seat.Standing.LIVE && !s.silent && now >= s.leaseUntil, this::silent);
         ofSeat.add(() -> stays() && s.marked, this::unmark);
         ofSeat.add(() -> mustGo() && room(), () -> out(whyGo()));
         ofSeat.add(() -> mustGo() && !s.marked, this::mark);
         ofSeat.add(() -> now >= s.leaseUntil + held(tail) && lending.holds(s.place), () -> lending.back(s.place));
-        ofSeat.add(() -> places.get(s.place) == s && (s.standing == Seat.Standing.OUT || s.silent)
-                && now >= Math.max(s.floorUntil + held(tail), s.mayReturn), this::forget);
+        ofSeat.add(
+                () -> places.get(s.place) == s
+                        && (s.standing == Seat.Standing.OUT || s.silent)
+                        && now >= Math.max(s.floorUntil + held(tail), s.mayReturn),
+                this::forget);
         // Of the fleet: what is proposed comes into force or not.
-        ofFleet.add(() -> revisions.open() && !revisions.allSaid() && now >= revisions.proposedUntil(), revisions::timeOver);
-        ofFleet.add(() -> revisions.open() && (revisions.forced()
-                || revisions.allSaid() && revisions.cannotShare() <= mostCannot), this::comesIntoForce);
+        ofFleet.add(
+                () -> revisions.open() && !revisions.allSaid() && now >= revisions.proposedUntil(),
+                revisions::timeOver);
+        ofFleet.add(
+                () -> revisions.open()
+                        && (revisions.forced() || revisions.allSaid() && revisions.cannotShare() <= mostCannot),
+                this::comesIntoForce);
         ofFleet.add(() -> revisions.open() && revisions.allSaid(), revisions::turnDown);
         ofFleet.add(() -> onProbation() && now >= judgedAt + Math.max(1, lease / LEVELS_IN_LEASE), this::judge);
     }
@@ -181,8 +191,12 @@
     }
 
     private String whyGo() {
-        return s.silent ? "silent" : s.odd ? "what is in force there is not what revision " + s.acting.value() + " says"
-                : "behind: acts on revision " + s.acting.value() + " and not " + revisions.inForce().value();
+        return s.silent
+                ? "silent"
+                : s.odd
+                        ? "what is in force there is not what revision " + s.acting.value() + " says"
+                        : "behind: acts on revision " + s.acting.value() + " and not "
+                                + revisions.inForce().value();
     }
 
     private int outMost() {
@@ -251,8 +265,12 @@
         judgedAt = now;
         int worse = 0;
         for (Seat each : seats.values()) {
-            worse += each.standing == Seat.Standing.LIVE && each.acting.equals(revisions.inForce())
-                    && each.health.tells(ENDED_LEAST) && each.health.worse(worseRatio, WORSE_LEAST) ? 1 : 0;
+            worse += each.standing == Seat.Standing.LIVE
+                            && each.acting.equals(revisions.inForce())
+                            && each.health.tells(ENDED_LEAST)
+                            && each.health.worse(worseRatio, WORSE_LEAST)
+                    ? 1
+                    : 0;
         }
         if (worse > 0 && worse >= sickShare * live) {
             takeBack();
@@ -266,8 +284,16 @@
         if (revisions.open()) {
             revisions.turnDown();
         }
-        revisions.propose(new OperatorCommand(PROBATION + " " + sick.value()), back.id, back.body, revisions.body(back.id),
-                PROBATION, "under revision " + sick.value() + " more queries were late or errored than before", true, wall, now,
+        revisions.propose(
+                new OperatorCommand(PROBATION + " " + sick.value()),
+                back.id,
+                back.body,
+                revisions.body(back.id),
+                PROBATION,
+                "under revision " + sick.value() + " more queries were late or errored than before",
+                true,
+                wall,
+                now,
                 List.of());
     }
 
@@ -309,16 +335,39 @@
      * @param worseRatio how many times the share of late and errored queries before is worse
      * @param sickShare the share of live servers of which that has to be so
      */
-    public void found(String fleet, long version, long lease, long tail, long floorLease, long behindMost, double drift,
-            double mostOut, double mostCannot, int serversMost, double floorShare, long probation, double worseRatio,
-            double sickShare, Answers to) {
+    public void found(
+            String fleet,
+            long version,
+            long lease,
+            long tail,
+            long floorLease,
+            long behindMost,
+            double drift,
+            double mostOut,
+            double mostCannot,
+            int serversMost,
+            double floorShare,
+            long probation,
+            double worseRatio,
+            double sickShare,
+            Answers to) {
         if (!this.fleet.isEmpty() && !this.fleet.equals(fleet)) {
             to.refused(new Fault.Stranger(fleet, this.fleet));
             return;
         }
         if (version > this.version) {
-            settings(fleet, version, lease, Spans.waited(tail, drift), floorLease, behindMost, drift, mostOut, mostCannot,
-                    this.version > 0 ? this.serversMost : serversMost, this.version > 0 ? this.floorShare : floorShare);
+            settings(
+                    fleet,
+                    version,
+                    lease,
+                    Spans.waited(tail, drift),
+                    floorLease,
+                    behindMost,
+                    drift,
+                    mostOut,
+                    mostCannot,
+                    this.version > 0 ? this.serversMost : serversMost,
+                    this.version > 0 ? this.floorShare : floorShare);
             probation(probation, worseRatio, sickShare);
             lending.caps(revisions.caps(revisions.inForce()));
             List.copyOf(seats.values()).forEach(this::settle);
@@ -333,8 +382,18 @@
         this.sickShare = sickShare;
     }
 
-    private void settings(String fleet, long version, long lease, long tail, long floorLease, long behindMost, double drift,
-            double mostOut, double mostCannot, int serversMost, double floorShare) {
+    private void settings(
+            String fleet,
+            long version,
+            long lease,
+            long tail,
+            long floorLease,
+            long behindMost,
+            double drift,
+            double mostOut,
+            double mostCannot,
+            int serversMost,
+            double floorShare) {
         for (int p = this.serversMost; p < serversMost; p++) {
             free.add(p);
         }
@@ -425,15 +484,28 @@
      * @param ended queries that have ended since its process began
      * @param bad of them, late or errored
      */
-    public void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs, Answers to) {
+    public void report(
+            ServerId server,
+            Incarnation as,
+            long number,
+            RevisionId acting,
+            Digest inForce,
+            long outdated,
+            RevisionId checked,
+            String cannot,
+            long ended,
+            long bad,
+            Map<TenantId, Need> needs,
+            Answers to) {
         settle();
         Seat seat = seats.get(server);
-        Fault why = seat == null ? new Fault.ShutOut(server.value(), "it has no place here", 0)
+        Fault why = seat == null
+                ? new Fault.ShutOut(server.value(), "it has no place here", 0)
                 : !seat.as.equals(as) && has(Guard.INCARNATION)
                         ? new Fault.ShutOut(server.value(), "another incarnation of it has come", 0)
-                : seat.standing == Seat.Standing.OUT
-                        ? new Fault.ShutOut(server.value(), seat.cause, Math.max(0, seat.mayReturn - now)) : null;
+                        : seat.standing == Seat.Standing.OUT
+                                ? new Fault.ShutOut(server.value(), seat.cause, Math.max(0, seat.mayReturn - now))
+                                : null;
         if (why != null) {
             to.refused(why);
             return;
@@ -443,7 +515,8 @@
             seat.number = number;
             seat.heardWall = wall;
             acts(seat, as, acting, inForce, outdated);
-            seat.health.report(ended, bad, onProbation() && acting.equals(revisions.inForce()), now, Math.max(1, probation));
+            seat.health.report(
+                    ended, bad, onProbation() && acting.equals(revisions.inForce()), now, Math.max(1, probation));
             revisions.checked(server, checked, cannot);
             if (seat.standing == Seat.Standing.LIVE) {
                 seat.leaseUntil = now + lease;
@@ -451,18 +524,26 @@
                 seat.silent = false;
             }
             settle(seat);
-            settle();  // who says last that it can hears at once that it is in force
+            settle(); // who says last that it can hears at once that it is in force
         }
         if (seat.standing == Seat.Standing.OUT) {
             to.refused(new Fault.ShutOut(server.value(), seat.cause, Math.max(0, seat.mayReturn - now)));
         } else {
             boolean member = seat.standing == Seat.Standing.LIVE;
-            Map<TenantId, Grant> shares = !member ? Map.of()
-                    : fresh ? lending.report(seat.place, needs, now) : lending.lent(seat.place);
+            Map<TenantId, Grant> shares =
+                    !member ? Map.of() : fresh ? lending.report(seat.place, needs, now) : lending.lent(seat.place);
             due(seat);
             Revision r = revisions.get(revisions.inForce());
-            to.told(number, member ? Spans.relied(lease, drift) : 0, member ? Spans.relied(floorLease, drift) : 0,
-                    lending.floorsFree(), revisions.inForce(), r == null ? 0 : now - r.since, revisions.proposed(), shares, next(seat));
+            to.told(
+                    number,
+                    member ? Spans.relied(lease, drift) : 0,
+                    member ? Spans.relied(floorLease, drift) : 0,
+                    lending.floorsFree(),
+                    revisions.inForce(),
+                    r == null ? 0 : now - r.since,
+                    revisions.proposed(),
+                    shares,
+                    next(seat));
         }
         settle();
     }
@@ -470,13 +551,16 @@
     private void acts(Seat seat, Incarnation as, RevisionId acting, Digest inForce, long outdated) {
         if (!acting.equals(seat.acting)) {
             Revision to = revisions.get(acting);
-            seat.pass(new Passage(as, seat.acting, acting, to == null ? 0 : Math.max(0, now - to.since), outdated, wall));
+            seat.pass(
+                    new Passage(as, seat.acting, acting, to == null ? 0 : Math.max(0, now - to.since), outdated, wall));
             seat.acting = acting;
             lending.acting(seat.place, revisions.caps(acting));
         }
         seat.inForce = inForce;
         Body body = revisions.body(acting);
-        seat.odd = body != null && has(Guard.DIGEST) && !body.inForceAt(seat.server).equals(inForce);
+        seat.odd = body != null
+                && has(Guard.DIGEST)
+                && !body.inForceAt(seat.server).equals(inForce);
         boolean right = acting.equals(revisions.inForce()) && !seat.odd;
         if (right && seat.standing == Seat.Standing.ENTERING) {
             seat.standing = Seat.Standing.LIVE;
@@ -493,7 +577,8 @@
     /** How soon a server should report again: the more there are, the more seldom. */
     private long next(Seat seat) {
         long pace = Math.max(lease / REPORTS_IN_LEASE, (long) (live + out) * SECOND / REPORTS_PER_SECOND);
-        return Math.min(lease / REPORTS_LEAST, seat.behindSince != Long.MAX_VALUE || revisions.open() ? pace / 2 : pace);
+        return Math.min(
+                lease / REPORTS_LEAST, seat.behindSince != Long.MAX_VALUE || revisions.open() ? pace / 2 : pace);
     }
 
     /** A server has answered all that it had and ends. */
@@ -516,25 +601,48 @@
      *
      * @param expected the last revision, in force or proposed, that the operator saw
      */
-    public void publish(OperatorCommand command, RevisionId expected, Digest digest, Body body, String by, String why,
-            boolean force, Answers to) {
+    public void publish(
+            OperatorCommand command,
+            RevisionId expected,
+            Digest digest,
+            Body body,
+            String by,
+            String why,
+            boolean force,
+            Answers to) {
         propose(command, expected, RevisionId.NONE, digest, body, by, why, force, to);
     }
 
     /** An operator wants an earlier revision back: a new one with the body of that. */
-    public void rollback(OperatorCommand command, RevisionId expected, RevisionId back, String by, String why,
-            boolean force, Answers to) {
+    public void rollback(
+            OperatorCommand command,
+            RevisionId expected,
+            RevisionId back,
+            String by,
+            String why,
+            boolean force,
+            Answers to) {
         Revision r = revisions.get(back);
-        if (revisions.by(command) == null && (r == null || r.fate == Revision.Fate.TURNED_DOWN || r.fate == Revision.Fate.PROPOSED)) {
+        if (revisions.by(command) == null
+                && (r == null || r.fate == Revision.Fate.TURNED_DOWN || r.fate == Revision.Fate.PROPOSED)) {
             settle();
-            to.refused(new Fault.NoSuchRevision(back.value(), revisions.inForce().value()));
+            to.refused(
+                    new Fault.NoSuchRevision(back.value(), revisions.inForce().value()));
             return;
         }
         propose(command, expected, back, r == null ? Digest.NONE : r.body, revisions.body(back), by, why, force, to);
     }
 
-    private void propose(OperatorCommand command, RevisionId expected, RevisionId of, Digest digest, Body body, String by,
-            String why, boolean force, Answers to) {
+    private void propose(
+            OperatorCommand command,
+            RevisionId expected,
+            RevisionId of,
+            Digest digest,
+            Body body,
+            String by,
+            String why,
+            boolean force,
+            Answers to) {
         settle();
         Revision done = revisions.by(command);
         Revision last = revisions.get(revisions.open() ? revisions.proposed() : revisions.inForce());
@@ -542,11 +650,16 @@
         if (done != null) {
             to.done(done.id);
         } else if ((!is.equals(expected) || revisions.open()) && has(Guard.EXPECTED)) {
-            to.refused(new Fault.LostRace(expected.value(), is.value(), last == null ? "nobody" : last.by,
+            to.refused(new Fault.LostRace(
+                    expected.value(),
+                    is.value(),
+                    last == null ? "nobody" : last.by,
                     last == null ? 0 : last.proposedWall));
         } else {
-            List<ServerId> ask = seats.values().stream().filter(x -> x.standing == Seat.Standing.LIVE && !x.silent)
-                    .map(x -> x.server).toList();
+            List<ServerId> ask = seats.values().stream()
+                    .filter(x -> x.standing == Seat.Standing.LIVE && !x.silent)
+                    .map(x -> x.server)
+                    .toList();
             Revision r = revisions.propose(command, of, digest, body, by, why, force, wall, now + 2 * lease, ask);
             settle();
             to.done(r.id);
@@ -637,8 +750,19 @@
     public Map<String, Object> save() {
         Map<String, Object> all = new TreeMap<>();
         all.put("fleet", fleet);
-        all.put("settings", List.of(version, lease, tail, floorLease, behindMost, drift, mostOut, mostCannot, serversMost,
-                floorShare));
+        all.put(
+                "settings",
+                List.of(
+                        version,
+                        lease,
+                        tail,
+                        floorLease,
+                        behindMost,
+                        drift,
+                        mostOut,
+                        mostCannot,
+                        serversMost,
+                        floorShare));
         all.put("probation", List.of(probation, worseRatio, sickShare));
         all.put("clock", List.of(now, wall, incarnations, judgedAt));
         all.put("revisions", revisions.save());
@@ -650,12 +774,34 @@
 
     private static Object saved(Seat of) {
         List<Object> passages = new ArrayList<>();
-        of.passages.forEach(p -> passages.add(List.of(p.as().value(), p.from().value(), p.to().value(), p.behind(),
-                p.outdated(), p.wall())));
-        return List.of(of.place, of.server.value(), of.listen, of.as.value(), of.standing.name(), of.number, of.leaseUntil,
-                of.floorUntil, of.silent, of.marked, of.cause, of.acting.value(), of.inForce.value(), of.odd,
-                of.behindSince, of.flaps, of.steadySince, of.mayReturn, of.heardWall, of.outWall, of.folded,
-                of.foldedOutdated, passages, of.health.save(), of.life);
+        of.passages.forEach(p -> passages.add(
+                List.of(p.as().value(), p.from().value(), p.to().value(), p.behind(), p.outdated(), p.wall())));
+        return List.of(
+                of.place,
+                of.server.value(),
+                of.listen,
+                of.as.value(),
+                of.standing.name(),
+                of.number,
+                of.leaseUntil,
+                of.floorUntil,
+                of.silent,
+                of.marked,
+                of.cause,
+                of.acting.value(),
+                of.inForce.value(),
+                of.odd,
+                of.behindSince,
+                of.flaps,
+                of.steadySince,
+                of.mayReturn,
+                of.heardWall,
+                of.outWall,
+                of.folded,
+                of.foldedOutdated,
+                passages,
+                of.health.save(),
+                of.life);
     }
 
     private static Seat loaded(List<?> f) {
@@ -683,8 +829,12 @@
         of.life = Revisions.number(f.get(24));
         for (Object each : (List<?>) f.get(22)) {
             List<?> p = (List<?>) each;
-            of.passages.add(new Passage(new Incarnation(Revisions.number(p.get(0))), new RevisionId(Revisions.number(p.get(1))),
-                    new RevisionId(Revisions.number(p.get(2))), Revisions.number(p.get(3)), Revisions.number(p.get(4)),
+            of.passages.add(new Passage(
+                    new Incarnation(Revisions.number(p.get(0))),
+                    new RevisionId(Revisions.number(p.get(1))),
+                    new RevisionId(Revisions.number(p.get(2))),
+                    Revisions.number(p.get(3)),
+                    Revisions.number(p.get(4)),
                     Revisions.number(p.get(5))));
         }
         return of;
@@ -693,9 +843,17 @@
     /** Into a new state: what another saved. */
     public void load(Map<?, ?> all) {
         List<?> f = (List<?>) all.get("settings");
-        settings((String) all.get("fleet"), Revisions.number(f.get(0)), Revisions.number(f.get(1)), Revisions.number(f.get(2)),
-                Revisions.number(f.get(3)), Revisions.number(f.get(4)), ((Number) f.get(5)).doubleValue(),
-                ((Number) f.get(6)).doubleValue(), ((Number) f.get(7)).doubleValue(), (int) Revisions.number(f.get(8)),
+        settings(
+                (String) all.get("fleet"),
+                Revisions.number(f.get(0)),
+                Revisions.number(f.get(1)),
+                Revisions.number(f.get(2)),
+                Revisions.number(f.get(3)),
+                Revisions.number(f.get(4)),
+                ((Number) f.get(5)).doubleValue(),
+                ((Number) f.get(6)).doubleValue(),
+                ((Number) f.get(7)).doubleValue(),
+                (int) Revisions.number(f.get(8)),
                 ((Number) f.get(9)).doubleValue());
         List<?> p = (List<?>) all.get("probation");
         probation(Revisions.number(p.get(0)), ((Number) p.get(1)).doubleValue(), ((Number) p.get(2)).doubleValue());
--- a/fleet/src/main/java/tallyweir/fleet/Way.java
+++ b/fleet/src/main/java/tallyweir/fleet/Way.java
@@ -12,8 +12,21 @@
 public interface Way extends AutoCloseable {
     void join(ServerId server, String listen, long life, Executor deciding, Answers to, Runnable failed);
 
-    void report(ServerId server, Incarnation as, long number, RevisionId acting, Digest inForce, long outdated,
-            RevisionId checked, String cannot, long ended, long bad, Map<TenantId, Need> needs, Executor deciding, Answers to, Runnable failed);
+    void report(
+            ServerId server,
+            Incarnation as,
+            long number,
+            RevisionId acting,
+            Digest inForce,
+            long outdated,
+            RevisionId checked,
+            String cannot,
+            long ended,
+            long bad,
+            Map<TenantId, Need> needs,
+            Executor deciding,
+            Answers to,
+            Runnable failed);
 
     void leave(ServerId server, Incarnation as);
 
--- a/fleet/src/test/java/tallyweir/fleet/ExplorerTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/ExplorerTest.java
@@ -16,7 +16,10 @@
     private static final long MOST = 1_000_000;
 
     @ParameterizedTest
-    @EnumSource(value = Explorer.Scene.class, names = "STOP", mode = EnumSource.Mode.EXCLUDE)  // that one takes long: fleet explore
+    @EnumSource(
+            value = Explorer.Scene.class,
+            names = "STOP",
+            mode = EnumSource.Mode.EXCLUDE) // that one takes long: fleet explore
     void nothingGoesWrong(Explorer.Scene scene) {
         Search.Seen seen = Explorer.explore(scene, Set.of(), MOST);
         assertEquals(List.of(), seen.wrong());
--- a/fleet/src/test/java/tallyweir/fleet/LendingModelTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/LendingModelTest.java
@@ -37,8 +37,11 @@
 
     /** Servers that keep what they use and come down to what they are told, in any order, end at the model's shares. */
     @Property(tries = 300, seed = "7")
-    void sharesEndWhereTheModelHasThem(@ForAll long seed, @ForAll @IntRange(min = 1, max = 9) int servers,
-            @ForAll @IntRange(min = 0, max = 60) int cap, @ForAll @IntRange(min = 0, max = 2) int floors) {
+    void sharesEndWhereTheModelHasThem(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 9) int servers,
+            @ForAll @IntRange(min = 0, max = 60) int cap,
+            @ForAll @IntRange(min = 0, max = 2) int floors) {
         SplittableRandom chance = new SplittableRandom(seed);
         Lending lending = new Lending(false);
         lending.settings(servers, floors * 0.25, 10);
@@ -60,7 +63,8 @@
                 has[i] = g.granted();
                 target[i] = g.target();
                 assertTrue(lending.spoken(T) <= cap, "over cap");
-                assertEquals(has[i], lending.lent(i).getOrDefault(T, new Grant(0, 0)).granted());
+                assertEquals(
+                        has[i], lending.lent(i).getOrDefault(T, new Grant(0, 0)).granted());
             }
             int[] model = fill(lendable, wants);
             int sum = 0;
@@ -104,8 +108,11 @@
                 floors[i] = Math.min(floors[i], lending.floor(caps.get(under[i]).get(T)));
             } else {
                 int want = chance.nextInt(0, 30);
-                has.put(i, lending.report(i, Map.of(T, new Need(has.getOrDefault(i, 0), want)), turn * 20L)
-                        .getOrDefault(T, new Grant(0, 0)).granted());
+                has.put(
+                        i,
+                        lending.report(i, Map.of(T, new Need(has.getOrDefault(i, 0), want)), turn * 20L)
+                                .getOrDefault(T, new Grant(0, 0))
+                                .granted());
                 if (lending.floorsFree() && under[i] == caps.size() - 1) {
                     floors[i] = lending.floor(caps.get(under[i]).get(T));
                 }
@@ -117,6 +124,7 @@
     }
 
     private static long relied(int[] floors, Map<Integer, Integer> has) {
-        return has.values().stream().mapToInt(n -> n).sum() + Arrays.stream(floors).sum();
+        return has.values().stream().mapToInt(n -> n).sum()
+                + Arrays.stream(floors).sum();
     }
 }
--- a/fleet/src/test/java/tallyweir/fleet/StateTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/StateTest.java
@@ -41,8 +41,16 @@
         }
 
         @Override
-        public void told(long number, long lease, long floorLease, boolean floorsFree, RevisionId inForce, long age, RevisionId check,
-                Map<TenantId, Grant> lent, long next) {
+        public void told(
+                long number,
+                long lease,
+                long floorLease,
+                boolean floorsFree,
+                RevisionId inForce,
+                long age,
+                RevisionId check,
+                Map<TenantId, Grant> lent,
+                long next) {
             StateTest.this.lease = lease;
             wanted = inForce;
             toCheck = check;
@@ -81,12 +89,29 @@
     }
 
     private void report(int i, long acting, String digest, long checked, String cannot, Map<TenantId, Need> needs) {
-        state.report(new ServerId("s" + i), lives[i], ++numbers[i], new RevisionId(acting), new Digest(digest), 0,
-                new RevisionId(checked), cannot, ended[i], bad[i], needs, here);
+        state.report(
+                new ServerId("s" + i),
+                lives[i],
+                ++numbers[i],
+                new RevisionId(acting),
+                new Digest(digest),
+                0,
+                new RevisionId(checked),
+                cannot,
+                ended[i],
+                bad[i],
+                needs,
+                here);
     }
 
     private void acts(int i, long revision) {
-        report(i, revision, revision == 0 ? "" : digest(revision), state.proposed().value(), "", Map.of());
+        report(
+                i,
+                revision,
+                revision == 0 ? "" : digest(revision),
+                state.proposed().value(),
+                "",
+                Map.of());
     }
 
     private String digest(long revision) {
@@ -95,12 +120,22 @@
 
     private void publish(String command, long expected, int cap) {
         Digest d = new Digest("b" + cap);
-        state.publish(new OperatorCommand(command), new RevisionId(expected), d,
-                new Body(new byte[] {(byte) cap}, Map.of(T, cap), Map.of("", new Digest("b" + cap + "!"))), "ann", "", false, here);
+        state.publish(
+                new OperatorCommand(command),
+                new RevisionId(expected),
+                d,
+                new Body(new byte[] {(byte) cap}, Map.of(T, cap), Map.of("", new Digest("b" + cap + "!"))),
+                "ann",
+                "",
+                false,
+                here);
     }
 
     private Seat seat(int i) {
-        return state.seats().stream().filter(s -> s.server().value().equals("s" + i)).findFirst().orElseThrow();
+        return state.seats().stream()
+                .filter(s -> s.server().value().equals("s" + i))
+                .findFirst()
+                .orElseThrow();
     }
 
     private void live(int servers) {
@@ -135,7 +170,9 @@
         acts(1, 0);
         acts(2, 0);
         assertEquals(Revision.Fate.TURNED_DOWN, state.revision(done).fate());
-        assertTrue(state.revision(done).reasons().contains("s0: its store is unknown here"), state.revision(done).reasons());
+        assertTrue(
+                state.revision(done).reasons().contains("s0: its store is unknown here"),
+                state.revision(done).reasons());
         state.rollback(new OperatorCommand("c2"), RevisionId.NONE, done, "bob", "", false, here);
         assertInstanceOf(Fault.NoSuchRevision.class, fault);
         publish("c3", 0, 6);
@@ -184,7 +221,19 @@
         acts(0, 1);
         assertTrue(lease > 0);
         assertEquals(Seat.Standing.LIVE, seat(0).standing());
-        state.report(new ServerId("s0"), before, 99, new RevisionId(1), new Digest("b5!"), 0, RevisionId.NONE, "", 0, 0, Map.of(), here);
+        state.report(
+                new ServerId("s0"),
+                before,
+                99,
+                new RevisionId(1),
+                new Digest("b5!"),
+                0,
+                RevisionId.NONE,
+                "",
+                0,
+                0,
+                Map.of(),
+                here);
         assertInstanceOf(Fault.ShutOut.class, fault, "what an earlier life says");
     }
 
@@ -306,7 +355,7 @@
         numbers[0] = 0;
         report(0, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
         assertEquals(4, shares.get(T).granted());
-        for (long late : new long[] {5, 3}) {  // its own word again, and one of a process before it
+        for (long late : new long[] {5, 3}) { // its own word again, and one of a process before it
             state.join("f", new ServerId("s0"), "at0", late, here);
             report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
             assertEquals(0, shares.get(T).granted(), "life " + late);
@@ -360,8 +409,15 @@
     }
 
     private static String text(Object of) {
-        return of instanceof byte[] b ? java.util.Arrays.toString(b)
-                : of instanceof Map<?, ?> m ? m.entrySet().stream().map(e -> e.getKey() + "=" + text(e.getValue())).toList().toString()
-                : of instanceof java.util.List<?> l ? l.stream().map(StateTest::text).toList().toString() : String.valueOf(of);
+        return of instanceof byte[] b
+                ? java.util.Arrays.toString(b)
+                : of instanceof Map<?, ?> m
+                        ? m.entrySet().stream()
+                                .map(e -> e.getKey() + "=" + text(e.getValue()))
+                                .toList()
+                                .toString()
+                        : of instanceof java.util.List<?> l
+                                ? l.stream().map(StateTest::text).toList().toString()
+                                : String.valueOf(of);
     }
 }
--- a/results/src/main/java/tallyweir/results/DurableShelf.java
+++ b/results/src/main/java/tallyweir/results/DurableShelf.java
@@ -32,6 +32,7 @@
     public static final String INTENTS = "intents";
     /** Set in the kind of an outcome whose result is smaller on the disk: its length, then a frame of Zstandard. */
     private static final int SMALLER = 0x10;
+
     private static final int RESULT_MOST = 4 << 10;
 
     private final Durable store;
@@ -55,7 +56,7 @@
         this.reads = reads;
         found = new ArrayList<>();
         try (View view = store.view()) {
-            for (Iterator<Found> in = view.range(INTENTS, new byte[0], null); in.hasNext();) {
+            for (Iterator<Found> in = view.range(INTENTS, new byte[0], null); in.hasNext(); ) {
                 byte[] key = in.next().key();
                 Found f = view.get(RESULTS, key);
                 Kept k = f == null ? null : decode(key, f);
@@ -77,30 +78,51 @@
         while (end < key.length && key[end] != 0) {
             end++;
         }
-        return end == key.length ? null : mark(new String(key, 0, end, StandardCharsets.UTF_8),
-                new String(key, end + 1, key.length - end - 1, StandardCharsets.UTF_8));
+        return end == key.length
+                ? null
+                : mark(
+                        new String(key, 0, end, StandardCharsets.UTF_8),
+                        new String(key, end + 1, key.length - end - 1, StandardCharsets.UTF_8));
     }
 
     /** The key under which what is known of a mark is kept. */
     public static byte[] key(Mark m) {
         byte[] workload = m.workload().value().getBytes(StandardCharsets.UTF_8);
         byte[] stamp = m.stamp().value().getBytes(StandardCharsets.UTF_8);
-        return ByteBuffer.allocate(workload.length + stamp.length + 1).put(workload).put((byte) 0).put(stamp).array();
+        return ByteBuffer.allocate(workload.length + stamp.length + 1)
+                .put(workload)
+                .put((byte) 0)
+                .put(stamp)
+                .array();
     }
 
     /** The value of an outcome. */
     static byte[] encoded(Known known, JobId job, long body, long until, byte[] result) {
         byte[] small = result == null ? null : Squeeze.smaller(result);
-        return small == null ? value(known.ordinal() + 1, job, body, until, result)
-                : value(known.ordinal() + 1 | SMALLER, job, body, until,
-                        ByteBuffer.allocate(4 + small.length).putInt(result.length).put(small).array());
+        return small == null
+                ? value(known.ordinal() + 1, job, body, until, result)
+                : value(
+                        known.ordinal() + 1 | SMALLER,
+                        job,
+                        body,
+                        until,
+                        ByteBuffer.allocate(4 + small.length)
+                                .putInt(result.length)
+                                .put(small)
+                                .array());
     }
 
     private static byte[] value(int kind, JobId job, long body, long until, byte[] result) {
         byte[] name = job.value().getBytes(StandardCharsets.UTF_8);
         byte[] what = result == null ? new byte[0] : result;
-        return ByteBuffer.allocate(19 + name.length + what.length).put((byte) kind).putLong(body).putLong(until)
-                .putShort((short) name.length).put(name).put(what).array();
+        return ByteBuffer.allocate(19 + name.length + what.length)
+                .put((byte) kind)
+                .putLong(body)
+                .putLong(until)
+                .putShort((short) name.length)
+                .put(name)
+                .put(what)
+                .array();
     }
 
     private static Kept decode(byte[] key, Found f) {
@@ -118,15 +140,24 @@
         byte[] result = new byte[in.remaining()];
         in.get(result);
         if ((form & SMALLER) != 0) {
-            result = result.length < 4 ? null : Squeeze.whole(Arrays.copyOfRange(result, 4, result.length),
-                    ByteBuffer.wrap(result).getInt());
+            result = result.length < 4
+                    ? null
+                    : Squeeze.whole(
+                            Arrays.copyOfRange(result, 4, result.length),
+                            ByteBuffer.wrap(result).getInt());
             if (result == null) {
                 return null;
             }
         }
         Known known = kind == 0 || kind > Known.values().length ? null : Known.values()[kind - 1];
-        return new Kept(mark, new JobId(new String(job, StandardCharsets.UTF_8)), body, known,
-                known == Known.GOOD ? result : null, Stamp.time(f.stamp()), until);
+        return new Kept(
+                mark,
+                new JobId(new String(job, StandardCharsets.UTF_8)),
+                body,
+                known,
+                known == Known.GOOD ? result : null,
+                Stamp.time(f.stamp()),
+                until);
     }
 
     /** What is kept in a record of the namespace {@link #RESULTS}; null if it is none of ours. */
@@ -151,13 +182,16 @@
     @Override
     public void intend(Mark mark, JobId job, long body, long until, Consumer<Boolean> done) {
         byte[] key = key(mark);
-        write(new Batch().put(RESULTS, key, value(0, job, body, until, null), until)
-                .put(INTENTS, key, new byte[0], until), done);
+        write(
+                new Batch()
+                        .put(RESULTS, key, value(0, job, body, until, null), until)
+                        .put(INTENTS, key, new byte[0], until),
+                done);
     }
 
     @Override
-    public void record(Mark mark, JobId job, long body, Known known, byte[] result, long until,
-            Consumer<Boolean> done) {
+    public void record(
+            Mark mark, JobId job, long body, Known known, byte[] result, long until, Consumer<Boolean> done) {
         Batch b = new Batch();
         put(b, mark, job, body, known, result, until);
         write(b.delete(INTENTS, key(mark)), done);
--- a/results/src/main/java/tallyweir/results/Explorer.java
+++ b/results/src/main/java/tallyweir/results/Explorer.java
@@ -37,10 +37,10 @@
 
         private final long body = 7;
         private int state = UNSENT;
-        private int holds;          // the number of the run that it holds, 0 for none
+        private int holds; // the number of the run that it holds, 0 for none
         private boolean wanted;
         private boolean given;
-        private boolean afterGood;  // read after a good answer had left
+        private boolean afterGood; // read after a good answer had left
     }
 
     private record Write(String what, long run, String value) {}
@@ -55,16 +55,16 @@
         private boolean crashed;
         private boolean kernelDied;
         private boolean faulted;
-        private String disk = "";              // what it has of the mark: "", "intent RUN" or "KNOWN RUN"
+        private String disk = ""; // what it has of the mark: "", "intent RUN" or "KNOWN RUN"
         private final ArrayDeque<Write> writes = new ArrayDeque<>();
         private boolean looking;
         private final TreeSet<Long> sent = new TreeSet<>();
         private final TreeSet<Long> running = new TreeSet<>();
         private final TreeSet<Long> ended = new TreeSet<>();
-        private final TreeSet<Long> begun = new TreeSet<>();  // that this process gave to the kernel or found
+        private final TreeSet<Long> begun = new TreeSet<>(); // that this process gave to the kernel or found
         private final TreeSet<Long> found = new TreeSet<>();
         private int starts;
-        private String good;                   // the result that left, null if none did
+        private String good; // the result that left, null if none did
 
         Copies(int copies, Set<Marks.Guard> without) {
             this.without = without;
@@ -76,10 +76,25 @@
 
         @Override
         public String describe() {
-            StringBuilder s = new StringBuilder(up ? "up" : "down").append(crashed).append(kernelDied).append(faulted)
-                    .append(disk).append(writes).append(looking).append(sent).append(running).append(ended).append(begun)
-                    .append(found).append(starts).append(good);
-            copies.forEach(c -> s.append(c.state).append(c.holds).append(c.wanted).append(c.given).append(c.afterGood));
+            StringBuilder s = new StringBuilder(up ? "up" : "down")
+                    .append(crashed)
+                    .append(kernelDied)
+                    .append(faulted)
+                    .append(disk)
+                    .append(writes)
+                    .append(looking)
+                    .append(sent)
+                    .append(running)
+                    .append(ended)
+                    .append(begun)
+                    .append(found)
+                    .append(starts)
+                    .append(good);
+            copies.forEach(c -> s.append(c.state)
+                    .append(c.holds)
+                    .append(c.wanted)
+                    .append(c.given)
+                    .append(c.afterGood));
             return s.append(up ? marks.describe() : "").toString();
         }
 
@@ -90,7 +105,7 @@
             for (int i = 0; i < copies.size(); i++) {
                 Copy c = copies.get(i);
                 if (up && c.state == Copy.UNSENT && !any) {
-                    any = true;  // copies are alike: the next unsent one is as good as any
+                    any = true; // copies are alike: the next unsent one is as good as any
                     all.add("read " + i);
                     all.add("defer " + i);
                 }
@@ -140,7 +155,8 @@
 
         @Override
         public boolean rests(List<String> enabled) {
-            return enabled.stream().allMatch(a -> a.startsWith("leave") || a.startsWith("crash") || a.startsWith("kernel dies"));
+            return enabled.stream()
+                    .allMatch(a -> a.startsWith("leave") || a.startsWith("crash") || a.startsWith("kernel dies"));
         }
 
         @Override
@@ -159,7 +175,7 @@
             int i = a.length > 1 && a[1].matches("[0-9]+") ? Integer.parseInt(a[1]) : 0;
             switch (a[0]) {
                 case "read" -> read(i);
-                case "defer" -> copies.get(i).state = Copy.OVER;  // turned away at read: nothing of it is known
+                case "defer" -> copies.get(i).state = Copy.OVER; // turned away at read: nothing of it is known
                 case "want" -> {
                     copies.get(i).wanted = true;
                     marks.want(new RunId(copies.get(i).holds));
@@ -211,7 +227,10 @@
                 looking = false;
                 String[] d = disk.split(" ");
                 boolean over = disk.length() > 0 && !d[0].equals("intent");
-                marks.looked(MARK, 7, over ? Known.valueOf(d[0]) : Known.UNKNOWN,
+                marks.looked(
+                        MARK,
+                        7,
+                        over ? Known.valueOf(d[0]) : Known.UNKNOWN,
                         over ? new byte[] {Byte.parseByte(d[1])} : null);
                 return;
             }
