--- a/results/src/main/java/tallyweir/results/Marks.java
+++ b/results/src/main/java/tallyweir/results/Marks.java
@@ -33,7 +33,17 @@
         WINDOW
     }
 
-    private enum Stage { LOOKING, INTENDING, READY, BEGUN, RECORDING, KEPT, LOST, WITHDRAWING, GONE }
+    private enum Stage {
+        LOOKING,
+        INTENDING,
+        READY,
+        BEGUN,
+        RECORDING,
+        KEPT,
+        LOST,
+        WITHDRAWING,
+        GONE
+    }
 
     private record Asker(RunId copy, long body) {}
 
@@ -43,14 +53,14 @@
         private final long until;
         private final RunId holder;
         private Stage stage;
-        private boolean wanted;    // the decisions want it to run
-        private boolean given;     // they have given it up
-        private boolean over;      // the run has ended, or nobody can tell
-        private boolean done;      // the write or look under way is done,
-        private boolean failed;    // and failed
-        private boolean dropped;   // out of memory
-        private boolean anyBody;   // the body is not known
-        private boolean outlived;  // its window is over
+        private boolean wanted; // the decisions want it to run
+        private boolean given; // they have given it up
+        private boolean over; // the run has ended, or nobody can tell
+        private boolean done; // the write or look under way is done,
+        private boolean failed; // and failed
+        private boolean dropped; // out of memory
+        private boolean anyBody; // the body is not known
+        private boolean outlived; // its window is over
         private Known known;
         private byte[] result;
         private final List<Asker> asking = new ArrayList<>(1);
@@ -69,9 +79,9 @@
     private final Set<Guard> without;
     private final Map<Mark, Entry> entries = new HashMap<>();
     private final Map<RunId, Entry> held = new HashMap<>();
-    private final Set<Mark> passedOver = new HashSet<>();  // only where a check has switched a guard off
+    private final Set<Mark> passedOver = new HashSet<>(); // only where a check has switched a guard off
     private final Rules rules = new Rules();
-    private Entry e;   // what the input is about
+    private Entry e; // what the input is about
 
     /**
      * @param most marks in memory at once, 1 or more; beyond it new ones find no room
@@ -85,7 +95,9 @@
         rules.add(() -> e.stage == Stage.INTENDING && e.done && e.failed, this::neverBegan);
         rules.add(() -> (e.stage == Stage.INTENDING && e.done || e.stage == Stage.READY) && e.given, this::withdraw);
         rules.add(() -> e.stage == Stage.BEGUN && e.given && !has(Guard.PROOF), this::withdraw);
-        rules.add(() -> e.stage == Stage.INTENDING && (e.done || e.wanted && !has(Guard.INTENT)), () -> e.stage = Stage.READY);
+        rules.add(
+                () -> e.stage == Stage.INTENDING && (e.done || e.wanted && !has(Guard.INTENT)),
+                () -> e.stage = Stage.READY);
         rules.add(() -> e.stage == Stage.READY && e.wanted, this::begin);
         rules.add(() -> e.stage == Stage.BEGUN && e.over, this::record);
         rules.add(() -> e.stage == Stage.RECORDING && !e.asking.isEmpty() && !has(Guard.ORDER), this::answer);
@@ -236,7 +248,8 @@
 
     /** How many results the disk has refused that are in memory alone. */
     public int lost() {
-        return (int) entries.values().stream().filter(x -> x.stage == Stage.LOST).count();
+        return (int)
+                entries.values().stream().filter(x -> x.stage == Stage.LOST).count();
     }
 
     /**
@@ -297,7 +310,7 @@
 
     private void withdraw() {
         e.stage = Stage.WITHDRAWING;
-        e.done = entries.get(e.mark) != e;  // the intent of a later copy has taken its place on the disk
+        e.done = entries.get(e.mark) != e; // the intent of a later copy has taken its place on the disk
         if (!e.done) {
             out.withdraw(e.holder, e.mark);
         }
@@ -360,14 +373,26 @@
 
     /** Everything in it as text, equal for equal states; for checks. */
     String describe() {
-        return held.entrySet().stream().map(h -> h.getKey().value() + ":" + describe(h.getValue())).sorted()
-                .collect(Collectors.joining(";")) + "|"
+        return held.entrySet().stream()
+                        .map(h -> h.getKey().value() + ":" + describe(h.getValue()))
+                        .sorted()
+                        .collect(Collectors.joining(";"))
+                + "|"
                 + entries.values().stream().map(Marks::describe).sorted().collect(Collectors.joining(";"));
     }
 
     private static String describe(Entry x) {
-        return x.mark.stamp().value() + x.stage + (x.holder == null ? "" : x.holder.value()) + x.outlived + x.wanted + x.given + x.over
-                + x.done + x.failed + x.known + (x.result == null ? "" : x.result[0])
+        return x.mark.stamp().value()
+                + x.stage
+                + (x.holder == null ? "" : x.holder.value())
+                + x.outlived
+                + x.wanted
+                + x.given
+                + x.over
+                + x.done
+                + x.failed
+                + x.known
+                + (x.result == null ? "" : x.result[0])
                 + x.asking.stream().map(a -> a.copy.value() + "/" + a.body).toList();
     }
 }
--- a/results/src/main/java/tallyweir/results/Settling.java
+++ b/results/src/main/java/tallyweir/results/Settling.java
@@ -22,6 +22,7 @@
 public final class Settling {
     /** The namespace of what people changed. */
     public static final String AUDIT = "audit";
+
     private static final int TEXT_MOST = 2_000;
 
     /** What somebody has found out, or wants. */
@@ -41,16 +42,23 @@
     // Gone through in order; the first that fires says why not.
     private static final List<Rule> RULES = List.of(
             new Rule((k, as) -> k == null, "nothing is kept of this mark"),
-            new Rule((k, as) -> k.known() == null, "its run is still open: the process that holds the store settles it, at the"
-                    + " latest one longest hard limit after its start"),
-            new Rule((k, as) -> as != As.FORGOTTEN && k.known() != Known.UNKNOWN,
+            new Rule(
+                    (k, as) -> k.known() == null,
+                    "its run is still open: the process that holds the store settles it, at the"
+                            + " latest one longest hard limit after its start"),
+            new Rule(
+                    (k, as) -> as != As.FORGOTTEN && k.known() != Known.UNKNOWN,
                     "its outcome is known, there is nothing to settle"));
 
     private Settling() {}
 
     /** Why a change is not made, null if it is. */
     static String refusal(Shelf.Kept kept, As as) {
-        return RULES.stream().filter(r -> r.when.test(kept, as)).map(Rule::why).findFirst().orElse(null);
+        return RULES.stream()
+                .filter(r -> r.when.test(kept, as))
+                .map(Rule::why)
+                .findFirst()
+                .orElse(null);
     }
 
     /**
@@ -60,8 +68,9 @@
      * @param by who makes it, 1 to 2,000 characters; likewise why
      * @throws IOException with the reason why it was not made
      */
-    public static synchronized void settle(Durable store, Committer committer, Mark mark, As as, byte[] result, String by,
-            String why) throws IOException {
+    public static synchronized void settle(
+            Durable store, Committer committer, Mark mark, As as, byte[] result, String by, String why)
+            throws IOException {
         if (by.isBlank() || why.isBlank() || by.length() > TEXT_MOST || why.length() > TEXT_MOST) {
             throw new IOException("who and why are needed, of at most " + TEXT_MOST + " characters each");
         }
@@ -74,8 +83,15 @@
         }
         Batch b = new Batch();
         switch (as) {
-            case RAN -> DurableShelf.put(b, mark, kept.job(), kept.body(), Known.GOOD,
-                    result == null ? new byte[0] : result, kept.until());
+            case RAN ->
+                DurableShelf.put(
+                        b,
+                        mark,
+                        kept.job(),
+                        kept.body(),
+                        Known.GOOD,
+                        result == null ? new byte[0] : result,
+                        kept.until());
             case RAN_BADLY -> DurableShelf.put(b, mark, kept.job(), kept.body(), Known.BAD, null, kept.until());
             default -> b.delete(DurableShelf.RESULTS, key);
         }
@@ -124,7 +140,13 @@
             } catch (IllegalArgumentException e) {
                 throw new IOException(e.getMessage());
             }
-            settle(store, committer, DurableShelf.mark(words.get(0), words.get(1)), as, result, words.get(4),
+            settle(
+                    store,
+                    committer,
+                    DurableShelf.mark(words.get(0), words.get(1)),
+                    as,
+                    result,
+                    words.get(4),
                     words.get(5));
             line.accept("settled\t" + as);
         });
--- a/results/src/main/java/tallyweir/results/Squeeze.java
+++ b/results/src/main/java/tallyweir/results/Squeeze.java
@@ -6,9 +6,9 @@
 /** Results made smaller for the disk by Zstandard (RFC 8878), where it pays. */
 final class Squeeze {
     private static final int LEVEL = 3;
-    private static final int LEAST = 128;             // bytes; a shorter result has a frame's head to win back first
-    private static final double GAIN = 0.125;         // share that must be saved
-    private static final int LONGEST = 16 << 20;      // the longest value that the store takes
+    private static final int LEAST = 128; // bytes; a shorter result has a frame's head to win back first
+    private static final double GAIN = 0.125; // share that must be saved
+    private static final int LONGEST = 16 << 20; // the longest value that the store takes
 
     private Squeeze() {}
 
--- a/results/src/test/java/tallyweir/results/DurableShelfTest.java
+++ b/results/src/test/java/tallyweir/results/DurableShelfTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.IOException;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -36,15 +35,28 @@
     }
 
     private void open(With with) throws Exception {
-        try (Durable d = new Durable(first, second, Both.IN_TURN, 1 << 14, 512, 0.5, 0,
-                List.of(new Namespace(DurableShelf.RESULTS, 64 << 10, false),
-                        new Namespace(DurableShelf.INTENTS, 1 << 20, false)), 1, () -> clock, Runnable::run, Set.of());
+        try (Durable d = new Durable(
+                        first,
+                        second,
+                        Both.IN_TURN,
+                        1 << 14,
+                        512,
+                        0.5,
+                        0,
+                        List.of(
+                                new Namespace(DurableShelf.RESULTS, 64 << 10, false),
+                                new Namespace(DurableShelf.INTENTS, 1 << 20, false)),
+                        1,
+                        () -> clock,
+                        Runnable::run,
+                        Set.of());
                 Committer c = new Committer(d, 1 << 20, 0, 1 << 20)) {
             with.shelf(new DurableShelf(d, c, Runnable::run, Runnable::run, Set.of()));
         }
     }
 
-    private static boolean done(java.util.function.Consumer<java.util.function.Consumer<Boolean>> write) throws Exception {
+    private static boolean done(java.util.function.Consumer<java.util.function.Consumer<Boolean>> write)
+            throws Exception {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         write.accept(done::complete);
         return done.get(10, TimeUnit.SECONDS);
@@ -67,11 +79,11 @@
         });
         open(s -> {
             assertTrue(s.knows(MARK));
-            clock = until;  // between the question and the look
+            clock = until; // between the question and the look
             assertNull(look(s, MARK), "a result is given after its window");
             assertFalse(s.knows(MARK));
         });
-        clock = until - 5_000;  // the clock steps back over the restart
+        clock = until - 5_000; // the clock steps back over the restart
         open(s -> assertEquals(s.knows(MARK), look(s, MARK) != null));
     }
 
@@ -83,7 +95,9 @@
             assertTrue(done(d -> s.intend(OTHER, new JobId("j2"), 43, until, d)));
         });
         open(s -> {
-            assertEquals(Set.of("j1", "j2"), Set.copyOf(s.intents().stream().map(k -> k.job().value()).toList()));
+            assertEquals(
+                    Set.of("j1", "j2"),
+                    Set.copyOf(s.intents().stream().map(k -> k.job().value()).toList()));
             assertTrue(done(d -> s.record(MARK, new JobId("j1"), 42, Known.UNKNOWN, null, until, d)));
             assertTrue(done(d -> s.withdraw(OTHER, d)));
         });
@@ -105,14 +119,16 @@
                 Mark m = DurableShelf.mark("reset", "x" + n);
                 byte[] noise = new byte[1_000];
                 new java.util.SplittableRandom(n).nextBytes(noise);
-                assertTrue(done(d -> s.record(m, new JobId("j"), 1, Known.GOOD, noise, until, d)), "refused with room left");
+                assertTrue(
+                        done(d -> s.record(m, new JobId("j"), 1, Known.GOOD, noise, until, d)),
+                        "refused with room left");
             }
             assertTrue(n > 40, "room for " + n);
             assertFalse(s.hasRoom(0));
             assertTrue(s.knows(DurableShelf.mark("reset", "x0")), "dropped within its window to make room");
         });
         open(s -> {
-            clock = until + 700_000;  // past the next look for what has expired, once a minute
+            clock = until + 700_000; // past the next look for what has expired, once a minute
             long end = System.nanoTime() + 10_000_000_000L;
             while (!s.hasRoom(0) && System.nanoTime() < end) {
                 Thread.sleep(5);
--- a/results/src/test/java/tallyweir/results/MarksModelTest.java
+++ b/results/src/test/java/tallyweir/results/MarksModelTest.java
@@ -87,14 +87,14 @@
         private long holder;
         private long body;
         private boolean looking;
-        private int intent;        // 0 under way, 1 on the disk, -1 refused
+        private int intent; // 0 under way, 1 on the disk, -1 refused
         private boolean wanted;
         private boolean given;
         private boolean begun;
         private boolean withdrawing;
         private boolean recording;
         private boolean lost;
-        private Known known;       // null until it is over
+        private Known known; // null until it is over
         private byte result;
         private final List<Asker> askers = new ArrayList<>();
     }
@@ -201,8 +201,10 @@
 
         void answer(One x) {
             for (Asker a : x.askers) {
-                words.add(a.body != x.body ? "other body " + a.copy
-                        : "answer " + a.copy + " " + x.known + " " + (x.known == Known.GOOD ? x.result : "-"));
+                words.add(
+                        a.body != x.body
+                                ? "other body " + a.copy
+                                : "answer " + a.copy + " " + x.known + " " + (x.known == Known.GOOD ? x.result : "-"));
             }
             x.askers.clear();
         }
@@ -363,8 +365,19 @@
             }
             p.seen.forEach((k, n) -> seen.merge(k, n, Integer::sum));
         }
-        for (String what : List.of("NEW", "REPEAT", "OTHER_BODY", "NO_ROOM", "intend", "record", "withdraw", "look m",
-                "begin", "answer", "other body", "not begun")) {
+        for (String what : List.of(
+                "NEW",
+                "REPEAT",
+                "OTHER_BODY",
+                "NO_ROOM",
+                "intend",
+                "record",
+                "withdraw",
+                "look m",
+                "begin",
+                "answer",
+                "other body",
+                "not begun")) {
             assertTrue(seen.keySet().stream().anyMatch(k -> k.startsWith(what)), what + " was never reached: " + seen);
         }
     }
--- a/results/src/test/java/tallyweir/results/SettlingTest.java
+++ b/results/src/test/java/tallyweir/results/SettlingTest.java
@@ -39,10 +39,22 @@
 
     @BeforeEach
     void open() throws IOException {
-        store = new Durable(new SimDisk(power, 512, "first"), new SimDisk(power, 512, "second"), Both.IN_TURN, 1 << 16, 512,
-                0.5, 0, List.of(new Namespace(DurableShelf.RESULTS, 1 << 20, false),
-                        new Namespace(DurableShelf.INTENTS, 1 << 20, false), new Namespace(Settling.AUDIT, 1 << 20, false)),
-                1, () -> clock, Runnable::run, Set.of());
+        store = new Durable(
+                new SimDisk(power, 512, "first"),
+                new SimDisk(power, 512, "second"),
+                Both.IN_TURN,
+                1 << 16,
+                512,
+                0.5,
+                0,
+                List.of(
+                        new Namespace(DurableShelf.RESULTS, 1 << 20, false),
+                        new Namespace(DurableShelf.INTENTS, 1 << 20, false),
+                        new Namespace(Settling.AUDIT, 1 << 20, false)),
+                1,
+                () -> clock,
+                Runnable::run,
+                Set.of());
         committer = new Committer(store, 1 << 20, 0, 1 << 20);
         shelf = new DurableShelf(store, committer, Runnable::run, Runnable::run, Set.of());
     }
@@ -66,8 +78,8 @@
     }
 
     private String refusal(Settling.As as, String by, String why) {
-        return assertThrows(IOException.class,
-                () -> Settling.settle(store, committer, MARK, as, null, by, why)).getMessage();
+        return assertThrows(IOException.class, () -> Settling.settle(store, committer, MARK, as, null, by, why))
+                .getMessage();
     }
 
     private List<Settling.Change> audit() throws IOException {
@@ -96,7 +108,8 @@
         Settling.settle(store, committer, MARK, Settling.As.RAN_BADLY, null, "amal", "half done");
         assertEquals(Known.BAD, kept().known());
         keep(Known.UNKNOWN, null);
-        Settling.settle(store, committer, MARK, Settling.As.NEVER_RAN, null, "amal", "the kernel's log has no such run");
+        Settling.settle(
+                store, committer, MARK, Settling.As.NEVER_RAN, null, "amal", "the kernel's log has no such run");
         assertNull(kept());
         assertEquals(false, shelf.knows(MARK));
         assertEquals(2, audit().size());
@@ -105,7 +118,7 @@
     @Test
     void whatIsOpenOrKnownOrUnsignedIsNotSettled() throws IOException {
         assertTrue(refusal(Settling.As.NEVER_RAN, "amal", "x").contains("nothing is kept"));
-        shelf.intend(MARK, new JobId("j"), 42, until, good -> { });
+        shelf.intend(MARK, new JobId("j"), 42, until, good -> {});
         while (!shelf.knows(MARK)) {
             Thread.onSpinWait();
         }
@@ -135,12 +148,14 @@
         Desk.Verb settle = Settling.verbs(store, committer).get("settle");
         List<String> lines = new ArrayList<>();
         keep(Known.UNKNOWN, null);
-        settle.answer(List.of("reset", "m1", "RAN", "7269", "amal", "seen"), lines::add, n -> { });
+        settle.answer(List.of("reset", "m1", "RAN", "7269", "amal", "seen"), lines::add, n -> {});
         assertEquals(List.of("settled\tRAN"), lines);
         assertArrayEquals("ri".getBytes(), kept().result());
-        for (List<String> bad : List.of(List.of("reset"), List.of("reset", "m1", "MAYBE", "-", "a", "b"),
+        for (List<String> bad : List.of(
+                List.of("reset"),
+                List.of("reset", "m1", "MAYBE", "-", "a", "b"),
                 List.of("reset", "m1", "RAN", "7", "a", "b"))) {
-            assertThrows(IOException.class, () -> settle.answer(bad, lines::add, n -> { }));
+            assertThrows(IOException.class, () -> settle.answer(bad, lines::add, n -> {}));
         }
         assertEquals(Map.of("settle", 1), Map.of("settle", audit().size()));
     }
--- a/results/src/test/java/tallyweir/results/SqueezeTest.java
+++ b/results/src/test/java/tallyweir/results/SqueezeTest.java
@@ -12,7 +12,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
-import tallyweir.durable.Batch;
 import tallyweir.durable.Found;
 import tallyweir.ids.JobId;
 
@@ -35,7 +34,9 @@
 
     @Test
     void whatRepeatsItselfTakesLessAndWhatDoesNotTakesNoMore() {
-        byte[] slots = "{\"slot\":7,\"bakery\":\"imbaba\",\"from\":\"06:00\"},".repeat(30).getBytes();
+        byte[] slots = "{\"slot\":7,\"bakery\":\"imbaba\",\"from\":\"06:00\"},"
+                .repeat(30)
+                .getBytes();
         assertTrue(value(Known.GOOD, slots).length < slots.length / 4, "not made smaller");
         assertArrayEquals(slots, back(value(Known.GOOD, slots)).result());
         byte[] noise = new byte[1_000];
@@ -53,7 +54,8 @@
         for (int at = 22; at < v.length; at++) {
             byte[] bad = v.clone();
             bad[at] ^= 0x55;
-            Shelf.Kept k = back(bad);  // the store's checksums are what finds damage: here it only must not be thrown about
+            Shelf.Kept k =
+                    back(bad); // the store's checksums are what finds damage: here it only must not be thrown about
             assertTrue(k == null || k.known() == Known.GOOD);
         }
         assertNull(back(Arrays.copyOf(v, v.length - 1)));
--- a/stand/src/main/java/tallyweir/stand/History.java
+++ b/stand/src/main/java/tallyweir/stand/History.java
@@ -10,7 +10,15 @@
 /** What happened, as both sides of the program saw it, in the order in which it was seen. */
 public final class History {
     /** What may happen. */
-    public enum What { ASKED, RUN, HANDLED, DEFERRED, ERRORED, BROKEN, NOTHING }
+    public enum What {
+        ASKED,
+        RUN,
+        HANDLED,
+        DEFERRED,
+        ERRORED,
+        BROKEN,
+        NOTHING
+    }
 
     /** @param text of a run and of a handled answer: the result; of an error: {@code at once} or {@code late} */
     public record Event(What what, String mark, String job, String text) {}
@@ -49,10 +57,15 @@
                     differing += before != null && !before.equals(e.text) ? 1 : 0;
                 }
                 case NOTHING -> unanswered++;
-                default -> { }
+                default -> {}
             }
         }
-        return new Verdict(runs.size(), (int) runs.values().stream().filter(n -> n > 1).count(), differing, unanswered,
-                handled.size(), (int) handled.values().stream().filter(n -> n > 1).count());
+        return new Verdict(
+                runs.size(),
+                (int) runs.values().stream().filter(n -> n > 1).count(),
+                differing,
+                unanswered,
+                handled.size(),
+                (int) handled.values().stream().filter(n -> n > 1).count());
     }
 }
--- a/stand/src/main/java/tallyweir/stand/StandKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandKernel.java
@@ -32,8 +32,8 @@
  */
 public final class StandKernel implements AutoCloseable {
     private static final int NOTICES_KEPT = 4_000;
-    private static final int SLOW_ONE_IN = 60;         // runs that take
-    private static final int SLOW = 2_200_000;         // longer than anybody waits, microseconds
+    private static final int SLOW_ONE_IN = 60; // runs that take
+    private static final int SLOW = 2_200_000; // longer than anybody waits, microseconds
 
     private final History history;
     private final ServerSocket server;
@@ -52,8 +52,8 @@
     private long serial;
     private Socket link;
     private final Set<String> jobs = new HashSet<>();
-    private final List<String> notices = new ArrayList<>();  // without their numbers
-    private long first = 1;                                  // the number of the first of them
+    private final List<String> notices = new ArrayList<>(); // without their numbers
+    private long first = 1; // the number of the first of them
     private volatile boolean closed;
 
     /** One whose runs take 1 to 40 ms, and now and then longer than anybody waits. */
@@ -135,12 +135,13 @@
     }
 
     private void serve(Socket s) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 command(s, fields(line));
             }
         } catch (IOException e) {
-            return;  // the other side has gone
+            return; // the other side has gone
         }
     }
 
@@ -161,12 +162,15 @@
         synchronized (lock) {
             switch (c.get("type")) {
                 case "OPEN" -> open(s, Long.parseLong(c.get("n")));
-                case "SCHED" -> run(c.get("job"), new String(Base64.getDecoder().decode(c.get("data")),
-                        StandardCharsets.UTF_8));
+                case "SCHED" ->
+                    run(c.get("job"), new String(Base64.getDecoder().decode(c.get("data")), StandardCharsets.UTF_8));
                 case "IODONE" -> called(c.get("job"));
-                case "SYSINFO" -> send(s, "{\"type\":\"INFO\",\"ref\":\"" + c.get("ref")
-                        + "\",\"gauges\":[" + (double) busy / most + "," + (busy + queue.size()) + ",0.2,0.1]}");
-                default -> { }
+                case "SYSINFO" ->
+                    send(
+                            s,
+                            "{\"type\":\"INFO\",\"ref\":\"" + c.get("ref") + "\",\"gauges\":[" + (double) busy / most
+                                    + "," + (busy + queue.size()) + ",0.2,0.1]}");
+                default -> {}
             }
         }
     }
@@ -175,7 +179,7 @@
         drop();
         link = s;
         if (n == 0) {
-            first = 1;  // another process of the program: notices are numbered from 1 for it
+            first = 1; // another process of the program: notices are numbered from 1 for it
         }
         send(s, "{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":" + (System.nanoTime() - started) / 1_000_000 + "}");
         for (int i = 0; i < notices.size(); i++) {
@@ -225,8 +229,9 @@
             }
             String job = r.job;
             String result = r.result;
-            String notice = "{\"type\":\"REAP\",\"n\":N,\"job\":\"" + job + "\",\"state\":\"good\",\"took\":1,\"data\":\""
-                    + Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.UTF_8)) + "\"}";
+            String notice =
+                    "{\"type\":\"REAP\",\"n\":N,\"job\":\"" + job + "\",\"state\":\"good\",\"took\":1,\"data\":\""
+                            + Base64.getEncoder().encodeToString(result.getBytes(StandardCharsets.UTF_8)) + "\"}";
             tell(notice);
         }
     }
@@ -244,7 +249,8 @@
     private void called(String job) {
         Run r = atCall.remove(job);
         if (r != null) {
-            cores.schedule(() -> over(new Run(r.life, r.job, r.result, r.work, r.called + 1)), r.work, TimeUnit.MICROSECONDS);
+            cores.schedule(
+                    () -> over(new Run(r.life, r.job, r.result, r.work, r.called + 1)), r.work, TimeUnit.MICROSECONDS);
         }
     }
 
@@ -256,7 +262,7 @@
                 out.flush();
             }
         } catch (IOException e) {
-            return;  // told again on the next link
+            return; // told again on the next link
         }
     }
 
--- a/stand/src/main/java/tallyweir/stand/StandRelay.java
+++ b/stand/src/main/java/tallyweir/stand/StandRelay.java
@@ -66,7 +66,7 @@
             s.setSoLinger(true, 0);
             s.close();
         } catch (IOException e) {
-            return;  // it was closed already
+            return; // it was closed already
         }
     }
 
@@ -83,7 +83,7 @@
                 }
             }
         } catch (IOException e) {
-            return;  // closed
+            return; // closed
         }
     }
 
--- a/stand/src/main/java/tallyweir/stand/StandSidecar.java
+++ b/stand/src/main/java/tallyweir/stand/StandSidecar.java
@@ -90,7 +90,7 @@
     static Answer answer(String all) {
         int body = all.indexOf("\r\n\r\n");
         if (!all.startsWith("Status: ")) {
-            return new Answer(503, "");  // an end without an answer: overloaded
+            return new Answer(503, ""); // an end without an answer: overloaded
         }
         return new Answer(Integer.parseInt(all.substring(8, 11)), body < 0 ? "" : all.substring(body + 4));
     }
--- a/stand/src/main/java/tallyweir/stand/StandStore.java
+++ b/stand/src/main/java/tallyweir/stand/StandStore.java
@@ -42,7 +42,7 @@
                 thread(() -> serve(s));
             }
         } catch (IOException e) {
-            return;  // closed
+            return; // closed
         }
     }
 
@@ -58,7 +58,7 @@
                 }
             }
         } catch (IOException e) {
-            return;  // the other side has gone
+            return; // the other side has gone
         }
     }
 
--- a/tool/src/main/java/tallyweir/tool/DurableBench.java
+++ b/tool/src/main/java/tallyweir/tool/DurableBench.java
@@ -30,7 +30,6 @@
 import picocli.CommandLine.Spec;
 import tallyweir.durable.Batch;
 import tallyweir.durable.Both;
-import tallyweir.durable.Committer;
 import tallyweir.durable.Durable;
 import tallyweir.durable.Figures;
 import tallyweir.durable.FileDisk;
@@ -40,7 +39,9 @@
 import tallyweir.durable.SideBySide;
 import tallyweir.durable.Times;
 
-@Command(name = "bench", mixinStandardHelpOptions = true,
+@Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
         description = "Measures a store beside a bare append and force of the same bytes through as many files.")
 final class DurableBench implements Callable<Integer> {
     private static final String SPACE = "bench";
@@ -48,23 +49,38 @@
 
     @Option(names = "--dir", required = true, description = "A directory for the bench's own files; made if not there.")
     private Path dir;
+
     @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it (${DEFAULT-VALUE}).")
     private long seed;
+
     @Option(names = "--seconds", defaultValue = "5", description = "Of each measurement (${DEFAULT-VALUE}).")
     private int seconds;
+
     @Option(names = "--value", defaultValue = "200", description = "Bytes of a value (${DEFAULT-VALUE}).")
     private int valueBytes;
+
     @Option(names = "--keys", defaultValue = "1000000", description = "For heap and opening (${DEFAULT-VALUE}).")
     private int keys;
-    @Option(names = "--writers", split = ",", defaultValue = "1,8,64", description = "How many write (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--writers",
+            split = ",",
+            defaultValue = "1,8,64",
+            description = "How many write (${DEFAULT-VALUE}).")
     private int[] writers;
+
     @Option(names = "--only-writes", description = "Leave the other measurements out.")
     private boolean only;
+
     @Option(names = "--json", description = "Print JSON.")
     private boolean json;
-    @Option(names = "--earlier", description = "The tool's jar of an earlier version: its writes are measured in turn with this"
-            + " version's, three times, and nothing else is.")
+
+    @Option(
+            names = "--earlier",
+            description = "The tool's jar of an earlier version: its writes are measured in turn with this"
+                    + " version's, three times, and nothing else is.")
     private Path earlier;
+
     @Spec
     private CommandSpec spec;
 
@@ -109,12 +125,24 @@
     }
 
     private FileStore store(int segmentBytes, long upkeepRate) throws IOException {
-        return new FileStore(dir.resolve("first"), dir.resolve("second"), segmentBytes, 4_096, 0.5, 0, 256L * MB, 0,
-                upkeepRate, List.of(new Namespace(SPACE, Long.MAX_VALUE, false)));
+        return new FileStore(
+                dir.resolve("first"),
+                dir.resolve("second"),
+                segmentBytes,
+                4_096,
+                0.5,
+                0,
+                256L * MB,
+                0,
+                upkeepRate,
+                List.of(new Namespace(SPACE, Long.MAX_VALUE, false)));
     }
 
     private static byte[] key(long n) {
-        return ByteBuffer.allocate(16).putLong(n * 0x9E3779B97F4A7C15L).putLong(n).array();
+        return ByteBuffer.allocate(16)
+                .putLong(n * 0x9E3779B97F4A7C15L)
+                .putLong(n)
+                .array();
     }
 
     private byte[] value(SplittableRandom chance) {
@@ -136,7 +164,7 @@
         long bareLongest = 0;
         Map<String, Object> longest = new LinkedHashMap<>();
         double[] storeRates = new double[3];
-        for (int round = 0; round < 3; round++) {  // in turn, so that both see the same machine
+        for (int round = 0; round < 3; round++) { // in turn, so that both see the same machine
             clear();
             try (Bare bare = new Bare(dir)) {
                 bareRates[round] = rate(writers, bare::write);
@@ -146,17 +174,33 @@
             try (FileStore s = store(64 * MB, 32L * MB)) {
                 storeRates[round] = rate(writers, (k, v) -> s.committer().write(new Batch().put(SPACE, k, v)));
                 longest(longest, s);
-                longest.put("batches_a_group", round((double) s.store().figures().get(Figures.Of.BATCHES)
-                        / Math.max(1, s.store().figures().get(Figures.Of.GROUPS))));
+                longest.put(
+                        "batches_a_group",
+                        round((double) s.store().figures().get(Figures.Of.BATCHES)
+                                / Math.max(1, s.store().figures().get(Figures.Of.GROUPS))));
             }
             ratios.add(storeRates[round] / bareRates[round]);
         }
         ratios.sort(null);
-        double bareRate = Stream.of(bareRates[0], bareRates[1], bareRates[2]).sorted().toList().get(1);
-        double storeRate = Stream.of(storeRates[0], storeRates[1], storeRates[2]).sorted().toList().get(1);
-        print("writes, " + writers + " writers, as many as go", Map.of("bare_per_s", Math.round(bareRate),
-                "store_per_s", Math.round(storeRate), "ratio_median", round(ratios.get(1)), "ratio_least",
-                round(ratios.get(0))));
+        double bareRate = Stream.of(bareRates[0], bareRates[1], bareRates[2])
+                .sorted()
+                .toList()
+                .get(1);
+        double storeRate = Stream.of(storeRates[0], storeRates[1], storeRates[2])
+                .sorted()
+                .toList()
+                .get(1);
+        print(
+                "writes, " + writers + " writers, as many as go",
+                Map.of(
+                        "bare_per_s",
+                        Math.round(bareRate),
+                        "store_per_s",
+                        Math.round(storeRate),
+                        "ratio_median",
+                        round(ratios.get(1)),
+                        "ratio_least",
+                        round(ratios.get(0))));
         longest.put("bare_append_and_force", bareLongest / 100_000 / 10.0);
         print("longest steps of these runs, ms, " + writers + " writers", longest);
         double offered = 0.6 * Math.min(bareRate, storeRate);
@@ -168,8 +212,8 @@
         }
         clear();
         try (FileStore s = store(64 * MB, 32L * MB)) {
-            Map<String, Object> of = times(scheduled(writers, offered,
-                    (k, v) -> s.committer().write(new Batch().put(SPACE, k, v))));
+            Map<String, Object> of =
+                    times(scheduled(writers, offered, (k, v) -> s.committer().write(new Batch().put(SPACE, k, v))));
             longest(of, s);
             print("writes, " + writers + " writers, " + Math.round(offered) + " offered a second, store", of);
         }
@@ -178,7 +222,8 @@
     /** Into the figures, the longest of each step so far, milliseconds. */
     private static void longest(Map<String, Object> figures, FileStore s) {
         for (Times.Of of : Times.Of.values()) {
-            figures.merge(of.name().toLowerCase(), s.times().longest(of) / 10.0, (a, b) -> Math.max((Double) a, (Double) b));
+            figures.merge(
+                    of.name().toLowerCase(), s.times().longest(of) / 10.0, (a, b) -> Math.max((Double) a, (Double) b));
         }
     }
 
@@ -194,16 +239,41 @@
         Arrays.sort(rates[0]);
         Arrays.sort(rates[1]);
         Arrays.sort(ratios);
-        print("writes, " + writers + " writers, beside the earlier version", Map.of("earlier_per_s",
-                Math.round(rates[0][1]), "present_per_s", Math.round(rates[1][1]), "ratio_median", round(ratios[1]),
-                "ratio_least", round(ratios[0])));
+        print(
+                "writes, " + writers + " writers, beside the earlier version",
+                Map.of(
+                        "earlier_per_s",
+                        Math.round(rates[0][1]),
+                        "present_per_s",
+                        Math.round(rates[1][1]),
+                        "ratio_median",
+                        round(ratios[1]),
+                        "ratio_least",
+                        round(ratios[0])));
     }
 
     private double child(String classPath, int writers) throws IOException, InterruptedException {
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp", classPath,
-                Main.class.getName(), "durable", "bench", "--only-writes", "--json", "--dir", dir.toString(), "--seconds",
-                Integer.toString(seconds), "--value", Integer.toString(valueBytes), "--seed", Long.toString(seed), "--writers",
-                Integer.toString(writers)).redirectErrorStream(true).start();
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        classPath,
+                        Main.class.getName(),
+                        "durable",
+                        "bench",
+                        "--only-writes",
+                        "--json",
+                        "--dir",
+                        dir.toString(),
+                        "--seconds",
+                        Integer.toString(seconds),
+                        "--value",
+                        Integer.toString(valueBytes),
+                        "--seed",
+                        Long.toString(seed),
+                        "--writers",
+                        Integer.toString(writers))
+                .redirectErrorStream(true)
+                .start();
         String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         Matcher rate = Pattern.compile("\"store_per_s\":([0-9]+)").matcher(said);
         if (p.waitFor() != 0 || !rate.find()) {
@@ -243,7 +313,7 @@
         long end = start + seconds * 1_000_000_000L;
         run(writers, (w, chance) -> {
             double next = start;
-            for (long n = w;; n += writers) {
+            for (long n = w; ; n += writers) {
                 next += -Math.log(1 - chance.nextDouble()) * writers / perSecond * 1e9;
                 if (next >= end) {
                     return;
@@ -297,7 +367,7 @@
         private List<Waiting> waiting = new ArrayList<>();
         private boolean closing;
         private long at;
-        private volatile long longest;  // ns, of an append and force
+        private volatile long longest; // ns, of an append and force
 
         Bare(Path dir) throws IOException {
             for (int c = 0; c < 2; c++) {
@@ -343,7 +413,9 @@
                     ByteBuffer all = ByteBuffer.allocate(length);
                     group.forEach(w -> all.put(w.bytes));
                     long began = System.nanoTime();
-                    both.run(() -> append(0, all.duplicate().clear()), () -> append(1, all.duplicate().clear()));
+                    both.run(
+                            () -> append(0, all.duplicate().clear()),
+                            () -> append(1, all.duplicate().clear()));
                     longest = Math.max(longest, System.nanoTime() - began);
                     at += length;
                     group.forEach(w -> w.done.complete(null));
@@ -381,7 +453,7 @@
         int many = 200_000;
         try (FileStore s = store(8 * MB, 32L * MB)) {
             fill(s, many, new SplittableRandom(seed));
-            reads(s, many);  // until the code is compiled
+            reads(s, many); // until the code is compiled
             Histogram idle = reads(s, many);
             AtomicBoolean stop = new AtomicBoolean();
             Thread churn = new Thread(() -> {
@@ -393,7 +465,7 @@
                             b.put(SPACE, key(chance.nextInt(many)), value(chance));
                         }
                         s.committer().write(b);
-                        LockSupport.parkNanos(10_000_000);  // 10,000 records a second, so that compaction is what is met
+                        LockSupport.parkNanos(10_000_000); // 10,000 records a second, so that compaction is what is met
                     }
                 } catch (Refused e) {
                     throw new IllegalStateException(e);
@@ -439,7 +511,7 @@
 
     private void fill(FileStore s, int many, SplittableRandom chance) throws IOException {
         List<CompletableFuture<Void>> last = new ArrayList<>();
-        for (int i = 0; i < many;) {
+        for (int i = 0; i < many; ) {
             Batch b = new Batch();
             for (int n = 0; n < 500 && i < many; n++) {
                 b.put(SPACE, key(i++), value(chance));
@@ -461,7 +533,7 @@
         try (FileStore s = store(4 * MB, 1_000L * MB)) {
             SplittableRandom chance = new SplittableRandom(seed);
             fill(s, many, chance);
-            for (int half = 0; half < 2; half++) {  // the first to settle, the second to count
+            for (int half = 0; half < 2; half++) { // the first to settle, the second to count
                 long written = s.store().figures().get(Figures.Of.BYTES_WRITTEN);
                 long asked = s.store().figures().get(Figures.Of.RECORD_BYTES);
                 for (int i = 0; i < 3 * many / 500; i++) {
@@ -474,8 +546,11 @@
                 if (half == 1) {
                     Map<String, Object> of = new LinkedHashMap<>();
                     of.put("live_share", s.store().info().get("live_share"));
-                    of.put("written_each_copy_per_byte_asked", round((s.store().figures().get(Figures.Of.BYTES_WRITTEN)
-                            - written) / 2.0 / (s.store().figures().get(Figures.Of.RECORD_BYTES) - asked)));
+                    of.put(
+                            "written_each_copy_per_byte_asked",
+                            round((s.store().figures().get(Figures.Of.BYTES_WRITTEN) - written)
+                                    / 2.0
+                                    / (s.store().figures().get(Figures.Of.RECORD_BYTES) - asked)));
                     print("write amplification, random overwrites", of);
                 }
             }
@@ -488,7 +563,9 @@
         for (int i = 0; i < 4; i++) {
             System.gc();
             Thread.sleep(50);
-            least = Math.min(least, Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+            least = Math.min(
+                    least,
+                    Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         }
         return least;
     }
@@ -499,7 +576,8 @@
         try (FileStore s = store(64 * MB, 1_000L * MB)) {
             fill(s, keys, new SplittableRandom(seed));
             long after = heap();
-            print("heap, " + keys + " keys of 16 bytes written in random order",
+            print(
+                    "heap, " + keys + " keys of 16 bytes written in random order",
                     Map.of("bytes_a_key", round((double) (after - before) / keys)));
         }
         Map<String, Object> of = new LinkedHashMap<>();
@@ -524,9 +602,19 @@
             move(dir.resolve("first"), aside);
         }
         long start = System.nanoTime();
-        Durable d = new Durable(new FileDisk(dir.resolve("first")), new FileDisk(dir.resolve("second")), Both.IN_TURN,
-                64 * MB, 4_096, 0.5, 0, List.of(new Namespace(SPACE, Long.MAX_VALUE, false)), seed, FileStore::clock,
-                r -> { }, Set.of());
+        Durable d = new Durable(
+                new FileDisk(dir.resolve("first")),
+                new FileDisk(dir.resolve("second")),
+                Both.IN_TURN,
+                64 * MB,
+                4_096,
+                0.5,
+                0,
+                List.of(new Namespace(SPACE, Long.MAX_VALUE, false)),
+                seed,
+                FileStore::clock,
+                r -> {},
+                Set.of());
         double took = (System.nanoTime() - start) / 1e9;
         if (d.openedFromSnapshot() != bySnapshot || d.keys() != keys) {
             throw new IOException("opened " + d.keys() + " keys, from a snapshot: " + d.openedFromSnapshot());
--- a/tool/src/main/java/tallyweir/tool/DurableCommand.java
+++ b/tool/src/main/java/tallyweir/tool/DurableCommand.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.Callable;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -31,10 +30,22 @@
 import tallyweir.durable.Stamp;
 import tallyweir.durable.View;
 
-@Command(name = "durable", mixinStandardHelpOptions = true, description = "Looks after an embedded store.",
-        subcommands = {DurableCommand.Info.class, DurableCommand.Get.class, DurableCommand.ListKeys.class,
-            DurableCommand.Verify.class, DurableCommand.Repair.class, DurableCommand.Compact.class,
-            DurableCommand.BackUp.class, DurableCommand.Restore.class, DurableBench.class, DurableDrill.class})
+@Command(
+        name = "durable",
+        mixinStandardHelpOptions = true,
+        description = "Looks after an embedded store.",
+        subcommands = {
+            DurableCommand.Info.class,
+            DurableCommand.Get.class,
+            DurableCommand.ListKeys.class,
+            DurableCommand.Verify.class,
+            DurableCommand.Repair.class,
+            DurableCommand.Compact.class,
+            DurableCommand.BackUp.class,
+            DurableCommand.Restore.class,
+            DurableBench.class,
+            DurableDrill.class
+        })
 final class DurableCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -47,8 +58,13 @@
     /** Figures that tell of damage, by name. */
     private static Map<String, Object> damage(Durable d) {
         Map<String, Object> of = new LinkedHashMap<>();
-        for (Figures.Of f : List.of(Figures.Of.FRAMES_READ, Figures.Of.REPAIRED, Figures.Of.FILES_REMADE,
-                Figures.Of.UNREPAIRED, Figures.Of.LOST_FRAMES, Figures.Of.SNAPSHOTS_DISTRUSTED)) {
+        for (Figures.Of f : List.of(
+                Figures.Of.FRAMES_READ,
+                Figures.Of.REPAIRED,
+                Figures.Of.FILES_REMADE,
+                Figures.Of.UNREPAIRED,
+                Figures.Of.LOST_FRAMES,
+                Figures.Of.SNAPSHOTS_DISTRUSTED)) {
             of.put(f.name().toLowerCase(), d.figures().get(f));
         }
         return of;
@@ -93,6 +109,7 @@
     abstract static class OnStore implements Callable<Integer> {
         @Mixin
         StoreOptions store;
+
         @Spec
         CommandSpec spec;
 
@@ -123,10 +140,14 @@
         /** Names and values that a desk says. */
         Map<String, Object> asked(Path desk, String unit, String... words) throws IOException {
             Map<String, Object> all = new LinkedHashMap<>();
-            Desk.ask(desk, List.of(words), line -> {
-                String[] of = line.split("\t", 2);
-                all.put(of[0], of[1].matches("-?[0-9]{1,18}") ? (Object) Long.valueOf(of[1]) : of[1]);
-            }, seldom(done -> done + " " + unit));
+            Desk.ask(
+                    desk,
+                    List.of(words),
+                    line -> {
+                        String[] of = line.split("\t", 2);
+                        all.put(of[0], of[1].matches("-?[0-9]{1,18}") ? (Object) Long.valueOf(of[1]) : of[1]);
+                    },
+                    seldom(done -> done + " " + unit));
             return all;
         }
 
@@ -140,53 +161,72 @@
 
         void known(View view, String namespace) {
             if (!view.namespaces().contains(namespace)) {
-                throw new ParameterException(spec.commandLine(), "there is no namespace " + namespace + ": there are "
-                        + view.namespaces());
+                throw new ParameterException(
+                        spec.commandLine(), "there is no namespace " + namespace + ": there are " + view.namespaces());
             }
         }
     }
 
-    @Command(name = "info", mixinStandardHelpOptions = true,
-            description = "Prints what a store holds and what its log looks like. Changes nothing. Of a store in use it asks"
-                    + " the process that holds it, which also tells how long its steps take, in tenths of a millisecond.")
+    @Command(
+            name = "info",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Prints what a store holds and what its log looks like. Changes nothing. Of a store in use it asks"
+                            + " the process that holds it, which also tells how long its steps take, in tenths of a millisecond.")
     static final class Info extends OnStore {
         @Override
         public Integer call() throws IOException {
-            print(out(), store.json(), store.look(d -> {
-                Map<String, Object> all = d.info();
-                all.put("at_opening", damage(d));
-                all.put("figures", d.figures().all());
-                return all;
-            }, desk -> asked(desk, "", "info")));
+            print(
+                    out(),
+                    store.json(),
+                    store.look(
+                            d -> {
+                                Map<String, Object> all = d.info();
+                                all.put("at_opening", damage(d));
+                                all.put("figures", d.figures().all());
+                                return all;
+                            },
+                            desk -> asked(desk, "", "info")));
             return 0;
         }
     }
 
-    @Command(name = "get", mixinStandardHelpOptions = true,
+    @Command(
+            name = "get",
+            mixinStandardHelpOptions = true,
             description = "Prints one record. Exit code 1 if there is none. Changes nothing.")
     static final class Get extends OnStore {
         @Option(names = "--namespace", required = true)
         private String namespace;
+
         @Option(names = "--hex", description = "The key is given in hexadecimal.")
         private boolean hex;
+
         @Option(names = "--raw", description = "Print the value's bytes and nothing else.")
         private boolean raw;
+
         @Parameters(paramLabel = "KEY")
         private String key;
 
         @Override
         public Integer call() throws IOException {
             byte[] k = key(key, hex);
-            Found f = store.look(d -> {
-                try (View view = d.view()) {
-                    known(view, namespace);
-                    return view.get(namespace, k);
-                }
-            }, desk -> {
-                Found[] there = new Found[1];
-                Desk.ask(desk, List.of("get", namespace, hex(k)), line -> there[0] = DeskVerbs.record(line), n -> { });
-                return there[0];
-            });
+            Found f = store.look(
+                    d -> {
+                        try (View view = d.view()) {
+                            known(view, namespace);
+                            return view.get(namespace, k);
+                        }
+                    },
+                    desk -> {
+                        Found[] there = new Found[1];
+                        Desk.ask(
+                                desk,
+                                List.of("get", namespace, hex(k)),
+                                line -> there[0] = DeskVerbs.record(line),
+                                n -> {});
+                        return there[0];
+                    });
             if (f == null) {
                 err().println("tallyweir: there is no such key");
                 return 1;
@@ -201,23 +241,33 @@
         }
     }
 
-    @Command(name = "list", mixinStandardHelpOptions = true,
-            description = "Lists records in the order of their keys, or by time with --since or --until. Changes nothing.")
+    @Command(
+            name = "list",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Lists records in the order of their keys, or by time with --since or --until. Changes nothing.")
     static final class ListKeys extends OnStore {
         @Option(names = "--namespace", required = true)
         private String namespace;
+
         @Option(names = "--hex", description = "Keys are given in hexadecimal.")
         private boolean hex;
+
         @Option(names = "--from", defaultValue = "", description = "The first key.")
         private String from;
+
         @Option(names = "--to", description = "The key before which to end.")
         private String to;
+
         @Option(names = "--since", description = "Written at this time or later, as 2026-12-01T08:00:00Z.")
         private String since;
+
         @Option(names = "--until", description = "Written before this time.")
         private String until;
+
         @Option(names = "--limit", defaultValue = "1000", description = "At most so many (${DEFAULT-VALUE}).")
         private long limit;
+
         @Option(names = "--values", description = "Print values, too, in hexadecimal.")
         private boolean values;
 
@@ -231,27 +281,39 @@
             long end = time(until, Stamp.LATEST);
             byte[] fromKey = key(from, hex);
             byte[] toKey = to == null ? null : key(to, hex);
-            boolean more = store.look(d -> {
-                try (View view = d.view()) {
-                    known(view, namespace);
-                    Iterator<Found> in = byTime ? view.between(namespace, first, end)
-                            : view.range(namespace, fromKey, toKey);
-                    for (long n = 0; in.hasNext() && n < limit; n++) {
-                        print(in.next());
-                    }
-                    return in.hasNext();
-                }
-            }, desk -> {
-                long[] n = {0};
-                Desk.ask(desk, List.of("list", namespace, hex(fromKey), toKey == null ? "-" : hex(toKey),
-                        since == null ? "-" : Long.toString(first), until == null ? "-" : Long.toString(end),
-                        Long.toString(limit + 1)), line -> {
-                            if (n[0]++ < limit) {
-                                print(DeskVerbs.record(line));
+            boolean more = store.look(
+                    d -> {
+                        try (View view = d.view()) {
+                            known(view, namespace);
+                            Iterator<Found> in = byTime
+                                    ? view.between(namespace, first, end)
+                                    : view.range(namespace, fromKey, toKey);
+                            for (long n = 0; in.hasNext() && n < limit; n++) {
+                                print(in.next());
                             }
-                        }, far -> { });
-                return n[0] > limit;
-            });
+                            return in.hasNext();
+                        }
+                    },
+                    desk -> {
+                        long[] n = {0};
+                        Desk.ask(
+                                desk,
+                                List.of(
+                                        "list",
+                                        namespace,
+                                        hex(fromKey),
+                                        toKey == null ? "-" : hex(toKey),
+                                        since == null ? "-" : Long.toString(first),
+                                        until == null ? "-" : Long.toString(end),
+                                        Long.toString(limit + 1)),
+                                line -> {
+                                    if (n[0]++ < limit) {
+                                        print(DeskVerbs.record(line));
+                                    }
+                                },
+                                far -> {});
+                        return n[0] > limit;
+                    });
             if (more) {
                 err().println("tallyweir: there are more: --limit " + limit);
             }
@@ -260,8 +322,14 @@
 
         private void print(Found f) {
             Map<String, Object> of = record(f, values);
-            out().println(store.json() ? Json.line(of) : String.join("\t", of.values().stream()
-                    .map(Object::toString).toList()));
+            out().println(
+                            store.json()
+                                    ? Json.line(of)
+                                    : String.join(
+                                            "\t",
+                                            of.values().stream()
+                                                    .map(Object::toString)
+                                                    .toList()));
         }
 
         private long time(String text, long absent) {
@@ -273,33 +341,40 @@
         }
     }
 
-    @Command(name = "verify", mixinStandardHelpOptions = true,
-            description = "Compares both copies of everything with their checksums. Changes nothing; the process that holds a"
-                    + " store in use mends what it finds. Exit code 1 if anything is damaged and not mended.")
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Compares both copies of everything with their checksums. Changes nothing; the process that holds a"
+                            + " store in use mends what it finds. Exit code 1 if anything is damaged and not mended.")
     static final class Verify extends OnStore {
         @Override
         public Integer call() throws IOException {
-            return store.look(d -> {
-                long before = d.figures().get(Figures.Of.UNREPAIRED);
-                long lostBefore = d.figures().get(Figures.Of.LOST_FRAMES);
-                d.scrubAll(progress(d));
-                long damaged = d.figures().get(Figures.Of.UNREPAIRED) - before;
-                long lost = d.figures().get(Figures.Of.LOST_FRAMES) - lostBefore;
-                Map<String, Object> all = new LinkedHashMap<>();
-                all.put("damaged_in_one_copy", damaged);
-                all.put("damaged_in_both_copies", lost);
-                all.put("snapshots_distrusted", d.figures().get(Figures.Of.SNAPSHOTS_DISTRUSTED));
-                print(out(), store.json(), all);
-                return damaged + lost > 0 ? 1 : 0;
-            }, desk -> {
-                Map<String, Object> all = asked(desk, "bytes compared", "verify");
-                print(out(), store.json(), all);
-                return (Long) all.get("unrepaired") + (Long) all.get("damaged_in_both_copies") > 0 ? 1 : 0;
-            });
+            return store.look(
+                    d -> {
+                        long before = d.figures().get(Figures.Of.UNREPAIRED);
+                        long lostBefore = d.figures().get(Figures.Of.LOST_FRAMES);
+                        d.scrubAll(progress(d));
+                        long damaged = d.figures().get(Figures.Of.UNREPAIRED) - before;
+                        long lost = d.figures().get(Figures.Of.LOST_FRAMES) - lostBefore;
+                        Map<String, Object> all = new LinkedHashMap<>();
+                        all.put("damaged_in_one_copy", damaged);
+                        all.put("damaged_in_both_copies", lost);
+                        all.put("snapshots_distrusted", d.figures().get(Figures.Of.SNAPSHOTS_DISTRUSTED));
+                        print(out(), store.json(), all);
+                        return damaged + lost > 0 ? 1 : 0;
+                    },
+                    desk -> {
+                        Map<String, Object> all = asked(desk, "bytes compared", "verify");
+                        print(out(), store.json(), all);
+                        return (Long) all.get("unrepaired") + (Long) all.get("damaged_in_both_copies") > 0 ? 1 : 0;
+                    });
         }
     }
 
-    @Command(name = "repair", mixinStandardHelpOptions = true,
+    @Command(
+            name = "repair",
+            mixinStandardHelpOptions = true,
             description = "Writes again what is damaged in one copy. Exit code 1 if something is damaged in both.")
     static final class Repair extends OnStore {
         @Override
@@ -313,7 +388,9 @@
         }
     }
 
-    @Command(name = "compact", mixinStandardHelpOptions = true,
+    @Command(
+            name = "compact",
+            mixinStandardHelpOptions = true,
             description = "Writes all that is current anew and gives back the rest.")
     static final class Compact extends OnStore {
         @Override
@@ -340,9 +417,12 @@
         return 0;
     }
 
-    @Command(name = "backup", mixinStandardHelpOptions = true,
-            description = "Copies a store, as it is, to a new directory. The copy is a store, too. Of a store in use the process"
-                    + " that holds it makes the copy, while it goes on writing.")
+    @Command(
+            name = "backup",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Copies a store, as it is, to a new directory. The copy is a store, too. Of a store in use the process"
+                            + " that holds it makes the copy, while it goes on writing.")
     static final class BackUp extends OnStore {
         @Option(names = "--to", required = true, description = "The directory to make.")
         private Path to;
@@ -350,13 +430,18 @@
         @Override
         public Integer call() throws IOException {
             return store.look(d -> copy(this, d, to), desk -> {
-                print(out(), store.json(), asked(desk, "records", "backup", to.toAbsolutePath().toString()));
+                print(
+                        out(),
+                        store.json(),
+                        asked(desk, "records", "backup", to.toAbsolutePath().toString()));
                 return 0;
             });
         }
     }
 
-    @Command(name = "restore", mixinStandardHelpOptions = true,
+    @Command(
+            name = "restore",
+            mixinStandardHelpOptions = true,
             description = "Makes a store of a backup: the store options name the backup, --to the new store.")
     static final class Restore extends OnStore {
         @Option(names = "--to", required = true, description = "The directory of the store to make.")
--- a/tool/src/main/java/tallyweir/tool/DurableDrill.java
+++ b/tool/src/main/java/tallyweir/tool/DurableDrill.java
@@ -14,12 +14,17 @@
 import tallyweir.durable.Drill;
 import tallyweir.durable.Kills;
 
-@Command(name = "drill", mixinStandardHelpOptions = true,
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
         description = "Plays what a store must survive: cuts of the power within every operation, failing forces, full"
                 + " disks, every file cut off and changed at every offset, and a writer killed at random moments. Exit"
                 + " code 1 if anything acknowledged was lost, anything else returned, or an opening failed.")
 final class DurableDrill implements Callable<Integer> {
-    enum Size { SMALL, FULL }
+    enum Size {
+        SMALL,
+        FULL
+    }
 
     @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it (${DEFAULT-VALUE}).")
     private long seed;
@@ -30,7 +35,9 @@
     @Option(names = "--files", defaultValue = "small", description = "small: under a minute; full: some minutes.")
     private Size files;
 
-    @Option(names = "--without", description = "Switch a defence off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
+    @Option(
+            names = "--without",
+            description = "Switch a defence off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
     private Defence[] without = {};
 
     @Spec
@@ -49,8 +56,11 @@
         part(out, "old versions", all, Drill.oldVersions(seed, small ? 300 : 3_000, off));
         part(out, "two processes at one store", all, Drill.turns(seed, small ? 1_000 : 10_000, off));
         part(out, "damage in memory", all, Drill.damage(null, seed, small ? 60 : 200, 1, threads, off));
-        part(out, "damage on files", all, Drill.damage(dir.resolve("damage"), seed + 1, small ? 12 : 120, 1, threads,
-                off));
+        part(
+                out,
+                "damage on files",
+                all,
+                Drill.damage(dir.resolve("damage"), seed + 1, small ? 12 : 120, 1, threads, off));
         part(out, "kill -9", all, Kills.play(dir.resolve("kills"), seed, small ? 12 : 100, off));
         all.wrong().forEach(w -> out.println("wrong: " + w));
         out.println("durable drill: openings " + all.openings() + ", acknowledged lost " + all.lost()
--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -34,10 +34,18 @@
 import tallyweir.fleet.ratis.Link;
 import tallyweir.search.Search;
 
-@Command(name = "fleet", mixinStandardHelpOptions = true,
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
         description = "What a fleet routes by: its revisions, who acts on which, and what its promises rest on.",
-        subcommands = {FleetCommand.Publish.class, FleetCommand.Rollback.class, FleetCommand.Audit.class, FleetCommand.Caps.class,
-            FleetCommand.Explore.class, FleetDrill.class})
+        subcommands = {
+            FleetCommand.Publish.class,
+            FleetCommand.Rollback.class,
+            FleetCommand.Audit.class,
+            FleetCommand.Caps.class,
+            FleetCommand.Explore.class,
+            FleetDrill.class
+        })
 final class FleetCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -49,11 +57,16 @@
 
     /** Which fleet. */
     static final class Which {
-        @Option(names = "--operators", required = true, description = "The operators' file, whose fleet part names the fleet and"
-                + " its voters.")
+        @Option(
+                names = "--operators",
+                required = true,
+                description = "The operators' file, whose fleet part names the fleet and" + " its voters.")
         private Path operators;
-        @Option(names = "--give-up-ms", defaultValue = "10000", description = "How long an answer is waited for, ms"
-                + " (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--give-up-ms",
+                defaultValue = "10000",
+                description = "How long an answer is waited for, ms" + " (${DEFAULT-VALUE}).")
         private long giveUp;
 
         Link open() {
@@ -71,19 +84,31 @@
 
         @Spec
         CommandSpec spec;
+
         @Mixin
         private Which which;
-        @Option(names = "--expected", description = "The revision in force that you saw; without it, the one in force now.")
+
+        @Option(
+                names = "--expected",
+                description = "The revision in force that you saw; without it, the one in force now.")
         private Long expected;
+
         @Option(names = "--by", defaultValue = "${sys:user.name}", description = "Who asks (${DEFAULT-VALUE}).")
         String by;
+
         @Option(names = "--why", required = true, description = "The reason, kept with the revision.")
         String why;
+
         @Option(names = "--force", description = "Even if too many servers say that they cannot take it.")
         boolean force;
+
         @Option(names = "--again", description = "The command whose outcome was unknown: sent again, it acts once.")
         private String again;
-        @Option(names = "--follow-s", defaultValue = "120", description = "How long it is followed, seconds (${DEFAULT-VALUE}).")
+
+        @Option(
+                names = "--follow-s",
+                defaultValue = "120",
+                description = "How long it is followed, seconds (${DEFAULT-VALUE}).")
         private long follow;
 
         private RevisionId done;
@@ -94,8 +119,15 @@
         @Override
         public Integer call() throws IOException, InterruptedException {
             try (Link link = which.open()) {
-                RevisionId seen = new RevisionId(expected != null ? expected : link.audit().get("in_force").longValue());
-                ask(link, new OperatorCommand(again != null ? again : UUID.randomUUID().toString()), seen);
+                RevisionId seen = new RevisionId(
+                        expected != null
+                                ? expected
+                                : link.audit().get("in_force").longValue());
+                ask(
+                        link,
+                        new OperatorCommand(
+                                again != null ? again : UUID.randomUUID().toString()),
+                        seen);
                 if (fault != null) {
                     throw fault.thrown();
                 }
@@ -134,8 +166,8 @@
                     }
                 }
                 boolean open = r.get("fate").textValue().equals("PROPOSED");
-                String is = "revision " + done.value() + (open ? " proposed" : " in force") + ": acted " + acts + ", behind " + behind
-                        + ", shut out " + shutOut + ", unknown " + unknown;
+                String is = "revision " + done.value() + (open ? " proposed" : " in force") + ": acted " + acts
+                        + ", behind " + behind + ", shut out " + shutOut + ", unknown " + unknown;
                 if (!is.equals(before)) {
                     out.println(is);
                     before = is;
@@ -177,7 +209,9 @@
         return fault.exit();
     }
 
-    @Command(name = "publish", mixinStandardHelpOptions = true,
+    @Command(
+            name = "publish",
+            mixinStandardHelpOptions = true,
             description = "Proposes a revision and follows it until every server is accounted for.")
     static final class Publish extends Change {
         @Parameters(paramLabel = "FILE", description = "The revision, as deploy/example-revision.json.")
@@ -191,8 +225,11 @@
         }
     }
 
-    @Command(name = "rollback", mixinStandardHelpOptions = true,
-            description = "Brings any past revision back as a new one and follows it until every server is accounted for.")
+    @Command(
+            name = "rollback",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Brings any past revision back as a new one and follows it until every server is accounted for.")
     static final class Rollback extends Change {
         @Option(names = "--to", required = true, description = "The revision that is to come back.")
         private long to;
@@ -203,13 +240,17 @@
         }
     }
 
-    @Command(name = "audit", mixinStandardHelpOptions = true,
+    @Command(
+            name = "audit",
+            mixinStandardHelpOptions = true,
             description = "Shows who acted on which revision and when, who is behind, out or unheard of.")
     static final class Audit implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Mixin
         private Which which;
+
         @Option(names = "--json", description = "All of it, as JSON.")
         private boolean json;
 
@@ -226,13 +267,18 @@
                 out.println(a.toPrettyString());
                 return 0;
             }
-            out.println("fleet " + a.get("fleet").textValue() + ": revision " + a.get("in_force").longValue() + " in force, "
+            out.println("fleet " + a.get("fleet").textValue() + ": revision "
+                    + a.get("in_force").longValue() + " in force, "
                     + a.get("live").intValue() + " live, " + a.get("out").intValue() + " shut out");
             for (JsonNode r : a.get("revisions")) {
-                out.println("revision " + r.get("revision").longValue() + " " + r.get("fate").textValue()
+                out.println("revision " + r.get("revision").longValue() + " "
+                        + r.get("fate").textValue()
                         + (r.get("of").longValue() > 0 ? " (as " + r.get("of").longValue() + ")" : "") + " by "
-                        + r.get("by").textValue() + " since " + time(r.get("since_ms")) + ": " + r.get("why").textValue()
-                        + (r.get("reasons").textValue().isEmpty() ? "" : "; " + r.get("reasons").textValue()));
+                        + r.get("by").textValue() + " since " + time(r.get("since_ms")) + ": "
+                        + r.get("why").textValue()
+                        + (r.get("reasons").textValue().isEmpty()
+                                ? ""
+                                : "; " + r.get("reasons").textValue()));
             }
             a.get("servers").forEach(s -> server(out, s));
             a.get("gone").forEach(s -> server(out, s));
@@ -240,27 +286,43 @@
         }
 
         private static void server(PrintWriter out, JsonNode s) {
-            out.println("server " + s.get("server").textValue() + " " + s.get("standing").textValue()
-                    + (s.get("marked").booleanValue() ? " MARKED" : "") + (s.get("odd").booleanValue() ? " DIGEST DIFFERS" : "")
-                    + ": acts on " + (s.get("heard_ms").longValue() == 0 ? "unknown" : s.get("acting").longValue())
-                    + ", heard " + time(s.get("heard_ms")) + ", outdated queries " + s.get("outdated").longValue()
-                    + (s.get("cause").textValue().isEmpty() ? "" : ", " + s.get("cause").textValue()));
+            out.println("server " + s.get("server").textValue() + " "
+                    + s.get("standing").textValue()
+                    + (s.get("marked").booleanValue() ? " MARKED" : "")
+                    + (s.get("odd").booleanValue() ? " DIGEST DIFFERS" : "")
+                    + ": acts on "
+                    + (s.get("heard_ms").longValue() == 0
+                            ? "unknown"
+                            : s.get("acting").longValue())
+                    + ", heard " + time(s.get("heard_ms")) + ", outdated queries "
+                    + s.get("outdated").longValue()
+                    + (s.get("cause").textValue().isEmpty()
+                            ? ""
+                            : ", " + s.get("cause").textValue()));
             for (JsonNode p : s.get("passages")) {
-                out.println("  " + time(p.get("at_ms")) + " from " + p.get("from").longValue() + " to " + p.get("to").longValue()
-                        + ", behind " + p.get("behind_ms").doubleValue() + " ms, outdated queries " + p.get("outdated").longValue());
+                out.println("  " + time(p.get("at_ms")) + " from "
+                        + p.get("from").longValue() + " to " + p.get("to").longValue() + ", behind "
+                        + p.get("behind_ms").doubleValue() + " ms, outdated queries "
+                        + p.get("outdated").longValue());
             }
         }
 
         private static String time(JsonNode ms) {
-            return ms.longValue() == 0 ? "unknown" : Instant.ofEpochMilli(ms.longValue()).toString();
+            return ms.longValue() == 0
+                    ? "unknown"
+                    : Instant.ofEpochMilli(ms.longValue()).toString();
         }
     }
 
-    @Command(name = "caps", mixinStandardHelpOptions = true,
-            description = "Shows each tenant's cap, what of it may be relied on, and whether a cap that was lowered is reached.")
+    @Command(
+            name = "caps",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Shows each tenant's cap, what of it may be relied on, and whether a cap that was lowered is reached.")
     static final class Caps implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Mixin
         private Which which;
 
@@ -281,7 +343,8 @@
             for (JsonNode c : a.get("caps")) {
                 long spoken = c.get("spoken").longValue();
                 long cap = c.get("cap").longValue();
-                out.println(c.get("tenant").textValue() + ": cap " + cap + ", floor of each place " + c.get("floor").longValue()
+                out.println(c.get("tenant").textValue() + ": cap " + cap + ", floor of each place "
+                        + c.get("floor").longValue()
                         + ", lent " + c.get("lent").longValue() + ", spoken for " + spoken
                         + (spoken <= cap && behind == 0 ? ", reached" : ", not reached yet"));
             }
@@ -289,14 +352,21 @@
         }
     }
 
-    @Command(name = "explore", mixinStandardHelpOptions = true,
-            description = "Plays every order of events of a few servers over the real classes, and each guard switched off, which"
-                    + " must be missed: stop, restart and race are the scenes. Exit code 1 if not.")
+    @Command(
+            name = "explore",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Plays every order of events of a few servers over the real classes, and each guard switched off, which"
+                            + " must be missed: stop, restart and race are the scenes. Exit code 1 if not.")
     static final class Explore implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--without", description = "One guard only: ${COMPLETION-CANDIDATES}. WHOLE is not of this check.")
+
+        @Option(
+                names = "--without",
+                description = "One guard only: ${COMPLETION-CANDIDATES}. WHOLE is not of this check.")
         private Guard without;
+
         @Option(names = "--most", defaultValue = "3000000", description = "States at the most (${DEFAULT-VALUE}).")
         private long most;
 
@@ -309,19 +379,23 @@
             }
             if (without != null) {
                 Search.Seen seen = Explorer.explore(Explorer.guards().get(without), EnumSet.of(without), most);
-                out.println("without " + without + ": " + (seen.wrong().isEmpty() ? "nothing wrong" : seen.wrong().get(0)));
+                out.println("without " + without + ": "
+                        + (seen.wrong().isEmpty()
+                                ? "nothing wrong"
+                                : seen.wrong().get(0)));
                 return seen.wrong().isEmpty() ? 0 : 1;
             }
             for (Explorer.Scene scene : Explorer.Scene.values()) {
                 Search.Seen seen = Explorer.explore(scene, Set.of(), most);
-                out.println(scene + ": states " + seen.states() + ", steps " + seen.steps() + ", ends " + seen.ends() + ", wrong "
-                        + seen.wrong());
+                out.println(scene + ": states " + seen.states() + ", steps " + seen.steps() + ", ends " + seen.ends()
+                        + ", wrong " + seen.wrong());
                 good &= seen.wrong().isEmpty();
             }
             for (Map.Entry<Guard, Explorer.Scene> g : Explorer.guards().entrySet()) {
                 Search.Seen seen = Explorer.explore(g.getValue(), EnumSet.of(g.getKey()), most);
                 boolean missed = !seen.wrong().isEmpty() && !seen.wrong().get(0).startsWith("given up");
-                out.println("without " + g.getKey() + ": " + (missed ? seen.wrong().get(0) : "NOT MISSED"));
+                out.println(
+                        "without " + g.getKey() + ": " + (missed ? seen.wrong().get(0) : "NOT MISSED"));
                 good &= missed;
             }
             out.println("fleet explore: " + (good ? "good" : "BAD"));
--- a/tool/src/main/java/tallyweir/tool/FleetDrill.java
+++ b/tool/src/main/java/tallyweir/tool/FleetDrill.java
@@ -27,38 +27,63 @@
 import tallyweir.stand.StandRelay;
 import tallyweir.stand.StandSidecar;
 
-@Command(name = "drill", mixinStandardHelpOptions = true,
-        description = "Runs a fleet of processes of the program on loopback, kills, stops and cuts them off in turn while revisions"
-                + " change and a tenant stands at its cap, and judges it by what stand-ins and operators saw. Exit code 1 if a"
-                + " query was under two revisions, what was acknowledged is lost, a server is unaccounted for, a cap was"
-                + " exceeded, a query ran twice or was not answered; 1 also if nothing was cut, killed, rolled back or capped.",
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs a fleet of processes of the program on loopback, kills, stops and cuts them off in turn while revisions"
+                        + " change and a tenant stands at its cap, and judges it by what stand-ins and operators saw. Exit code 1 if a"
+                        + " query was under two revisions, what was acknowledged is lost, a server is unaccounted for, a cap was"
+                        + " exceeded, a query ran twice or was not answered; 1 also if nothing was cut, killed, rolled back or capped.",
         footer = {"", "--without WHOLE must fail here; the other guards are missed by fleet explore --without."})
 final class FleetDrill implements Callable<Integer> {
     private static final int CAP = 12;
-    private static final int CALLERS = 6;     // of each server, of the capped tenant
+    private static final int CALLERS = 6; // of each server, of the capped tenant
     private static final int STORES = 4;
     private static final int CALLS = 2;
     private static final int LEASE_MS = 2_000;
     private static final int ANSWER_MS = 4_500;
     private static final int SETTLE_S = 40;
 
-    @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it, but for what clocks and threads"
-            + " bring (${DEFAULT-VALUE}).")
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            description = "All chance hangs on it, but for what clocks and threads" + " bring (${DEFAULT-VALUE}).")
     private long seed;
+
     @Option(names = "--servers", defaultValue = "4", description = "Processes, 3 of them voters (${DEFAULT-VALUE}).")
     private int size;
-    @Option(names = "--seconds", defaultValue = "40", description = "How long faults are drawn, and each once in any case"
-            + " (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--seconds",
+            defaultValue = "40",
+            description = "How long faults are drawn, and each once in any case" + " (${DEFAULT-VALUE}).")
     private int seconds;
+
     @Option(names = "--dir", required = true, description = "A directory for the drill's own files; made if not there.")
     private Path dir;
-    @Option(names = "--without", description = "Switch a guard off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
+
+    @Option(
+            names = "--without",
+            description = "Switch a guard off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
     private Guard[] without = {};
+
     @Spec
     private CommandSpec spec;
 
     /** What happens; each comes once before any comes again, so that no drill shows nothing. */
-    private enum Event { KILL, STOP_SHORT, STOP_LONG, RESET, SILENCE, ONE_WAY, NO_MAJORITY, PUBLISH, PUBLISH_AGAIN, ROLLBACK }
+    private enum Event {
+        KILL,
+        STOP_SHORT,
+        STOP_LONG,
+        RESET,
+        SILENCE,
+        ONE_WAY,
+        NO_MAJORITY,
+        PUBLISH,
+        PUBLISH_AGAIN,
+        ROLLBACK
+    }
 
     private final History history = new History();
     private final List<FleetStage.Open> opened = Collections.synchronizedList(new ArrayList<>());
@@ -66,7 +91,7 @@
     private final AtomicInteger handled = new AtomicInteger();
     private final AtomicInteger capped = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
-    private final TreeMap<Long, String> acknowledged = new TreeMap<>();  // revisions, with their reasons
+    private final TreeMap<Long, String> acknowledged = new TreeMap<>(); // revisions, with their reasons
     private final Set<Integer> disturbed = ConcurrentHashMap.newKeySet();
     private volatile boolean stop;
     private FleetStage stage;
@@ -87,8 +112,8 @@
         SplittableRandom chance = new SplittableRandom(seed);
         String off = String.join(",", Arrays.stream(without).map(Enum::name).toList());
         JsonNode audit;
-        try (FleetStage s = new FleetStage(dir, size, STORES, history, CALLS, LEASE_MS,
-                List.of("-Dtallyweir.drill.fleet.without=" + off))) {
+        try (FleetStage s = new FleetStage(
+                dir, size, STORES, history, CALLS, LEASE_MS, List.of("-Dtallyweir.drill.fleet.without=" + off))) {
             stage = s;
             settle();
             publish(0);
@@ -129,7 +154,7 @@
                 disturbed.add(at);
                 stage.servers.get(at).kill();
                 if (chance.nextBoolean()) {
-                    publish(store);  // while it is gone
+                    publish(store); // while it is gone
                 }
                 stage.servers.get(at).start();
             }
@@ -182,14 +207,18 @@
 
     private void publish(int store) throws IOException, InterruptedException {
         changes++;
-        change("publish", stage.revision(store, ",\"caps\":{\"" + FleetStage.CAPPED + "\":" + CAP + "}").toString());
+        change(
+                "publish",
+                stage.revision(store, ",\"caps\":{\"" + FleetStage.CAPPED + "\":" + CAP + "}")
+                        .toString());
     }
 
     /** What an operator was told to be in force must be there at the end; what was left open may be there or not. */
     private void change(String... args) throws IOException, InterruptedException {
         List<String> all = new ArrayList<>(List.of(args));
         String why = "drill " + ++names;
-        all.addAll(List.of("--operators", stage.operators.toString(), "--why", why, "--follow-s", "8", "--give-up-ms", "6000"));
+        all.addAll(List.of(
+                "--operators", stage.operators.toString(), "--why", why, "--follow-s", "8", "--give-up-ms", "6000"));
         for (String line : stage.command(all.toArray(new String[0]))) {
             if (line.matches("revision [0-9]+ (proposed|in force).*")) {
                 acknowledged.put(Long.parseLong(line.split(" ")[1]), why);
@@ -202,7 +231,8 @@
         JsonNode audit = null;
         long end = System.nanoTime() + SETTLE_S * 1_000_000_000L;
         while (System.nanoTime() < end) {
-            String said = String.join("\n", stage.command("audit", "--json", "--operators", stage.operators.toString()));
+            String said =
+                    String.join("\n", stage.command("audit", "--json", "--operators", stage.operators.toString()));
             if (said.startsWith("{")) {
                 audit = new ObjectMapper().readTree(said);
                 if (unaccounted(audit) == 0) {
@@ -216,8 +246,13 @@
     private int unaccounted(JsonNode audit) {
         int in = 0;
         for (JsonNode s : audit.get("servers")) {
-            in += s.get("standing").textValue().equals("LIVE") && !s.get("silent").booleanValue() && !s.get("odd").booleanValue()
-                    && s.get("acting").longValue() == audit.get("in_force").longValue() ? 1 : 0;
+            in += s.get("standing").textValue().equals("LIVE")
+                            && !s.get("silent").booleanValue()
+                            && !s.get("odd").booleanValue()
+                            && s.get("acting").longValue()
+                                    == audit.get("in_force").longValue()
+                    ? 1
+                    : 0;
         }
         return size - in;
     }
@@ -225,31 +260,34 @@
     // ---- callers
 
     private Thread caller(int server, String tenant) {
-        Thread t = new Thread(() -> {
-            while (!stop) {
-                Program p = stage.servers.get(server);
-                long turn = p.turn();
-                String job = stage.job();
-                try (StandSidecar s = new StandSidecar(p.port())) {
-                    asked.add(job);
-                    history.add(History.What.ASKED, "m" + job, job, "");
-                    int status = FleetStage.ask(s, job, tenant, ANSWER_MS).status();
-                    if (status == 200) {
-                        handled.incrementAndGet();
-                        if (tenant.equals(FleetStage.CAPPED)) {
-                            opened.add(FleetStage.Open.until(System.nanoTime(), CALLS));
+        Thread t = new Thread(
+                () -> {
+                    while (!stop) {
+                        Program p = stage.servers.get(server);
+                        long turn = p.turn();
+                        String job = stage.job();
+                        try (StandSidecar s = new StandSidecar(p.port())) {
+                            asked.add(job);
+                            history.add(History.What.ASKED, "m" + job, job, "");
+                            int status =
+                                    FleetStage.ask(s, job, tenant, ANSWER_MS).status();
+                            if (status == 200) {
+                                handled.incrementAndGet();
+                                if (tenant.equals(FleetStage.CAPPED)) {
+                                    opened.add(FleetStage.Open.until(System.nanoTime(), CALLS));
+                                }
+                            } else if (status <= 0 && p.listening() && p.turn() == turn) {
+                                unanswered.incrementAndGet(); // it was up all the while
+                            } else if (status == 503 && tenant.equals(FleetStage.CAPPED)) {
+                                capped.incrementAndGet();
+                            }
+                            TimeUnit.MILLISECONDS.sleep(status == 200 ? 0 : 50);
+                        } catch (IOException | InterruptedException e) {
+                            pause(); // it does not listen at the moment
                         }
-                    } else if (status <= 0 && p.listening() && p.turn() == turn) {
-                        unanswered.incrementAndGet();  // it was up all the while
-                    } else if (status == 503 && tenant.equals(FleetStage.CAPPED)) {
-                        capped.incrementAndGet();
                     }
-                    TimeUnit.MILLISECONDS.sleep(status == 200 ? 0 : 50);
-                } catch (IOException | InterruptedException e) {
-                    pause();  // it does not listen at the moment
-                }
-            }
-        }, "caller");
+                },
+                "caller");
         t.setDaemon(true);
         t.start();
         return t;
@@ -271,7 +309,8 @@
             boolean there = false;
             if (audit != null) {
                 for (JsonNode r : audit.get("revisions")) {
-                    there |= r.get("revision").longValue() == e.getKey() && r.get("why").textValue().equals(e.getValue());
+                    there |= r.get("revision").longValue() == e.getKey()
+                            && r.get("why").textValue().equals(e.getValue());
                 }
             }
             lost += there ? 0 : 1;
@@ -279,14 +318,18 @@
         int most = FleetStage.Open.most(opened);
         int shutOut = 0;
         for (int i = 0; i < size; i++) {
-            shutOut += (int) stage.log(i).stream().filter(l -> l.contains("is shut out:")).count();
+            shutOut += (int) stage.log(i).stream()
+                    .filter(l -> l.contains("is shut out:"))
+                    .count();
         }
         int ranTwice = history.verdict().ranTwice();
         int overCap = Math.max(0, most - CAP);
-        out.println("handled " + handled + ", turned down of the capped tenant " + capped + ", most of it at once " + most + " of "
-                + CAP);
-        out.println("fleet drill: servers " + size + ", kills " + kills + ", cuts " + cuts + ", stops " + stops + ", revisions "
-                + changes + ", rollbacks " + rollbacks + ", mixed " + mixed + ", lost " + lost + ", unaccounted " + unaccounted
+        out.println("handled " + handled + ", turned down of the capped tenant " + capped + ", most of it at once "
+                + most + " of " + CAP);
+        out.println("fleet drill: servers " + size + ", kills " + kills + ", cuts " + cuts + ", stops " + stops
+                + ", revisions "
+                + changes + ", rollbacks " + rollbacks + ", mixed " + mixed + ", lost " + lost + ", unaccounted "
+                + unaccounted
                 + ", over cap " + overCap + ", ran twice " + ranTwice + ", unanswered " + unanswered + ", brought up "
                 + (disturbed.size() - Math.min(disturbed.size(), unaccounted)) + ", shut out " + shutOut);
         if (kills == 0 || cuts == 0 || rollbacks == 0 || capped.get() == 0 || acknowledged.isEmpty()) {
--- a/tool/src/main/java/tallyweir/tool/FleetStage.java
+++ b/tool/src/main/java/tallyweir/tool/FleetStage.java
@@ -23,8 +23,9 @@
 final class FleetStage implements AutoCloseable {
     /** A tenant with a cap, where a revision gives it one, and one without. */
     static final String CAPPED = "ten";
+
     static final String FREE = "free";
-    static final int WORK_MS = 50;  // of a run, before its calls, between them and after
+    static final int WORK_MS = 50; // of a run, before its calls, between them and after
     private static final int CORES = 32;
     private static final int VOTERS = 3;
     private static final int HEAP_MB = 160;
@@ -32,7 +33,7 @@
     final List<Program> servers = new ArrayList<>();
     final List<StandStore> stores = new ArrayList<>();
     private final List<StandKernel> kernels = new ArrayList<>();
-    private final Map<String, StandRelay> relays = new LinkedHashMap<>();  // "0>1": from server 0 to voter 1
+    private final Map<String, StandRelay> relays = new LinkedHashMap<>(); // "0>1": from server 0 to voter 1
     private final AtomicInteger jobs = new AtomicInteger();
     private final Path dir;
     final Path operators;
@@ -54,8 +55,11 @@
                 voters.add("\"v" + i + "\":\"v" + i + ":" + s.getLocalPort() + "\"");
                 for (int from = 0; from < size; from++) {
                     if (from != i) {
-                        relays.put(from + ">" + i, new StandRelay(new InetSocketAddress(StandRelay.pair(from, i), s.getLocalPort()),
-                                new InetSocketAddress(StandRelay.pair(i, i), s.getLocalPort())));
+                        relays.put(
+                                from + ">" + i,
+                                new StandRelay(
+                                        new InetSocketAddress(StandRelay.pair(from, i), s.getLocalPort()),
+                                        new InetSocketAddress(StandRelay.pair(i, i), s.getLocalPort())));
                     }
                 }
             }
@@ -65,13 +69,21 @@
             kernel.runsCall(calls);
             kernels.add(kernel);
             Path at = Files.createDirectories(dir.resolve("v" + i));
-            Files.writeString(at.resolve("config.json"), Program.config(kernel.port(), i + 1, CORES, 1_000_000, 256, 500)
-                    .replace("\"name\":\"drill\"", "\"name\":\"v" + i + "\"")
-                    .replace("\"FamilyInfo\":{", "\"Projects\":[{\"Name\":\"" + CAPPED + "\",\"QuotaPerS\":1000},{\"Name\":\"" + FREE
-                            + "\",\"QuotaPerS\":1000}],\"Servers\":" + size + ",\"FamilyInfo\":{\"ClassCalls\":[true,true],"));
-            Files.writeString(at.resolve("operators.json"), "{\"fleet\":{\"name\":\"test\",\"voters\":{" + String.join(",", voters)
-                    + "},\"dir\":\"" + at.resolve("log") + "\",\"lease_ms\":" + leaseMs + ",\"linger_ms\":100,\"behind_ms\":" + 2 * leaseMs
-                    + ",\"servers_most\":" + (size + 1) + ",\"floor_share\":0.5}}");
+            Files.writeString(
+                    at.resolve("config.json"),
+                    Program.config(kernel.port(), i + 1, CORES, 1_000_000, 256, 500)
+                            .replace("\"name\":\"drill\"", "\"name\":\"v" + i + "\"")
+                            .replace(
+                                    "\"FamilyInfo\":{",
+                                    "\"Projects\":[{\"Name\":\"" + CAPPED + "\",\"QuotaPerS\":1000},{\"Name\":\"" + FREE
+                                            + "\",\"QuotaPerS\":1000}],\"Servers\":" + size
+                                            + ",\"FamilyInfo\":{\"ClassCalls\":[true,true],"));
+            Files.writeString(
+                    at.resolve("operators.json"),
+                    "{\"fleet\":{\"name\":\"test\",\"voters\":{" + String.join(",", voters)
+                            + "},\"dir\":\"" + at.resolve("log") + "\",\"lease_ms\":" + leaseMs
+                            + ",\"linger_ms\":100,\"behind_ms\":" + 2 * leaseMs
+                            + ",\"servers_most\":" + (size + 1) + ",\"floor_share\":0.5}}");
             List<String> all = new ArrayList<>(flags);
             all.add("-Djdk.net.hosts.file=" + Files.writeString(at.resolve("hosts"), hosts(i)));
             servers.add(new Program(at, true, all));
@@ -88,15 +100,20 @@
     private static String hosts(int from) throws IOException {
         StringBuilder all = new StringBuilder("127.0.0.1 localhost\n");
         for (int to = 0; to < VOTERS; to++) {
-            all.append(StandRelay.pair(from < 0 ? to : from, to).getHostAddress()).append(" v").append(to).append('\n');
+            all.append(StandRelay.pair(from < 0 ? to : from, to).getHostAddress())
+                    .append(" v")
+                    .append(to)
+                    .append('\n');
         }
         return all.toString();
     }
 
     /** The ways from a server and to it. */
     List<StandRelay> around(int server) {
-        return relays.entrySet().stream().filter(e -> e.getKey().startsWith(server + ">") || e.getKey().endsWith(">" + server))
-                .map(Map.Entry::getValue).toList();
+        return relays.entrySet().stream()
+                .filter(e -> e.getKey().startsWith(server + ">") || e.getKey().endsWith(">" + server))
+                .map(Map.Entry::getValue)
+                .toList();
     }
 
     List<StandRelay> all() {
@@ -128,17 +145,27 @@
 
     /** A file with a revision that routes to one store. */
     Path revision(int store, String more) throws IOException {
-        return Files.writeString(dir.resolve("revision.json"), "{\"stores\":[{\"address\":\"" + stores.get(store).address()
-                + "\"}]" + more + "}");
+        return Files.writeString(
+                dir.resolve("revision.json"),
+                "{\"stores\":[{\"address\":\"" + stores.get(store).address() + "\"}]" + more + "}");
     }
 
     /** Runs an operator's command in a process of its own, and returns what it said. */
     List<String> command(String... args) throws IOException, InterruptedException {
-        List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx96m",
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djdk.net.hosts.file=" + dir.resolve("hosts"), "-cp",
-                System.getProperty("java.class.path"), "tallyweir.tool.Main", "fleet"));
+        List<String> all = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx96m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Djdk.net.hosts.file=" + dir.resolve("hosts"),
+                "-cp",
+                System.getProperty("java.class.path"),
+                "tallyweir.tool.Main",
+                "fleet"));
         all.addAll(List.of(args));
-        Process p = new ProcessBuilder(all).redirectError(dir.resolve("operator.log").toFile()).start();
+        Process p = new ProcessBuilder(all)
+                .redirectError(dir.resolve("operator.log").toFile())
+                .start();
         List<String> said = p.inputReader().lines().toList();
         p.waitFor();
         return said;
@@ -189,7 +216,9 @@
         static int most(List<Open> all) {
             int most = 0;
             for (Open o : all) {
-                most = Math.max(most, (int) all.stream().filter(x -> x.from <= o.from && o.from < x.to).count());
+                most = Math.max(most, (int) all.stream()
+                        .filter(x -> x.from <= o.from && o.from < x.to)
+                        .count());
             }
             return most;
         }
--- a/tool/src/main/java/tallyweir/tool/Main.java
+++ b/tool/src/main/java/tallyweir/tool/Main.java
@@ -1,20 +1,29 @@
 package tallyweir.tool;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintWriter;
 import java.util.Properties;
-import java.io.InputStream;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.ParameterException;
 
 /** The command line: {@code bin/tallyweir SUBCOMMAND}. */
-@Command(name = "tallyweir", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(
+        name = "tallyweir",
+        mixinStandardHelpOptions = true,
+        versionProvider = Main.Version.class,
         description = "An overload controller for the servers of a fleet.",
         footer = {"", "Exit codes: 0 good, 1 the check failed or the work could not be done, 2 wrong use."},
-        subcommands = {ServeCommand.class, WireHostCommand.class, DurableCommand.class, ResultsCommand.class, FleetCommand.class,
-            CommandLine.HelpCommand.class})
+        subcommands = {
+            ServeCommand.class,
+            WireHostCommand.class,
+            DurableCommand.class,
+            ResultsCommand.class,
+            FleetCommand.class,
+            CommandLine.HelpCommand.class
+        })
 public final class Main implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -26,8 +35,8 @@
 
     /** The exit code of a command line; prints to the writers given. */
     public static int run(PrintWriter out, PrintWriter err, String... args) {
-        CommandLine line = new CommandLine(new Main()).setOut(out).setErr(err)
-                .setCaseInsensitiveEnumValuesAllowed(true);
+        CommandLine line =
+                new CommandLine(new Main()).setOut(out).setErr(err).setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionExceptionHandler((e, command, result) -> {
             command.getErr().println("tallyweir: " + (e.getMessage() == null ? e.toString() : e.getMessage()));
             return 1;
--- a/tool/src/main/java/tallyweir/tool/Program.java
+++ b/tool/src/main/java/tallyweir/tool/Program.java
@@ -78,10 +78,13 @@
     static String config(int kernel, long seed, int cpus, long windowUs, int sockets, int stopMs) {
         return "{\"name\":\"drill\",\"kernel\":\"127.0.0.1:" + kernel
                 + "\",\"announce\":\"127.0.0.1:9\",\"store\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed)
-                + "\",\"stop_ms\":" + stopMs + ",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + sockets
+                + "\",\"stop_ms\":" + stopMs + ",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":"
+                + sockets
                 + "},\"settings\":{\"Classes\":[{\"Name\":\"reset\",\"Effect\":\"keyed\",\"TargetUs\":1000000,\"DeadlineUs\":1500000,"
-                + "\"Worth\":3,\"RepeatWindowUs\":" + windowUs + "},{\"Name\":\"look\",\"Effect\":\"safe\",\"TargetUs\":1000000,"
-                + "\"DeadlineUs\":1500000,\"Worth\":1}],\"FamilyInfo\":{\"Cpus\":" + cpus + ",\"MemLimitKb\":5000000,\"RunMemFactor\":2,"
+                + "\"Worth\":3,\"RepeatWindowUs\":" + windowUs
+                + "},{\"Name\":\"look\",\"Effect\":\"safe\",\"TargetUs\":1000000,"
+                + "\"DeadlineUs\":1500000,\"Worth\":1}],\"FamilyInfo\":{\"Cpus\":" + cpus
+                + ",\"MemLimitKb\":5000000,\"RunMemFactor\":2,"
                 + "\"Halt\":\"off\",\"IdleUs\":30000000,\"PassesDeadline\":true,"
                 + "\"Gauges\":[\"core_use\",\"on_cores\",\"heap_share\",\"links\"]},"
                 + "\"Permissions\":{\"RetryAfter\":true,\"MaxRetryAfterUs\":1000000},\"RoundUs\":5000,"
@@ -116,8 +119,10 @@
 
     /** Starts it and returns once it listens; how long that took, milliseconds. */
     long start() throws IOException, InterruptedException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1"));
         command.add("-Xmx" + heapMb + "m");
         command.addAll(flags);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "tallyweir.cli.Main", "serve"));
@@ -129,7 +134,9 @@
         }
         long began = System.nanoTime();
         process = of.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve("program.log").toFile())).start();
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        dir.resolve("program.log").toFile()))
+                .start();
         while (!listening) {
             try (Socket s = new Socket()) {
                 s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
@@ -185,7 +192,9 @@
     }
 
     private void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** Memory that it holds now, KB, 0 where it has gone. */
--- a/tool/src/main/java/tallyweir/tool/ResultsBench.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsBench.java
@@ -33,49 +33,85 @@
 import tallyweir.stand.StandSidecar;
 import tallyweir.stand.StandStream;
 
-@Command(name = "bench", mixinStandardHelpOptions = true,
-        description = "Measures a backend that keeps results beside the same backend with results off, in turn, on loopback"
-                + " between stand-ins; then a start over many kept marks, repeats, and, with --soak, memory over time.")
+@Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
+        description =
+                "Measures a backend that keeps results beside the same backend with results off, in turn, on loopback"
+                        + " between stand-ins; then a start over many kept marks, repeats, and, with --soak, memory over time.")
 final class ResultsBench implements Callable<Integer> {
     private static final int CORES = 4;
-    private static final int WORK_US = 8_000;        // of a run, on average; from half to one and a half of it
+    private static final int WORK_US = 8_000; // of a run, on average; from half to one and a half of it
     private static final int LINKS = 8;
     private static final int PATIENCE_MS = 1_500;
-    private static final long LAST_NS = 2_500_000_000L;  // answers may come until then, after the last was asked
+    private static final long LAST_NS = 2_500_000_000L; // answers may come until then, after the last was asked
     private static final int QUARTERS = 4;
     private static final int RESULT_BYTES = 200;
 
     @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it (${DEFAULT-VALUE}).")
     private long seed;
+
     @Option(names = "--seconds", defaultValue = "8", description = "Of each measurement (${DEFAULT-VALUE}).")
     private int seconds;
+
     @Option(names = "--rounds", defaultValue = "3", description = "On and off in turn, so often (${DEFAULT-VALUE}).")
     private int rounds;
-    @Option(names = "--loads", split = ",", defaultValue = "1,1.6", description = "As shares of capacity (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--loads",
+            split = ",",
+            defaultValue = "1,1.6",
+            description = "As shares of capacity (${DEFAULT-VALUE}).")
     private double[] loads;
-    @Option(names = "--marks", defaultValue = "1000000", description = "Kept when it starts; 0 leaves that out (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--marks",
+            defaultValue = "1000000",
+            description = "Kept when it starts; 0 leaves that out (${DEFAULT-VALUE}).")
     private int marks;
-    @Option(names = "--soak", defaultValue = "0", description = "Minutes of new marks, memory by quarters; 0 leaves it out.")
+
+    @Option(
+            names = "--soak",
+            defaultValue = "0",
+            description = "Minutes of new marks, memory by quarters; 0 leaves it out.")
     private int soak;
+
     @Option(names = "--soak-rate", defaultValue = "150", description = "New marks a second in it (${DEFAULT-VALUE}).")
     private int soakRate;
+
     @Option(names = "--dir", required = true, description = "A directory for the bench's own files; made if not there.")
     private Path dir;
+
     @Option(names = "--json", description = "Print JSON.")
     private boolean json;
+
     @Spec
     private CommandSpec spec;
 
     /** What one run of load came to. */
-    private record Seen(double handled, double deferred, double errored, double lost, Histogram times,
+    private record Seen(
+            double handled,
+            double deferred,
+            double errored,
+            double lost,
+            Histogram times,
             Map<String, Long> counters) {}
 
     @Override
     public Integer call() throws Exception {
-        if (seconds < 1 || seconds > 600 || rounds < 1 || rounds > 20 || marks < 0 || soak < 0 || soak > 600
-                || soakRate < 1 || Arrays.stream(loads).anyMatch(l -> !(l > 0 && l <= 4))) {
-            throw new ParameterException(spec.commandLine(), "--seconds takes 1 to 600, --rounds 1 to 20, --soak 0 to 600,"
-                    + " --loads shares above 0 and up to 4");
+        if (seconds < 1
+                || seconds > 600
+                || rounds < 1
+                || rounds > 20
+                || marks < 0
+                || soak < 0
+                || soak > 600
+                || soakRate < 1
+                || Arrays.stream(loads).anyMatch(l -> !(l > 0 && l <= 4))) {
+            throw new ParameterException(
+                    spec.commandLine(),
+                    "--seconds takes 1 to 600, --rounds 1 to 20, --soak 0 to 600,"
+                            + " --loads shares above 0 and up to 4");
         }
         Files.createDirectories(dir);
         for (double load : loads) {
@@ -106,10 +142,12 @@
 
     private Program program(StandKernel kernel, boolean on, long windowSeconds) throws IOException {
         Program p = new Program(dir, on, List.of());
-        Files.writeString(dir.resolve("config.json"),
+        Files.writeString(
+                dir.resolve("config.json"),
                 Program.config(kernel.port(), seed, CORES, windowSeconds * 1_000_000, 256, 1_000));
-        Files.writeString(dir.resolve("operators.json"), "{\"results\":{\"bound_mb\":1024},\"durable\":{\"dir\":\""
-                + dir.resolve("store") + "\"}}");
+        Files.writeString(
+                dir.resolve("operators.json"),
+                "{\"results\":{\"bound_mb\":1024},\"durable\":{\"dir\":\"" + dir.resolve("store") + "\"}}");
         return p;
     }
 
@@ -129,8 +167,9 @@
         for (int round = 0; round < rounds; round++) {
             for (int on = 0; on < 2; on++) {
                 clear();
-                long of = seed * 100 + round;  // the same load for both
-                try (StandKernel kernel = kernel(of); Program p = program(kernel, on == 1, 3_600)) {
+                long of = seed * 100 + round; // the same load for both
+                try (StandKernel kernel = kernel(of);
+                        Program p = program(kernel, on == 1, 3_600)) {
                     p.start();
                     Seen s = load(p, load * capacity(), seconds, new SplittableRandom(of), "r" + round + "-");
                     handled[on][round] = s.handled;
@@ -138,8 +177,9 @@
                     lost += s.lost;
                     if (on == 1) {
                         forces += s.counters.getOrDefault("durable_forces", 0L) / (double) rounds;
-                        bytes += s.counters.getOrDefault("durable_record_bytes", 0L) / Math.max(1.0,
-                                s.counters.getOrDefault("answered_handled", 0L)) / rounds;
+                        bytes += s.counters.getOrDefault("durable_record_bytes", 0L)
+                                / Math.max(1.0, s.counters.getOrDefault("answered_handled", 0L))
+                                / rounds;
                     }
                 }
             }
@@ -178,7 +218,7 @@
         }
         double next = System.nanoTime();
         double end = next + during * 1e9;
-        for (long n = 0;; n++) {
+        for (long n = 0; ; n++) {
             next += -Math.log(1 - chance.nextDouble()) / perSecond * 1e9;
             if (next >= end) {
                 break;
@@ -187,14 +227,20 @@
                 LockSupport.parkNanos((long) next - System.nanoTime());
             }
             long meant = (long) next;
-            links.get((int) (n % LINKS)).ask(Program.parameters(marks + n, String.format("%016x", chance.nextLong()), PATIENCE_MS),
-                    marks + n + " " + "x".repeat(RESULT_BYTES), a -> {
-                        became[a.status() == 200 ? 0 : a.status() == 429 || a.status() == 503 ? 1 : a.status() == 0 ? 3 : 2]
-                                .incrementAndGet();
-                        if (a.status() == 200) {
-                            times.recordValue((System.nanoTime() - meant) / 1_000);
-                        }
-                    });
+            links.get((int) (n % LINKS))
+                    .ask(
+                            Program.parameters(marks + n, String.format("%016x", chance.nextLong()), PATIENCE_MS),
+                            marks + n + " " + "x".repeat(RESULT_BYTES),
+                            a -> {
+                                became[
+                                        a.status() == 200
+                                                ? 0
+                                                : a.status() == 429 || a.status() == 503 ? 1 : a.status() == 0 ? 3 : 2]
+                                        .incrementAndGet();
+                                if (a.status() == 200) {
+                                    times.recordValue((System.nanoTime() - meant) / 1_000);
+                                }
+                            });
         }
         long last = System.nanoTime() + LAST_NS;
         while (System.nanoTime() < last && links.stream().anyMatch(l -> l.waiting() > 0)) {
@@ -205,19 +251,27 @@
         for (StandStream l : links) {
             l.close();
         }
-        return new Seen(became[0].get() / during, became[1].get() / during, became[2].get() / during, lost,
-                times.getIntervalHistogram(), counters);
+        return new Seen(
+                became[0].get() / during,
+                became[1].get() / during,
+                became[2].get() / during,
+                lost,
+                times.getIntervalHistogram(),
+                counters);
     }
 
     private static Map<String, Long> counters(Program p) throws IOException {
         Map<String, Long> all = new LinkedHashMap<>();
         try (StandSidecar s = new StandSidecar(p.port())) {
-            s.ask(Map.of("REQUEST_METHOD", "GET", "SCRIPT_NAME", "/counters"), "", 2_000).body().lines().forEach(l -> {
-                String[] of = l.split(" ");
-                if (of.length == 2) {
-                    all.put(of[0], Long.parseLong(of[1]));
-                }
-            });
+            s.ask(Map.of("REQUEST_METHOD", "GET", "SCRIPT_NAME", "/counters"), "", 2_000)
+                    .body()
+                    .lines()
+                    .forEach(l -> {
+                        String[] of = l.split(" ");
+                        if (of.length == 2) {
+                            all.put(of[0], Long.parseLong(of[1]));
+                        }
+                    });
         }
         return all;
     }
@@ -230,11 +284,17 @@
         long until = FileStore.clock() + 36_000_000L;
         byte[] result = "x".repeat(RESULT_BYTES).getBytes();
         try (FileStore s = open()) {
-            for (int n = 0; n < marks;) {
+            for (int n = 0; n < marks; ) {
                 Batch b = new Batch();
                 for (int i = 0; i < 1_000 && n < marks; i++, n++) {
-                    DurableShelf.put(b, new Mark(new WorkloadId("reset"), new SubjectId("s" + n)),
-                            new JobId(String.format("%016x", n)), sum("s" + n + " body"), Known.GOOD, result, until);
+                    DurableShelf.put(
+                            b,
+                            new Mark(new WorkloadId("reset"), new SubjectId("s" + n)),
+                            new JobId(String.format("%016x", n)),
+                            sum("s" + n + " body"),
+                            Known.GOOD,
+                            result,
+                            until);
                 }
                 s.committer().write(b);
             }
@@ -245,14 +305,17 @@
             of.put("heap_bytes_a_mark", round((double) (DurableBench.heap() - before) / marks));
             of.put("marks", s.store().keys());
         }
-        int heap = 48 + (int) (marks * 160L >> 20);  // an index is laid out anew while the old one is still read
-        try (StandKernel kernel = kernel(seed); Program p = program(kernel, true, 3_600)) {
+        int heap = 48 + (int) (marks * 160L >> 20); // an index is laid out anew while the old one is still read
+        try (StandKernel kernel = kernel(seed);
+                Program p = program(kernel, true, 3_600)) {
             p.heap(heap);
             of.put("start_to_listening_ms", p.start());
             long asked = System.nanoTime();
             try (StandSidecar s = new StandSidecar(p.port())) {
-                int tries = 1;  // until the kernel's link is up all are deferred
-                while (s.ask(Program.parameters("s7", "00000000000000aa", PATIENCE_MS), "s7 body", 5_000).status() != 200) {
+                int tries = 1; // until the kernel's link is up all are deferred
+                while (s.ask(Program.parameters("s7", "00000000000000aa", PATIENCE_MS), "s7 body", 5_000)
+                                .status()
+                        != 200) {
                     if (++tries > 1_000) {
                         throw new IOException("a kept mark is not answered after a start");
                     }
@@ -272,8 +335,18 @@
     }
 
     private FileStore open() throws IOException {
-        return new FileStore(dir.resolve("store/first"), dir.resolve("store/second"), 64 << 20, 4_096, 0.5, 0, 256L << 20, 0,
-                64L << 20, List.of(new Namespace(DurableShelf.RESULTS, 1L << 30, false),
+        return new FileStore(
+                dir.resolve("store/first"),
+                dir.resolve("store/second"),
+                64 << 20,
+                4_096,
+                0.5,
+                0,
+                256L << 20,
+                0,
+                64L << 20,
+                List.of(
+                        new Namespace(DurableShelf.RESULTS, 1L << 30, false),
                         new Namespace(DurableShelf.INTENTS, Long.MAX_VALUE, false)));
     }
 
@@ -297,8 +370,10 @@
                     while (System.nanoTime() < end) {
                         String mark = "s" + chance.nextInt(marks);
                         long began = System.nanoTime();
-                        StandSidecar.Answer a = s.ask(Program.parameters(mark, String.format("%016x", chance.nextLong()), PATIENCE_MS),
-                                mark + " body", 5_000);
+                        StandSidecar.Answer a = s.ask(
+                                Program.parameters(mark, String.format("%016x", chance.nextLong()), PATIENCE_MS),
+                                mark + " body",
+                                5_000);
                         times.recordValue((System.nanoTime() - began) / 1_000);
                         (a.status() == 200 && a.body().length() == RESULT_BYTES ? count : wrong).incrementAndGet();
                     }
@@ -314,7 +389,8 @@
         }
         took.add(times.getIntervalHistogram());
         if (wrong.get() > 0) {
-            throw new IOException(wrong.get() + " repeats of " + (count.get() + wrong.get()) + " did not get what was kept");
+            throw new IOException(
+                    wrong.get() + " repeats of " + (count.get() + wrong.get()) + " did not get what was kept");
         }
         return count.get();
     }
@@ -327,18 +403,25 @@
         Map<String, Object> of = new LinkedHashMap<>();
         long[] most = new long[QUARTERS];
         double lost = 0;
-        try (StandKernel kernel = kernel(seed); Program p = program(kernel, true, 60)) {
+        try (StandKernel kernel = kernel(seed);
+                Program p = program(kernel, true, 60)) {
             p.start();
             for (int q = 0; q < QUARTERS; q++) {
                 int parts = Math.max(1, soak);
                 for (int part = 0; part < parts; part++) {
-                    Seen s = load(p, soakRate, soak * 60.0 / QUARTERS / parts, new SplittableRandom(seed + q * 1_000 + part),
+                    Seen s = load(
+                            p,
+                            soakRate,
+                            soak * 60.0 / QUARTERS / parts,
+                            new SplittableRandom(seed + q * 1_000 + part),
                             "q" + q + "-" + part + "-");
                     lost += s.lost;
                     most[q] = Math.max(most[q], p.memoryNow());
                 }
                 of.put("quarter_" + (q + 1) + "_most_kb", most[q]);
-                print("memory so far, after " + round(soak * (q + 1.0) / QUARTERS) + " minutes", Map.of("most_kb", most[q]));
+                print(
+                        "memory so far, after " + round(soak * (q + 1.0) / QUARTERS) + " minutes",
+                        Map.of("most_kb", most[q]));
             }
             Map<String, Long> c = counters(p);
             of.put("handled", c.get("answered_handled"));
--- a/tool/src/main/java/tallyweir/tool/ResultsCommand.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsCommand.java
@@ -30,10 +30,22 @@
 import tallyweir.results.Shelf;
 import tallyweir.search.Search;
 
-@Command(name = "results", mixinStandardHelpOptions = true, description = "Looks after results kept over restarts.",
-        subcommands = {ResultsCommand.Stats.class, ResultsCommand.Show.class, ResultsCommand.Size.class,
-            ResultsCommand.Explore.class, ResultsCommand.Export.class, ResultsCommand.Settle.class,
-            ResultsCommand.Expire.class, ResultsCommand.Audit.class, ResultsDrill.class, ResultsBench.class})
+@Command(
+        name = "results",
+        mixinStandardHelpOptions = true,
+        description = "Looks after results kept over restarts.",
+        subcommands = {
+            ResultsCommand.Stats.class,
+            ResultsCommand.Show.class,
+            ResultsCommand.Size.class,
+            ResultsCommand.Explore.class,
+            ResultsCommand.Export.class,
+            ResultsCommand.Settle.class,
+            ResultsCommand.Expire.class,
+            ResultsCommand.Audit.class,
+            ResultsDrill.class,
+            ResultsBench.class
+        })
 final class ResultsCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -55,11 +67,14 @@
         return k.known() == null ? "intent" : k.known().name().toLowerCase();
     }
 
-    @Command(name = "stats", mixinStandardHelpOptions = true,
+    @Command(
+            name = "stats",
+            mixinStandardHelpOptions = true,
             description = "Counts marks by what is known of them. Changes nothing.")
     static final class Stats implements Callable<Integer> {
         @Mixin
         private StoreOptions store;
+
         @Spec
         private CommandSpec spec;
 
@@ -81,15 +96,20 @@
         }
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "Prints what is kept of one mark. Exit code 1 if nothing is. Changes nothing.")
     static final class Show implements Callable<Integer> {
         @Mixin
         private StoreOptions store;
+
         @Option(names = "--workload", required = true)
         private String workload;
+
         @picocli.CommandLine.Parameters(paramLabel = "KEY", description = "The mark, as in Once-Key.")
         private String key;
+
         @Spec
         private CommandSpec spec;
 
@@ -98,8 +118,11 @@
             byte[] mark = DurableShelf.key(DurableShelf.mark(workload, key));
             Found f = store.look(d -> d.get(DurableShelf.RESULTS, mark), desk -> {
                 Found[] there = new Found[1];
-                Desk.ask(desk, List.of("get", DurableShelf.RESULTS, HexFormat.of().formatHex(mark)),
-                        line -> there[0] = DeskVerbs.record(line), n -> { });
+                Desk.ask(
+                        desk,
+                        List.of("get", DurableShelf.RESULTS, HexFormat.of().formatHex(mark)),
+                        line -> there[0] = DeskVerbs.record(line),
+                        n -> {});
                 return there[0];
             });
             Shelf.Kept k = f == null ? null : DurableShelf.of(f);
@@ -128,25 +151,34 @@
 
     /** All records of a namespace, of the store or asked of the process that holds it. */
     private static void each(StoreOptions store, String namespace, Consumer<Found> to) throws IOException {
-        store.look(d -> {
-            try (View view = d.view()) {
-                view.range(namespace, new byte[0], null).forEachRemaining(to);
-            }
-            return null;
-        }, desk -> {
-            Desk.ask(desk, List.of("list", namespace, "-", "-", "-", "-", "-"), line -> to.accept(DeskVerbs.record(line)),
-                    n -> { });
-            return null;
-        });
+        store.look(
+                d -> {
+                    try (View view = d.view()) {
+                        view.range(namespace, new byte[0], null).forEachRemaining(to);
+                    }
+                    return null;
+                },
+                desk -> {
+                    Desk.ask(
+                            desk,
+                            List.of("list", namespace, "-", "-", "-", "-", "-"),
+                            line -> to.accept(DeskVerbs.record(line)),
+                            n -> {});
+                    return null;
+                });
     }
 
-    @Command(name = "export", mixinStandardHelpOptions = true,
+    @Command(
+            name = "export",
+            mixinStandardHelpOptions = true,
             description = "Prints all that is kept as JSON lines, the results in hexadecimal. Changes nothing.")
     static final class Export implements Callable<Integer> {
         @Mixin
         private StoreOptions store;
+
         @Option(names = "--outcome", description = "Only these: intent, good, bad, unknown.")
         private List<String> outcomes = List.of();
+
         @Spec
         private CommandSpec spec;
 
@@ -154,8 +186,8 @@
         public Integer call() throws IOException {
             for (String o : outcomes) {
                 if (!List.of("intent", "good", "bad", "unknown").contains(o)) {
-                    throw new ParameterException(spec.commandLine(), "--outcome is '" + o
-                            + "': intent, good, bad or unknown is needed");
+                    throw new ParameterException(
+                            spec.commandLine(), "--outcome is '" + o + "': intent, good, bad or unknown is needed");
                 }
             }
             each(store, DurableShelf.RESULTS, f -> {
@@ -179,36 +211,62 @@
     abstract static class ByHand implements Callable<Integer> {
         @Mixin
         StoreOptions store;
+
         @Option(names = "--workload", required = true)
         String workload;
+
         @picocli.CommandLine.Parameters(paramLabel = "KEY", description = "The mark, as in Once-Key.")
         String key;
+
         @Option(names = "--by", required = true, description = "Who makes the change; kept with it.")
         String by;
+
         @Option(names = "--why", required = true, description = "Why; kept with it.")
         String why;
+
         @Spec
         CommandSpec spec;
 
         int settle(Settling.As as, byte[] result) throws IOException {
-            store.change(List.of(DurableShelf.RESULTS, Settling.AUDIT), (d, c) ->
-                    Settling.settle(d, c, DurableShelf.mark(workload, key), as, result, by, why), desk -> {
-                        Desk.ask(desk, List.of("settle", workload, key, as.name(),
-                                result == null ? "-" : HexFormat.of().formatHex(result), by, why), line -> { }, n -> { });
+            store.change(
+                    List.of(DurableShelf.RESULTS, Settling.AUDIT),
+                    (d, c) -> Settling.settle(d, c, DurableShelf.mark(workload, key), as, result, by, why),
+                    desk -> {
+                        Desk.ask(
+                                desk,
+                                List.of(
+                                        "settle",
+                                        workload,
+                                        key,
+                                        as.name(),
+                                        result == null ? "-" : HexFormat.of().formatHex(result),
+                                        by,
+                                        why),
+                                line -> {},
+                                n -> {});
                         return null;
                     });
-            spec.commandLine().getOut().println(key + ": " + as.name().toLowerCase().replace('_', ' '));
+            spec.commandLine()
+                    .getOut()
+                    .println(key + ": " + as.name().toLowerCase().replace('_', ' '));
             return 0;
         }
     }
 
-    @Command(name = "settle", mixinStandardHelpOptions = true,
-            description = "Says what became of a mark whose outcome is unknown, after somebody has looked where its effect"
-                    + " would show. Kept with who said it and why. Works on a store in use.")
+    @Command(
+            name = "settle",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Says what became of a mark whose outcome is unknown, after somebody has looked where its effect"
+                            + " would show. Kept with who said it and why. Works on a store in use.")
     static final class Settle extends ByHand {
-        @Option(names = "--as", required = true, description = "ran: repeats get --result; ran-badly: repeats are errored;"
-                + " never-ran: the next copy runs.")
+        @Option(
+                names = "--as",
+                required = true,
+                description = "ran: repeats get --result; ran-badly: repeats are errored;"
+                        + " never-ran: the next copy runs.")
         private String as;
+
         @Option(names = "--result", description = "A file with the answer's bytes, for --as ran.")
         private Path result;
 
@@ -218,8 +276,9 @@
                 case "ran" -> Settling.As.RAN;
                 case "ran-badly" -> Settling.As.RAN_BADLY;
                 case "never-ran" -> Settling.As.NEVER_RAN;
-                default -> throw new ParameterException(spec.commandLine(), "--as is '" + as
-                        + "': ran, ran-badly or never-ran is needed");
+                default ->
+                    throw new ParameterException(
+                            spec.commandLine(), "--as is '" + as + "': ran, ran-badly or never-ran is needed");
             };
             if (result != null != (what == Settling.As.RAN)) {
                 throw new ParameterException(spec.commandLine(), "--result goes with --as ran, and with nothing else");
@@ -228,8 +287,11 @@
         }
     }
 
-    @Command(name = "expire", mixinStandardHelpOptions = true,
-            description = "Forgets a mark before its window ends: its next copy runs again. Kept with who did it and why.")
+    @Command(
+            name = "expire",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Forgets a mark before its window ends: its next copy runs again. Kept with who did it and why.")
     static final class Expire extends ByHand {
         @Override
         public Integer call() throws IOException {
@@ -237,11 +299,14 @@
         }
     }
 
-    @Command(name = "audit", mixinStandardHelpOptions = true,
+    @Command(
+            name = "audit",
+            mixinStandardHelpOptions = true,
             description = "Lists what people changed, oldest first. Changes nothing.")
     static final class Audit implements Callable<Integer> {
         @Mixin
         private StoreOptions store;
+
         @Spec
         private CommandSpec spec;
 
@@ -257,25 +322,39 @@
                     all.put("as", c.as().toLowerCase());
                     all.put("by", c.by());
                     all.put("why", c.why());
-                    spec.commandLine().getOut().println(store.json() ? Json.line(all)
-                            : String.join("\t", all.values().stream().map(Object::toString).toList()));
+                    spec.commandLine()
+                            .getOut()
+                            .println(
+                                    store.json()
+                                            ? Json.line(all)
+                                            : String.join(
+                                                    "\t",
+                                                    all.values().stream()
+                                                            .map(Object::toString)
+                                                            .toList()));
                 }
             });
             return 0;
         }
     }
 
-    @Command(name = "size", mixinStandardHelpOptions = true,
+    @Command(
+            name = "size",
+            mixinStandardHelpOptions = true,
             description = "Tells the bound_mb that holds every mark for its window.")
     static final class Size implements Callable<Integer> {
         @Option(names = "--rate", required = true, description = "Stamped and one-shot queries a second.")
         private double rate;
+
         @Option(names = "--window", required = true, description = "Seconds for which a mark is kept.")
         private double window;
+
         @Option(names = "--bytes", required = true, description = "Mean bytes of a result.")
         private double bytes;
+
         @Option(names = "--key", defaultValue = "24", description = "Bytes of workload and mark (${DEFAULT-VALUE}).")
         private double key;
+
         @Spec
         private CommandSpec spec;
 
@@ -285,7 +364,7 @@
                 throw new ParameterException(spec.commandLine(), "--rate, --window and --key must be above 0");
             }
             double marks = rate * window;
-            double each = 29 + 19 + 16 + key + bytes;  // record, its fields, the request's name
+            double each = 29 + 19 + 16 + key + bytes; // record, its fields, the request's name
             Map<String, Object> all = new LinkedHashMap<>();
             all.put("marks", Math.round(marks));
             all.put("bound_mb", (long) Math.ceil(marks * each * 1.25 / (1 << 20)));
@@ -296,14 +375,18 @@
         }
     }
 
-    @Command(name = "explore", mixinStandardHelpOptions = true,
+    @Command(
+            name = "explore",
+            mixinStandardHelpOptions = true,
             description = "Plays every order of events of a few copies of one mark, with a crash of each party and a"
                     + " fault of the disk. Exit code 1 if anything runs twice, differs or is never answered.")
     static final class Explore implements Callable<Integer> {
         @Option(names = "--copies", defaultValue = "3", description = "1 to 4 (${DEFAULT-VALUE}).")
         private int copies;
+
         @Option(names = "--without", description = "Switch a guard off: ${COMPLETION-CANDIDATES}.")
         private Marks.Guard[] without = {};
+
         @Spec
         private CommandSpec spec;
 
@@ -315,9 +398,13 @@
             Set<Marks.Guard> off = EnumSet.noneOf(Marks.Guard.class);
             off.addAll(Set.of(without));
             Search.Seen seen = Explorer.explore(copies, off, 3_000_000);
-            seen.wrong().stream().limit(5).forEach(w -> spec.commandLine().getOut().println("wrong: " + w));
-            spec.commandLine().getOut().println("results explore: states " + seen.states() + ", steps " + seen.steps()
-                    + ", ends " + seen.ends() + ", wrong " + seen.wrong().size());
+            seen.wrong().stream()
+                    .limit(5)
+                    .forEach(w -> spec.commandLine().getOut().println("wrong: " + w));
+            spec.commandLine()
+                    .getOut()
+                    .println("results explore: states " + seen.states() + ", steps " + seen.steps() + ", ends "
+                            + seen.ends() + ", wrong " + seen.wrong().size());
             return seen.wrong().isEmpty() ? 0 : 1;
         }
     }
--- a/tool/src/main/java/tallyweir/tool/ResultsDrill.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsDrill.java
@@ -31,32 +31,44 @@
 import tallyweir.stand.StandKernel;
 import tallyweir.stand.StandSidecar;
 
-@Command(name = "drill", mixinStandardHelpOptions = true,
-        description = "Runs a backend that keeps results, on loopback, between stand-ins for its kernel and its sidecars, and"
-                + " kills it and its kernel at random moments. Exit code 1 if a mark ran twice, answers differ, or one"
-                + " is missing.")
+@Command(
+        name = "drill",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs a backend that keeps results, on loopback, between stand-ins for its kernel and its sidecars, and"
+                        + " kills it and its kernel at random moments. Exit code 1 if a mark ran twice, answers differ, or one"
+                        + " is missing.")
 final class ResultsDrill implements Callable<Integer> {
     private static final int CLIENTS = 24;
     private static final int CORES = 8;
     private static final int PATIENCE = 1_500;
-    private static final int SLACK = 3_000;  // past the due time: a machine that stands still is not a missing answer
+    private static final int SLACK = 3_000; // past the due time: a machine that stands still is not a missing answer
     private static final int BOUND_MB = 2;
     private static final int RESULT_BYTES = 3_000;
     private static final int KILLED_MORE = 2;
     private static final int STOP_MS = 1_000;
-    private static final int FORCE_EVERY_MS = 40;  // as a slow disk would: kills fall between a write and its force
+    private static final int FORCE_EVERY_MS = 40; // as a slow disk would: kills fall between a write and its force
 
-    @Option(names = "--seed", defaultValue = "1", description = "All chance hangs on it, but for what clocks and threads"
-            + " bring (${DEFAULT-VALUE}).")
+    @Option(
+            names = "--seed",
+            defaultValue = "1",
+            description = "All chance hangs on it, but for what clocks and threads" + " bring (${DEFAULT-VALUE}).")
     private long seed;
+
     @Option(names = "--seconds", defaultValue = "20", description = "How long (${DEFAULT-VALUE}).")
     private int seconds;
+
     @Option(names = "--dir", required = true, description = "A directory for the drill's own files; made if not there.")
     private Path dir;
-    @Option(names = "--without", description = "Switch a guard off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
+
+    @Option(
+            names = "--without",
+            description = "Switch a guard off, to see that it is needed: ${COMPLETION-CANDIDATES}.")
     private Off[] without = {};
+
     @Option(names = "--results", defaultValue = "on", description = "on, or off to see that it fails without.")
     private String results;
+
     @Spec
     private CommandSpec spec;
 
@@ -65,7 +77,7 @@
     private final AtomicInteger requests = new AtomicInteger();
     private volatile boolean stop;
     private volatile Program program;
-    private volatile Program before;  // one that was taken over from, while it still runs
+    private volatile Program before; // one that was taken over from, while it still runs
     private final StandKernel[] kernels = new StandKernel[2];
     private final Map<Event, Integer> events = new EnumMap<>(Event.class);
     private int at;
@@ -74,10 +86,25 @@
     private int kills;
 
     /** What happens to the program; each comes once, kills a few times more, before any comes again. */
-    private enum Event { KILLED, BOTH_KILLED, KERNEL_KILLED, TOLD_TO_LEAVE, KERNEL_MOVED, DAMAGED, TAKEN_OVER }
+    private enum Event {
+        KILLED,
+        BOTH_KILLED,
+        KERNEL_KILLED,
+        TOLD_TO_LEAVE,
+        KERNEL_MOVED,
+        DAMAGED,
+        TAKEN_OVER
+    }
 
     /** What may be switched off. */
-    enum Off { INTENT, ORDER, PROOF, RESTART, WINDOW, FENCE }
+    enum Off {
+        INTENT,
+        ORDER,
+        PROOF,
+        RESTART,
+        WINDOW,
+        FENCE
+    }
 
     @Override
     public Integer call() throws Exception {
@@ -96,8 +123,10 @@
             other.resultsUpTo(RESULT_BYTES);
             kernels[0] = kernel;
             kernels[1] = other;
-            Files.writeString(dir.resolve("operators.json"), "{\"results\":{\"bound_mb\":" + BOUND_MB
-                    + "},\"durable\":{\"dir\":\"" + dir.resolve("store") + "\",\"segment_mb\":1,\"force_every_ms\":" + FORCE_EVERY_MS + "}}");
+            Files.writeString(
+                    dir.resolve("operators.json"),
+                    "{\"results\":{\"bound_mb\":" + BOUND_MB + "},\"durable\":{\"dir\":\"" + dir.resolve("store")
+                            + "\",\"segment_mb\":1,\"force_every_ms\":" + FORCE_EVERY_MS + "}}");
             configure();
             program = program();
             program.start();
@@ -142,8 +171,15 @@
     }
 
     private Program program() throws IOException {
-        List<String> flags = new ArrayList<>(List.of("-Dtallyweir.drill.nolock=true", "-Dtallyweir.drill.without="
-                + String.join(",", Arrays.stream(without).filter(g -> g != Off.FENCE).map(Enum::name).toList())));
+        List<String> flags = new ArrayList<>(List.of(
+                "-Dtallyweir.drill.nolock=true",
+                "-Dtallyweir.drill.without="
+                        + String.join(
+                                ",",
+                                Arrays.stream(without)
+                                        .filter(g -> g != Off.FENCE)
+                                        .map(Enum::name)
+                                        .toList())));
         if (List.of(without).contains(Off.FENCE)) {
             flags.add("-Dtallyweir.drill.nofence=true");
         }
@@ -151,14 +187,15 @@
     }
 
     private void configure() throws IOException {
-        Files.writeString(dir.resolve("config.json"),
+        Files.writeString(
+                dir.resolve("config.json"),
                 Program.config(kernels[at].port(), seed, CORES, 3_600_000_000L, 256, STOP_MS));
     }
 
     private void play(Event e, SplittableRandom chance) throws IOException, InterruptedException {
         switch (e) {
             case KERNEL_KILLED -> kernels[at].kill();
-            case KILLED -> restart(() -> { });
+            case KILLED -> restart(() -> {});
             case BOTH_KILLED -> restart(() -> kernels[at].kill());
             case DAMAGED -> restart(() -> damage(chance));
             case TOLD_TO_LEAVE -> {
@@ -231,8 +268,19 @@
         long over = 0;
         double filled = 0;
         if (results.equals("on")) {
-            try (Durable d = new Durable(new FileDisk(dir.resolve("store/first")), new FileDisk(dir.resolve("store/second")),
-                    Both.IN_TURN, 1 << 20, 4_096, 0.5, 0, List.of(), seed, FileStore::clock, Runnable::run, Set.of());
+            try (Durable d = new Durable(
+                            new FileDisk(dir.resolve("store/first")),
+                            new FileDisk(dir.resolve("store/second")),
+                            Both.IN_TURN,
+                            1 << 20,
+                            4_096,
+                            0.5,
+                            0,
+                            List.of(),
+                            seed,
+                            FileStore::clock,
+                            Runnable::run,
+                            Set.of());
                     View view = d.view()) {
                 filled = view.bytes(DurableShelf.RESULTS) / (double) ((long) BOUND_MB << 20);
                 over = filled > 1 ? 1 : 0;
@@ -240,15 +288,17 @@
         }
         History.Verdict v = history.verdict();
         memoryMost = Math.max(memoryMost, program.memoryMost());
-        out.println("events " + events + ", store filled to " + Math.round(filled * 100) + "%, taken over from and stayed "
-                + stayed);
+        out.println("events " + events + ", store filled to " + Math.round(filled * 100)
+                + "%, taken over from and stayed " + stayed);
         out.println("handled marks " + v.handled() + ", of them handled more than once " + v.repeatsHandled()
                 + ", requests " + requests.get());
         out.println("results drill: kills " + kills + ", keys " + v.keys() + ", ran twice " + v.ranTwice()
                 + ", answers differing " + v.differing() + ", unanswered " + v.unanswered() + ", over bound " + over
                 + ", memory max " + memoryMost + " MB of " + Program.MEMORY_MB);
-        boolean good = v.ranTwice() + v.differing() + v.unanswered() + over + stayed == 0 && memoryMost <= Program.MEMORY_MB
-                && v.handled() > 0 && kills > 0;
+        boolean good = v.ranTwice() + v.differing() + v.unanswered() + over + stayed == 0
+                && memoryMost <= Program.MEMORY_MB
+                && v.handled() > 0
+                && kills > 0;
         return good ? 0 : 1;
     }
 
--- a/tool/src/main/java/tallyweir/tool/StoreOptions.java
+++ b/tool/src/main/java/tallyweir/tool/StoreOptions.java
@@ -57,7 +57,8 @@
     }
 
     private Path second(Operators o) {
-        return o != null ? o.second()
+        return o != null
+                ? o.second()
                 : which.directories.second != null ? which.directories.second : which.directories.dir.resolve("second");
     }
 
@@ -102,7 +103,8 @@
                 all.add(new Namespace(s, Long.MAX_VALUE, false));
             }
         }
-        try (Durable d = open(false, all); Committer c = new Committer(d, 64 << 20, 0, 1)) {
+        try (Durable d = open(false, all);
+                Committer c = new Committer(d, 64 << 20, 0, 1)) {
             here.with(d, c);
         } catch (Refused r) {
             if (r.why() != Refused.Cause.IN_USE || !Desk.answers(desk(o))) {
@@ -142,9 +144,18 @@
         }
         Disk one = new FileDisk(first);
         Disk other = new FileDisk(second);
-        return new Durable(look ? new ReadOnly(one) : one, look ? new ReadOnly(other) : other, Both.IN_TURN,
-                o == null ? 64 << 20 : o.segmentBytes(), o == null ? which.directories.sector : o.sector(),
-                o == null ? 0.5 : o.deadShare(), 0, spaces != null ? spaces : o == null ? List.of() : o.namespaces(),
-                ThreadLocalRandom.current().nextLong(), FileStore::clock, Runnable::run, Set.of());
+        return new Durable(
+                look ? new ReadOnly(one) : one,
+                look ? new ReadOnly(other) : other,
+                Both.IN_TURN,
+                o == null ? 64 << 20 : o.segmentBytes(),
+                o == null ? which.directories.sector : o.sector(),
+                o == null ? 0.5 : o.deadShare(),
+                0,
+                spaces != null ? spaces : o == null ? List.of() : o.namespaces(),
+                ThreadLocalRandom.current().nextLong(),
+                FileStore::clock,
+                Runnable::run,
+                Set.of());
     }
 }
--- a/tool/src/main/java/tallyweir/tool/WireHostCommand.java
+++ b/tool/src/main/java/tallyweir/tool/WireHostCommand.java
@@ -4,7 +4,9 @@
 import picocli.CommandLine.Command;
 import tallyweir.wirehost.WireHost;
 
-@Command(name = "wirehost", mixinStandardHelpOptions = true,
+@Command(
+        name = "wirehost",
+        mixinStandardHelpOptions = true,
         description = "Hosts decision instances on the simulator's wire (standard input and output).")
 final class WireHostCommand implements Callable<Integer> {
     @Override
--- a/tool/src/test/java/tallyweir/tool/FleetDrillTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetDrillTest.java
@@ -19,7 +19,8 @@
 
     @Test
     void nothingGoesWrongThroughOneDeckOfFaults(@TempDir Path dir) {
-        assertTrue(drill(0, "fleet", "drill", "--seed", "3", "--servers", "4", "--seconds", "1", "--dir", dir.toString())
-                .contains("mixed 0, lost 0, unaccounted 0, over cap 0, ran twice 0, unanswered 0"));
+        assertTrue(
+                drill(0, "fleet", "drill", "--seed", "3", "--servers", "4", "--seconds", "1", "--dir", dir.toString())
+                        .contains("mixed 0, lost 0, unaccounted 0, over cap 0, ran twice 0, unanswered 0"));
     }
 }
--- a/tool/src/test/java/tallyweir/tool/FleetTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTest.java
@@ -38,6 +38,7 @@
 
     @TempDir
     private Path dir;
+
     private FleetStage stage;
     private List<Program> servers;
     private Path operators;
@@ -79,11 +80,14 @@
             JsonNode a = link.audit();
             int is = 0;
             for (JsonNode s : a.get("servers")) {
-                is += s.get("standing").textValue().equals("LIVE") && s.get("acting").longValue() == revision ? 1 : 0;
+                is += s.get("standing").textValue().equals("LIVE")
+                                && s.get("acting").longValue() == revision
+                        ? 1
+                        : 0;
             }
             return a.get("in_force").longValue() == revision && is >= servers;
         } catch (RuntimeException e) {
-            return false;  // nobody leads at the moment
+            return false; // nobody leads at the moment
         }
     }
 
@@ -95,7 +99,14 @@
     }
 
     private int publish(int store, String more) throws IOException {
-        return command("fleet", "publish", stage.revision(store, more).toString(), "--operators", operators.toString(), "--why", "store " + store);
+        return command(
+                "fleet",
+                "publish",
+                stage.revision(store, more).toString(),
+                "--operators",
+                operators.toString(),
+                "--why",
+                "store " + store);
     }
 
     /** The store that a query read by this server now calls. */
@@ -126,12 +137,25 @@
         servers.get(killed).start();
         until("the killed one is back", () -> acting(2, SERVERS));
         assertEquals(1, storeOf(killed), "brought up to what came into force without it");
-        assertEquals(0, command("fleet", "rollback", "--to", "1", "--operators", operators.toString(), "--why", "worse"));
+        assertEquals(
+                0, command("fleet", "rollback", "--to", "1", "--operators", operators.toString(), "--why", "worse"));
         for (int i = 0; i < SERVERS; i++) {
             assertEquals(0, storeOf(i));
         }
-        assertEquals(11, command("fleet", "rollback", "--to", "2", "--expected", "2", "--operators", operators.toString(),
-                "--why", "late"), "somebody else was first");
+        assertEquals(
+                11,
+                command(
+                        "fleet",
+                        "rollback",
+                        "--to",
+                        "2",
+                        "--expected",
+                        "2",
+                        "--operators",
+                        operators.toString(),
+                        "--why",
+                        "late"),
+                "somebody else was first");
         assertEquals(12, publish(0, ",\"caps\":{\"ten\":-1},\"colour\":1"));
         assertEquals(0, command("fleet", "audit", "--operators", operators.toString()));
     }
@@ -143,9 +167,10 @@
         for (int i = 0; i < queries; i++) {
             Thread t = new Thread(() -> {
                 try (StandSidecar s = new StandSidecar(servers.get(server).port())) {
-                    taken.addAndGet(FleetStage.ask(s, stage.job(), tenant, 5_000).status() == 200 ? 1 : 0);
+                    taken.addAndGet(
+                            FleetStage.ask(s, stage.job(), tenant, 5_000).status() == 200 ? 1 : 0);
                 } catch (IOException e) {
-                    taken.addAndGet(queries);  // it must answer
+                    taken.addAndGet(queries); // it must answer
                 }
             });
             all.add(t);
@@ -160,7 +185,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aLeaderThatIsCutOffServesOnUnderWhatItHasAndIsBroughtUpWhenTheCutIsMended(boolean inSilence) throws Exception {
-        assertEquals(0, publish(0, ",\"caps\":{\"ten\":16}"));  // of which each of four places has a floor of two
+        assertEquals(0, publish(0, ",\"caps\":{\"ten\":16}")); // of which each of four places has a floor of two
         until("shares are lent to who asks", () -> taken(stage.leader(), "ten", 8) >= 5);
         int alone = stage.leader();
         stage.around(alone).forEach(r -> {
@@ -170,7 +195,7 @@
                 r.cut();
             }
         });
-        TimeUnit.MILLISECONDS.sleep(2_500);  // its lease is over by its own clock
+        TimeUnit.MILLISECONDS.sleep(2_500); // its lease is over by its own clock
         assertTrue(taken(alone, "ten", 8) <= 2, "no more than its floor");
         assertEquals(8, taken(alone, "free", 8), "whoever has no cap goes on");
         try (Link rest = new Link(link.name(), others(alone), 10_000)) {
@@ -197,8 +222,10 @@
 
     /** Publishes by an operator who reaches only the others. */
     private void publishTo(int store, int alone) throws IOException {
-        Path file = Files.writeString(dir.resolve("others.json"), Files.readString(operators)
-                .replaceAll("\"v" + alone + "\":\"v[0-9]:([0-9]+)\"", "\"v" + alone + "\":\"127.0.0.1:1\""));
+        Path file = Files.writeString(
+                dir.resolve("others.json"),
+                Files.readString(operators)
+                        .replaceAll("\"v" + alone + "\":\"v[0-9]:([0-9]+)\"", "\"v" + alone + "\":\"127.0.0.1:1\""));
         Path before = operators;
         operators = file;
         assertEquals(0, publish(store, ",\"caps\":{\"ten\":16}"));
@@ -224,14 +251,15 @@
     }
 
     /** Asks on and on, each time on a connection of its own, and notes what was open when. */
-    private Thread client(int server, String tenant, List<FleetStage.Open> opened, AtomicInteger turnedDown, AtomicBoolean stop) {
+    private Thread client(
+            int server, String tenant, List<FleetStage.Open> opened, AtomicInteger turnedDown, AtomicBoolean stop) {
         Thread t = new Thread(() -> {
             while (!stop.get()) {
                 try (StandSidecar s = new StandSidecar(servers.get(server).port())) {
                     int status = FleetStage.ask(s, stage.job(), tenant, 5_000).status();
                     long now = System.nanoTime();
                     if (status == 200) {
-                        opened.add(FleetStage.Open.until(now, 1));  // work before its call and after it
+                        opened.add(FleetStage.Open.until(now, 1)); // work before its call and after it
                     } else {
                         turnedDown.incrementAndGet();
                         TimeUnit.MILLISECONDS.sleep(30);
@@ -261,7 +289,9 @@
         TimeUnit.SECONDS.sleep(2);
         assertEquals(0, down.get(), "all is well before");
         Path wrong = Files.writeString(dir.resolve("wrong.json"), "{\"stores\":[{\"address\":\"127.0.0.1:1\"}]}");
-        assertEquals(0, command("fleet", "publish", wrong.toString(), "--operators", operators.toString(), "--why", "a slip"));
+        assertEquals(
+                0,
+                command("fleet", "publish", wrong.toString(), "--operators", operators.toString(), "--why", "a slip"));
         until("it is taken back", () -> acting(3, SERVERS));
         JsonNode back = link.audit().get("revisions").get(2);
         assertEquals("probation", back.get("by").textValue());
@@ -302,9 +332,9 @@
         clients.add(client(0, "free", others, othersDown, stop));
         TimeUnit.SECONDS.sleep(4);
         int before = FleetStage.Open.most(new ArrayList<>(opened));
-        int aside = 1 + stage.leader() % 2;            // the first one stays, for the tenant without a cap
+        int aside = 1 + stage.leader() % 2; // the first one stays, for the tenant without a cap
         servers.get(aside).pause();
-        TimeUnit.SECONDS.sleep(6);               // lease, longest hard limit and linger are over, and its share is lent on
+        TimeUnit.SECONDS.sleep(6); // lease, longest hard limit and linger are over, and its share is lent on
         int stopped = opened.size();
         servers.get(aside).resume();
         TimeUnit.SECONDS.sleep(3);
@@ -317,8 +347,9 @@
             t.join();
         }
         int most = FleetStage.Open.most(opened);
-        System.out.println("cap " + cap + ": " + before + " before the stop, " + most + " at the most, " + opened.size() + " handled, "
-                + turnedDown + " turned down; others " + others.size() + " handled, " + othersDown + " turned down");
+        System.out.println("cap " + cap + ": " + before + " before the stop, " + most + " at the most, " + opened.size()
+                + " handled, " + turnedDown + " turned down; others " + others.size() + " handled, " + othersDown
+                + " turned down");
         assertTrue(most <= cap, "over cap: " + most);
         assertTrue(before >= cap * 3 / 4, "the cap was not used: " + before);
         assertTrue(opened.size() > stopped + 100, "it went on after the stop");
--- a/tool/src/test/java/tallyweir/tool/MainTest.java
+++ b/tool/src/test/java/tallyweir/tool/MainTest.java
@@ -38,9 +38,19 @@
     }
 
     private static void fill(Path dir) throws IOException {
-        try (Durable d = new Durable(new FileDisk(dir.resolve("first")), new FileDisk(dir.resolve("second")),
-                Both.IN_TURN, 64 << 10, 4_096, 0.5, 0, List.of(new Namespace("a", 1 << 20, false)), 1, FileStore::clock,
-                Runnable::run, Set.of())) {
+        try (Durable d = new Durable(
+                new FileDisk(dir.resolve("first")),
+                new FileDisk(dir.resolve("second")),
+                Both.IN_TURN,
+                64 << 10,
+                4_096,
+                0.5,
+                0,
+                List.of(new Namespace("a", 1 << 20, false)),
+                1,
+                FileStore::clock,
+                Runnable::run,
+                Set.of())) {
             for (int i = 0; i < 30; i++) {
                 d.commit(new Batch().put("a", ("k" + i).getBytes(), ("v" + i).getBytes()));
             }
@@ -63,8 +73,14 @@
     void helpAndVersionAreZero() {
         assertEquals(0, run("--version"));
         assertTrue(out.toString().matches("(?s)tallyweir [0-9].*"), out.toString());
-        for (String[] of : new String[][] {{"--help"}, {"serve", "--help"}, {"durable", "--help"},
-            {"durable", "drill", "--help"}, {"durable", "bench", "--help"}, {"help", "durable"}}) {
+        for (String[] of : new String[][] {
+            {"--help"},
+            {"serve", "--help"},
+            {"durable", "--help"},
+            {"durable", "drill", "--help"},
+            {"durable", "bench", "--help"},
+            {"help", "durable"}
+        }) {
             assertEquals(0, run(of));
             assertTrue(out.toString().contains("Usage"), out.toString());
         }
@@ -75,8 +91,17 @@
         Path at = dir.resolve("store");
         String store = at.toString();
         fill(at);
-        try (FileStore s = new FileStore(at.resolve("first"), at.resolve("second"), 64 << 10, 4_096, 0.5, 0, 1 << 20, 0,
-                64 << 20, List.of(new Namespace("a", 1 << 20, false)))) {
+        try (FileStore s = new FileStore(
+                at.resolve("first"),
+                at.resolve("second"),
+                64 << 10,
+                4_096,
+                0.5,
+                0,
+                1 << 20,
+                0,
+                64 << 20,
+                List.of(new Namespace("a", 1 << 20, false)))) {
             assertEquals(1, run("durable", "info", "--dir", store));
             assertTrue(err.toString().contains("is open in this process"), err.toString());
             s.openDesk(at.resolve("desk"), java.util.Map.of());
@@ -91,7 +116,15 @@
             assertTrue(err.toString().contains("there are more"), err.toString());
             assertEquals(0, run("durable", "verify", "--dir", store));
             assertTrue(out.toString().contains("unrepaired: 0"), out.toString());
-            assertEquals(0, run("durable", "backup", "--dir", store, "--to", dir.resolve("copy").toString()));
+            assertEquals(
+                    0,
+                    run(
+                            "durable",
+                            "backup",
+                            "--dir",
+                            store,
+                            "--to",
+                            dir.resolve("copy").toString()));
             assertTrue(out.toString().contains("records: 30"), out.toString());
             assertEquals(1, run("durable", "repair", "--dir", store));
         }
@@ -166,23 +199,41 @@
     /** The real program, killed between its stand-ins, in a few seconds. */
     @Test
     void nothingRunsTwiceWhenProgramAndKernelAreKilled(@TempDir Path dir) {
-        assertEquals(0, run("results", "drill", "--seed", "4", "--seconds", "6", "--dir", dir.toString()), out::toString);
+        assertEquals(
+                0, run("results", "drill", "--seed", "4", "--seconds", "6", "--dir", dir.toString()), out::toString);
         List<String> lines = out.toString().lines().toList();
-        assertTrue(lines.get(lines.size() - 1).matches("results drill: kills [1-9].* ran twice 0, answers differing 0, "
-                + "unanswered 0, over bound 0, .*"), out.toString());
+        assertTrue(
+                lines.get(lines.size() - 1)
+                        .matches("results drill: kills [1-9].* ran twice 0, answers differing 0, "
+                                + "unanswered 0, over bound 0, .*"),
+                out.toString());
     }
 
     @Test
     void withoutKeptResultsTheSameDrillFails(@TempDir Path dir) {
-        assertEquals(1, run("results", "drill", "--seed", "4", "--seconds", "6", "--dir", dir.toString(), "--results", "off"),
+        assertEquals(
+                1,
+                run("results", "drill", "--seed", "4", "--seconds", "6", "--dir", dir.toString(), "--results", "off"),
                 out::toString);
     }
 
     /** The first events of this seed have the program taken over from while it stands still. */
     @Test
     void withoutTheFenceWhoeverIsTakenOverFromStays(@TempDir Path dir) {
-        assertEquals(1, run("results", "drill", "--seed", "1", "--seconds", "12", "--dir", dir.toString(), "--without",
-                "FENCE"), out::toString);
+        assertEquals(
+                1,
+                run(
+                        "results",
+                        "drill",
+                        "--seed",
+                        "1",
+                        "--seconds",
+                        "12",
+                        "--dir",
+                        dir.toString(),
+                        "--without",
+                        "FENCE"),
+                out::toString);
         assertTrue(out.toString().contains("taken over from and stayed 1"), out.toString());
     }
 
@@ -191,14 +242,22 @@
         Path at = dir.resolve("store");
         String store = at.toString();
         Path result = Files.writeString(dir.resolve("result"), "slot 7");
-        List<Namespace> spaces = List.of(new Namespace(DurableShelf.RESULTS, 1 << 20, false),
-                new Namespace(DurableShelf.INTENTS, 1 << 20, false), new Namespace(Settling.AUDIT, 1 << 20, false));
-        try (FileStore s = new FileStore(at.resolve("first"), at.resolve("second"), 1 << 20, 4_096, 0.5, 0, 1 << 20, 0,
-                1 << 20, spaces)) {
+        List<Namespace> spaces = List.of(
+                new Namespace(DurableShelf.RESULTS, 1 << 20, false),
+                new Namespace(DurableShelf.INTENTS, 1 << 20, false),
+                new Namespace(Settling.AUDIT, 1 << 20, false));
+        try (FileStore s = new FileStore(
+                at.resolve("first"), at.resolve("second"), 1 << 20, 4_096, 0.5, 0, 1 << 20, 0, 1 << 20, spaces)) {
             for (int i = 0; i < 4; i++) {
                 Batch b = new Batch();
-                DurableShelf.put(b, DurableShelf.mark("reset", "m" + i), new JobId("j"), 1,
-                        i == 3 ? Known.GOOD : Known.UNKNOWN, i == 3 ? new byte[] {1} : null, FileStore.clock() + 36_000_000);
+                DurableShelf.put(
+                        b,
+                        DurableShelf.mark("reset", "m" + i),
+                        new JobId("j"),
+                        1,
+                        i == 3 ? Known.GOOD : Known.UNKNOWN,
+                        i == 3 ? new byte[] {1} : null,
+                        FileStore.clock() + 36_000_000);
                 s.committer().write(b);
             }
             java.util.Map<String, tallyweir.durable.Desk.Verb> verbs = Settling.verbs(s.store(), s.committer());
@@ -213,7 +272,8 @@
         }
         assertEquals(0, settle(store, "m1", "never-ran"), err.toString());
         assertEquals(1, run("results", "show", "--dir", store, "--workload", "reset", "m1"));
-        assertEquals(0, run("results", "expire", "--dir", store, "--workload", "reset", "m3", "--by", "amal", "--why", "x"));
+        assertEquals(
+                0, run("results", "expire", "--dir", store, "--workload", "reset", "m3", "--by", "amal", "--why", "x"));
         assertEquals(2, settle(store, "m2", "perhaps"));
         assertEquals(2, settle(store, "m2", "ran"));
         assertEquals(2, run("results", "settle", "--dir", store, "--workload", "reset", "m2", "--as", "ran-badly"));
@@ -229,8 +289,20 @@
     }
 
     private int settle(String store, String mark, String as, String... more) {
-        List<String> words = new ArrayList<>(List.of("results", "settle", "--dir", store, "--workload", "reset", mark, "--as",
-                as, "--by", "amal", "--why", "looked"));
+        List<String> words = new ArrayList<>(List.of(
+                "results",
+                "settle",
+                "--dir",
+                store,
+                "--workload",
+                "reset",
+                mark,
+                "--as",
+                as,
+                "--by",
+                "amal",
+                "--why",
+                "looked"));
         words.addAll(List.of(more));
         return run(words.toArray(String[]::new));
     }
