--- a/fleet/src/main/java/tallyweir/fleet/Fault.java
+++ b/fleet/src/main/java/tallyweir/fleet/Fault.java
@@ -37,7 +37,12 @@
                 Stranger.class,
                 LogFull.class,
                 LogDamaged.class,
-                NotFounded.class);
+                NotFounded.class,
+                EntryFaulty.class,
+                DigestMismatch.class,
+                UnknownRoot.class,
+                QueueFull.class,
+                KeyConflict.class);
     }
 
     /** No voter that could be reached leads, so nothing can be changed or asked of the shared state. */
@@ -294,4 +299,94 @@
             return 23;
         }
     }
+
+    /** An entry of a change cannot stand in a table: its kind is unknown, its value out of range, or it is too long. */
+    record EntryFaulty(String key, String why) implements Fault {
+        @Override
+        public String what() {
+            return "the entry " + key + " cannot be taken: " + why;
+        }
+
+        @Override
+        public String advice() {
+            return "mend that entry and send the change again; nothing has changed";
+        }
+
+        @Override
+        public int exit() {
+            return 24;
+        }
+    }
+
+    /** What was fetched does not hash to the digest that was promised for it. */
+    record DigestMismatch(String wanted, String found) implements Fault {
+        @Override
+        public String what() {
+            return "what was fetched hashes to " + found + " and not to " + wanted;
+        }
+
+        @Override
+        public String advice() {
+            return "nothing to do if it is seen once, as it is fetched again; seen again and again, look for damage on the way to the voters";
+        }
+
+        @Override
+        public int exit() {
+            return 25;
+        }
+    }
+
+    /** A difference was asked for, or made, from a table that the fleet does not keep. */
+    record UnknownRoot(String root) implements Fault {
+        @Override
+        public String what() {
+            return "no revision of the fleet has a table with the root " + root;
+        }
+
+        @Override
+        public String advice() {
+            return "fetch the whole table instead; a command has to be made again on the revision in force";
+        }
+
+        @Override
+        public int exit() {
+            return 26;
+        }
+    }
+
+    /** Too many changes wait for the one that is open. */
+    record QueueFull(int waiting, long againMs) implements Fault {
+        @Override
+        public String what() {
+            return "as many as " + waiting + " changes wait already";
+        }
+
+        @Override
+        public String advice() {
+            return "send it again with the same command after the time that is named";
+        }
+
+        @Override
+        public int exit() {
+            return 27;
+        }
+    }
+
+    /** Somebody else has changed an entry of the change first, or is about to. */
+    record KeyConflict(String key, String by, long atMs) implements Fault {
+        @Override
+        public String what() {
+            return "the entry " + key + " was changed first, by " + by + " at " + atMs + " ms since 1970";
+        }
+
+        @Override
+        public String advice() {
+            return "look at what it says now, then make the change again if it is still wanted";
+        }
+
+        @Override
+        public int exit() {
+            return 28;
+        }
+    }
 }
--- /dev/null
+++ b/fleet/src/main/java/tallyweir/fleet/table/Kind.java
@@ -0,0 +1,38 @@
+package tallyweir.fleet.table;
+
+import java.util.Optional;
+
+/** What an entry is about. The code stands on the wire, in snapshots and in digests and never changes. */
+public enum Kind {
+    /** A store that servers call; the name is its address, then after a blank the workloads it is for, if not for all. */
+    STORE(1),
+    /** The announce service; the name is empty. */
+    ANNOUNCE(2),
+    /** The kernel of the server of that name. */
+    KERNEL(3),
+    /** The most connections of the tenant of that name over the whole fleet. */
+    CAP(4),
+    /** The server of that name turns new queries away. */
+    STAND_BACK(5);
+
+    private final int code;
+
+    Kind(int code) {
+        this.code = code;
+    }
+
+    /** The number that stands for it in encoded entries. */
+    public int code() {
+        return code;
+    }
+
+    /** The kind of a code, if there is one. */
+    public static Optional<Kind> of(int code) {
+        for (Kind kind : values()) {
+            if (kind.code == code) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+}
