A revision's file is read into a table; routes are indexed by workload

Need: a server drew the store of each query by walking every store twice, and built and digested all of a revision anew.

--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -1,18 +1,17 @@
 package tallyweir.backend;
 
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tallyweir.config.BadSetting;
-import tallyweir.config.Routing;
+import tallyweir.config.RevisionFile;
 import tallyweir.fleet.Acts;
 import tallyweir.fleet.Answers;
 import tallyweir.fleet.Digest;
 import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetException;
 import tallyweir.fleet.Gate;
 import tallyweir.fleet.Grant;
 import tallyweir.fleet.Guard;
@@ -22,6 +21,10 @@
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ServerId;
 import tallyweir.fleet.Way;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.TenantId;
 import tallyweir.ring.Ring;
@@ -42,10 +45,10 @@
     private final Gate gate;
     private final Member member;
     private final String name;
-    private final Map<RevisionId, Routing> read = new HashMap<>(); // the one in force here and what may follow
+    private final Map<RevisionId, Routes> read = new HashMap<>(); // the one in force here and what may follow
     private final Ring begun = new Ring(BEGUN_SPAN, BEGUN_BUCKETS);
-    private InetSocketAddress kernel; // by the revision in force, null for as configured
-    private InetSocketAddress announce;
+    private Peers peers = Peers.of(Table.EMPTY, "");
+    private Table capsOf = Table.EMPTY;
     private final long life; // of this process, by the wall's clock at its start
     private boolean backByRevision;
     private boolean backByFleet;
@@ -202,13 +205,13 @@
     /** Why a revision cannot be acted on, empty if it can; what it says is kept. */
     private String read(RevisionId revision, byte[] text) {
         try {
-            Routing r = Routing.parse(text);
-            String why = r.cannot(queries.workloads());
+            Routes routes = Routes.of(RevisionFile.parse(text), queries.workloads());
+            String why = routes.cannot();
             if (why.isEmpty()) {
-                read.put(revision, r);
+                read.put(revision, routes);
             }
             return why;
-        } catch (BadSetting e) {
+        } catch (FleetException e) {
             return e.getMessage();
         }
     }
@@ -234,18 +237,21 @@
     }
 
     private void take(RevisionId revision) {
-        Routing r = read.get(revision);
+        Routes routes = read.get(revision);
+        Table table = routes.table();
         read.keySet().removeIf(id -> id.before(revision));
         long outdated = newerSince == 0 ? 0 : begun.countSince(queries.now(), newerSince);
         newerSince = 0;
-        queries.route(new Routes(revision, r.stores));
-        gate.caps(r.caps);
-        if (!same(kernel, r.kernels.get(name)) || !same(announce, r.announce)) {
-            kernel = r.kernels.get(name);
-            announce = r.announce;
-            links.route(kernel, announce);
+        queries.route(routes);
+        capsOf = table;
+        gate.caps(caps(table));
+        Peers next = Peers.of(table, name);
+        boolean moved = !next.sameAddresses(peers);
+        peers = next;
+        if (moved) {
+            links.route(peers.kernel(), peers.announce());
         }
-        backByRevision = r.standBack.contains(name);
+        backByRevision = table.get(new Key(Kind.STAND_BACK, name)).isPresent();
         queries.standsBack();
         LOG.atInfo()
                 .addKeyValue("revision", revision.value())
@@ -255,13 +261,21 @@
         decide(() -> member.acting(revision, inForce(), outdated));
     }
 
-    private static boolean same(InetSocketAddress a, InetSocketAddress b) {
-        return a == null ? b == null : a.equals(b);
+    private static Map<TenantId, Integer> caps(Table table) {
+        Map<TenantId, Integer> all = new HashMap<>();
+        table.forEach(entry -> {
+            if (entry.value() instanceof Value.Cap cap) {
+                all.put(new TenantId(entry.key().name()), cap.connections());
+            }
+        });
+        return all;
     }
 
-    /** Of the parts in use. */
+    /** Of the tables that the parts in use are of. */
     private Digest inForce() {
-        return Routing.inForce(queries.routes().stores, announce, kernel, gate.caps(), backByRevision);
+        Digest root = queries.routes().table().root();
+        boolean whole = root.equals(capsOf.root()) && root.equals(peers.table().root());
+        return whole ? root : Digest.of("mixed " + root.value() + capsOf.root().value());
     }
 
     @Override
--- a/daemon/src/main/java/tallyweir/config/Tree.java
+++ b/daemon/src/main/java/tallyweir/config/Tree.java
@@ -160,9 +160,14 @@
     /** Refuses keys that mean nothing here, so that a slip of the pen is not taken for a default. */
     public void only(String... names) {
         for (String name : fields.keySet()) {
-            if (!List.of(names).contains(name)) {
-                throw new BadSetting(key(name) + " is unknown here: known are " + String.join(", ", names));
-            }
+            onlyKnown(name, names);
+        }
+    }
+
+    /** Refuses a key that is none of those that mean something here. */
+    void onlyKnown(String name, String... names) {
+        if (!List.of(names).contains(name)) {
+            throw new BadSetting(key(name) + " is unknown here: known are " + String.join(", ", names));
         }
     }
 
--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
@@ -21,7 +22,7 @@
 import picocli.CommandLine.Spec;
 import tallyweir.config.BadSetting;
 import tallyweir.config.Operators;
-import tallyweir.config.Routing;
+import tallyweir.config.RevisionFile;
 import tallyweir.fleet.Answers;
 import tallyweir.fleet.Body;
 import tallyweir.fleet.Digest;
@@ -32,6 +33,9 @@
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
+import tallyweir.ids.TenantId;
 import tallyweir.search.Search;
 
 @Command(
@@ -220,8 +224,15 @@
         @Override
         void ask(Link link, OperatorCommand command, RevisionId expected) throws IOException {
             byte[] text = Files.readAllBytes(file);
-            Routing r = Routing.parse(text);
-            link.publish(command, expected, Digest.of(text), new Body(text, r.caps, r.digests()), by, why, force, this);
+            Table table = RevisionFile.parse(text);
+            Map<TenantId, Integer> caps = new HashMap<>();
+            table.forEach(entry -> {
+                if (entry.value() instanceof Value.Cap cap) {
+                    caps.put(new TenantId(entry.key().name()), cap.connections());
+                }
+            });
+            Body body = new Body(text, caps, Map.of("", table.root()));
+            link.publish(command, expected, Digest.of(text), body, by, why, force, this);
         }
     }
 
