--- a/fleet/src/main/java/tallyweir/fleet/Guard.java
+++ b/fleet/src/main/java/tallyweir/fleet/Guard.java
@@ -17,5 +17,7 @@
     /** What is in force at a server is compared with what the revision says. */
     DIGEST,
     /** No more than a set share of the fleet is shut out at once. */
-    MOST_OUT
+    MOST_OUT,
+    /** A table that was fetched is used only if its root is the one promised. */
+    ROOT
 }
