--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -4,8 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.TenantId;
 import tallyweir.search.Search;
@@ -14,18 +20,20 @@
 /**
  * Plays every order of events that a few servers, the links between them and their fleet, and two operators can bring
  * about, over the real {@link State}, {@link Member} and {@link Gate}: a lent share and a server that is stopped past its
- * lease, or restarted with a word of its earlier life on the way, and a race of revisions with a server that says what is
- * not so.
+ * lease, or restarted with a word of its earlier life on the way, a race of revisions with a server that says what is
+ * not so, and a table of which only a part arrives.
  */
 public final class Explorer {
     /** What is explored. */
     public enum Scene {
         STOP,
         RESTART,
-        RACE
+        RACE,
+        TRANSFER
     }
 
     private static final TenantId TENANT = new TenantId("t");
+    private static final Key TENANT_KEY = new Key(Kind.CAP, TENANT.value());
     private static final long LEASE = 2;
     private static final long OPEN_MOST = 2; // how long a query is open at the most
     private static final long HORIZON = 5;
@@ -42,19 +50,19 @@
     }
 
     /** One server: its own side, and what it sends to the fleet. */
-    private static final class Server implements Acts, Answers {
+    private static final class Server implements Acts {
         private final Fleet in;
         private final ServerId id;
         private Gate gate;
         private Member member;
-        private Runnable asked; // on its way to the fleet
-        private Runnable answer; // on its way back
-        private Runnable late; // on its way to the fleet, given up here
+        private Command asked; // on its way to the fleet
+        private Command late; // on its way to the fleet, given up here
         private long life;
         private RevisionId said = RevisionId.NONE; // that it acts on
         private RevisionId acts = RevisionId.NONE; // that it does act on
-        private RevisionId toAct = RevisionId.NONE;
-        private RevisionId toCheck = RevisionId.NONE;
+        private Table table = Table.EMPTY; // in use
+        private RevisionRoot toAct = RevisionRoot.NONE;
+        private RevisionRoot toCheck = RevisionRoot.NONE;
         private final ArrayDeque<Long> open = new ArrayDeque<>(); // since when; each on a connection of its own
         private final ArrayDeque<ConnectionId> on = new ArrayDeque<>();
         private int connections;
@@ -73,12 +81,12 @@
             life++;
             said = RevisionId.NONE;
             acts = RevisionId.NONE;
-            toAct = RevisionId.NONE;
-            toCheck = RevisionId.NONE;
+            table = Table.EMPTY;
+            toAct = RevisionRoot.NONE;
+            toCheck = RevisionRoot.NONE;
             open.clear();
             on.clear();
             asked = null;
-            answer = null;
         }
 
         String describe() {
@@ -89,32 +97,34 @@
                     + life
                     + said.value()
                     + acts.value()
-                    + toAct.value()
-                    + toCheck.value()
+                    + toAct.id().value()
+                    + toCheck.id().value()
                     + open.stream().map(t -> in.time - t).toList()
                     + crowds
                     + speaks;
         }
 
-        /** It speaks with the fleet until it has nothing more to say. */
-        void exchange(boolean lie) {
+        /**
+         * It speaks with the fleet until it has nothing more to say.
+         *
+         * @param lie it says of the next revision that it acts on it, and does not
+         * @param part of the next table only a part arrives
+         */
+        void exchange(boolean lie, boolean part) {
             for (int i = 0; i < EXCHANGES; i++) {
                 RevisionId had = said;
                 member.clock(in.time);
                 hear();
-                if (toCheck.value() > 0) {
-                    RevisionId r = toCheck;
-                    toCheck = RevisionId.NONE;
+                if (toCheck.id().value() > 0) {
+                    RevisionId r = toCheck.id();
+                    toCheck = RevisionRoot.NONE;
                     member.checked(r, "");
                     hear();
                 }
-                if (toAct.value() > 0) {
-                    said = toAct;
-                    toAct = RevisionId.NONE;
-                    Body body = in.state.body(said);
-                    acts = lie ? acts : said;
-                    gate.caps(body.caps());
-                    member.acting(said, lie ? new Digest("lie") : body.digests().get(""), 0);
+                if (toAct.id().value() > 0) {
+                    RevisionRoot wanted = toAct;
+                    toAct = RevisionRoot.NONE;
+                    act(wanted, lie, part);
                     hear();
                 }
                 if (member.as() != null && said.equals(had) && said.value() > 0) {
@@ -123,17 +133,50 @@
             }
         }
 
+        private void act(RevisionRoot wanted, boolean lie, boolean part) {
+            Table fetched = fetched(wanted, part);
+            if (!fetched.root().equals(wanted.root()) && !in.without.contains(Guard.ROOT)) {
+                member.cannotAct(wanted.id());
+                return;
+            }
+            said = wanted.id();
+            if (!lie) {
+                acts = said;
+                table = fetched;
+            }
+            gate.caps(caps(fetched));
+            member.acting(said, lie ? new Digest("lie") : table.root(), 0);
+        }
+
+        private Table fetched(RevisionRoot wanted, boolean part) {
+            List<Change> differ = table.differenceTo(in.state.table(wanted.id()));
+            return table.apply(part ? differ.subList(0, differ.size() / 2) : differ);
+        }
+
         private void hear() {
             while (asked != null) {
-                Runnable now = asked;
+                Command now = asked;
                 asked = null;
-                now.run();
-                Runnable back = answer;
-                answer = null;
-                back.run();
+                member.hear(later(in.state.apply(now)));
             }
         }
 
+        /** The clock of a scene is coarse: what it reports again at the latest is a step later. */
+        private static Answer later(Answer answer) {
+            return answer instanceof Answer.Told told
+                    ? new Answer.Told(
+                            told.number(),
+                            told.lease(),
+                            told.floorLease(),
+                            told.floorsFree(),
+                            told.inForce(),
+                            told.age(),
+                            told.toCheck(),
+                            told.shares(),
+                            told.next() + 1)
+                    : answer;
+        }
+
         /** It reports and gives the answer up; the report may still arrive. */
         void cut() {
             member.clock(in.time);
@@ -142,34 +185,28 @@
             member.failed();
         }
 
+        @Override
+        public Ended ended() {
+            return new Ended(0, 0);
+        }
+
         @Override
         public void join(ServerId server, String listen) {
-            long now = life;
-            asked = () -> in.state.join("f", server, listen, now, this);
+            asked = new Command.Join("f", server, listen, life);
         }
 
         @Override
-        public void report(
-                ServerId server,
-                Incarnation as,
-                long number,
-                RevisionId acting,
-                Digest inForce,
-                long outdated,
-                RevisionId checked,
-                String cannot,
-                Map<TenantId, Need> needs) {
-            asked = () ->
-                    in.state.report(server, as, number, acting, inForce, outdated, checked, cannot, 0, 0, needs, this);
+        public void report(Command.Report report) {
+            asked = report;
         }
 
         @Override
-        public void check(RevisionId revision) {
+        public void check(RevisionRoot revision) {
             toCheck = revision;
         }
 
         @Override
-        public void act(RevisionId revision) {
+        public void act(RevisionRoot revision) {
             toAct = revision;
         }
 
@@ -177,35 +214,12 @@
         public void standBack(boolean back) {
             throw new IllegalStateException("it was not asked to stand back whole");
         }
+    }
 
-        @Override
-        public void joined(Incarnation as, int places, double floorShare, long next) {
-            answer = () -> member.joined(as, places, floorShare);
-        }
-
-        @Override
-        public void told(
-                long number,
-                long lease,
-                long floorLease,
-                boolean floorsFree,
-                RevisionId inForce,
-                long age,
-                RevisionId check,
-                Map<TenantId, Grant> shares,
-                long next) {
-            answer = () -> member.told(number, lease, floorLease, floorsFree, inForce, check, shares, next + 1);
-        }
-
-        @Override
-        public void done(RevisionId revision) {
-            throw new IllegalStateException("no operator asks here");
-        }
-
-        @Override
-        public void refused(Fault why) {
-            answer = () -> member.refused(why);
-        }
+    private static Map<TenantId, Integer> caps(Table table) {
+        return table.get(TENANT_KEY)
+                .map(value -> Map.of(TENANT, ((Value.Cap) value).connections()))
+                .orElse(Map.of());
     }
 
     private static final class Fleet implements World {
@@ -214,7 +228,7 @@
         private final State state;
         private final List<Server> servers = new ArrayList<>();
         private final List<String> wrong = new ArrayList<>();
-        private final TreeSet<String> operators = new TreeSet<>(Set.of("a", "b"));
+        private final TreeSet<String> operators = new TreeSet<>();
         private final List<Long> acknowledged = new ArrayList<>();
         private long time;
         private int stopped = -1;
@@ -222,6 +236,7 @@
         private boolean restarted;
         private boolean cut;
         private boolean lied;
+        private boolean broken; // a transfer
 
         Fleet(Scene scene, Set<Guard> without) {
             this.scene = scene;
@@ -229,26 +244,31 @@
             state = new State(without);
             boolean share = share();
             clock();
-            state.found(
+            state.apply(new Command.Found(
                     "f",
-                    1,
-                    LEASE,
-                    OPEN_MOST,
-                    2 * HORIZON,
-                    share ? HORIZON : 2,
-                    0,
-                    share ? 1 : 0.5,
-                    0,
-                    share ? 2 : 3,
-                    share ? 0.5 : 0,
-                    0,
-                    1,
-                    1,
-                    new Operator(null));
+                    new FleetSettings(
+                            1,
+                            LEASE,
+                            OPEN_MOST,
+                            2 * HORIZON,
+                            share ? HORIZON : 2,
+                            0,
+                            share ? 1 : 0.5,
+                            0,
+                            share ? 2 : 3,
+                            share ? 0.5 : 0,
+                            0,
+                            1,
+                            1)));
             propose("first", 0);
-            for (int i = 0; i < (share ? 2 : 3); i++) {
+            for (int i = 0; i < (scene == Scene.RACE ? 3 : 2); i++) {
                 servers.add(new Server(this, "s" + i));
-                servers.get(i).exchange(false);
+                servers.get(i).exchange(false, false);
+            }
+            if (scene == Scene.RACE) {
+                operators.addAll(List.of("a", "b"));
+            } else if (scene == Scene.TRANSFER) {
+                operators.add("a");
             }
         }
 
@@ -258,7 +278,7 @@
         }
 
         private boolean share() {
-            return scene != Scene.RACE;
+            return scene == Scene.STOP || scene == Scene.RESTART;
         }
 
         private void clock() {
@@ -266,37 +286,22 @@
         }
 
         private void propose(String operator, long expected) {
-            Digest digest = new Digest("d" + operator);
-            state.publish(
+            Table before = state.table(new RevisionId(expected));
+            Table after = Table.EMPTY.apply(List.of(
+                    new Change(TENANT_KEY, Optional.empty(), Optional.of(new Value.Cap(CAP))),
+                    new Change(
+                            new Key(Kind.STAND_BACK, operator), Optional.empty(), Optional.of(new Value.Present()))));
+            Answer answer = state.apply(new Command.Publish(
                     new OperatorCommand(operator),
                     new RevisionId(expected),
-                    digest,
-                    new Body(new byte[0], Map.of(TENANT, CAP), Map.of("", digest)),
+                    before.differenceTo(after),
                     operator,
                     "",
-                    false,
-                    new Operator(operator));
-        }
-
-        private final class Operator implements Answers {
-            private final String name;
-
-            Operator(String name) {
-                this.name = name;
-            }
-
-            @Override
-            public void done(RevisionId revision) {
-                if (name != null) {
-                    acknowledged.add(revision.value());
-                }
-            }
-
-            @Override
-            public void refused(Fault why) {
-                if (!(why instanceof Fault.LostRace)) {
-                    wrong.add("an operator heard " + why.what());
-                }
+                    false));
+            if (answer instanceof Answer.Done done) {
+                acknowledged.add(done.revision().value());
+            } else if (!(answer instanceof Answer.Refused refused && refused.why() instanceof Fault.LostRace)) {
+                wrong.add("an operator heard " + answer);
             }
         }
 
@@ -309,13 +314,14 @@
                     .append(restarted)
                     .append(cut)
                     .append(lied)
+                    .append(broken)
                     .append(operators)
                     .append(acknowledged)
                     .append(state.inForce())
                     .append(state.proposed())
                     .append(state.lent(TENANT))
                     .append(state.spoken(TENANT));
-            state.seats().forEach(x -> all.append(x.describe(time)));
+            state.servers().forEach(x -> all.append(x.describe(time)));
             servers.forEach(s -> all.append(s.describe()));
             return all.toString();
         }
@@ -342,6 +348,9 @@
                     if (scene == Scene.RACE && !lied) {
                         all.add("lie " + i);
                     }
+                    if (scene == Scene.TRANSFER && !broken) {
+                        all.add("part " + i);
+                    }
                 }
                 if (share() && s.crowds < CROWDS) {
                     all.add("crowd " + i);
@@ -356,9 +365,7 @@
             if (scene == Scene.RESTART && !restarted) {
                 all.add("restart 0");
             }
-            if (scene == Scene.RACE) {
-                operators.forEach(o -> all.add("publish " + o));
-            }
+            operators.forEach(o -> all.add("publish " + o));
             return all;
         }
 
@@ -371,20 +378,23 @@
                 case "time" -> time();
                 case "exchange" -> {
                     s.speaks++;
-                    s.exchange(false);
+                    s.exchange(false, false);
                 }
                 case "lie" -> {
                     lied = true;
-                    s.exchange(true);
+                    s.exchange(true, false);
+                }
+                case "part" -> {
+                    broken = true;
+                    s.exchange(false, true);
                 }
                 case "cut" -> {
                     cut = true;
                     s.cut();
                 }
                 case "late" -> {
-                    s.late.run();
+                    state.apply(s.late); // nobody waits for its answer
                     s.late = null;
-                    s.answer = null; // nobody waits for it
                 }
                 case "crowd" -> crowd(s);
                 case "stop" -> {
@@ -407,7 +417,7 @@
         private void time() {
             time++;
             clock();
-            state.tick();
+            state.apply(new Command.Tick());
             for (Server x : servers) {
                 while (!x.open.isEmpty() && time - x.open.peek() >= OPEN_MOST) {
                     x.open.poll(); // nobody waits for it any more, whatever the server does
@@ -441,7 +451,7 @@
                     > 2) {
                 wrong.add("two operators were both told that theirs is the next");
             }
-            for (Seat seat : state.seats()) {
+            for (Seat seat : state.servers()) {
                 Server s = servers.stream()
                         .filter(x -> x.id.equals(seat.server()))
                         .findFirst()
@@ -453,6 +463,10 @@
                     wrong.add("nobody sees that a server does not do what it says");
                 }
             }
+            if (servers.stream()
+                    .anyMatch(server -> state.table(server.table.root()).isEmpty())) {
+                wrong.add("a server acts on what no revision says");
+            }
             if (state.out() > (state.live() + state.out()) / 2) {
                 wrong.add("too many are out");
             }
@@ -466,7 +480,7 @@
 
         @Override
         public String wrongAtRest() {
-            for (Seat seat : state.seats()) {
+            for (Seat seat : state.servers()) {
                 if (seat.standing() == Seat.Standing.LIVE
                         && !seat.silent()
                         && !seat.marked()
@@ -501,6 +515,8 @@
                 Scene.RACE,
                 Guard.DIGEST,
                 Scene.RACE,
+                Guard.ROOT,
+                Scene.TRANSFER,
                 Guard.MOST_OUT,
                 Scene.RACE);
     }
--- a/fleet/src/main/java/tallyweir/fleet/FleetSettings.java
+++ b/fleet/src/main/java/tallyweir/fleet/FleetSettings.java
@@ -30,4 +30,25 @@
         double floorShare,
         long probation,
         double worseRatio,
-        double sickShare) {}
+        double sickShare) {
+    /** Before a fleet is founded. */
+    static final FleetSettings NONE = new FleetSettings(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+
+    /** These for a fleet that goes by others already: what is set once stays. */
+    FleetSettings after(FleetSettings before) {
+        return new FleetSettings(
+                version,
+                lease,
+                tail,
+                floorLease,
+                behindMost,
+                drift,
+                mostOut,
+                mostCannot,
+                before.serversMost,
+                before.floorShare,
+                probation,
+                worseRatio,
+                sickShare);
+    }
+}
--- a/fleet/src/main/java/tallyweir/fleet/Guard.java
+++ b/fleet/src/main/java/tallyweir/fleet/Guard.java
@@ -16,6 +16,8 @@
     FLOOR,
     /** What is in force at a server is compared with what the revision says. */
     DIGEST,
+    /** A table that was fetched is used only if its root is the one that was promised. */
+    ROOT,
     /** No more than a set share of the fleet is shut out at once. */
     MOST_OUT
 }
--- a/fleet/src/main/java/tallyweir/fleet/Health.java
+++ b/fleet/src/main/java/tallyweir/fleet/Health.java
@@ -1,7 +1,5 @@
 package tallyweir.fleet;
 
-import java.util.List;
-
 /** How a server's queries ended before and since it acts on the revision in force: of how many, how many late or errored. */
 final class Health {
     private long ended; // by its last report, since its process began
@@ -53,20 +51,21 @@
         return after[1] > most + 3 * Math.sqrt(most);
     }
 
-    List<Object> save() {
-        return List.of(ended, bad, since, span[0], span[1], before[0], before[1], after[0], after[1], usual);
+    SnapshotPart.Counts save() {
+        return new SnapshotPart.Counts(
+                ended, bad, since, span[0], span[1], before[0], before[1], after[0], after[1], usual);
     }
 
-    void load(List<?> f) {
-        ended = Revisions.number(f.get(0));
-        bad = Revisions.number(f.get(1));
-        since = Revisions.number(f.get(2));
-        span[0] = Revisions.number(f.get(3));
-        span[1] = Revisions.number(f.get(4));
-        before[0] = Revisions.number(f.get(5));
-        before[1] = Revisions.number(f.get(6));
-        after[0] = Revisions.number(f.get(7));
-        after[1] = Revisions.number(f.get(8));
-        usual = ((Number) f.get(9)).doubleValue();
+    void load(SnapshotPart.Counts saved) {
+        ended = saved.ended();
+        bad = saved.bad();
+        since = saved.since();
+        span[0] = saved.spanEnded();
+        span[1] = saved.spanBad();
+        before[0] = saved.beforeEnded();
+        before[1] = saved.beforeBad();
+        after[0] = saved.afterEnded();
+        after[1] = saved.afterBad();
+        usual = saved.usual();
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Lending.java
+++ b/fleet/src/main/java/tallyweir/fleet/Lending.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import tallyweir.ids.TenantId;
 
@@ -280,38 +281,29 @@
 
     // ---- for snapshots: what cannot be worked out from the rest
 
-    List<Object> save() {
-        List<Object> all = new ArrayList<>();
+    void save(Consumer<SnapshotPart> to) {
         new TreeMap<>(pools.keySet().stream().collect(Collectors.toMap(TenantId::value, t -> t))).forEach((name, t) -> {
             Pool p = pools.get(t);
-            List<Object> shares = new ArrayList<>();
-            p.shares.forEach((place, s) -> shares.add(List.of(place, s.granted, s.want, s.extra, s.floorOver)));
-            all.add(List.of(name, p.level, p.levelAt, p.turn, shares));
+            List<SnapshotPart.LentShare> shares = new ArrayList<>();
+            p.shares.forEach((place, s) ->
+                    shares.add(new SnapshotPart.LentShare(place, s.granted, s.want, s.extra, s.floorOver)));
+            to.accept(new SnapshotPart.LentCap(t, p.level, p.levelAt, p.turn, shares));
         });
-        return all;
     }
 
-    void load(List<?> all) {
-        for (Object each : all) {
-            List<?> of = (List<?>) each;
-            Pool p = pools.computeIfAbsent(new TenantId((String) of.get(0)), t -> new Pool());
-            p.level = number(of.get(1)).intValue();
-            p.levelAt = number(of.get(2)).longValue();
-            p.turn = number(of.get(3)).intValue();
-            for (Object share : (List<?>) of.get(4)) {
-                List<?> from = (List<?>) share;
-                Share s = share(p, number(from.get(0)).intValue());
-                s.granted = number(from.get(1)).intValue();
-                s.want = number(from.get(2)).intValue();
-                s.extra = (Boolean) from.get(3);
-                over(p, s, number(from.get(4)).intValue());
-                p.granted += s.granted;
-                p.wanted += s.want;
-            }
+    void load(SnapshotPart.LentCap saved) {
+        Pool p = pools.computeIfAbsent(saved.tenant(), t -> new Pool());
+        p.level = saved.level();
+        p.levelAt = saved.levelAt();
+        p.turn = saved.turn();
+        for (SnapshotPart.LentShare from : saved.shares()) {
+            Share s = share(p, from.place());
+            s.granted = from.granted();
+            s.want = from.want();
+            s.extra = from.extra();
+            over(p, s, from.floorOver());
+            p.granted += s.granted;
+            p.wanted += s.want;
         }
     }
-
-    static Number number(Object of) {
-        return (Number) of;
-    }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -3,7 +3,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import tallyweir.ids.TenantId;
 import tallyweir.rules.Rules;
 
 /**
@@ -36,11 +35,11 @@
     private RevisionId acting = RevisionId.NONE;
     private Digest inForce = Digest.NONE;
     private long outdated;
-    private RevisionId wanted = RevisionId.NONE;
+    private RevisionRoot wanted = RevisionRoot.NONE;
     private RevisionId moving = RevisionId.NONE;
     private RevisionId failed = RevisionId.NONE;
     private long failedAt;
-    private RevisionId toCheck = RevisionId.NONE;
+    private RevisionRoot toCheck = RevisionRoot.NONE;
     private RevisionId checking = RevisionId.NONE;
     private RevisionId checked = RevisionId.NONE;
     private String cannot = "";
@@ -74,11 +73,11 @@
         // What is over comes first, then what is to be found out or done here, then what is to be said.
         rules.add(() -> member && now() >= leaseUntil && !without.contains(Guard.LEASE), this::leaseOver);
         rules.add(() -> shouldStandBack() != back, this::tellStandBack);
-        rules.add(() -> checked.before(toCheck) && !checking.equals(toCheck), this::check);
+        rules.add(() -> checked.before(toCheck.id()) && !checking.equals(toCheck.id()), this::check);
         rules.add(
-                () -> acting.before(wanted)
+                () -> acting.before(wanted.id())
                         && moving.value() == 0
-                        && !(failed.equals(wanted) && now() < failedAt + this.again),
+                        && !(failed.equals(wanted.id()) && now() < failedAt + this.again),
                 this::act);
         rules.add(() -> !inHand && as == null && now() >= dueAt, this::join);
         rules.add(() -> !inHand && as != null && now() >= dueAt, this::report);
@@ -90,12 +89,12 @@
     }
 
     private void check() {
-        checking = toCheck;
+        checking = toCheck.id();
         out.check(toCheck);
     }
 
     private void act() {
-        moving = wanted;
+        moving = wanted.id();
         out.act(wanted);
     }
 
@@ -127,7 +126,19 @@
             sentAt = now;
             answered = false;
         }
-        out.report(server, as, number, acting, inForce, outdated, checked, cannot, gate.needs());
+        Acts.Ended queries = out.ended();
+        out.report(new Command.Report(
+                server,
+                as,
+                number,
+                acting,
+                inForce,
+                outdated,
+                checked,
+                cannot,
+                queries.ended(),
+                queries.bad(),
+                gate.needs()));
     }
 
     /** So long until the next try; longer each time, never the same as others'. */
@@ -150,9 +161,22 @@
         return member ? Math.min(at, leaseUntil) : at;
     }
 
-    public void joined(Incarnation as, int places, double floorShare) {
-        gate.floors(places, floorShare);
-        this.as = as;
+    /** The fleet answered what was asked last. */
+    public void hear(Answer answer) {
+        if (answer instanceof Answer.Joined joined) {
+            joined(joined);
+        } else if (answer instanceof Answer.Told told) {
+            told(told);
+        } else if (answer instanceof Answer.Refused refused) {
+            refused(refused.why());
+        } else {
+            throw new IllegalArgumentException("no server asks for what this answers: " + answer);
+        }
+    }
+
+    private void joined(Answer.Joined joined) {
+        gate.floors(joined.places(), joined.floorShare());
+        as = joined.as();
         inHand = false;
         failures = 0;
         number = 0;
@@ -161,42 +185,34 @@
         settle();
     }
 
-    /** What the fleet answered to the report of this number; of an earlier one nothing counts. */
-    public void told(
-            long number,
-            long lease,
-            long floorLease,
-            boolean floorsFree,
-            RevisionId wanted,
-            RevisionId toCheck,
-            Map<TenantId, Grant> shares,
-            long next) {
-        if (as == null || number != this.number || answered) {
+    /** To an earlier report than the last nothing counts. */
+    private void told(Answer.Told told) {
+        if (as == null || told.number() != number || answered) {
             return;
         }
         inHand = false;
         answered = true;
         failures = 0;
-        dueAt = now + next;
-        member = lease > 0 && now < sentAt + lease;
-        leaseUntil = sentAt + lease;
-        if (lease > 0) {
+        dueAt = now + told.next();
+        member = told.lease() > 0 && now < sentAt + told.lease();
+        leaseUntil = sentAt + told.lease();
+        if (told.lease() > 0) {
             gate.lent(
-                    shares,
+                    told.shares(),
                     without.contains(Guard.LEASE) ? Long.MAX_VALUE : leaseUntil,
-                    without.contains(Guard.LEASE) ? Long.MAX_VALUE : sentAt + floorLease,
-                    floorsFree && wanted.equals(acting));
+                    without.contains(Guard.LEASE) ? Long.MAX_VALUE : sentAt + told.floorLease(),
+                    told.floorsFree() && told.inForce().id().equals(acting));
         }
-        if (wanted.value() == 0 && acting.value() == 0) {
+        if (told.inForce().id().value() == 0 && acting.value() == 0) {
             gate.caps(Map.of()); // there is no revision yet
         }
-        this.wanted = wanted;
-        this.toCheck = toCheck;
+        wanted = told.inForce();
+        toCheck = told.toCheck();
         settle();
     }
 
     /** The fleet turned down what was asked last. */
-    public void refused(Fault why) {
+    private void refused(Fault why) {
         inHand = false;
         long wait = again;
         if (why instanceof Fault.ShutOut shut) {
@@ -274,7 +290,8 @@
         return (as == null ? "-" : as.value()) + "," + inHand + "," + (dueAt - from) + "," + answered
                 + "," + (answered ? 0 : sentAt - from) + "," + (member ? leaseUntil - from : "-") + "," + failures + ","
                 + acting.value()
-                + wanted.value() + moving.value() + failed.value() + toCheck.value() + checking.value()
+                + wanted.id().value() + moving.value() + failed.value()
+                + toCheck.id().value() + checking.value()
                 + checked.value() + back;
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Revisions.java
+++ b/fleet/src/main/java/tallyweir/fleet/Revisions.java
@@ -3,19 +3,23 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import tallyweir.ids.TenantId;
+import java.util.function.Consumer;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Table;
 
-/** Every revision there has been, each body once, and what live servers say of the one that is proposed. */
+/** Every revision there has been, each table once, and what live servers say of the one that is proposed. */
 final class Revisions {
     private static final int REASONS_MOST = 8;
 
     private final TreeMap<RevisionId, Revision> all = new TreeMap<>();
-    private final Map<Digest, Body> bodies = new HashMap<>();
-    private final Map<OperatorCommand, Revision> commands = new HashMap<>();
+    private final Map<Digest, Table> tables = new HashMap<>(); // of all that were not turned down, by root
+    private final Map<OperatorCommand, ChangeRecord> commands = new HashMap<>();
     private RevisionId inForce = RevisionId.NONE;
     private RevisionId proposed = RevisionId.NONE;
     private long proposedUntil;
@@ -23,6 +27,10 @@
     private final TreeMap<ServerId, String> cannot = new TreeMap<>();
     private int can;
 
+    Revisions() {
+        tables.put(Table.EMPTY.root(), Table.EMPTY);
+    }
+
     Revision get(RevisionId id) {
         return all.get(id);
     }
@@ -41,7 +49,7 @@
         return null;
     }
 
-    Revision by(OperatorCommand command) {
+    ChangeRecord by(OperatorCommand command) {
         return commands.get(command);
     }
 
@@ -57,54 +65,66 @@
         return proposed;
     }
 
-    long proposedUntil() {
-        return proposedUntil;
+    /** The number and the root of a revision, NONE for none. */
+    RevisionRoot named(RevisionId id) {
+        Revision revision = all.get(id);
+        return revision == null ? RevisionRoot.NONE : revision.named();
     }
 
-    Body body(RevisionId id) {
-        Revision r = all.get(id);
-        return r == null ? null : bodies.get(r.body);
+    long proposedUntil() {
+        return proposedUntil;
     }
 
-    Map<TenantId, Integer> caps(RevisionId id) {
-        Body b = body(id);
-        return b == null ? Map.of() : b.caps();
+    /** What a revision says: nothing before there is any, null for one that was never there or was turned down. */
+    Table table(RevisionId id) {
+        if (id.equals(RevisionId.NONE)) {
+            return Table.EMPTY;
+        }
+        Revision revision = all.get(id);
+        return revision == null ? null : revision.table();
     }
 
-    int bodies() {
-        return bodies.size();
+    /** The table of that root, if any revision that may be needed has it. */
+    Optional<Table> table(Digest root) {
+        return Optional.ofNullable(tables.get(root));
     }
 
     Revision propose(
-            OperatorCommand command,
+            RevisionId base,
             RevisionId of,
-            Digest digest,
-            Body body,
-            String by,
-            String why,
+            Table table,
+            List<ChangeRecord> records,
             boolean forced,
             long wall,
             long until,
             Collection<ServerId> ask) {
-        Revision r = new Revision(
+        Revision revision = new Revision(
                 new RevisionId(all.isEmpty() ? 1 : all.lastKey().value() + 1),
-                command,
+                base,
                 of,
-                digest,
-                by,
-                why,
+                table.root(),
+                table(base),
+                table,
+                records,
                 forced,
                 wall);
-        bodies.putIfAbsent(digest, body);
-        all.put(r.id, r);
-        commands.put(command, r);
-        proposed = r.id;
+        add(revision);
+        records.forEach(record -> record.taken(revision.id));
+        proposed = revision.id;
         proposedUntil = until;
         unasked.clear();
         unasked.addAll(ask);
         cannot.clear();
         can = 0;
-        return r;
+        return revision;
+    }
+
+    private void add(Revision revision) {
+        all.put(revision.id, revision);
+        revision.records().forEach(record -> commands.put(record.command(), record));
+        if (revision.table() != null) {
+            tables.putIfAbsent(revision.root, revision.table());
+        }
     }
 
     /** A server has looked at the proposed one; why it cannot take it, empty if it can. */
@@ -160,7 +180,6 @@
 
     void turnDown() {
         Revision r = all.get(proposed);
-        r.fate = Revision.Fate.TURNED_DOWN;
         StringBuilder s = new StringBuilder();
         cannot.entrySet().stream()
                 .limit(REASONS_MOST)
@@ -168,95 +187,132 @@
                         .append(e.getKey().value())
                         .append(": ")
                         .append(e.getValue()));
-        r.reasons = cannot.size() + " of " + (can + cannot.size()) + " cannot take it: " + s;
+        r.turnedDown(cannot.size() + " of " + (can + cannot.size()) + " cannot take it: " + s);
         proposed = RevisionId.NONE;
-        if (all.values().stream().noneMatch(x -> x != r && x.body.equals(r.body))) {
-            bodies.remove(r.body); // nobody can come back to it
+        if (all.values().stream().noneMatch(x -> x.table() != null && x.root.equals(r.root))
+                && !r.root.equals(Table.EMPTY.root())) {
+            tables.remove(r.root); // nobody can come back to it
         }
     }
 
     // ---- for snapshots
 
-    Map<String, Object> save() {
-        Map<String, Object> s = new TreeMap<>();
-        List<Object> revisions = new ArrayList<>();
-        all.values()
-                .forEach(r -> revisions.add(List.of(
-                        r.id.value(),
-                        r.command.value(),
-                        r.of.value(),
-                        r.body.value(),
-                        r.by,
-                        r.why,
-                        r.forced,
-                        r.proposedWall,
-                        r.fate.name(),
-                        r.since,
-                        r.sinceWall,
-                        r.reasons)));
-        List<Object> kept = new ArrayList<>();
-        new TreeMap<>(byName()).forEach((digest, b) -> {
-            Map<String, Object> caps = new TreeMap<>();
-            b.caps().forEach((t, n) -> caps.put(t.value(), n));
-            Map<String, Object> digests = new TreeMap<>();
-            b.digests().forEach((n, d) -> digests.put(n, d.value()));
-            kept.add(List.of(digest, b.bytes(), caps, digests));
-        });
-        s.put("all", revisions);
-        s.put("bodies", kept);
-        s.put("in_force", inForce.value());
-        s.put("proposed", proposed.value());
-        s.put("until", proposedUntil);
-        s.put("unasked", unasked.stream().map(ServerId::value).toList());
-        Map<String, Object> reasons = new TreeMap<>();
-        cannot.forEach((n, why) -> reasons.put(n.value(), why));
-        s.put("cannot", reasons);
-        s.put("can", can);
-        return s;
+    void save(Consumer<SnapshotPart> to) {
+        for (Revision revision : all.values()) {
+            to.accept(new SnapshotPart.RevisionHeader(
+                    revision.id,
+                    revision.base,
+                    revision.of,
+                    revision.root,
+                    revision.forced,
+                    revision.proposedWall,
+                    revision.fate,
+                    revision.since,
+                    revision.sinceWall,
+                    revision.reasons));
+            for (ChangeRecord record : revision.records()) {
+                save(record, changesOf(record, revision), to);
+            }
+        }
+        to.accept(new SnapshotPart.Proposal(proposed, proposedUntil, List.copyOf(unasked), new TreeMap<>(cannot), can));
     }
 
-    private Map<String, Body> byName() {
-        Map<String, Body> named = new HashMap<>();
-        bodies.forEach((d, b) -> named.put(d.value(), b));
-        return named;
+    /** A rollback's table is that of another revision, and one that was turned down has none. */
+    private static List<Change> changesOf(ChangeRecord record, Revision revision) {
+        if (record.kind() == ChangeRecord.Kind.PUBLISH && revision.table() != null) {
+            return revision.changes();
+        }
+        return record.changes();
+    }
+
+    private static void save(ChangeRecord record, List<Change> changes, Consumer<SnapshotPart> to) {
+        int parts = (changes.size() + SnapshotPart.CHANGES_MOST - 1) / SnapshotPart.CHANGES_MOST;
+        to.accept(new SnapshotPart.Record(
+                record.command(),
+                record.kind(),
+                record.by(),
+                record.why(),
+                record.forced(),
+                record.wall(),
+                record.outcome(),
+                record.revision(),
+                record.fault(),
+                parts));
+        for (int part = 0; part < parts; part++) {
+            int from = part * SnapshotPart.CHANGES_MOST;
+            int until = Math.min(changes.size(), from + SnapshotPart.CHANGES_MOST);
+            to.accept(new SnapshotPart.Changes(List.copyOf(changes.subList(from, until))));
+        }
+    }
+
+    /** Loads all parts up to the proposal. */
+    void load(Iterator<SnapshotPart> from) {
+        SnapshotPart part = from.next();
+        while (part instanceof SnapshotPart.RevisionHeader header) {
+            List<ChangeRecord> records = new ArrayList<>();
+            List<Change> changes = new ArrayList<>();
+            part = from.next();
+            while (part instanceof SnapshotPart.Record record) {
+                records.add(record(record, from, changes));
+                part = from.next();
+            }
+            load(header, records, changes);
+        }
+        load((SnapshotPart.Proposal) part);
+    }
+
+    private static ChangeRecord record(SnapshotPart.Record saved, Iterator<SnapshotPart> from, List<Change> all) {
+        List<Change> changes = new ArrayList<>();
+        for (int more = saved.more(); more > 0; more--) {
+            changes.addAll(((SnapshotPart.Changes) from.next()).changes());
+        }
+        all.addAll(changes);
+        ChangeRecord record = new ChangeRecord(
+                saved.command(),
+                saved.kind(),
+                saved.kind() == ChangeRecord.Kind.ENTRIES ? changes : List.of(),
+                saved.by(),
+                saved.why(),
+                saved.forced(),
+                saved.wall());
+        record.restore(saved.outcome(), saved.revision(), saved.fault());
+        return record;
     }
 
-    void load(Map<?, ?> s) {
-        for (Object each : (List<?>) s.get("all")) {
-            List<?> f = (List<?>) each;
-            Revision r = new Revision(
-                    new RevisionId(number(f.get(0))),
-                    new OperatorCommand((String) f.get(1)),
-                    new RevisionId(number(f.get(2))),
-                    new Digest((String) f.get(3)),
-                    (String) f.get(4),
-                    (String) f.get(5),
-                    (Boolean) f.get(6),
-                    number(f.get(7)));
-            r.fate = Revision.Fate.valueOf((String) f.get(8));
-            r.since = number(f.get(9));
-            r.sinceWall = number(f.get(10));
-            r.reasons = (String) f.get(11);
-            all.put(r.id, r);
-            commands.put(r.command, r);
+    private void load(SnapshotPart.RevisionHeader header, List<ChangeRecord> records, List<Change> changes) {
+        Table base = table(header.base());
+        Table table = header.fate() == Revision.Fate.TURNED_DOWN
+                ? null
+                : header.of().equals(RevisionId.NONE) ? base.apply(changes) : table(header.of());
+        if (table != null && !table.root().equals(header.root())) {
+            throw new FleetException(
+                    new Fault.DigestMismatch(header.root().value(), table.root().value()));
         }
-        for (Object each : (List<?>) s.get("bodies")) {
-            List<?> f = (List<?>) each;
-            Map<TenantId, Integer> caps = new HashMap<>();
-            ((Map<?, ?>) f.get(2)).forEach((t, n) -> caps.put(new TenantId((String) t), ((Number) n).intValue()));
-            Map<String, Digest> digests = new HashMap<>();
-            ((Map<?, ?>) f.get(3)).forEach((n, d) -> digests.put((String) n, new Digest((String) d)));
-            bodies.put(new Digest((String) f.get(0)), new Body((byte[]) f.get(1), caps, digests));
+        Revision revision = new Revision(
+                header.id(),
+                header.base(),
+                header.of(),
+                header.root(),
+                base,
+                table,
+                records,
+                header.forced(),
+                header.proposedWall());
+        revision.fate = header.fate();
+        revision.since = header.since();
+        revision.sinceWall = header.sinceWall();
+        revision.reasons = header.reasons();
+        add(revision);
+        if (header.fate() == Revision.Fate.IN_FORCE) {
+            inForce = header.id();
         }
-        inForce = new RevisionId(number(s.get("in_force")));
-        proposed = new RevisionId(number(s.get("proposed")));
-        proposedUntil = number(s.get("until"));
-        ((List<?>) s.get("unasked")).forEach(n -> unasked.add(new ServerId((String) n)));
-        ((Map<?, ?>) s.get("cannot")).forEach((n, why) -> cannot.put(new ServerId((String) n), (String) why));
-        can = (int) number(s.get("can"));
     }
 
-    static long number(Object of) {
-        return ((Number) of).longValue();
+    private void load(SnapshotPart.Proposal proposal) {
+        proposed = proposal.revision();
+        proposedUntil = proposal.until();
+        unasked.addAll(proposal.asked());
+        cannot.putAll(proposal.cannot());
+        can = proposal.can();
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Seat.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seat.java
@@ -1,6 +1,7 @@
 package tallyweir.fleet;
 
 import java.util.ArrayDeque;
+import java.util.List;
 
 /** One place of the fleet, and the server that has it. */
 public final class Seat {
@@ -118,6 +119,63 @@
         return foldedOutdated + passages.stream().mapToLong(Passage::outdated).sum();
     }
 
+    SnapshotPart.Server save(boolean isGone) {
+        return new SnapshotPart.Server(
+                place,
+                server,
+                listen,
+                as,
+                life,
+                standing,
+                number,
+                leaseUntil,
+                floorUntil,
+                silent,
+                marked,
+                cause,
+                acting,
+                inForce,
+                odd,
+                behindSince,
+                flaps,
+                steadySince,
+                mayReturn,
+                heardWall,
+                outWall,
+                folded,
+                foldedOutdated,
+                List.copyOf(passages),
+                health.save(),
+                isGone);
+    }
+
+    static Seat load(SnapshotPart.Server saved) {
+        Seat seat = new Seat(saved.place(), saved.server(), saved.listen());
+        seat.as = saved.as();
+        seat.life = saved.life();
+        seat.standing = saved.standing();
+        seat.number = saved.number();
+        seat.leaseUntil = saved.leaseUntil();
+        seat.floorUntil = saved.floorUntil();
+        seat.silent = saved.silent();
+        seat.marked = saved.marked();
+        seat.cause = saved.cause();
+        seat.acting = saved.acting();
+        seat.inForce = saved.inForce();
+        seat.odd = saved.odd();
+        seat.behindSince = saved.behindSince();
+        seat.flaps = saved.flaps();
+        seat.steadySince = saved.steadySince();
+        seat.mayReturn = saved.mayReturn();
+        seat.heardWall = saved.heardWall();
+        seat.outWall = saved.outWall();
+        seat.folded = saved.folded();
+        seat.foldedOutdated = saved.foldedOutdated();
+        seat.passages.addAll(saved.passages());
+        seat.health.load(saved.counts());
+        return seat;
+    }
+
     /** All that its future hangs on, times from this one on. */
     String describe(long from) {
         return server.value() + as.value() + standing + (leaseUntil - from) + "," + (floorUntil - from) + silent
--- a/fleet/src/main/java/tallyweir/fleet/Seating.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seating.java
@@ -6,25 +6,7 @@
 public interface Seating {
     /**
      * @param voters names and addresses of who keeps the log; where self is one of them, it does so in dir
-     * @param version of the settings that follow, by which the fleet is founded; times in tenths of a millisecond
-     * @see State#found
+     * @param settings by which the fleet is founded
      */
-    Way open(
-            String fleet,
-            Map<String, String> voters,
-            String self,
-            String dir,
-            long version,
-            long lease,
-            long tail,
-            long floorLease,
-            long behindMost,
-            double drift,
-            double mostOut,
-            double mostCannot,
-            int serversMost,
-            double floorShare,
-            long probation,
-            double worseRatio,
-            double sickShare);
+    Way open(String fleet, Map<String, String> voters, String self, String dir, FleetSettings settings);
 }
--- /dev/null
+++ b/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
@@ -0,0 +1,109 @@
+package tallyweir.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import tallyweir.fleet.table.Change;
+import tallyweir.ids.TenantId;
+
+/**
+ * A piece of a snapshot of the {@link State}. The order in which they were saved is that in which they are loaded; each is
+ * small, so that no more than one need be in memory.
+ */
+public sealed interface SnapshotPart {
+    /** Entries in one part at the most. */
+    int CHANGES_MOST = 1_000;
+
+    /** What the whole fleet goes by, and its clock. */
+    record Fleet(String fleet, FleetSettings settings, long now, long wall, long incarnations, long judgedAt)
+            implements SnapshotPart {}
+
+    /** A revision; the records of what operators asked for follow. */
+    record RevisionHeader(
+            RevisionId id,
+            RevisionId base,
+            RevisionId of,
+            Digest root,
+            boolean forced,
+            long proposedWall,
+            Revision.Fate fate,
+            long since,
+            long sinceWall,
+            String reasons)
+            implements SnapshotPart {}
+
+    /**
+     * What an operator asked for, as part of the revision before it, or on its own; its changes follow.
+     *
+     * @param more how many parts with its changes follow
+     */
+    record Record(
+            OperatorCommand command,
+            ChangeRecord.Kind kind,
+            String by,
+            String why,
+            boolean forced,
+            long wall,
+            ChangeRecord.Outcome outcome,
+            RevisionId revision,
+            Optional<Fault.KeyConflict> fault,
+            int more)
+            implements SnapshotPart {}
+
+    /** Some of the entries that the record before changes. */
+    record Changes(List<Change> changes) implements SnapshotPart {}
+
+    /** What live servers have said of the revision that is open. */
+    record Proposal(RevisionId revision, long until, List<ServerId> asked, Map<ServerId, String> cannot, int can)
+            implements SnapshotPart {}
+
+    /** A cap and what of it is lent. */
+    record LentCap(TenantId tenant, int level, long levelAt, int turn, List<LentShare> shares)
+            implements SnapshotPart {}
+
+    /** What one place is lent of a cap. */
+    record LentShare(int place, int granted, int want, boolean extra, int floorOver) {}
+
+    /** A server that has a place, or had one. */
+    record Server(
+            int place,
+            ServerId server,
+            String listen,
+            Incarnation as,
+            long life,
+            Seat.Standing standing,
+            long number,
+            long leaseUntil,
+            long floorUntil,
+            boolean silent,
+            boolean marked,
+            String cause,
+            RevisionId acting,
+            Digest inForce,
+            boolean odd,
+            long behindSince,
+            int flaps,
+            long steadySince,
+            long mayReturn,
+            long heardWall,
+            long outWall,
+            int folded,
+            long foldedOutdated,
+            List<Passage> passages,
+            Counts counts,
+            boolean gone)
+            implements SnapshotPart {}
+
+    /** How a server's queries ended, before and since the revision in force. */
+    record Counts(
+            long ended,
+            long bad,
+            long since,
+            long spanEnded,
+            long spanBad,
+            long beforeEnded,
+            long beforeBad,
+            long afterEnded,
+            long afterBad,
+            double usual) {}
+}
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -1,15 +1,21 @@
 package tallyweir.fleet;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
 import tallyweir.ids.TenantId;
 import tallyweir.rules.Rules;
 
@@ -54,20 +60,9 @@
     private final TreeMap<Integer, Long> dueAt = new TreeMap<>();
     private final ArrayDeque<Seat> gone = new ArrayDeque<>();
     private String fleet = "";
-    private long version;
-    private long lease;
-    private long tail;
-    private long floorLease;
-    private long behindMost;
+    private FleetSettings settings = FleetSettings.NONE;
+    private long tail; // of the settings, so that it has passed by any server's clock
     private long waitLeast;
-    private double drift;
-    private double mostOut;
-    private double mostCannot;
-    private int serversMost;
-    private double floorShare;
-    private long probation;
-    private double worseRatio;
-    private double sickShare;
     private long judgedAt;
     private long incarnations;
     private int live;
@@ -86,7 +81,7 @@
         lending = new Lending(!has(Guard.FLOOR));
         // Of a server: first what its silence means, then whether it goes out, then what comes back from it.
         ofSeat.add(
-                () -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + behindMost,
+                () -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + settings.behindMost(),
                 () -> out("did not come in"));
         ofSeat.add(() -> s.standing == Seat.Standing.LIVE && !s.silent && now >= s.leaseUntil, this::silent);
         ofSeat.add(() -> stays() && s.marked, this::unmark);
@@ -104,10 +99,12 @@
                 revisions::timeOver);
         ofFleet.add(
                 () -> revisions.open()
-                        && (revisions.forced() || revisions.allSaid() && revisions.cannotShare() <= mostCannot),
+                        && (revisions.forced()
+                                || revisions.allSaid() && revisions.cannotShare() <= settings.mostCannot()),
                 this::comesIntoForce);
         ofFleet.add(() -> revisions.open() && revisions.allSaid(), revisions::turnDown);
-        ofFleet.add(() -> onProbation() && now >= judgedAt + Math.max(1, lease / LEVELS_IN_LEASE), this::judge);
+        ofFleet.add(
+                () -> onProbation() && now >= judgedAt + Math.max(1, settings.lease() / LEVELS_IN_LEASE), this::judge);
     }
 
     private boolean has(Guard g) {
@@ -133,7 +130,7 @@
         }
         if ((of.standing == Seat.Standing.ENTERING || of.standing == Seat.Standing.LIVE && !of.marked)
                 && of.behindSince != Long.MAX_VALUE) {
-            at = Math.min(at, of.behindSince + behindMost);
+            at = Math.min(at, of.behindSince + settings.behindMost());
         }
         if (lending.holds(of.place)) {
             at = Math.min(at, of.leaseUntil + held(tail));
@@ -179,7 +176,7 @@
     }
 
     private boolean behindTooLong() {
-        return s.behindSince != Long.MAX_VALUE && now >= s.behindSince + behindMost;
+        return s.behindSince != Long.MAX_VALUE && now >= s.behindSince + settings.behindMost();
     }
 
     private boolean mustGo() {
@@ -200,7 +197,7 @@
     }
 
     private int outMost() {
-        return has(Guard.MOST_OUT) ? (int) Math.floor(mostOut * (live + out)) : Integer.MAX_VALUE;
+        return has(Guard.MOST_OUT) ? (int) Math.floor(settings.mostOut() * (live + out)) : Integer.MAX_VALUE;
     }
 
     private boolean room() {
@@ -230,7 +227,7 @@
         s.cause = why;
         s.outWall = wall;
         s.behindSince = Long.MAX_VALUE;
-        s.flaps = now - s.steadySince > STEADY_LEASES * lease ? 0 : Math.min(FLAPS_MOST, s.flaps + 1);
+        s.flaps = now - s.steadySince > STEADY_LEASES * settings.lease() ? 0 : Math.min(FLAPS_MOST, s.flaps + 1);
         s.mayReturn = now + (waitLeast << s.flaps);
         revisions.notLive(s.server);
     }
@@ -257,7 +254,10 @@
     /** The revision in force can still be taken back by itself: it is new, followed another, and was no such rollback. */
     private boolean onProbation() {
         Revision r = revisions.get(revisions.inForce());
-        return r != null && now < r.since + probation && !r.by.equals(PROBATION) && revisions.before() != null;
+        return r != null
+                && now < r.since + settings.probation()
+                && !r.by().equals(PROBATION)
+                && revisions.before() != null;
     }
 
     /** Takes it back where enough servers fare worse than before it came into force. */
@@ -268,11 +268,11 @@
             worse += each.standing == Seat.Standing.LIVE
                             && each.acting.equals(revisions.inForce())
                             && each.health.tells(ENDED_LEAST)
-                            && each.health.worse(worseRatio, WORSE_LEAST)
+                            && each.health.worse(settings.worseRatio(), WORSE_LEAST)
                     ? 1
                     : 0;
         }
-        if (worse > 0 && worse >= sickShare * live) {
+        if (worse > 0 && worse >= settings.sickShare() * live) {
             takeBack();
         }
     }
@@ -284,22 +284,34 @@
         if (revisions.open()) {
             revisions.turnDown();
         }
-        revisions.propose(
+        ChangeRecord record = new ChangeRecord(
                 new OperatorCommand(PROBATION + " " + sick.value()),
-                back.id,
-                back.body,
-                revisions.body(back.id),
+                ChangeRecord.Kind.ROLLBACK,
+                List.of(),
                 PROBATION,
                 "under revision " + sick.value() + " more queries were late or errored than before",
                 true,
-                wall,
-                now,
-                List.of());
+                wall);
+        revisions.propose(sick, back.id, back.table(), List.of(record), true, wall, now, List.of());
+    }
+
+    /** The caps of a revision, none for one that is not there. */
+    private Map<TenantId, Integer> caps(RevisionId id) {
+        Map<TenantId, Integer> caps = new HashMap<>();
+        Table table = revisions.table(id);
+        if (table != null) {
+            table.forEach(entry -> {
+                if (entry.value() instanceof Value.Cap cap) {
+                    caps.put(new TenantId(entry.key().name()), cap.connections());
+                }
+            });
+        }
+        return caps;
     }
 
     private void comesIntoForce() {
         revisions.comesIntoForce(now, wall);
-        lending.caps(revisions.caps(revisions.inForce()));
+        lending.caps(caps(revisions.inForce()));
         seats.values().forEach(each -> each.health.change());
         for (Seat each : List.copyOf(seats.values())) {
             if (each.standing == Seat.Standing.LIVE || each.standing == Seat.Standing.ENTERING) {
@@ -312,136 +324,83 @@
 
     // ---- inputs
 
-    /** What the next input was stamped with: the fleet's clock, tenths of a millisecond, and the wall's, ms since 1970. */
+    /** What the next command was stamped with: the fleet's clock, tenths of a millisecond, and the wall's, ms since 1970. */
     public void clock(long at, long wall) {
         now = Math.max(now, at);
         this.wall = wall;
     }
 
-    /**
-     * Founds the fleet, or gives it newer settings.
-     *
-     * @param version of the settings; only a higher one than before is taken
-     * @param lease how long a server may rely on what it is lent after a report
-     * @param tail how long after that what it accepted may still be open by its own clock: longest hard limit and linger
-     * @param floorLease so with its floors
-     * @param behindMost how long a server may be behind before it is shut out
-     * @param drift the ratio by which clocks may run fast or slow
-     * @param mostOut the share of servers that may be shut out at once
-     * @param mostCannot the share of servers up to which a revision comes into force though they cannot take it
-     * @param serversMost places; this and the next are set once, since servers go by the floors that come of them
-     * @param floorShare the part of a cap that is spread over all places as floors
-     * @param probation how long after it came into force a revision is rolled back if servers fare worse, 0 for never
-     * @param worseRatio how many times the share of late and errored queries before is worse
-     * @param sickShare the share of live servers of which that has to be so
-     */
-    public void found(
-            String fleet,
-            long version,
-            long lease,
-            long tail,
-            long floorLease,
-            long behindMost,
-            double drift,
-            double mostOut,
-            double mostCannot,
-            int serversMost,
-            double floorShare,
-            long probation,
-            double worseRatio,
-            double sickShare,
-            Answers to) {
-        if (!this.fleet.isEmpty() && !this.fleet.equals(fleet)) {
-            to.refused(new Fault.Stranger(fleet, this.fleet));
-            return;
-        }
-        if (version > this.version) {
-            settings(
-                    fleet,
-                    version,
-                    lease,
-                    Spans.waited(tail, drift),
-                    floorLease,
-                    behindMost,
-                    drift,
-                    mostOut,
-                    mostCannot,
-                    this.version > 0 ? this.serversMost : serversMost,
-                    this.version > 0 ? this.floorShare : floorShare);
-            probation(probation, worseRatio, sickShare);
-            lending.caps(revisions.caps(revisions.inForce()));
+    /** What a command does, and its answer; the clock has been set to its stamp before. */
+    public Answer apply(Command command) {
+        if (command instanceof Command.Report report) {
+            return report(report);
+        } else if (command instanceof Command.Join join) {
+            return join(join);
+        } else if (command instanceof Command.Leave leave) {
+            return leave(leave);
+        } else if (command instanceof Command.ChangeEntries change) {
+            return change(change);
+        } else if (command instanceof Command.Publish publish) {
+            return publish(publish);
+        } else if (command instanceof Command.Rollback rollback) {
+            return rollback(rollback);
+        } else if (command instanceof Command.Found found) {
+            return found(found);
+        }
+        settle(); // a tick
+        return new Answer.Done(revisions.inForce());
+    }
+
+    private Answer found(Command.Found found) {
+        if (!fleet.isEmpty() && !fleet.equals(found.fleet())) {
+            return new Answer.Refused(new Fault.Stranger(found.fleet(), fleet));
+        }
+        if (found.settings().version() > settings.version()) {
+            boolean first = settings.version() == 0;
+            settings(found.fleet(), first ? found.settings() : found.settings().after(settings));
+            lending.caps(caps(revisions.inForce()));
             List.copyOf(seats.values()).forEach(this::settle);
         }
         settle();
-        to.done(revisions.inForce());
-    }
-
-    private void probation(long span, double worseRatio, double sickShare) {
-        probation = span;
-        this.worseRatio = worseRatio;
-        this.sickShare = sickShare;
-    }
-
-    private void settings(
-            String fleet,
-            long version,
-            long lease,
-            long tail,
-            long floorLease,
-            long behindMost,
-            double drift,
-            double mostOut,
-            double mostCannot,
-            int serversMost,
-            double floorShare) {
-        for (int p = this.serversMost; p < serversMost; p++) {
-            free.add(p);
+        return new Answer.Done(revisions.inForce());
+    }
+
+    private void settings(String fleet, FleetSettings of) {
+        for (int place = settings.serversMost(); place < of.serversMost(); place++) {
+            free.add(place);
         }
         this.fleet = fleet;
-        this.version = version;
-        this.lease = lease;
-        this.tail = tail;
-        this.floorLease = floorLease;
-        this.behindMost = behindMost;
-        this.drift = drift;
-        this.mostOut = mostOut;
-        this.mostCannot = mostCannot;
-        this.serversMost = serversMost;
-        this.floorShare = floorShare;
-        waitLeast = Math.max(1, lease / 10);
-        lending.settings(serversMost, floorShare, lease / LEVELS_IN_LEASE);
-    }
-
-    /** The clock alone. */
-    public void tick() {
-        settle();
+        settings = of;
+        tail = Spans.waited(of.tail(), of.drift());
+        waitLeast = Math.max(1, of.lease() / 10);
+        lending.settings(of.serversMost(), of.floorShare(), of.lease() / LEVELS_IN_LEASE);
     }
 
     /**
      * A server wants a place, its own if it had one. That another process listens at the same address proves that the
      * one before has ended.
-     *
-     * @param life of the process, higher than that of any before at this address; one that is no higher frees nothing, so
-     *     that a word which was long on its way takes nothing from who has come in since
      */
-    public void join(String fleet, ServerId server, String listen, long life, Answers to) {
-        if (!fleet.equals(this.fleet)) {
-            to.refused(this.fleet.isEmpty() ? new Fault.NotFounded(fleet) : new Fault.Stranger(fleet, this.fleet));
-            return;
+    private Answer join(Command.Join join) {
+        if (!join.fleet().equals(fleet)) {
+            return new Answer.Refused(
+                    fleet.isEmpty() ? new Fault.NotFounded(join.fleet()) : new Fault.Stranger(join.fleet(), fleet));
         }
         settle();
-        Seat seat = seats.get(server);
-        if (seat != null && !seat.listen.equals(listen)) {
-            to.refused(new Fault.NameTaken(server.value(), seat.listen));
+        Seat seat = seats.get(join.server());
+        Answer answer;
+        if (seat != null && !seat.listen.equals(join.listen())) {
+            answer = new Answer.Refused(new Fault.NameTaken(join.server().value(), seat.listen));
         } else if (seat == null && free.isEmpty()) {
-            to.refused(new Fault.NoPlace(serversMost));
+            answer = new Answer.Refused(new Fault.NoPlace(settings.serversMost()));
         } else if (seat != null && seat.standing == Seat.Standing.OUT && now < seat.mayReturn) {
-            to.refused(new Fault.NotYet(server.value(), seat.mayReturn - now));
+            answer = new Answer.Refused(new Fault.NotYet(join.server().value(), seat.mayReturn - now));
         } else {
-            enter(seat != null ? seat : seat(server, listen), life);
-            to.joined(seats.get(server).as, serversMost, floorShare, next(seats.get(server)));
+            enter(seat != null ? seat : seat(join.server(), join.listen()), join.life());
+            seat = seats.get(join.server());
+            answer = new Answer.Joined(seat.as, settings.serversMost(), settings.floorShare(), next(seat));
         }
         settle();
+        return answer;
     }
 
     private Seat seat(ServerId server, String listen) {
@@ -451,6 +410,10 @@
         return seat;
     }
 
+    /**
+     * @param life of the process, higher than that of any before at this address; one that is no higher frees nothing, so
+     *     that a word which was long on its way takes nothing from who has come in since
+     */
     private void enter(Seat seat, long life) {
         if (life > seat.life) {
             seat.life = life;
@@ -473,94 +436,89 @@
         settle(seat);
     }
 
-    /**
-     * A server says what is in force there. Only what names the incarnation it has here counts.
-     *
-     * @param number of the report, counted up by the server; the same one again changes nothing
-     * @param inForce worked out from the parts in use
-     * @param outdated queries begun under the revision before, after this one came into force, as far as it knows
-     * @param checked the revision that it has looked at last, NONE for none
-     * @param cannot why it cannot take that, empty if it can
-     * @param ended queries that have ended since its process began
-     * @param bad of them, late or errored
-     */
-    public void report(
-            ServerId server,
-            Incarnation as,
-            long number,
-            RevisionId acting,
-            Digest inForce,
-            long outdated,
-            RevisionId checked,
-            String cannot,
-            long ended,
-            long bad,
-            Map<TenantId, Need> needs,
-            Answers to) {
+    /** A server says what is in force there. Only what names the incarnation it has here counts. */
+    private Answer report(Command.Report report) {
         settle();
-        Seat seat = seats.get(server);
+        Seat seat = seats.get(report.server());
         Fault why = seat == null
-                ? new Fault.ShutOut(server.value(), "it has no place here", 0)
-                : !seat.as.equals(as) && has(Guard.INCARNATION)
-                        ? new Fault.ShutOut(server.value(), "another incarnation of it has come", 0)
-                        : seat.standing == Seat.Standing.OUT
-                                ? new Fault.ShutOut(server.value(), seat.cause, Math.max(0, seat.mayReturn - now))
-                                : null;
+                ? new Fault.ShutOut(report.server().value(), "it has no place here", 0)
+                : !seat.as.equals(report.as()) && has(Guard.INCARNATION)
+                        ? new Fault.ShutOut(report.server().value(), "another incarnation of it has come", 0)
+                        : seat.standing == Seat.Standing.OUT ? shutOut(seat) : null;
         if (why != null) {
-            to.refused(why);
-            return;
+            return new Answer.Refused(why);
         }
-        boolean fresh = number > seat.number || !seat.as.equals(as);
+        boolean fresh = report.number() > seat.number || !seat.as.equals(report.as());
         if (fresh) {
-            seat.number = number;
-            seat.heardWall = wall;
-            acts(seat, as, acting, inForce, outdated);
-            seat.health.report(
-                    ended, bad, onProbation() && acting.equals(revisions.inForce()), now, Math.max(1, probation));
-            revisions.checked(server, checked, cannot);
-            if (seat.standing == Seat.Standing.LIVE) {
-                seat.leaseUntil = now + lease;
-                seat.floorUntil = now + floorLease;
-                seat.silent = false;
-            }
-            settle(seat);
-            settle(); // who says last that it can hears at once that it is in force
+            take(seat, report);
         }
+        Answer answer;
         if (seat.standing == Seat.Standing.OUT) {
-            to.refused(new Fault.ShutOut(server.value(), seat.cause, Math.max(0, seat.mayReturn - now)));
+            answer = new Answer.Refused(shutOut(seat));
         } else {
             boolean member = seat.standing == Seat.Standing.LIVE;
-            Map<TenantId, Grant> shares =
-                    !member ? Map.of() : fresh ? lending.report(seat.place, needs, now) : lending.lent(seat.place);
+            Map<TenantId, Grant> shares = !member
+                    ? Map.of()
+                    : fresh ? lending.report(seat.place, report.needs(), now) : lending.lent(seat.place);
             due(seat);
-            Revision r = revisions.get(revisions.inForce());
-            to.told(
-                    number,
-                    member ? Spans.relied(lease, drift) : 0,
-                    member ? Spans.relied(floorLease, drift) : 0,
-                    lending.floorsFree(),
-                    revisions.inForce(),
-                    r == null ? 0 : now - r.since,
-                    revisions.proposed(),
-                    shares,
-                    next(seat));
+            answer = told(seat, report.number(), member, shares);
         }
         settle();
+        return answer;
+    }
+
+    private Fault.ShutOut shutOut(Seat seat) {
+        return new Fault.ShutOut(seat.server.value(), seat.cause, Math.max(0, seat.mayReturn - now));
     }
 
-    private void acts(Seat seat, Incarnation as, RevisionId acting, Digest inForce, long outdated) {
+    private void take(Seat seat, Command.Report report) {
+        seat.number = report.number();
+        seat.heardWall = wall;
+        acts(seat, report);
+        seat.health.report(
+                report.ended(),
+                report.bad(),
+                onProbation() && report.acting().equals(revisions.inForce()),
+                now,
+                Math.max(1, settings.probation()));
+        revisions.checked(seat.server, report.checked(), report.cannot());
+        if (seat.standing == Seat.Standing.LIVE) {
+            seat.leaseUntil = now + settings.lease();
+            seat.floorUntil = now + settings.floorLease();
+            seat.silent = false;
+        }
+        settle(seat);
+        settle(); // who says last that it can hears at once that it is in force
+    }
+
+    private Answer.Told told(Seat seat, long number, boolean member, Map<TenantId, Grant> shares) {
+        Revision revision = revisions.get(revisions.inForce());
+        return new Answer.Told(
+                number,
+                member ? Spans.relied(settings.lease(), settings.drift()) : 0,
+                member ? Spans.relied(settings.floorLease(), settings.drift()) : 0,
+                lending.floorsFree(),
+                revisions.named(revisions.inForce()),
+                revision == null ? 0 : now - revision.since,
+                revisions.named(revisions.proposed()),
+                shares,
+                next(seat));
+    }
+
+    private void acts(Seat seat, Command.Report report) {
+        RevisionId acting = report.acting();
+        Revision revision = revisions.get(acting);
         if (!acting.equals(seat.acting)) {
-            Revision to = revisions.get(acting);
-            seat.pass(
-                    new Passage(as, seat.acting, acting, to == null ? 0 : Math.max(0, now - to.since), outdated, wall));
+            long behind = revision == null ? 0 : Math.max(0, now - revision.since);
+            seat.pass(new Passage(report.as(), seat.acting, acting, behind, report.outdated(), wall));
             seat.acting = acting;
-            lending.acting(seat.place, revisions.caps(acting));
+            lending.acting(seat.place, caps(acting));
         }
-        seat.inForce = inForce;
-        Body body = revisions.body(acting);
-        seat.odd = body != null
+        seat.inForce = report.inForce();
+        seat.odd = revision != null
+                && revision.table() != null
                 && has(Guard.DIGEST)
-                && !body.inForceAt(seat.server).equals(inForce);
+                && !revision.root.equals(report.inForce());
         boolean right = acting.equals(revisions.inForce()) && !seat.odd;
         if (right && seat.standing == Seat.Standing.ENTERING) {
             seat.standing = Seat.Standing.LIVE;
@@ -576,94 +534,125 @@
 
     /** How soon a server should report again: the more there are, the more seldom. */
     private long next(Seat seat) {
-        long pace = Math.max(lease / REPORTS_IN_LEASE, (long) (live + out) * SECOND / REPORTS_PER_SECOND);
+        long pace = Math.max(settings.lease() / REPORTS_IN_LEASE, (long) (live + out) * SECOND / REPORTS_PER_SECOND);
         return Math.min(
-                lease / REPORTS_LEAST, seat.behindSince != Long.MAX_VALUE || revisions.open() ? pace / 2 : pace);
+                settings.lease() / REPORTS_LEAST,
+                seat.behindSince != Long.MAX_VALUE || revisions.open() ? pace / 2 : pace);
     }
 
-    /** A server has answered all that it had and ends. */
-    public void leave(ServerId server, Incarnation as, Answers to) {
+    private Answer leave(Command.Leave leave) {
         settle();
-        Seat seat = seats.get(server);
-        if (seat != null && seat.as.equals(as)) {
+        Seat seat = seats.get(leave.server());
+        if (seat != null && seat.as.equals(leave.as())) {
             s = seat;
             forget();
             seat.standing = Seat.Standing.LEFT;
             seat.outWall = wall;
-            revisions.notLive(server);
+            revisions.notLive(leave.server());
         }
         settle();
-        to.done(revisions.inForce());
+        return new Answer.Done(revisions.inForce());
     }
 
-    /**
-     * An operator wants another revision.
-     *
-     * @param expected the last revision, in force or proposed, that the operator saw
-     */
-    public void publish(
-            OperatorCommand command,
-            RevisionId expected,
-            Digest digest,
-            Body body,
-            String by,
-            String why,
-            boolean force,
-            Answers to) {
-        propose(command, expected, RevisionId.NONE, digest, body, by, why, force, to);
-    }
-
-    /** An operator wants an earlier revision back: a new one with the body of that. */
-    public void rollback(
-            OperatorCommand command,
-            RevisionId expected,
-            RevisionId back,
-            String by,
-            String why,
-            boolean force,
-            Answers to) {
-        Revision r = revisions.get(back);
-        if (revisions.by(command) == null
-                && (r == null || r.fate == Revision.Fate.TURNED_DOWN || r.fate == Revision.Fate.PROPOSED)) {
-            settle();
-            to.refused(
-                    new Fault.NoSuchRevision(back.value(), revisions.inForce().value()));
-            return;
+    private Answer publish(Command.Publish publish) {
+        settle();
+        Optional<Answer> known = outcome(publish.command()).or(() -> lostRace(publish.expected()));
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Table base = revisions.table(publish.expected());
+        if (base == null) {
+            return new Answer.Refused(
+                    new Fault.UnknownRoot("of revision " + publish.expected().value()));
+        }
+        ChangeRecord record = new ChangeRecord(
+                publish.command(),
+                ChangeRecord.Kind.PUBLISH,
+                List.of(),
+                publish.by(),
+                publish.why(),
+                publish.force(),
+                wall);
+        return propose(publish.expected(), RevisionId.NONE, base.apply(publish.changes()), record);
+    }
+
+    private Answer rollback(Command.Rollback rollback) {
+        settle();
+        Optional<Answer> known = outcome(rollback.command());
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Revision back = revisions.get(rollback.to());
+        if (back == null || back.table() == null || back.fate == Revision.Fate.PROPOSED) {
+            return new Answer.Refused(new Fault.NoSuchRevision(
+                    rollback.to().value(), revisions.inForce().value()));
+        }
+        Optional<Answer> lost = lostRace(rollback.expected());
+        if (lost.isPresent()) {
+            return lost.get();
+        }
+        ChangeRecord record = new ChangeRecord(
+                rollback.command(),
+                ChangeRecord.Kind.ROLLBACK,
+                List.of(),
+                rollback.by(),
+                rollback.why(),
+                rollback.force(),
+                wall);
+        return propose(revisions.inForce(), back.id, back.table(), record);
+    }
+
+    private Answer change(Command.ChangeEntries change) {
+        settle();
+        Optional<Answer> known = outcome(change.command()).or(() -> lostRace(revisions.inForce()));
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Table base = revisions.table(revisions.inForce());
+        for (Change each : change.changes()) {
+            if (!base.get(each.key()).equals(each.before()) && has(Guard.EXPECTED)) {
+                return new Answer.Refused(new Fault.KeyConflict(each.key().name(), "unknown", 0));
+            }
         }
-        propose(command, expected, back, r == null ? Digest.NONE : r.body, revisions.body(back), by, why, force, to);
+        ChangeRecord record = new ChangeRecord(
+                change.command(),
+                ChangeRecord.Kind.ENTRIES,
+                change.changes(),
+                change.by(),
+                change.why(),
+                change.force(),
+                wall);
+        return propose(revisions.inForce(), RevisionId.NONE, base.apply(change.changes()), record);
     }
 
-    private void propose(
-            OperatorCommand command,
-            RevisionId expected,
-            RevisionId of,
-            Digest digest,
-            Body body,
-            String by,
-            String why,
-            boolean force,
-            Answers to) {
-        settle();
-        Revision done = revisions.by(command);
+    /** What has become of a command that was sent before. */
+    private Optional<Answer> outcome(OperatorCommand command) {
+        return Optional.ofNullable(revisions.by(command)).map(record -> new Answer.Done(record.revision()));
+    }
+
+    /** The condition of a change to the whole: nothing came after the revision that its author saw. */
+    private Optional<Answer> lostRace(RevisionId expected) {
         Revision last = revisions.get(revisions.open() ? revisions.proposed() : revisions.inForce());
-        RevisionId is = last == null ? RevisionId.NONE : last.id;
-        if (done != null) {
-            to.done(done.id);
-        } else if ((!is.equals(expected) || revisions.open()) && has(Guard.EXPECTED)) {
-            to.refused(new Fault.LostRace(
-                    expected.value(),
-                    is.value(),
-                    last == null ? "nobody" : last.by,
-                    last == null ? 0 : last.proposedWall));
-        } else {
-            List<ServerId> ask = seats.values().stream()
-                    .filter(x -> x.standing == Seat.Standing.LIVE && !x.silent)
-                    .map(x -> x.server)
-                    .toList();
-            Revision r = revisions.propose(command, of, digest, body, by, why, force, wall, now + 2 * lease, ask);
-            settle();
-            to.done(r.id);
-        }
+        RevisionId found = last == null ? RevisionId.NONE : last.id;
+        if (!has(Guard.EXPECTED) || found.equals(expected) && !revisions.open()) {
+            return Optional.empty();
+        }
+        return Optional.of(new Answer.Refused(new Fault.LostRace(
+                expected.value(),
+                found.value(),
+                last == null ? "nobody" : last.by(),
+                last == null ? 0 : last.proposedWall)));
+    }
+
+    private Answer propose(RevisionId base, RevisionId of, Table table, ChangeRecord record) {
+        List<ServerId> ask = seats.values().stream()
+                .filter(x -> x.standing == Seat.Standing.LIVE && !x.silent)
+                .map(x -> x.server)
+                .toList();
+        Revision revision = revisions.propose(
+                base, of, table, List.of(record), record.forced(), wall, now + 2 * settings.lease(), ask);
+        settle();
+        return new Answer.Done(revision.id);
     }
 
     // ---- what can be seen
@@ -682,8 +671,9 @@
         return fleet;
     }
 
+    /** The version of the settings that it goes by, 0 before it is founded. */
     public long version() {
-        return version;
+        return settings.version();
     }
 
     public RevisionId inForce() {
@@ -702,12 +692,39 @@
         return Collections.unmodifiableCollection(revisions.all());
     }
 
-    /** What a revision says, null for one that there is not. */
-    public Body body(RevisionId id) {
-        return revisions.body(id);
+    /** The changes that wait until the revision that is open has been decided, in the order in which they came. */
+    public Collection<ChangeRecord> waiting() {
+        return List.of();
+    }
+
+    /** What a revision says: the empty table for NONE, null for one that there is not or that was turned down. */
+    public Table table(RevisionId id) {
+        return revisions.table(id);
+    }
+
+    /** The table of that root, if a revision has it that is, was or may come into force. */
+    public Optional<Table> table(Digest root) {
+        return revisions.table(root);
     }
 
-    public Collection<Seat> seats() {
+    /**
+     * What differs from a table that somebody has to a revision.
+     *
+     * @param from the root of that table
+     * @param most entries; empty if there are more, or if either is not known
+     */
+    public Optional<List<Change>> difference(Digest from, RevisionId to, int most) {
+        Optional<Table> have = revisions.table(from);
+        Table want = revisions.table(to);
+        if (have.isEmpty() || want == null) {
+            return Optional.empty();
+        }
+        List<Change> all = have.get().differenceTo(want);
+        return all.size() > most ? Optional.empty() : Optional.of(all);
+    }
+
+    /** All servers that have a place, by name. */
+    public Collection<Seat> servers() {
         return Collections.unmodifiableCollection(seats.values());
     }
 
@@ -734,9 +751,9 @@
         return lending.granted(tenant);
     }
 
-    /** The caps of the revision in force. */
+    /** The caps of the revision in force; goes through its whole table. */
     public Map<TenantId, Integer> caps() {
-        return revisions.caps(revisions.inForce());
+        return caps(revisions.inForce());
     }
 
     /** The floor of each server under a cap. */
@@ -746,140 +763,60 @@
 
     // ---- for snapshots
 
-    /** The whole, as plain maps and lists. */
-    public Map<String, Object> save() {
-        Map<String, Object> all = new TreeMap<>();
-        all.put("fleet", fleet);
-        all.put(
-                "settings",
-                List.of(
-                        version,
-                        lease,
-                        tail,
-                        floorLease,
-                        behindMost,
-                        drift,
-                        mostOut,
-                        mostCannot,
-                        serversMost,
-                        floorShare));
-        all.put("probation", List.of(probation, worseRatio, sickShare));
-        all.put("clock", List.of(now, wall, incarnations, judgedAt));
-        all.put("revisions", revisions.save());
-        all.put("lending", lending.save());
-        all.put("seats", seats.values().stream().map(State::saved).toList());
-        all.put("gone", gone.stream().map(State::saved).toList());
-        return all;
-    }
-
-    private static Object saved(Seat of) {
-        List<Object> passages = new ArrayList<>();
-        of.passages.forEach(p -> passages.add(
-                List.of(p.as().value(), p.from().value(), p.to().value(), p.behind(), p.outdated(), p.wall())));
-        return List.of(
-                of.place,
-                of.server.value(),
-                of.listen,
-                of.as.value(),
-                of.standing.name(),
-                of.number,
-                of.leaseUntil,
-                of.floorUntil,
-                of.silent,
-                of.marked,
-                of.cause,
-                of.acting.value(),
-                of.inForce.value(),
-                of.odd,
-                of.behindSince,
-                of.flaps,
-                of.steadySince,
-                of.mayReturn,
-                of.heardWall,
-                of.outWall,
-                of.folded,
-                of.foldedOutdated,
-                passages,
-                of.health.save(),
-                of.life);
-    }
-
-    private static Seat loaded(List<?> f) {
-        Seat of = new Seat((int) Revisions.number(f.get(0)), new ServerId((String) f.get(1)), (String) f.get(2));
-        of.as = new Incarnation(Revisions.number(f.get(3)));
-        of.standing = Seat.Standing.valueOf((String) f.get(4));
-        of.number = Revisions.number(f.get(5));
-        of.leaseUntil = Revisions.number(f.get(6));
-        of.floorUntil = Revisions.number(f.get(7));
-        of.silent = (Boolean) f.get(8);
-        of.marked = (Boolean) f.get(9);
-        of.cause = (String) f.get(10);
-        of.acting = new RevisionId(Revisions.number(f.get(11)));
-        of.inForce = new Digest((String) f.get(12));
-        of.odd = (Boolean) f.get(13);
-        of.behindSince = Revisions.number(f.get(14));
-        of.flaps = (int) Revisions.number(f.get(15));
-        of.steadySince = Revisions.number(f.get(16));
-        of.mayReturn = Revisions.number(f.get(17));
-        of.heardWall = Revisions.number(f.get(18));
-        of.outWall = Revisions.number(f.get(19));
-        of.folded = (int) Revisions.number(f.get(20));
-        of.foldedOutdated = Revisions.number(f.get(21));
-        of.health.load((List<?>) f.get(23));
-        of.life = Revisions.number(f.get(24));
-        for (Object each : (List<?>) f.get(22)) {
-            List<?> p = (List<?>) each;
-            of.passages.add(new Passage(
-                    new Incarnation(Revisions.number(p.get(0))),
-                    new RevisionId(Revisions.number(p.get(1))),
-                    new RevisionId(Revisions.number(p.get(2))),
-                    Revisions.number(p.get(3)),
-                    Revisions.number(p.get(4)),
-                    Revisions.number(p.get(5))));
-        }
-        return of;
+    /** The whole, in parts. */
+    public void save(Consumer<SnapshotPart> to) {
+        to.accept(new SnapshotPart.Fleet(fleet, settings, now, wall, incarnations, judgedAt));
+        revisions.save(to);
+        lending.save(to);
+        seats.values().forEach(seat -> to.accept(seat.save(false)));
+        gone.forEach(seat -> to.accept(seat.save(true)));
     }
 
     /** Into a new state: what another saved. */
-    public void load(Map<?, ?> all) {
-        List<?> f = (List<?>) all.get("settings");
-        settings(
-                (String) all.get("fleet"),
-                Revisions.number(f.get(0)),
-                Revisions.number(f.get(1)),
-                Revisions.number(f.get(2)),
-                Revisions.number(f.get(3)),
-                Revisions.number(f.get(4)),
-                ((Number) f.get(5)).doubleValue(),
-                ((Number) f.get(6)).doubleValue(),
-                ((Number) f.get(7)).doubleValue(),
-                (int) Revisions.number(f.get(8)),
-                ((Number) f.get(9)).doubleValue());
-        List<?> p = (List<?>) all.get("probation");
-        probation(Revisions.number(p.get(0)), ((Number) p.get(1)).doubleValue(), ((Number) p.get(2)).doubleValue());
-        List<?> clock = (List<?>) all.get("clock");
-        judgedAt = Revisions.number(clock.get(3));
-        now = Revisions.number(clock.get(0));
-        wall = Revisions.number(clock.get(1));
-        incarnations = Revisions.number(clock.get(2));
-        revisions.load((Map<?, ?>) all.get("revisions"));
-        lending.load((List<?>) all.get("lending"));
-        lending.restored(revisions.caps(revisions.inForce()));
-        for (Object each : (List<?>) all.get("seats")) {
-            Seat of = loaded((List<?>) each);
-            seats.put(of.server, of);
-            places.put(of.place, of);
-            free.remove(of.place);
-            live += of.standing == Seat.Standing.LIVE ? 1 : 0;
-            out += of.standing == Seat.Standing.OUT ? 1 : 0;
-            if (of.marked) {
-                marked.add(of.server);
+    public void load(Iterator<SnapshotPart> from) {
+        SnapshotPart.Fleet whole = (SnapshotPart.Fleet) from.next();
+        settings(whole.fleet(), whole.settings());
+        now = whole.now();
+        wall = whole.wall();
+        incarnations = whole.incarnations();
+        judgedAt = whole.judgedAt();
+        revisions.load(from);
+        Map<TenantId, Integer> caps = caps(revisions.inForce());
+        boolean lent = true; // the shares that are lent come before the servers
+        while (from.hasNext()) {
+            SnapshotPart part = from.next();
+            if (part instanceof SnapshotPart.LentCap cap) {
+                lending.load(cap);
+            } else {
+                if (lent) {
+                    lending.restored(caps);
+                    lent = false;
+                }
+                load((SnapshotPart.Server) part);
             }
-            if (of.acting.value() > 0) {
-                lending.restored(of.place, revisions.caps(of.acting));
-            }
-            due(of);
         }
-        ((List<?>) all.get("gone")).forEach(each -> gone.add(loaded((List<?>) each)));
+        if (lent) {
+            lending.restored(caps);
+        }
+    }
+
+    private void load(SnapshotPart.Server saved) {
+        Seat seat = Seat.load(saved);
+        if (saved.gone()) {
+            gone.add(seat);
+            return;
+        }
+        seats.put(seat.server, seat);
+        places.put(seat.place, seat);
+        free.remove(seat.place);
+        live += seat.standing == Seat.Standing.LIVE ? 1 : 0;
+        out += seat.standing == Seat.Standing.OUT ? 1 : 0;
+        if (seat.marked) {
+            marked.add(seat.server);
+        }
+        if (seat.acting.value() > 0) {
+            lending.restored(seat.place, caps(seat.acting));
+        }
+        due(seat);
     }
 }
--- a/fleet/src/test/java/tallyweir/fleet/StateTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/StateTest.java
@@ -5,10 +5,18 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
 import tallyweir.ids.TenantId;
 
 /** The shared state by its own word: revisions, stragglers, places, snapshots. Times are tenths of a millisecond. */
@@ -25,54 +33,36 @@
     private Fault fault;
     private Incarnation as;
     private long lease;
-    private RevisionId wanted;
-    private RevisionId toCheck;
+    private RevisionRoot wanted;
+    private RevisionRoot toCheck;
     private Map<TenantId, Grant> shares;
     private final Incarnation[] lives = new Incarnation[8];
     private final long[] numbers = new long[8];
     private final long[] ended = new long[8];
     private final long[] bad = new long[8];
 
-    private final Answers here = new Answers() {
-        @Override
-        public void joined(Incarnation as, int places, double floorShare, long next) {
-            StateTest.this.as = as;
-            fault = null;
+    /** What the state answers, taken apart. */
+    private void apply(Command command) {
+        Answer answer = state.apply(command);
+        fault = null;
+        if (answer instanceof Answer.Joined joined) {
+            as = joined.as();
+        } else if (answer instanceof Answer.Told told) {
+            lease = told.lease();
+            wanted = told.inForce();
+            toCheck = told.toCheck();
+            shares = told.shares();
+        } else if (answer instanceof Answer.Done d) {
+            done = d.revision();
+        } else if (answer instanceof Answer.Refused refused) {
+            fault = refused.why();
         }
-
-        @Override
-        public void told(
-                long number,
-                long lease,
-                long floorLease,
-                boolean floorsFree,
-                RevisionId inForce,
-                long age,
-                RevisionId check,
-                Map<TenantId, Grant> lent,
-                long next) {
-            StateTest.this.lease = lease;
-            wanted = inForce;
-            toCheck = check;
-            shares = lent;
-            fault = null;
-        }
-
-        @Override
-        public void done(RevisionId revision) {
-            done = revision;
-            fault = null;
-        }
-
-        @Override
-        public void refused(Fault why) {
-            fault = why;
-        }
-    };
+    }
 
     @BeforeEach
     void found() {
-        state.found("f", 1, LEASE, TAIL, 10 * LEASE, BEHIND, 0, 0.5, 0.25, 6, 0, PROBATION, 2, 0.5, here);
+        apply(new Command.Found(
+                "f", new FleetSettings(1, LEASE, TAIL, 10 * LEASE, BEHIND, 0, 0.5, 0.25, 6, 0, PROBATION, 2, 0.5)));
     }
 
     private void at(long now) {
@@ -81,7 +71,7 @@
     }
 
     private void join(int i) {
-        state.join("f", new ServerId("s" + i), "at" + i, 1, here);
+        apply(new Command.Join("f", new ServerId("s" + i), "at" + i, 1));
         if (fault == null) {
             lives[i] = as;
             numbers[i] = 0;
@@ -89,7 +79,7 @@
     }
 
     private void report(int i, long acting, String digest, long checked, String cannot, Map<TenantId, Need> needs) {
-        state.report(
+        apply(new Command.Report(
                 new ServerId("s" + i),
                 lives[i],
                 ++numbers[i],
@@ -100,8 +90,7 @@
                 cannot,
                 ended[i],
                 bad[i],
-                needs,
-                here);
+                needs));
     }
 
     private void acts(int i, long revision) {
@@ -115,24 +104,36 @@
     }
 
     private String digest(long revision) {
-        return state.revision(new RevisionId(revision)).body().value() + "!";
+        return state.revision(new RevisionId(revision)).root().value();
+    }
+
+    private static final Key KEY = new Key(Kind.CAP, T.value());
+
+    private static Table table(int cap) {
+        return Table.EMPTY.apply(List.of(new Change(KEY, Optional.empty(), Optional.of(new Value.Cap(cap)))));
+    }
+
+    private static String root(int cap) {
+        return table(cap).root().value();
     }
 
     private void publish(String command, long expected, int cap) {
-        Digest d = new Digest("b" + cap);
-        state.publish(
+        apply(new Command.Publish(
                 new OperatorCommand(command),
                 new RevisionId(expected),
-                d,
-                new Body(new byte[] {(byte) cap}, Map.of(T, cap), Map.of("", new Digest("b" + cap + "!"))),
+                state.table(new RevisionId(expected)).differenceTo(table(cap)),
                 "ann",
                 "",
-                false,
-                here);
+                false));
+    }
+
+    private void rollback(String command, long expected, long to, String by, String why) {
+        apply(new Command.Rollback(
+                new OperatorCommand(command), new RevisionId(expected), new RevisionId(to), by, why, false));
     }
 
     private Seat seat(int i) {
-        return state.seats().stream()
+        return state.servers().stream()
                 .filter(s -> s.server().value().equals("s" + i))
                 .findFirst()
                 .orElseThrow();
@@ -173,7 +174,7 @@
         assertTrue(
                 state.revision(done).reasons().contains("s0: its store is unknown here"),
                 state.revision(done).reasons());
-        state.rollback(new OperatorCommand("c2"), RevisionId.NONE, done, "bob", "", false, here);
+        rollback("c2", 0, done.value(), "bob", "");
         assertInstanceOf(Fault.NoSuchRevision.class, fault);
         publish("c3", 0, 6);
         assertEquals(2, done.value(), "its number is not used again");
@@ -184,11 +185,11 @@
         for (int r = 1; r <= 20; r++) {
             publish("c" + r, r - 1, r % 3);
         }
-        state.rollback(new OperatorCommand("back"), new RevisionId(20), new RevisionId(2), "bob", "worse", false, here);
+        rollback("back", 20, 2, "bob", "worse");
         assertEquals(21, state.inForce().value());
         assertEquals(Map.of(T, 2), state.caps());
         assertEquals(2, state.revision(done).of().value());
-        state.rollback(new OperatorCommand("late"), new RevisionId(20), new RevisionId(3), "eve", "", false, here);
+        rollback("late", 20, 3, "eve", "");
         assertEquals("bob", ((Fault.LostRace) fault).by());
     }
 
@@ -221,19 +222,18 @@
         acts(0, 1);
         assertTrue(lease > 0);
         assertEquals(Seat.Standing.LIVE, seat(0).standing());
-        state.report(
+        apply(new Command.Report(
                 new ServerId("s0"),
                 before,
                 99,
                 new RevisionId(1),
-                new Digest("b5!"),
+                new Digest(root(5)),
                 0,
                 RevisionId.NONE,
                 "",
                 0,
                 0,
-                Map.of(),
-                here);
+                Map.of()));
         assertInstanceOf(Fault.ShutOut.class, fault, "what an earlier life says");
     }
 
@@ -263,9 +263,9 @@
     void noMoreThanTheSetShareIsShutOutAtOnceAndTheRestIsMarked() {
         live(4);
         at(LEASE + 1);
-        state.tick();
+        apply(new Command.Tick());
         assertEquals(2, state.out());
-        assertEquals(2, state.seats().stream().filter(Seat::marked).count());
+        assertEquals(2, state.servers().stream().filter(Seat::marked).count());
         for (int i = 0; i < 4; i++) {
             if (seat(i).standing() == Seat.Standing.LIVE) {
                 acts(i, 0);
@@ -280,15 +280,15 @@
         publish("c1", 0, 4);
         acts(0, 0);
         acts(1, 0);
-        report(0, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+        report(0, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
         assertEquals(4, shares.get(T).granted());
         for (long t = 100; t < LEASE + TAIL; t += 100) {
             at(t);
-            report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+            report(1, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
             assertEquals(0, shares.get(T).granted(), "at " + t);
         }
         at(LEASE + TAIL);
-        report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+        report(1, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
         assertEquals(4, shares.get(T).granted());
     }
 
@@ -298,11 +298,11 @@
         publish("c1", 0, 4);
         acts(0, 0);
         acts(1, 0);
-        report(0, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
-        state.join("f", new ServerId("s0"), "elsewhere", 2, here);
+        report(0, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
+        apply(new Command.Join("f", new ServerId("s0"), "elsewhere", 2));
         assertEquals("at0", ((Fault.NameTaken) fault).listen());
-        state.join("f", new ServerId("s0"), "at0", 2, here);
-        report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+        apply(new Command.Join("f", new ServerId("s0"), "at0", 2));
+        report(1, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
         assertEquals(4, shares.get(T).granted());
     }
 
@@ -350,21 +350,21 @@
         publish("c1", 0, 4);
         acts(0, 0);
         acts(1, 0);
-        state.join("f", new ServerId("s0"), "at0", 5, here);
+        apply(new Command.Join("f", new ServerId("s0"), "at0", 5));
         lives[0] = as;
         numbers[0] = 0;
-        report(0, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+        report(0, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
         assertEquals(4, shares.get(T).granted());
         for (long late : new long[] {5, 3}) { // its own word again, and one of a process before it
-            state.join("f", new ServerId("s0"), "at0", late, here);
-            report(1, 1, "b4!", 1, "", Map.of(T, new Need(0, 4)));
+            apply(new Command.Join("f", new ServerId("s0"), "at0", late));
+            report(1, 1, root(4), 1, "", Map.of(T, new Need(0, 4)));
             assertEquals(0, shares.get(T).granted(), "life " + late);
         }
     }
 
     @Test
     void strangersAndTooManyAreTurnedDown() {
-        state.join("g", new ServerId("x"), "at", 1, here);
+        apply(new Command.Join("g", new ServerId("x"), "at", 1));
         assertEquals("f", ((Fault.Stranger) fault).ours());
         for (int i = 0; i < 6; i++) {
             join(i);
@@ -372,7 +372,7 @@
         }
         join(6);
         assertInstanceOf(Fault.NoPlace.class, fault);
-        state.leave(new ServerId("s3"), lives[3], here);
+        apply(new Command.Leave(new ServerId("s3"), lives[3]));
         join(6);
         assertEquals(null, fault, "who leaves in order makes room at once");
     }
@@ -383,14 +383,14 @@
         publish("c1", 0, 10);
         for (int i = 0; i < 4; i++) {
             report(i, 0, "", 1, "", Map.of());
-            report(i, 1, "b10!", 1, "", Map.of(T, new Need(0, 6)));
+            report(i, 1, root(10), 1, "", Map.of(T, new Need(0, 6)));
         }
         publish("c2", 1, 7);
         acts(0, 1);
         State other = new State();
-        other.load(state.save());
+        other.load(parts(state).iterator());
         for (int turn = 0; turn < 40; turn++) {
-            assertEquals(text(state.save()), text(other.save()), "after " + turn);
+            assertEquals(parts(state), parts(other), "after " + turn);
             State one = state;
             long[] kept = numbers.clone();
             act(turn);
@@ -405,19 +405,12 @@
     private void act(int turn) {
         at(1_000L + turn * 110);
         int i = 1 + turn % 3;
-        report(i, turn < 10 ? 1 : 2, turn < 10 ? "b10!" : "b7!", 2, "", Map.of(T, new Need(turn % 3, turn % 7)));
+        report(i, turn < 10 ? 1 : 2, turn < 10 ? root(10) : root(7), 2, "", Map.of(T, new Need(turn % 3, turn % 7)));
     }
 
-    private static String text(Object of) {
-        return of instanceof byte[] b
-                ? java.util.Arrays.toString(b)
-                : of instanceof Map<?, ?> m
-                        ? m.entrySet().stream()
-                                .map(e -> e.getKey() + "=" + text(e.getValue()))
-                                .toList()
-                                .toString()
-                        : of instanceof java.util.List<?> l
-                                ? l.stream().map(StateTest::text).toList().toString()
-                                : String.valueOf(of);
+    private static List<SnapshotPart> parts(State of) {
+        List<SnapshotPart> parts = new ArrayList<>();
+        of.save(parts::add);
+        return parts;
     }
 }
