--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -9,8 +9,8 @@
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.FleetClient;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.Shelf;
@@ -170,7 +170,7 @@
      * @param without guards that are off, for checks only
      */
     public void seat(
-            Way way,
+            FleetClient client,
             Executor deciding,
             String listen,
             long linger,
@@ -180,7 +180,7 @@
             long life,
             Set<Guard> without) {
         queries.seat(new FleetSeat(
-                queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now, life,
+                queries, links, deadlines, client, deciding, name, listen, linger, again, backWhole, seed, now, life,
                 without));
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -60,7 +60,7 @@
     private long bad;
     private final Map<WorkloadId, Long> expected;
     private final SplittableRandom routing;
-    private Routes routes = Routes.NONE;
+    private Routes routes; // null where this server is in no fleet
     private FleetSeat fleet; // null where this server is in none
 
     Queries(
@@ -135,6 +135,7 @@
     /** This server is in a fleet. */
     void seat(FleetSeat seat) {
         fleet = seat;
+        routes = Routes.none(workloads.keySet());
         counters.also("fleet_", seat::counts);
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Routes.java
+++ b/daemon/src/main/java/tallyweir/backend/Routes.java
@@ -15,9 +15,6 @@
  * built beside the deciding thread; a query keeps the store that it was given at read until its end.
  */
 final class Routes {
-    /** Under no revision: each server calls where it was configured to. */
-    static final Routes NONE = new Routes(Table.EMPTY, Set.of(), 0, StoreGroup.EMPTY, Map.of(), Map.of());
-
     private final Table table;
     private final Set<WorkloadId> own;
     private final int size; // stores in all
@@ -25,6 +22,7 @@
     private final Map<WorkloadId, StoreGroup> ofSome; // those for some, by the workloads of this server
     private final Map<WorkloadId, Integer> unknown; // how many stores name workloads that are not of this server
 
+    /** For {@link RoutesBuilder}. */
     Routes(
             Table table,
             Set<WorkloadId> own,
@@ -40,9 +38,14 @@
         this.unknown = unknown;
     }
 
+    /** Under no revision: each server calls where it was configured to. */
+    static Routes none(Set<WorkloadId> own) {
+        return new Routes(Table.EMPTY, Set.copyOf(own), 0, StoreGroup.EMPTY, Map.of(), Map.of());
+    }
+
     /** Those of a whole table, for a server with these workloads; this walks the table. */
     static Routes of(Table table, Set<WorkloadId> own) {
-        RoutesBuilder builder = new RoutesBuilder(own);
+        RoutesBuilder builder = new RoutesBuilder(none(own));
         table.forEach(entry -> builder.add(entry.key(), entry.value()));
         return builder.build(table);
     }
--- a/daemon/src/main/java/tallyweir/backend/RoutesBuilder.java
+++ b/daemon/src/main/java/tallyweir/backend/RoutesBuilder.java
@@ -32,12 +32,7 @@
     private final Map<WorkloadId, Integer> unknown = new HashMap<>();
     private int size;
 
-    /** From nothing, for a server with these workloads. */
-    RoutesBuilder(Set<WorkloadId> own) {
-        this(new Routes(Table.EMPTY, Set.copyOf(own), 0, StoreGroup.EMPTY, Map.of(), Map.of()));
-    }
-
-    /** From others, for the same server. */
+    /** @param before what they are made of, for the same server */
     RoutesBuilder(Routes before) {
         this.before = before;
         own = before.own();
--- a/daemon/src/main/java/tallyweir/backend/Peers.java
+++ b/daemon/src/main/java/tallyweir/backend/ServerEntries.java
@@ -10,17 +10,24 @@
 import tallyweir.fleet.table.Value;
 
 /**
- * Who a server talks to under a revision.
+ * What a revision says about one server, beside its routes and caps.
  *
  * @param table of the revision
- * @param kernel of this server, null for the one that it was configured with
+ * @param kernel of the server, null for the one that it was configured with
  * @param announce the announce service, null for the one that it was configured with
+ * @param standsBack whether the server is to turn new queries away and be announced no more
  */
-record Peers(Table table, InetSocketAddress kernel, InetSocketAddress announce) {
-    /** Those of the server of this name. */
-    static Peers of(Table table, String server) {
-        return new Peers(
-                table, address(table, new Key(Kind.KERNEL, server)), address(table, new Key(Kind.ANNOUNCE, "")));
+record ServerEntries(Table table, InetSocketAddress kernel, InetSocketAddress announce, boolean standsBack) {
+    /** Under no revision. */
+    static final ServerEntries NONE = new ServerEntries(Table.EMPTY, null, null, false);
+
+    /** Those of the server of this name; found by their keys, however large the table is. */
+    static ServerEntries of(Table table, String server) {
+        return new ServerEntries(
+                table,
+                address(table, new Key(Kind.KERNEL, server)),
+                address(table, new Key(Kind.ANNOUNCE, "")),
+                table.get(new Key(Kind.STAND_BACK, server)).isPresent());
     }
 
     private static InetSocketAddress address(Table table, Key key) {
@@ -35,8 +42,8 @@
         }
     }
 
-    /** Whether both are reached where the others are. */
-    boolean sameAddresses(Peers other) {
+    /** Whether kernel and announce service are reached where the others say. */
+    boolean sameAddresses(ServerEntries other) {
         return Objects.equals(kernel, other.kernel) && Objects.equals(announce, other.announce);
     }
 }
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -14,8 +14,10 @@
 import java.util.Set;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
-import tallyweir.fleet.Seating;
-import tallyweir.fleet.Way;
+import tallyweir.fleet.FleetClient;
+import tallyweir.fleet.FleetClients;
+import tallyweir.fleet.FleetSettings;
+import tallyweir.fleet.Guard;
 import tallyweir.results.DurableShelf;
 import tallyweir.results.Settling;
 
@@ -117,13 +119,14 @@
         return fleet.text("when_out", "serve").equals("stand_back");
     }
 
-    /** Opens the way to the fleet; longestHard is how long any query is open at the most. */
-    public Way openFleet(Seating seating, String self, long longestHard) {
-        return seating.open(
-                fleetName(),
-                voters(),
-                self,
-                fleet.text("dir", ""),
+    /** Opens this server's client of the fleet; longestHard is how long any query is open at the most. */
+    public FleetClient openFleet(FleetClients clients, String self, long longestHard, Set<Guard> without) {
+        return clients.open(fleetName(), voters(), self, fleet.text("dir", ""), fleetSettings(longestHard), without);
+    }
+
+    /** What the fleet goes by; longestHard is how long any query is open at the most. */
+    public FleetSettings fleetSettings(long longestHard) {
+        return new FleetSettings(
                 fleet.whole("settings_version", 1, 1 << 30, 1),
                 lease(),
                 longestHard + linger(),
@@ -179,26 +182,8 @@
         });
         lease();
         linger();
-        openFleet(
-                (name,
-                        voters,
-                        self,
-                        dir,
-                        version,
-                        lease,
-                        tail,
-                        floorLease,
-                        behindMost,
-                        drift,
-                        mostOut,
-                        mostCannot,
-                        serversMost,
-                        floorShare,
-                        probation,
-                        worseRatio,
-                        sickShare) -> null,
-                "",
-                0);
+        fleetSettings(0);
+        fleet.text("dir", "");
     }
 
     /** Whether there is to be a store. */
--- a/daemon/src/test/java/tallyweir/backend/RoutesTest.java
+++ b/daemon/src/test/java/tallyweir/backend/RoutesTest.java
@@ -72,7 +72,7 @@
         assertEquals(0.5, drawn.get("1.0.0.2") / 1e5, 0.01);
         assertEquals(0.2, drawn.get("1.0.0.3") / 1e5, 0.01);
         assertEquals(2, routes.stores(B).size());
-        assertNull(Routes.NONE.store(A, chance));
+        assertNull(Routes.none(OWN).store(A, chance));
         assertNull(routes("{\"stores\":[{\"address\":\"1.0.0.1:1\",\"workloads\":[\"a\"]}]}")
                 .store(B, chance));
     }
