Table as a persistent hash tree with a compact codec and differences

Need: a table was a sorted map, so each change copied all entries and a root or a difference read all of them. A change rebuilds the paths that it touches, a difference walks only what has another digest. Keys, values, entries and changes turn down what is out of range or too long with EntryFaulty, as does EntryCodec any bytes that are not the one encoding of a list.

--- a/fleet/src/main/java/tallyweir/fleet/table/Key.java
+++ b/fleet/src/main/java/tallyweir/fleet/table/Key.java
@@ -9,6 +9,11 @@
 
     private static final Comparator<Key> ORDER = Comparator.comparing(Key::kind).thenComparing(Key::name);
 
+    /** Throws {@link tallyweir.fleet.Fault.EntryFaulty} if the name is too long or has no UTF-8 encoding. */
+    public Key {
+        Limits.text("name", name, NAME_BYTES_MOST);
+    }
+
     @Override
     public int compareTo(Key other) {
         return ORDER.compare(this, other);
--- /dev/null
+++ b/fleet/src/test/java/tallyweir/fleet/table/EntryCodecTest.java
@@ -0,0 +1,170 @@
+package tallyweir.fleet.table;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetException;
+
+class EntryCodecTest {
+    private static final Key STORE = new Key(Kind.STORE, "10.0.0.1:7000 alpha,beta");
+    private static final List<Entry> ENTRIES = List.of(
+            new Entry(STORE, new Value.Weight(1)),
+            new Entry(new Key(Kind.STORE, "10.0.0.2:7000"), new Value.Weight(1000)),
+            new Entry(new Key(Kind.ANNOUNCE, ""), new Value.Address("10.0.0.3", 65_535)),
+            new Entry(new Key(Kind.KERNEL, "server-1"), new Value.Address("::1", 1)),
+            new Entry(new Key(Kind.CAP, "tenant-\u00e9\u4e2d\ud83d\ude00"), new Value.Cap(0)),
+            new Entry(new Key(Kind.CAP, "a".repeat(255)), new Value.Cap(1 << 24)),
+            new Entry(new Key(Kind.STAND_BACK, "server-2"), new Value.Present()));
+
+    @Test
+    void entriesComeBackAsTheyWere() {
+        assertEquals(ENTRIES, EntryCodec.entries(EntryCodec.entries(ENTRIES)));
+        assertEquals(List.of(), EntryCodec.entries(EntryCodec.entries(List.of())));
+    }
+
+    @Property(tries = 200, seed = "21")
+    void changesComeBackAsTheyWere(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Change> changes = new ArrayList<>();
+        for (int i = random.nextInt(50); i > 0; i--) {
+            Key key = TestTables.randomKey(random, 50);
+            changes.add(new Change(key, randomSide(random, key), randomSide(random, key)));
+        }
+        assertEquals(changes, EntryCodec.changes(EntryCodec.changes(changes)));
+    }
+
+    /** Whatever the bytes are, they are either the only encoding of what is read from them, or a faulty entry. */
+    @Property(tries = 300, seed = "22")
+    void damagedBytesAreFaultyOrMeanSomethingElse(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        byte[] entries = EntryCodec.entries(ENTRIES);
+        byte[] changes =
+                EntryCodec.changes(List.of(changeOfStore(), changeOfStore().inverse()));
+        entries[random.nextInt(entries.length)] = (byte) random.nextInt(256);
+        changes[random.nextInt(changes.length)] = (byte) random.nextInt(256);
+        try {
+            assertArrayEquals(entries, EntryCodec.entries(EntryCodec.entries(entries)));
+            assertArrayEquals(changes, EntryCodec.changes(EntryCodec.changes(changes)));
+        } catch (FleetException e) {
+            assertTrue(e.fault() instanceof Fault.EntryFaulty);
+        }
+    }
+
+    @Test
+    void anythingCutShortOrTooLongIsFaulty() {
+        byte[] entries = EntryCodec.entries(ENTRIES);
+        byte[] changes = EntryCodec.changes(List.of(changeOfStore()));
+        for (int length = 0; length < entries.length; length++) {
+            byte[] cut = Arrays.copyOf(entries, length);
+            assertFaulty(() -> EntryCodec.entries(cut));
+        }
+        for (int length = 0; length < changes.length; length++) {
+            byte[] cut = Arrays.copyOf(changes, length);
+            assertFaulty(() -> EntryCodec.changes(cut));
+        }
+        assertFaulty(() -> EntryCodec.entries(Arrays.copyOf(entries, entries.length + 1)));
+        assertFaulty(() -> EntryCodec.changes(Arrays.copyOf(changes, changes.length + 1)));
+    }
+
+    @Test
+    void unknownKindsAreFaulty() {
+        for (int code : new int[] {0, 6, 127, 255}) {
+            assertFaultyEntry(code, 1, 'a', 1);
+        }
+    }
+
+    @Test
+    void valuesOutOfRangeAreFaulty() {
+        assertFaulty(() -> new Value.Weight(0));
+        assertFaulty(() -> new Value.Weight(1001));
+        assertFaulty(() -> new Value.Cap(-1));
+        assertFaulty(() -> new Value.Cap((1 << 24) + 1));
+        assertFaulty(() -> new Value.Address("10.0.0.1", 0));
+        assertFaulty(() -> new Value.Address("10.0.0.1", 65_536));
+        assertFaulty(() -> new Value.Address("a".repeat(256), 1));
+        assertFaultyEntry(Kind.STORE.code(), 1, 'a', 0);
+        assertFaultyEntry(Kind.STORE.code(), 1, 'a', 0xE9, 0x07);
+        assertFaultyEntry(Kind.CAP.code(), 1, 'a', 0x81, 0x80, 0x80, 0x08);
+        assertFaultyEntry(Kind.KERNEL.code(), 1, 'a', 1, 'h', 0);
+        assertFaultyEntry(Kind.KERNEL.code(), 1, 'a', 1, 'h', 0x80, 0x80, 0x04);
+    }
+
+    @Test
+    void numbersHaveOneEncodingOnly() {
+        assertFaultyEntry(Kind.CAP.code(), 1, 'a', 0x81, 0x00);
+        assertFaultyEntry(Kind.CAP.code(), 1, 'a', 0xFF, 0xFF, 0xFF, 0xFF, 0x0F);
+        assertFaultyEntry(Kind.CAP.code(), 1, 'a', 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0x01);
+        assertFaultyEntry(Kind.CAP.code(), 0xFF, 0xFF, 0xFF, 0xFF, 0x07, 'a', 1);
+    }
+
+    @Test
+    void namesTooLongOrNotTextAreFaulty() {
+        assertFaulty(() -> new Key(Kind.CAP, "a".repeat(256)));
+        assertFaulty(() -> new Key(Kind.CAP, "\u00e9".repeat(128)));
+        assertFaulty(() -> new Key(Kind.CAP, "\ud800"));
+        assertFaultyEntry(Kind.CAP.code(), 1, 0xFF, 1);
+        assertFaultyEntry(Kind.CAP.code(), 2, 0xC0, 0x80, 1);
+        byte[] long256 = new byte[262];
+        Arrays.fill(long256, (byte) 'a');
+        long256[0] = 1;
+        long256[1] = (byte) Kind.CAP.code();
+        long256[2] = (byte) 0x80;
+        long256[3] = 2;
+        assertFaulty(() -> EntryCodec.entries(long256));
+    }
+
+    @Test
+    void moreAnnouncedThanBytesIsFaulty() {
+        assertFaulty(() -> EntryCodec.entries(new byte[] {(byte) 0xFF, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, 0x07}));
+        assertFaulty(() -> EntryCodec.changes(new byte[] {5}));
+    }
+
+    @Test
+    void aChangeWithUnknownPartsIsFaulty() {
+        byte[] changes = EntryCodec.changes(List.of(TestTables.remove(new Key(Kind.CAP, "a"))));
+        changes[changes.length - 1] = 4;
+        assertFaulty(() -> EntryCodec.changes(changes));
+    }
+
+    @Test
+    void aValueOfAnotherKindIsFaulty() {
+        assertFaulty(() -> new Entry(STORE, new Value.Cap(1)));
+        assertFaulty(() -> new Change(STORE, Optional.of(new Value.Present()), Optional.empty()));
+        assertFaulty(() -> new Change(STORE, Optional.empty(), Optional.of(new Value.Address("h", 1))));
+    }
+
+    private static Change changeOfStore() {
+        return new Change(STORE, Optional.of(new Value.Weight(3)), Optional.empty());
+    }
+
+    private static Optional<Value> randomSide(SplittableRandom random, Key key) {
+        return random.nextBoolean() ? Optional.of(TestTables.randomValue(random, key.kind())) : Optional.empty();
+    }
+
+    /** One entry of these bytes; without the fault of a test it would be a good one. */
+    private static void assertFaultyEntry(int... bytes) {
+        byte[] encoded = new byte[bytes.length + 1];
+        encoded[0] = 1;
+        for (int i = 0; i < bytes.length; i++) {
+            encoded[i + 1] = (byte) bytes[i];
+        }
+        assertFaulty(() -> EntryCodec.entries(encoded));
+    }
+
+    private static void assertFaulty(Executable code) {
+        FleetException thrown = assertThrows(FleetException.class, code);
+        assertTrue(thrown.fault() instanceof Fault.EntryFaulty, thrown.fault().toString());
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tallyweir/fleet/table/TableTest.java
@@ -0,0 +1,229 @@
+package tallyweir.fleet.table;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** {@link Table} beside a plain sorted map, with hashes that collide and hashes that do not. */
+class TableTest {
+    private static final List<KeyHashing> HASHINGS = List.of(
+            KeyHashing.SHA_256,
+            TestTables.collidingAfter(0),
+            TestTables.collidingAfter(2),
+            TestTables.differingInLastDigit());
+
+    @Property(tries = 200, seed = "11")
+    void holdsWhatAPlainMapHolds(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 400) int names,
+            @ForAll @IntRange(min = 0, max = 3) int hashing) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Map<Key, Value> model = new TreeMap<>();
+        Table table = Table.empty(HASHINGS.get(hashing));
+        for (int round = 0; round < 8; round++) {
+            List<Change> changes = TestTables.randomChanges(random, random.nextInt(150), names);
+            TestTables.applyToModel(model, changes);
+            table = table.apply(changes);
+            assertEquals(model.size(), table.size());
+            assertEquals(model, TestTables.entriesOf(table));
+            Key asked = TestTables.randomKey(random, names);
+            assertEquals(Optional.ofNullable(model.get(asked)), table.get(asked));
+        }
+        for (Map.Entry<Key, Value> entry : model.entrySet()) {
+            assertEquals(Optional.of(entry.getValue()), table.get(entry.getKey()));
+        }
+    }
+
+    @Property(tries = 150, seed = "12")
+    void rootAndShapeDependOnTheEntriesOnly(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 300) int names,
+            @ForAll @IntRange(min = 0, max = 3) int hashing) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Table empty = Table.empty(HASHINGS.get(hashing));
+        Table grown = empty;
+        for (int round = 0; round < 6; round++) {
+            grown = grown.apply(TestTables.randomChanges(random, random.nextInt(200), names));
+        }
+        List<Change> shuffled = new ArrayList<>();
+        grown.forEach(entry -> shuffled.add(TestTables.put(entry.key(), entry.value())));
+        Collections.shuffle(shuffled, new Random(seed));
+        Table oneByOne = empty;
+        for (Change change : shuffled) {
+            oneByOne = oneByOne.apply(List.of(change));
+        }
+        assertEquals(grown.root(), oneByOne.root());
+        assertEquals(grown.root(), empty.apply(shuffled).root());
+        assertSameShape(grown.rootNode(), oneByOne.rootNode(), 0);
+        assertEquals(orderOf(grown), orderOf(oneByOne));
+    }
+
+    @Property(tries = 200, seed = "13")
+    void differenceLeadsThereAndItsInverseBack(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 300) int names,
+            @ForAll @IntRange(min = 0, max = 3) int hashing) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Table empty = Table.empty(HASHINGS.get(hashing));
+        Table before = empty.apply(TestTables.randomChanges(random, random.nextInt(600), names));
+        Table after = random.nextInt(4) == 0
+                ? empty.apply(TestTables.randomChanges(random, random.nextInt(600), names))
+                : before.apply(TestTables.randomChanges(random, random.nextInt(40), names));
+        List<Change> difference = before.differenceTo(after);
+        assertEquals(modelDifference(before, after), byKey(difference));
+        assertEquals(after, before.apply(difference));
+        List<Change> back = difference.stream().map(Change::inverse).toList();
+        assertEquals(before, after.apply(back));
+        assertEquals(Optional.of(difference), before.differenceTo(after, difference.size()));
+        if (!difference.isEmpty()) {
+            assertEquals(Optional.empty(), before.differenceTo(after, difference.size() - 1));
+            assertNotEquals(before.root(), after.root());
+        }
+    }
+
+    @Test
+    void changesWithoutEffectGiveTheSameTable() {
+        Table table = Table.EMPTY.apply(TestTables.caps(0, 5_000, 7));
+        assertSame(table, table.apply(List.of()));
+        assertSame(table, table.apply(TestTables.caps(100, 200, 7)));
+        assertSame(table, table.apply(List.of(TestTables.remove(TestTables.cap(5_001)))));
+        assertSame(Table.EMPTY, Table.EMPTY.apply(List.of(TestTables.remove(TestTables.cap(1)))));
+    }
+
+    @Test
+    void ofSeveralChangesOfOneKeyTheLastCounts() {
+        Key key = TestTables.cap(1);
+        Change one = TestTables.put(key, new Value.Cap(1));
+        Change two = TestTables.put(key, new Value.Cap(2));
+        assertEquals(
+                Optional.of(new Value.Cap(2)),
+                Table.EMPTY.apply(List.of(one, two)).get(key));
+        assertEquals(
+                0, Table.EMPTY.apply(List.of(one, two, TestTables.remove(key))).size());
+    }
+
+    @Test
+    void removingAllLeavesTheEmptyTable() {
+        Table table = Table.EMPTY.apply(TestTables.caps(0, 3_000, 7));
+        List<Change> removals = Table.EMPTY.differenceTo(table).stream()
+                .map(change -> TestTables.remove(change.key()))
+                .toList();
+        Table emptied = table.apply(removals);
+        assertEquals(Table.EMPTY, emptied);
+        assertSame(Leaf.EMPTY, emptied.rootNode());
+    }
+
+    @Test
+    void aLeafIsSplitAtItsLimitAndJoinedAgain() {
+        Table full = Table.EMPTY.apply(TestTables.caps(0, Leaf.ENTRIES_MOST, 7));
+        assertTrue(full.rootNode() instanceof Leaf);
+        Table split = full.apply(TestTables.caps(Leaf.ENTRIES_MOST, Leaf.ENTRIES_MOST + 1, 7));
+        assertTrue(split.rootNode() instanceof Branch);
+        Table joined = split.apply(List.of(TestTables.remove(TestTables.cap(Leaf.ENTRIES_MOST))));
+        assertTrue(joined.rootNode() instanceof Leaf);
+        assertEquals(full, joined);
+    }
+
+    @Test
+    void keysOfEqualHashesShareOneLeafAtTheGreatestDepth() {
+        Table table = Table.empty(TestTables.collidingAfter(0)).apply(TestTables.caps(0, 100, 7));
+        Node node = table.rootNode();
+        for (int depth = 0; depth < Hash256.DIGITS; depth++) {
+            assertTrue(node instanceof Branch, "depth " + depth);
+            node = node.child(0, depth, table.hashing());
+        }
+        assertTrue(node instanceof Leaf);
+        assertEquals(100, node.count());
+    }
+
+    @Test
+    void aChangeMakesNewNodesOnItsPathOnly() {
+        Table before = Table.EMPTY.apply(TestTables.caps(0, 20_000, 7));
+        Set<Node> known = nodesOf(before);
+        Table after = before.apply(TestTables.caps(1_234, 1_235, 8));
+        Set<Node> made = nodesOf(after);
+        made.removeAll(known);
+        assertTrue(made.size() <= 5, "new nodes: " + made.size() + " of " + known.size());
+        assertTrue(known.size() > 1_000, "nodes: " + known.size());
+    }
+
+    @Test
+    void theEmptyTableHasItsOwnRoot() {
+        assertEquals(64, Table.EMPTY.root().value().length());
+        assertNotEquals(Table.EMPTY, Table.EMPTY.apply(TestTables.caps(0, 1, 7)));
+    }
+
+    private static void assertSameShape(Node one, Node other, int depth) {
+        assertEquals(one.getClass(), other.getClass());
+        assertEquals(one.count(), other.count());
+        assertEquals(one.digest(), other.digest());
+        if (one instanceof Branch branch) {
+            assertTrue(branch.count() > Leaf.ENTRIES_MOST);
+            for (int digit = 0; digit < Branch.FAN_OUT; digit++) {
+                assertSameShape(branch.child(digit), ((Branch) other).child(digit), depth + 1);
+            }
+        } else {
+            assertTrue(one.count() <= Leaf.ENTRIES_MOST || depth == Hash256.DIGITS);
+        }
+    }
+
+    private static Map<Key, Change> modelDifference(Table before, Table after) {
+        Map<Key, Value> from = TestTables.entriesOf(before);
+        Map<Key, Value> to = TestTables.entriesOf(after);
+        Map<Key, Value> both = new TreeMap<>(from);
+        both.putAll(to);
+        Map<Key, Change> differing = new TreeMap<>();
+        for (Key key : both.keySet()) {
+            Optional<Value> was = Optional.ofNullable(from.get(key));
+            Optional<Value> is = Optional.ofNullable(to.get(key));
+            if (!was.equals(is)) {
+                differing.put(key, new Change(key, was, is));
+            }
+        }
+        return differing;
+    }
+
+    private static Map<Key, Change> byKey(List<Change> changes) {
+        Map<Key, Change> byKey = new TreeMap<>();
+        changes.forEach(change -> byKey.put(change.key(), change));
+        assertEquals(changes.size(), byKey.size());
+        return byKey;
+    }
+
+    private static List<Entry> orderOf(Table table) {
+        List<Entry> entries = new ArrayList<>();
+        table.forEach(entries::add);
+        return entries;
+    }
+
+    private static Set<Node> nodesOf(Table table) {
+        Set<Node> nodes = Collections.newSetFromMap(new IdentityHashMap<>());
+        collect(table.rootNode(), nodes);
+        return nodes;
+    }
+
+    private static void collect(Node node, Set<Node> to) {
+        to.add(node);
+        if (node instanceof Branch branch) {
+            for (int digit = 0; digit < Branch.FAN_OUT; digit++) {
+                collect(branch.child(digit), to);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/tallyweir/fleet/table/TestTables.java
@@ -0,0 +1,88 @@
+package tallyweir.fleet.table;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** Entries, changes and tables for tests. */
+final class TestTables {
+    private TestTables() {}
+
+    static Key cap(int tenant) {
+        return new Key(Kind.CAP, String.format("tenant-%06d", tenant));
+    }
+
+    static Change put(Key key, Value value) {
+        return new Change(key, Optional.empty(), Optional.of(value));
+    }
+
+    static Change remove(Key key) {
+        return new Change(key, Optional.empty(), Optional.empty());
+    }
+
+    /** Caps of the tenants from one number up to, but without, another. */
+    static List<Change> caps(int from, int to, int connections) {
+        List<Change> changes = new ArrayList<>();
+        for (int tenant = from; tenant < to; tenant++) {
+            changes.add(put(cap(tenant), new Value.Cap(connections)));
+        }
+        return changes;
+    }
+
+    /** A key of any kind, out of a few for each. */
+    static Key randomKey(SplittableRandom random, int names) {
+        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        String name = "name-" + random.nextInt(names);
+        return new Key(kind, kind == Kind.ANNOUNCE ? "" : name);
+    }
+
+    static Value randomValue(SplittableRandom random, Kind kind) {
+        return switch (kind) {
+            case STORE -> new Value.Weight(1 + random.nextInt(1000));
+            case ANNOUNCE, KERNEL -> new Value.Address("10.0.0." + random.nextInt(250), 1 + random.nextInt(65_535));
+            case CAP -> new Value.Cap(random.nextInt(300));
+            case STAND_BACK -> new Value.Present();
+        };
+    }
+
+    /** Puts and removals in any order, some of the same key. */
+    static List<Change> randomChanges(SplittableRandom random, int count, int names) {
+        List<Change> changes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Key key = randomKey(random, names);
+            changes.add(random.nextInt(3) == 0 ? remove(key) : put(key, randomValue(random, key.kind())));
+        }
+        return changes;
+    }
+
+    /** Makes changes in the plain model of a table. */
+    static void applyToModel(Map<Key, Value> model, List<Change> changes) {
+        for (Change change : changes) {
+            change.after().ifPresentOrElse(value -> model.put(change.key(), value), () -> model.remove(change.key()));
+        }
+    }
+
+    static Map<Key, Value> entriesOf(Table table) {
+        Map<Key, Value> entries = new TreeMap<>();
+        table.forEach(entry -> entries.put(entry.key(), entry.value()));
+        return entries;
+    }
+
+    /** A hashing of which only some first digits differ between keys, so that they collide further down. */
+    static KeyHashing collidingAfter(int digits) {
+        return (bytes, from, to) -> {
+            long first = Sha256.of(bytes, from, to).first();
+            int shift = Long.SIZE - 4 * digits;
+            return new Hash256(digits == 0 ? 0 : first >>> shift << shift, 0, 0, 0);
+        };
+    }
+
+    /** A hashing of which only the last digit differs between keys. */
+    static KeyHashing differingInLastDigit() {
+        return (bytes, from, to) ->
+                new Hash256(0, 0, 0, Sha256.of(bytes, from, to).first() & 15);
+    }
+}
