Fleet commands in a file each; change by key; stores' addresses as bytes

Need: FleetCommand held every subcommand; an operator could only publish a whole revision; 31,000 routes took 3 MB in address objects. Change: a class a subcommand; change FILE sends the difference alone and waits while it is queued; StoreGroup keeps addresses as bytes; FleetMemoryTest holds the parts of 31,000 routes and 400,000 caps against 16 MB.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -163,6 +163,7 @@
     /**
      * This server is in a fleet; before it starts.
      *
+     * @param fleet its name
      * @param linger how long a connection counts for a tenant after its last query
      * @param again how long it waits at the least before it asks again what was not answered
      * @param backWhole whether it stands back whole while it is out
@@ -171,6 +172,7 @@
      */
     public void seat(
             FleetClient client,
+            String fleet,
             Executor deciding,
             String listen,
             long linger,
@@ -180,7 +182,7 @@
             long life,
             Set<Guard> without) {
         queries.seat(new FleetSeat(
-                queries, links, deadlines, client, deciding, name, listen, linger, again, backWhole, seed, now, life,
+                queries, links, deadlines, client, fleet, deciding, name, listen, linger, again, backWhole, seed, now, life,
                 without));
     }
 
--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -36,6 +36,7 @@
     private final Queries queries;
     private final Deadlines deadlines;
     private final FleetClient client;
+    private final String fleet; // its name
     private final Executor deciding;
     private final Gate gate;
     private final Member member;
@@ -57,6 +58,7 @@
             Links links,
             Deadlines deadlines,
             FleetClient client,
+            String fleet,
             Executor deciding,
             String name,
             String listen,
@@ -71,6 +73,7 @@
         this.queries = queries;
         this.deadlines = deadlines;
         this.client = client;
+        this.fleet = fleet;
         this.deciding = deciding;
         this.name = name;
         whole = !without.contains(Guard.WHOLE);
@@ -164,7 +167,7 @@
 
     @Override
     public void join(ServerId server, String listen) {
-        send(new Command.Join(client.fleet(), server, listen, life));
+        send(new Command.Join(fleet, server, listen, life));
     }
 
     @Override
--- a/daemon/src/main/java/tallyweir/backend/RevisionParts.java
+++ b/daemon/src/main/java/tallyweir/backend/RevisionParts.java
@@ -2,14 +2,12 @@
 
 import tallyweir.fleet.Digest;
 import tallyweir.fleet.Gate;
-import tallyweir.fleet.table.Table;
 
 /** The parts of this server that go by a revision. They are exchanged together, between two rounds of the deciding thread. */
 final class RevisionParts {
     private final Queries queries;
     private final Links links;
     private final Gate gate;
-    private TableCaps caps = new TableCaps(Table.EMPTY);
     private ServerEntries entries = ServerEntries.NONE;
 
     RevisionParts(Queries queries, Links links, Gate gate) {
@@ -21,8 +19,7 @@
     /** From now on every part goes by this revision. */
     void use(PreparedRevision next) {
         queries.route(next.routes());
-        caps = new TableCaps(next.table());
-        gate.caps(caps);
+        gate.caps(new TableCaps(next.table()));
         boolean moved = !next.entries().sameAddresses(entries);
         entries = next.entries();
         if (moved) {
@@ -38,7 +35,7 @@
     /** The root of the table that all parts in use are of; where they are of several, a digest that no table has. */
     Digest digest() {
         Digest ofRoutes = queries.routes().table().root();
-        Digest ofCaps = caps.table().root();
+        Digest ofCaps = gate.caps() instanceof TableCaps caps ? caps.table().root() : Digest.NONE;
         Digest ofEntries = entries.table().root();
         boolean whole = ofRoutes.equals(ofCaps) && ofRoutes.equals(ofEntries);
         return whole
--- a/daemon/src/main/java/tallyweir/backend/StoreGroup.java
+++ b/daemon/src/main/java/tallyweir/backend/StoreGroup.java
@@ -1,6 +1,8 @@
 package tallyweir.backend;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
@@ -8,28 +10,53 @@
 import java.util.List;
 import java.util.Map;
 
-/** An immutable group of stores among which one is drawn by weight; a draw costs a binary search. */
+/**
+ * An immutable group of stores among which one is drawn by weight; a draw costs a binary search. A server can have tens of
+ * thousands of stores, so addresses are kept as their bytes.
+ */
 final class StoreGroup {
     static final StoreGroup EMPTY = new StoreGroup(List.of());
 
-    private final InetSocketAddress[] addresses;
+    private static final int IPV4_BYTES = 4;
+    private static final int IPV6_BYTES = 16;
+    private static final int IPV4_IN_IPV6 = 0xff; // twice before the address, after zeros
+
+    private final int hostBytes; // of each host
+    private final byte[] hosts;
+    private final char[] ports;
     private final int[] upTo; // the sum of the weights of a store and of all before it
 
     StoreGroup(Collection<WeightedStore> stores) {
-        addresses = new InetSocketAddress[stores.size()];
+        boolean ipv4 = stores.stream().allMatch(store -> hostOf(store).length == IPV4_BYTES);
+        hostBytes = ipv4 ? IPV4_BYTES : IPV6_BYTES;
+        hosts = new byte[stores.size() * hostBytes];
+        ports = new char[stores.size()];
         upTo = new int[stores.size()];
         int sum = 0;
         int at = 0;
         for (WeightedStore store : stores) {
             sum = Math.addExact(sum, store.weight());
-            addresses[at] = store.address();
+            putHost(hostOf(store), at);
+            ports[at] = (char) store.address().getPort();
             upTo[at] = sum;
             at++;
         }
     }
 
+    private static byte[] hostOf(WeightedStore store) {
+        return store.address().getAddress().getAddress();
+    }
+
+    private void putHost(byte[] host, int at) {
+        int end = (at + 1) * hostBytes;
+        System.arraycopy(host, 0, hosts, end - host.length, host.length);
+        if (host.length < hostBytes) {
+            Arrays.fill(hosts, end - host.length - 2, end - host.length, (byte) IPV4_IN_IPV6);
+        }
+    }
+
     int size() {
-        return addresses.length;
+        return ports.length;
     }
 
     /** The sum of all weights. */
@@ -44,15 +71,24 @@
      */
     InetSocketAddress at(int place) {
         int found = Arrays.binarySearch(upTo, place + 1);
-        return addresses[found >= 0 ? found : -found - 1];
+        return address(found >= 0 ? found : -found - 1);
+    }
+
+    private InetSocketAddress address(int at) {
+        byte[] host = Arrays.copyOfRange(hosts, at * hostBytes, (at + 1) * hostBytes);
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(host), ports[at]);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException("addresses have 4 or 16 bytes", e);
+        }
     }
 
     /** All stores, in the order of their places. */
     List<WeightedStore> stores() {
         List<WeightedStore> all = new ArrayList<>();
         int before = 0;
-        for (int i = 0; i < addresses.length; i++) {
-            all.add(new WeightedStore(addresses[i], upTo[i] - before));
+        for (int i = 0; i < size(); i++) {
+            all.add(new WeightedStore(address(i), upTo[i] - before));
             before = upTo[i];
         }
         return all;
@@ -64,8 +100,7 @@
         removed.forEach(store -> toRemove.merge(store, 1, Integer::sum));
         List<WeightedStore> next = new ArrayList<>(size() + added.size());
         for (WeightedStore store : stores()) {
-            boolean goes = toRemove.containsKey(store);
-            if (goes) {
+            if (toRemove.containsKey(store)) {
                 toRemove.computeIfPresent(store, (s, count) -> count > 1 ? count - 1 : null);
             } else {
                 next.add(store);
--- a/daemon/src/main/java/tallyweir/backend/TableCaps.java
+++ b/daemon/src/main/java/tallyweir/backend/TableCaps.java
@@ -1,7 +1,7 @@
 package tallyweir.backend;
 
-import java.nio.charset.StandardCharsets;
 import tallyweir.fleet.Caps;
+import tallyweir.fleet.FleetException;
 import tallyweir.fleet.table.Key;
 import tallyweir.fleet.table.Kind;
 import tallyweir.fleet.table.Table;
@@ -14,11 +14,12 @@
 
     @Override
     public int of(TenantId tenant) {
-        if (tenant.value().getBytes(StandardCharsets.UTF_8).length > Key.NAME_BYTES_MOST) {
-            return UNCAPPED; // callers choose the name, and no entry has one as long
+        Key key;
+        try {
+            key = new Key(Kind.CAP, tenant.value());
+        } catch (FleetException e) {
+            return UNCAPPED; // callers choose the name; no entry can have this one
         }
-        return table.get(new Key(Kind.CAP, tenant.value()))
-                .map(value -> ((Value.Cap) value).connections())
-                .orElse(UNCAPPED);
+        return table.get(key).map(value -> ((Value.Cap) value).connections()).orElse(UNCAPPED);
     }
 }
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -115,6 +115,7 @@
                         "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
         server.seat(
                 operators.openFleet(clients, config.name, config.settings.longestHard(), without),
+                operators.fleetName(),
                 operators.linger(),
                 operators.lease() / 100,
                 operators.standsBackWhenOut(),
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -633,9 +633,10 @@
     }
 
     /** This server is in a fleet; to be called before it runs. */
-    public void seat(FleetClient client, long linger, long again, boolean backWhole, Set<Guard> without) {
+    public void seat(FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
         backend.seat(
                 client,
+                fleet,
                 this::tell,
                 config.listen.getHostString() + ":" + config.listen.getPort(),
                 linger,
--- /dev/null
+++ b/daemon/src/test/java/tallyweir/backend/FleetMemoryTest.java
@@ -0,0 +1,37 @@
+package tallyweir.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a large revision takes of a server's heap, in a process with the heap and collector that the server is run with. */
+class FleetMemoryTest {
+    private static final long MOST = 16 << 20;
+
+    @Test
+    void thirtyOneThousandRoutesAndFourHundredThousandCapsStayUnderTheLimit() throws IOException, InterruptedException {
+        Process probe = new ProcessBuilder(List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx40m",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        FleetMemoryProbe.class.getName()))
+                .redirectErrorStream(true)
+                .start();
+        List<String> said = probe.inputReader().lines().toList();
+        assertEquals(0, probe.waitFor(), said.toString());
+        String[] figures = said.get(said.size() - 1).split(" ");
+        assertEquals("true", figures[0]);
+        long inUse = Long.parseLong(figures[1]);
+        long withNext = Long.parseLong(figures[2]);
+        System.out.println("fleet part of a server: " + inUse + " bytes, with the next revision " + withNext);
+        assertTrue(inUse < MOST, "in use: " + inUse);
+        assertTrue(withNext < MOST, "with the next revision: " + withNext);
+    }
+}
--- a/daemon/src/test/java/tallyweir/backend/RoutesTest.java
+++ b/daemon/src/test/java/tallyweir/backend/RoutesTest.java
@@ -77,6 +77,14 @@
                 .store(B, chance));
     }
 
+    @Test
+    void addressesOfBothFamiliesAreDrawnAsTheyWereGiven() {
+        Routes routes = routes("{\"stores\":[{\"address\":\"250.1.2.3:65535\"},{\"address\":\"[fe80::1]:80\"}]}");
+        assertEquals(
+                Set.of(new InetSocketAddress("250.1.2.3", 65_535), new InetSocketAddress("fe80::1", 80)),
+                Set.copyOf(routes.stores(A).stream().map(WeightedStore::address).toList()));
+    }
+
     @Test
     void whatDoesNotDifferIsShared() {
         Routes before =
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/FleetChange.java
@@ -0,0 +1,89 @@
+package tallyweir.tool;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+import tallyweir.config.BadSetting;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetException;
+import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.ratis.Link;
+
+/** A change that an operator asks for: sends its command until it has been taken or turned down, then follows the revision. */
+abstract class FleetChange implements Callable<Integer> {
+    private static final int ASK_AGAIN_MS = 100;
+    private static final int NOT_IN_TIME = 1;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private FleetOptions fleet;
+
+    @Mixin
+    private FleetChangeOptions change;
+
+    /** The command that is to be sent, as often as it takes. */
+    abstract Command command(Link link, FleetChangeOptions options) throws IOException;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        try (Link link = fleet.open()) {
+            long until = change.followUntil();
+            Command command = command(link, change);
+            RevisionId revision = send(link, command, until);
+            if (revision == null) {
+                return NOT_IN_TIME;
+            }
+            return new RevisionFollower(link, out(), until).follow(revision);
+        } catch (BadSetting e) {
+            return FleetOptions.print(spec, new Fault.BodyFaulty(e.getMessage()));
+        } catch (FleetException e) {
+            return FleetOptions.print(spec, e.fault());
+        }
+    }
+
+    PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    /** The revision that the command has become a part of, null where that takes too long. */
+    private RevisionId send(Link link, Command command, long until) throws InterruptedException {
+        boolean toldToWait = false;
+        while (true) {
+            Answer answer = link.ask(command);
+            long waitMs;
+            if (answer instanceof Answer.Done done) {
+                return done.revision();
+            } else if (answer instanceof Answer.Waiting waiting) {
+                waitMs = ASK_AGAIN_MS;
+                if (!toldToWait) {
+                    out().println("waits for the revision that is open, " + waiting.ahead() + " changes before it");
+                    toldToWait = true;
+                }
+            } else if (answer instanceof Answer.Refused refused) {
+                waitMs = againAfter(refused.why(), until);
+            } else {
+                throw new IllegalStateException("no answer to a change: " + answer);
+            }
+            if (System.nanoTime() > until) {
+                return null;
+            }
+            TimeUnit.MILLISECONDS.sleep(waitMs);
+        }
+    }
+
+    /** Only a queue that is full is worth another try. */
+    private static long againAfter(Fault why, long until) {
+        if (why instanceof Fault.QueueFull full && System.nanoTime() + full.againMs() * 1_000_000L < until) {
+            return full.againMs();
+        }
+        throw why.thrown();
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/FleetOptions.java
@@ -0,0 +1,40 @@
+package tallyweir.tool;
+
+import java.nio.file.Path;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import tallyweir.config.BadSetting;
+import tallyweir.config.Operators;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.ratis.Link;
+
+/** Options of every command that asks a fleet. */
+final class FleetOptions {
+    @Option(
+            names = "--operators",
+            required = true,
+            description = "The operators' file, whose fleet part names the fleet and its voters.")
+    private Path operators;
+
+    @Option(
+            names = "--give-up-ms",
+            defaultValue = "10000",
+            description = "How long an answer is waited for, ms (${DEFAULT-VALUE}).")
+    private long giveUpMs;
+
+    /** A client of the fleet that is named. */
+    Link open() {
+        Operators read = Operators.read(operators);
+        if (!read.inFleet()) {
+            throw new BadSetting("fleet is missing in " + operators + ": it names the fleet and its voters");
+        }
+        return new Link(read.fleetName(), read.voters(), giveUpMs);
+    }
+
+    /** Prints what is the matter and what can be done; the exit code goes by the kind of fault. */
+    static int print(CommandSpec spec, Fault fault) {
+        spec.commandLine().getErr().println("tallyweir: " + fault.what());
+        spec.commandLine().getErr().println("what to do: " + fault.advice());
+        return fault.exit();
+    }
+}
