Faults between the pieces of a table: tests with processes, a relay that damages replies

Need: nothing tested a server killed, cut off or given damaged pieces while it fetches, or operators who change entries at once.

--- /dev/null
+++ b/daemon/src/test/java/tallyweir/backend/RecordedFleetClient.java
@@ -0,0 +1,60 @@
+package tallyweir.backend;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetClient;
+import tallyweir.fleet.Incarnation;
+import tallyweir.fleet.RevisionRoot;
+import tallyweir.fleet.ServerId;
+import tallyweir.fleet.table.Table;
+
+/** A client that leaves it to the test what is answered. */
+final class RecordedFleetClient implements FleetClient {
+    /** A command that waits for its answer. */
+    record Sent(Command command, Executor deciding, Consumer<Answer> to, Runnable failed) {
+        void answer(Answer answer) {
+            deciding.execute(() -> to.accept(answer));
+        }
+    }
+
+    /** A fetch that waits for its table. */
+    record Fetch(
+            Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
+        void answer(Table table) {
+            deciding.execute(() -> to.accept(table));
+        }
+
+        void fail(Fault fault) {
+            deciding.execute(() -> failed.accept(fault));
+        }
+    }
+
+    final Deque<Sent> sent = new ArrayDeque<>();
+    final Deque<Fetch> fetches = new ArrayDeque<>();
+
+    @Override
+    public void send(Command command, Executor deciding, Consumer<Answer> to, Runnable failed) {
+        sent.add(new Sent(command, deciding, to, failed));
+    }
+
+    @Override
+    public void fetch(
+            Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
+        fetches.add(new Fetch(have, wanted, deciding, to, failed));
+    }
+
+    @Override
+    public void leave(ServerId server, Incarnation as) {
+        sent.clear();
+    }
+
+    @Override
+    public void close() {
+        fetches.clear();
+    }
+}
--- a/stand/src/main/java/tallyweir/stand/StandRelay.java
+++ b/stand/src/main/java/tallyweir/stand/StandRelay.java
@@ -10,11 +10,14 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
-/** The way from one server to another: whatever goes over it can be cut, held back in one direction or both, or delayed. */
+/** The way from one server to another: whatever goes over it can be cut, held back in one direction or both, delayed or damaged. */
 public final class StandRelay implements AutoCloseable {
     private static final int PIECE = 16 << 10;
     private static final int LOOK_MS = 5;
+    private static final int NOTHING_DAMAGED = Integer.MAX_VALUE;
 
     private final ServerSocket server;
     private final InetSocketAddress to;
@@ -23,6 +26,9 @@
     private volatile boolean thereHeld;
     private volatile boolean backHeld;
     private volatile int delayMs;
+    private volatile int damagedFrom = NOTHING_DAMAGED;
+    private final AtomicLong replied = new AtomicLong();
+    private final AtomicInteger damaged = new AtomicInteger();
 
     /** @param at where it is reached, on loopback */
     public StandRelay(InetSocketAddress at, InetSocketAddress to) throws IOException {
@@ -54,7 +60,24 @@
         delayMs = milliseconds;
     }
 
+    /** Of what comes back, each piece of at least so many bytes has one bit of the byte in its middle flipped. */
+    public void damageReplies(int leastBytes) {
+        damagedFrom = leastBytes;
+    }
+
+    /** How many pieces have been damaged so far. */
+    public int damaged() {
+        return damaged.get();
+    }
+
+    /** How many bytes have come back so far. */
+    public long replied() {
+        return replied.get();
+    }
+
+    /** Everything is passed on as it came, and at once. */
     public void mend() {
+        damagedFrom = NOTHING_DAMAGED;
         cut = false;
         thereHeld = false;
         backHeld = false;
@@ -113,6 +136,9 @@
                 while (there ? thereHeld : backHeld) {
                     TimeUnit.MILLISECONDS.sleep(LOOK_MS);
                 }
+                if (!there) {
+                    reply(piece, n);
+                }
                 out.write(piece, 0, n);
             }
         } catch (IOException e) {
@@ -123,6 +149,14 @@
         end(from, into);
     }
 
+    private void reply(byte[] piece, int bytes) {
+        replied.addAndGet(bytes);
+        if (bytes >= damagedFrom) {
+            piece[bytes / 2] ^= 1;
+            damaged.incrementAndGet();
+        }
+    }
+
     private void end(Socket one, Socket other) {
         reset(one);
         reset(other);
--- a/tool/src/main/java/tallyweir/tool/FleetDrill.java
+++ b/tool/src/main/java/tallyweir/tool/FleetDrill.java
@@ -82,6 +82,8 @@
         NO_MAJORITY,
         PUBLISH,
         PUBLISH_AGAIN,
+        CHANGE,
+        CHANGE_AGAIN,
         ROLLBACK
     }
 
@@ -99,6 +101,7 @@
     private int cuts;
     private int stops;
     private int changes;
+    private int byKey;
     private int rollbacks;
     private int names;
 
@@ -176,6 +179,7 @@
                     change("rollback", "--to", Long.toString(all.get(chance.nextInt(all.size()))));
                 }
             }
+            case CHANGE, CHANGE_AGAIN -> changeByKey(store);
             default -> publish(store);
         }
     }
@@ -213,6 +217,12 @@
                         .toString());
     }
 
+    private void changeByKey(int store) throws IOException, InterruptedException {
+        changes++;
+        byKey++;
+        change("change", stage.change(store, FleetStage.CAPPED, CAP).toString());
+    }
+
     /** What an operator was told to be in force must be there at the end; what was left open may be there or not. */
     private void change(String... args) throws IOException, InterruptedException {
         List<String> all = new ArrayList<>(List.of(args));
@@ -301,6 +311,19 @@
         }
     }
 
+    /** Whether a revision has a change with this reason among those it was made of. */
+    private static boolean has(JsonNode audit, long revision, String why) {
+        for (JsonNode r : audit.get("revisions")) {
+            for (JsonNode change : r.get("changes")) {
+                if (r.get("revision").longValue() == revision
+                        && change.get("why").textValue().equals(why)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     private int verdict(PrintWriter out, JsonNode audit) throws IOException {
         long mixed = asked.stream().filter(j -> stage.storesOf(j).size() > 1).count();
         int unaccounted = audit == null ? size : unaccounted(audit);
@@ -308,10 +331,7 @@
         for (var e : acknowledged.entrySet()) {
             boolean there = false;
             if (audit != null) {
-                for (JsonNode r : audit.get("revisions")) {
-                    there |= r.get("revision").longValue() == e.getKey()
-                            && r.get("why").textValue().equals(e.getValue());
-                }
+                there = has(audit, e.getKey(), e.getValue());
             }
             lost += there ? 0 : 1;
         }
@@ -325,15 +345,15 @@
         int ranTwice = history.verdict().ranTwice();
         int overCap = Math.max(0, most - CAP);
         out.println("handled " + handled + ", turned down of the capped tenant " + capped + ", most of it at once "
-                + most + " of " + CAP);
+                + most + " of " + CAP + ", revisions changed by key " + byKey);
         out.println("fleet drill: servers " + size + ", kills " + kills + ", cuts " + cuts + ", stops " + stops
                 + ", revisions "
                 + changes + ", rollbacks " + rollbacks + ", mixed " + mixed + ", lost " + lost + ", unaccounted "
                 + unaccounted
                 + ", over cap " + overCap + ", ran twice " + ranTwice + ", unanswered " + unanswered + ", brought up "
                 + (disturbed.size() - Math.min(disturbed.size(), unaccounted)) + ", shut out " + shutOut);
-        if (kills == 0 || cuts == 0 || rollbacks == 0 || capped.get() == 0 || acknowledged.isEmpty()) {
-            out.println("void: nothing was cut, killed, rolled back or held at a cap; give it more --seconds");
+        if (kills == 0 || cuts == 0 || rollbacks == 0 || byKey == 0 || capped.get() == 0 || acknowledged.isEmpty()) {
+            out.println("void: nothing was cut, killed, changed by key, rolled back or held at a cap; give it more --seconds");
             return 1;
         }
         return mixed + lost + unaccounted + overCap + ranTwice + unanswered.get() == 0 ? 0 : 1;
--- a/tool/src/main/java/tallyweir/tool/FleetStage.java
+++ b/tool/src/main/java/tallyweir/tool/FleetStage.java
@@ -108,6 +108,19 @@
         return all.toString();
     }
 
+    /** The way from a server to a voter, which is not itself. */
+    StandRelay relay(int server, int voter) {
+        return relays.get(server + ">" + voter);
+    }
+
+    /** The ways from a server to the voters, but for itself. */
+    List<StandRelay> from(int server) {
+        return relays.entrySet().stream()
+                .filter(e -> e.getKey().startsWith(server + ">"))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     /** The ways from a server and to it. */
     List<StandRelay> around(int server) {
         return relays.entrySet().stream()
@@ -126,10 +139,7 @@
 
     /** A harmless query of a tenant. */
     static StandSidecar.Answer ask(StandSidecar of, String job, String tenant, int patienceMs) {
-        Map<String, String> p = Program.parameters("m" + job, job, 1_500);
-        p.put("SCRIPT_NAME", "/do/look");
-        p.put("HTTP_ACCOUNT", tenant);
-        return of.ask(p, "m" + job, patienceMs);
+        return ask(of, job, tenant, "look", patienceMs);
     }
 
     /** At which stores a query has called. */
@@ -143,6 +153,60 @@
         return at;
     }
 
+    /** The two workloads of the servers. */
+    static final List<String> WORKLOADS = List.of("look", "reset");
+
+    /** A query of a tenant and a workload, with a mark of its own. */
+    static StandSidecar.Answer ask(StandSidecar of, String job, String tenant, String workload, int patienceMs) {
+        Map<String, String> p = Program.parameters("m" + job, job, 1_500);
+        p.put("SCRIPT_NAME", "/do/" + workload);
+        p.put("HTTP_ACCOUNT", tenant);
+        return of.ask(p, "m" + job, patienceMs);
+    }
+
+    /** A file with a revision that routes each workload by an entry of its own to the same store, and has so many other caps. */
+    Path largeRevision(int store, int caps) throws IOException {
+        List<String> stores = new ArrayList<>();
+        for (String workload : WORKLOADS) {
+            stores.add("{\"address\":\"" + stores.get(store).address() + "\",\"workloads\":[\"" + workload + "\"]}");
+        }
+        List<String> all = new ArrayList<>();
+        for (int i = 0; i < caps; i++) {
+            all.add("\"tenant-" + store + "-" + i + "\":" + (i + 1));
+        }
+        return Files.writeString(
+                dir.resolve("large-" + store + ".json"),
+                "{\"stores\":[" + String.join(",", stores) + "],\"caps\":{" + String.join(",", all) + "}}");
+    }
+
+    /** A file with a change by key, that has the two entries of a large revision say another store. */
+    Path largeMove(int from, int to) throws IOException {
+        List<String> put = new ArrayList<>();
+        List<String> removed = new ArrayList<>();
+        for (String workload : WORKLOADS) {
+            put.add("{\"address\":\"" + stores.get(to).address() + "\",\"workloads\":[\"" + workload + "\"]}");
+            removed.add("\"" + stores.get(from).address() + " " + workload + "\"");
+        }
+        return Files.writeString(
+                dir.resolve("move.json"),
+                "{\"put\":{\"stores\":[" + String.join(",", put) + "]},\"remove\":{\"stores\":["
+                        + String.join(",", removed) + "]}}");
+    }
+
+    /** A file with a change by key, that routes to one store and no other, and gives a tenant a cap. */
+    Path change(int store, String tenant, int cap) throws IOException {
+        List<String> others = new ArrayList<>();
+        for (int i = 0; i < stores.size(); i++) {
+            if (i != store) {
+                others.add("\"" + stores.get(i).address() + "\"");
+            }
+        }
+        return Files.writeString(
+                dir.resolve("change-" + tenant + ".json"),
+                "{\"put\":{\"stores\":[{\"address\":\"" + stores.get(store).address() + "\"}],\"caps\":{\"" + tenant
+                        + "\":" + cap + "}},\"remove\":{\"stores\":[" + String.join(",", others) + "]}}");
+    }
+
     /** A file with a revision that routes to one store. */
     Path revision(int store, String more) throws IOException {
         return Files.writeString(
--- /dev/null
+++ b/tool/src/test/java/tallyweir/tool/RouteWatcher.java
@@ -0,0 +1,87 @@
+package tallyweir.tool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import tallyweir.stand.StandSidecar;
+
+/**
+ * Asks a server for its workloads in turn, one query after the other, and notes which store each query's call reached. Where
+ * each revision has a store of its own for all workloads, the stores come in the order of the revisions; a server that goes by
+ * parts of two revisions is seen to go back.
+ */
+final class RouteWatcher implements AutoCloseable {
+    private static final int ANSWER_MS = 5_000;
+    private static final int AGAIN_MS = 30;
+
+    private final FleetStage stage;
+    private final Program server;
+    private final Thread thread = new Thread(this::run, "route watcher");
+    private final List<Integer> stores = new ArrayList<>();
+    private int severalStores;
+    private volatile boolean stop;
+
+    RouteWatcher(FleetStage stage, int server) {
+        this.stage = stage;
+        this.server = stage.servers.get(server);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void run() {
+        for (int turn = 0; !stop; turn++) {
+            String workload = FleetStage.WORKLOADS.get(turn % FleetStage.WORKLOADS.size());
+            try (StandSidecar sidecar = new StandSidecar(server.port())) {
+                ask(sidecar, workload);
+            } catch (IOException e) {
+                pause(); // it does not listen at the moment
+            }
+        }
+    }
+
+    private void ask(StandSidecar sidecar, String workload) {
+        String job = stage.job();
+        int status = FleetStage.ask(sidecar, job, FleetStage.FREE, workload, ANSWER_MS)
+                .status();
+        List<Integer> called = stage.storesOf(job);
+        severalStores += called.size() > 1 ? 1 : 0;
+        if (called.size() == 1) {
+            stores.add(called.get(0));
+        }
+        if (status != 200) {
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(AGAIN_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        stop = true;
+        thread.join();
+    }
+
+    /** Ends it; every query reached one store, and the stores were these in this order, of which some may be left out. */
+    void assertStores(List<Integer> inOrder) throws InterruptedException {
+        close();
+        assertEquals(0, severalStores, "queries that called at several stores");
+        int at = 0;
+        for (int store : stores) {
+            while (at < inOrder.size() && inOrder.get(at) != store) {
+                at++;
+            }
+            assertTrue(at < inOrder.size(), "store " + store + " after a later revision: " + stores);
+        }
+        assertEquals(inOrder.size() - 1, at, "the last revision was not seen: " + stores);
+    }
+}
