Lending and Gate cost what a change or a report names, not servers times tenants

Need: 6,000 servers and 400,000 capped tenants; a change of one cap walked all pools for each place.

Change: pools only for tenants with shares or with floors that were lowered while a place still acts under the earlier revision; shares indexed by place; the gate keeps state only for tenants in use and looks other caps up.

--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -11,6 +11,7 @@
 import tallyweir.config.Routing;
 import tallyweir.fleet.Acts;
 import tallyweir.fleet.Answers;
+import tallyweir.fleet.Caps;
 import tallyweir.fleet.Digest;
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.Gate;
@@ -34,6 +35,14 @@
     private static final long BEGUN_SPAN = 600_000;
     private static final int BEGUN_BUCKETS = 600;
 
+    /** The caps that a revision's text lists. */
+    private record RoutingCaps(Map<TenantId, Integer> caps) implements Caps {
+        @Override
+        public int of(TenantId tenant) {
+            return caps.getOrDefault(tenant, UNCAPPED);
+        }
+    }
+
     private final Queries queries;
     private final Links links;
     private final Deadlines deadlines;
@@ -239,7 +248,7 @@
         long outdated = newerSince == 0 ? 0 : begun.countSince(queries.now(), newerSince);
         newerSince = 0;
         queries.route(new Routes(revision, r.stores));
-        gate.caps(r.caps);
+        gate.caps(new RoutingCaps(r.caps));
         if (!same(kernel, r.kernels.get(name)) || !same(announce, r.announce)) {
             kernel = r.kernels.get(name);
             announce = r.announce;
@@ -261,7 +270,8 @@
 
     /** Of the parts in use. */
     private Digest inForce() {
-        return Routing.inForce(queries.routes().stores, announce, kernel, gate.caps(), backByRevision);
+        Map<TenantId, Integer> caps = gate.caps() instanceof RoutingCaps inUse ? inUse.caps : Map.of();
+        return Routing.inForce(queries.routes().stores, announce, kernel, caps, backByRevision);
     }
 
     @Override
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -113,7 +113,7 @@
                     toAct = RevisionId.NONE;
                     Body body = in.state.body(said);
                     acts = lie ? acts : said;
-                    gate.caps(body.caps());
+                    gate.caps(tenant -> body.caps().getOrDefault(tenant, Caps.UNCAPPED));
                     member.acting(said, lie ? new Digest("lie") : body.digests().get(""), 0);
                     hear();
                 }
--- a/fleet/src/main/java/tallyweir/fleet/Gate.java
+++ b/fleet/src/main/java/tallyweir/fleet/Gate.java
@@ -17,7 +17,7 @@
  */
 public final class Gate {
     private static final int AHEAD = 4; // a share is taken ahead of need: one more in so many, and one
-    private static final int IDLE_TURNS = 8; // reports after which what was not used is given back
+    private static final int IDLE_REPORTS = 8; // reports after which what was not used is given back
 
     private record Lingering(long until, TenantId tenant, ConnectionId connection, long since) {}
 
@@ -32,28 +32,34 @@
         final LinkedHashMap<ConnectionId, Use> uses = new LinkedHashMap<>();
         int cap = -1; // none
         int floor;
-        int floorThen; // once the fleet has said that the floors are free
         int granted;
         int target;
         int ending; // of those that count
         int most; // that counted at once, since the last reports
         final HashSet<ConnectionId> turned = new HashSet<>(); // connections turned away since the last report
         int wanted; // by the last report
-        int turns;
         boolean full; // the fleet has less for it than is wanted
+
+        /** Whether a tenant that is seen for the first time would be in no other state. */
+        boolean isIdle() {
+            return uses.isEmpty()
+                    && turned.isEmpty()
+                    && granted == 0
+                    && (cap == Caps.UNCAPPED || most == 0 && wanted == 0);
+        }
     }
 
     private final long linger;
-    private final Map<TenantId, Tenant> tenants = new HashMap<>();
+    private final Map<TenantId, Tenant> tenants = new HashMap<>(); // those in use
     private final Map<ConnectionId, ArrayDeque<TenantId>> ofConnection = new HashMap<>();
     private final ArrayDeque<Lingering> lingering = new ArrayDeque<>(); // in the order of their ends
     private long now;
     private long leaseUntil = Long.MIN_VALUE;
     private long floorUntil = Long.MIN_VALUE;
-    private int places = 1;
-    private double floorShare;
-    private boolean
-            known; // which caps there are: a server that has never heard must take any tenant for one at its cap
+    private final FloorMemory floors = new FloorMemory();
+    private Caps caps; // null: a server that has never heard must take any tenant for one at its cap
+    private int reports; // since what was not used was given back last
+    private boolean pressed; // a tenant was turned away since the last report
 
     public Gate(long linger) {
         this.linger = linger;
@@ -69,7 +75,7 @@
         this.now = Math.max(this.now, now);
         while (!lingering.isEmpty() && lingering.peek().until <= this.now) {
             Lingering l = lingering.poll();
-            Use u = tenant(l.tenant).uses.get(l.connection);
+            Use u = use(l.connection, l.tenant);
             if (u != null && u.idleSince == l.since) {
                 release(l.tenant, l.connection);
             }
@@ -81,41 +87,61 @@
         return lingering.isEmpty() ? Long.MAX_VALUE : lingering.peek().until;
     }
 
-    private Tenant tenant(TenantId t) {
-        return tenants.computeIfAbsent(t, x -> new Tenant());
+    /** The state of a tenant that comes into use: as if it had been in use all along. */
+    private Tenant tenant(TenantId tenant) {
+        return tenants.computeIfAbsent(tenant, t -> {
+            Tenant of = new Tenant();
+            of.cap = caps == null ? Caps.UNCAPPED : caps.of(t);
+            of.floor = floors.usable(t);
+            return of;
+        });
+    }
+
+    private Use use(ConnectionId connection, TenantId tenant) {
+        Tenant of = tenants.get(tenant);
+        return of == null ? null : of.uses.get(connection);
     }
 
     /** How floors come of caps in this fleet. */
     void floors(int places, double floorShare) {
-        this.places = places;
-        this.floorShare = floorShare;
+        floors.settings(places, floorShare);
     }
 
     /**
-     * Caps that are in force here from now on; who is not named has none. A floor that is higher than
-     * before counts once the fleet has said so: until then it may be lent.
+     * Caps that are in force here from now on; the same ones again change nothing. A floor that is higher than before
+     * counts once the fleet has said so: until then it may be lent. Costs as many lookups as tenants are in use.
      */
-    public void caps(Map<TenantId, Integer> caps) {
-        known = true;
-        caps.keySet().forEach(this::tenant);
+    public void caps(Caps caps) {
+        if (this.caps == caps) {
+            return;
+        }
+        this.caps = caps;
+        floors.caps(caps);
         tenants.forEach((t, of) -> {
-            of.cap = caps.getOrDefault(t, -1);
-            of.floorThen = of.cap < 0 ? 0 : floor(of.cap, floorShare, places);
-            of.floor = Math.min(of.floor, of.floorThen);
+            of.cap = caps.of(t);
+            of.floor = Math.min(of.floor, floors.inForce(t));
         });
     }
 
+    /** The caps in force here, null if this server has never heard of any. */
+    public Caps caps() {
+        return caps;
+    }
+
     /** What the fleet has lent beyond the floors, tenants not named nothing, and until when each may be relied on. */
     public void lent(Map<TenantId, Grant> shares, long leaseUntil, long floorUntil, boolean floorsFree) {
         this.leaseUntil = leaseUntil;
         this.floorUntil = floorUntil;
+        if (floorsFree) {
+            floors.free();
+        }
         shares.keySet().forEach(this::tenant);
         tenants.forEach((t, of) -> {
             Grant g = shares.get(t);
             of.granted = g == null ? 0 : g.granted();
             of.target = g == null ? 0 : g.target();
             of.full = of.target < of.wanted;
-            of.floor = floorsFree ? of.floorThen : of.floor;
+            of.floor = floorsFree ? floors.inForce(t) : of.floor;
         });
     }
 
@@ -162,7 +188,7 @@
 
     /** A query of a tenant was read: true if it may go on to the decisions, and then its connection counts. */
     public boolean enter(ConnectionId connection, TenantId tenant) {
-        if (!known) {
+        if (caps == null) {
             return false;
         }
         Tenant of = tenant(tenant);
@@ -174,6 +200,7 @@
             boolean room = of.uses.size() - of.ending < aim(of) && (u != null || of.uses.size() < most(of));
             if (!room) {
                 of.turned.add(connection);
+                pressed = true;
                 return false;
             }
         }
@@ -192,7 +219,7 @@
 
     /** A query that was let in is answered or gone. */
     public void over(ConnectionId connection, TenantId tenant) {
-        Use u = tenant(tenant).uses.get(connection);
+        Use u = use(connection, tenant);
         if (u == null || --u.open > 0) {
             return;
         }
@@ -213,9 +240,13 @@
     }
 
     private void release(TenantId t, ConnectionId connection) {
-        Use u = tenant(t).uses.remove(connection);
-        tenant(t).ending -= u.ending ? 1 : 0;
+        Tenant of = tenants.get(t);
+        Use u = of.uses.remove(connection);
+        of.ending -= u.ending ? 1 : 0;
         leave(t, connection);
+        if (of.isIdle()) {
+            tenants.remove(t);
+        }
     }
 
     private void leave(TenantId t, ConnectionId connection) {
@@ -232,59 +263,66 @@
      */
     public Map<TenantId, Need> needs() {
         Map<TenantId, Need> all = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
+        pressed = false;
+        reports = (reports + 1) % IDLE_REPORTS;
         tenants.forEach((t, of) -> {
-            if (of.cap < 0) {
-                return;
-            }
-            trim(t, of, aim(of));
-            int used = of.uses.size();
-            int most = Math.max(of.most, used) + Math.min(of.turned.size(), of.cap);
-            of.wanted = most == 0 ? 0 : Math.max(0, Math.min(of.cap, most + most / AHEAD + 1) - of.floor);
-            int open = Math.max(0, used - floorNow(of));
-            of.granted = Math.min(of.granted, Math.max(open, Math.min(of.target, of.wanted)));
-            int keep = Math.max(of.granted, open);
-            if (keep > 0 || of.wanted > 0) {
-                all.put(t, new Need(keep, of.wanted));
+            if (of.cap >= 0) {
+                Need need = need(t, of);
+                if (need.keep() > 0 || need.want() > 0) {
+                    all.put(t, need);
+                }
             }
             of.turned.clear();
-            if (++of.turns >= IDLE_TURNS) {
-                of.turns = 0;
-                of.most = used;
+            if (reports == 0) {
+                of.most = of.uses.size();
             }
         });
+        tenants.values().removeIf(Tenant::isIdle);
         return all;
     }
 
+    private Need need(TenantId t, Tenant of) {
+        trim(t, of, aim(of));
+        int used = of.uses.size();
+        int most = Math.max(of.most, used) + Math.min(of.turned.size(), of.cap);
+        of.wanted = most == 0 ? 0 : Math.max(0, Math.min(of.cap, most + most / AHEAD + 1) - of.floor);
+        int open = Math.max(0, used - floorNow(of));
+        of.granted = Math.min(of.granted, Math.max(open, Math.min(of.target, of.wanted)));
+        return new Need(Math.max(of.granted, open), of.wanted);
+    }
+
     /** Whether a tenant was turned away since the last report: then the next should not wait. */
     public boolean pressed() {
-        return tenants.values().stream().anyMatch(of -> !of.turned.isEmpty());
+        return pressed;
     }
 
     /** Connections of a tenant that count now. */
     public int used(TenantId tenant) {
-        return tenant(tenant).uses.size();
+        Tenant of = tenants.get(tenant);
+        return of == null ? 0 : of.uses.size();
     }
 
     /** How many connections of a tenant may count now, -1 for any number. */
     public int most(TenantId tenant) {
-        Tenant of = tenant(tenant);
-        return of.cap < 0 ? -1 : most(of);
+        Tenant of = tenants.get(tenant);
+        if (of != null) {
+            return of.cap < 0 ? -1 : most(of);
+        }
+        if (caps == null || caps.of(tenant) < 0) {
+            return -1;
+        }
+        return now < floorUntil ? floors.usable(tenant) : 0;
     }
 
     /** Whether the fleet as a whole has nothing more for a tenant, as far as is known here. */
     public boolean fleetFull(TenantId tenant) {
-        return now < leaseUntil && tenant(tenant).full;
+        Tenant of = tenants.get(tenant);
+        return now < leaseUntil && of != null && of.full;
     }
 
-    /** The caps in force here. */
-    public Map<TenantId, Integer> caps() {
-        Map<TenantId, Integer> all = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
-        tenants.forEach((t, of) -> {
-            if (of.cap >= 0) {
-                all.put(t, of.cap);
-            }
-        });
-        return all;
+    /** How many tenants are in use: connected, lent to, or turned away or connected of late. */
+    int tenantsInUse() {
+        return tenants.size();
     }
 
     /** All that its future hangs on, times from this one on. */
@@ -292,13 +330,15 @@
         StringBuilder all = new StringBuilder()
                 .append(leaseUntil > from ? leaseUntil - from : -1)
                 .append(',')
-                .append(floorUntil > from ? floorUntil - from : -1);
+                .append(floorUntil > from ? floorUntil - from : -1)
+                .append(caps != null)
+                .append(reports)
+                .append(floors.describe());
         tenants.forEach((t, of) -> {
             all.append(t.value())
                     .append(of.cap)
                     .append(',')
                     .append(of.floor)
-                    .append(of.floorThen)
                     .append(',')
                     .append(of.granted)
                     .append(',')
@@ -308,9 +348,7 @@
                     .append(',')
                     .append(of.most)
                     .append(',')
-                    .append(of.turned.size())
-                    .append(',')
-                    .append(of.turns);
+                    .append(of.turned.size());
             of.uses.forEach((c, u) -> all.append(u.open).append(u.ending));
         });
         return all.toString();
--- a/fleet/src/main/java/tallyweir/fleet/Lending.java
+++ b/fleet/src/main/java/tallyweir/fleet/Lending.java
@@ -1,317 +1,329 @@
 package tallyweir.fleet;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
+import java.util.function.Consumer;
 import tallyweir.ids.TenantId;
 
 /**
  * The caps on tenants' connections: a floor for each place of the fleet, never lent, and the rest lent in shares. At any
  * moment the floors that any server may rely on and all that is lent make up no more than the cap, but while a cap that
  * was lowered comes into force: then nothing more is lent until they do.
+ *
+ * <p>There is a pool only for a tenant of which something is held, or whose floor was higher in a revision that some
+ * place still acts under; of all others the cap tells everything. So a change costs as many caps as differ, and what
+ * concerns a place costs what that place holds and names.
  */
 final class Lending {
-    static final int UNCAPPED = -1;
-
-    /** What one place holds of one tenant, beyond its floor. */
-    static final class Share {
-        int granted;
-        int want;
-        boolean extra; // gets one more than the level where the cap does not divide
-        int floorOver; // by so much its floor may still be above that of the revision in force
-    }
+    static final int UNCAPPED = Caps.UNCAPPED;
 
-    private static final class Pool {
-        int cap = UNCAPPED;
-        int floor;
-        long granted; // of all places
-        long wanted;
-        long floorsOver;
-        int level = Integer.MAX_VALUE;
-        long levelAt = Long.MIN_VALUE;
-        int turn;
-        final TreeMap<Integer, Share> shares = new TreeMap<>(); // by place
-    }
+    private static final Need NOTHING = new Need(0, 0);
+    private static final Comparator<TenantId> BY_NAME = Comparator.comparing(TenantId::value);
 
     private final boolean floorsLent; // only where a check has switched the guard off
-    private int places;
+    private final Caps caps; // of the revision in force
+    private final Map<TenantId, CapPool> pools = new HashMap<>();
+    private final Map<Integer, Map<TenantId, CapPool>> poolsOfPlace = new HashMap<>(); // where it has a share
+    private final PlacesByRevision places = new PlacesByRevision();
+    private final TreeMap<Long, List<TenantId>> loweredAt =
+            new TreeMap<>(); // by the revision that lowered their floors
+    private final Set<TenantId> overcommitted = new LinkedHashSet<>(); // all that do not fit, and some that do by now
+    private int placesMost;
     private double floorShare;
-    private boolean floorsFree; // under the caps in force; once they are, they stay so
     private long levelEvery;
-    private final Map<TenantId, Pool> pools = new HashMap<>();
-    private final Map<Integer, Map<TenantId, Integer>> actingUnder =
-            new HashMap<>(); // the caps that a place may be under
+    private long revision;
+    private boolean floorsFree; // under the caps in force; once they are, they stay so
+    private long poolsVisited;
 
-    Lending(boolean floorsLent) {
+    /** @param caps always those of the revision in force; may change only right before {@link #caps(long, List)} */
+    Lending(boolean floorsLent, Caps caps) {
         this.floorsLent = floorsLent;
+        this.caps = caps;
     }
 
     /**
+     * The number of places and the share of floors are set once, before a place acts on anything.
+     *
      * @param floorShare the part of each cap that is spread over all places as floors
      * @param levelEvery how often what each may have is worked out anew while there is too little
      */
     void settings(int places, double floorShare, long levelEvery) {
-        this.places = places;
+        boolean floorsDiffer = places != placesMost || floorShare != this.floorShare;
+        if (floorsDiffer && !pools.isEmpty()) {
+            throw new IllegalStateException("the floors of pools that are in use cannot change by settings");
+        }
+        placesMost = places;
         this.floorShare = floorShare;
         this.levelEvery = levelEvery;
     }
 
-    /** A place acts under the same caps as before, after the rest was loaded. */
-    void restored(int place, Map<TenantId, Integer> caps) {
-        actingUnder.put(place, caps);
-    }
-
     /** The floor of each place under a cap. */
     int floor(int cap) {
-        return cap == UNCAPPED ? 0 : Gate.floor(cap, floorShare, places);
+        return cap == UNCAPPED ? 0 : Gate.floor(cap, floorShare, placesMost);
     }
 
-    /** Other caps are in force; what is lent beyond them comes back as it is given back. */
-    void caps(Map<TenantId, Integer> caps) {
+    // ---- revisions
+
+    /** Another revision is in force, in which these caps differ; what is lent beyond them comes back as it is given back. */
+    void caps(long newRevision, List<CapChange> changes) {
+        revision = newRevision;
         floorsFree = false;
-        restored(caps);
-        pools.values().forEach(p -> p.levelAt = Long.MIN_VALUE);
-        actingUnder.keySet().forEach(this::floorsOver);
+        changes.forEach(this::change);
     }
 
-    /** The same caps as before, after the rest was loaded. */
-    void restored(Map<TenantId, Integer> caps) {
-        caps.keySet().forEach(t -> pools.computeIfAbsent(t, x -> new Pool()));
-        pools.forEach((t, p) -> {
-            p.cap = caps.getOrDefault(t, UNCAPPED);
-            p.floor = floor(p.cap);
-        });
+    private void change(CapChange change) {
+        CapPool pool = pools.get(change.tenant());
+        int newFloor = floor(change.after());
+        if (pool == null) {
+            if (newFloor >= floor(change.before())) {
+                return; // nothing is lent and nobody has a higher floor
+            }
+            pool = pool(change.tenant(), change.before());
+        }
+        poolsVisited++;
+        pool.change(change.after(), newFloor, revision);
+        pool.forgetFloorsBefore(places.oldest());
+        if (pool.hasEarlierFloors()) {
+            loweredAt.computeIfAbsent(revision, r -> new ArrayList<>()).add(pool.tenant());
+        }
+        if (!fits(pool)) {
+            overcommitted.add(pool.tenant());
+        }
+        dropIfIdle(pool);
     }
 
-    /** A place acts under other caps than before; floors that rose it uses only once they are free. */
-    void acting(int place, Map<TenantId, Integer> caps) {
-        actingUnder.put(place, caps);
-        pools.forEach((t, p) -> {
-            Share s = p.shares.get(place);
-            if (s != null) {
-                over(p, s, Math.min(s.floorOver, Math.max(0, floor(caps.getOrDefault(t, UNCAPPED)) - p.floor)));
-            }
-        });
+    private CapPool pool(TenantId tenant, int cap) {
+        return pools.computeIfAbsent(tenant, t -> new CapPool(t, cap, floor(cap)));
     }
 
-    /** Whether the floors of all places and what is lent fit into each cap, so that all floors may be used. */
-    boolean floorsFree() {
-        if (!floorsFree) {
-            floorsFree = pools.values().stream()
-                    .allMatch(p -> p.cap == UNCAPPED || (long) p.floor * places + p.floorsOver + p.granted <= p.cap);
+    private void dropIfIdle(CapPool pool) {
+        if (pool.isIdle()) {
+            pools.remove(pool.tenant());
         }
-        return floorsFree;
     }
 
-    private void floorsOver(int place) {
-        Map<TenantId, Integer> under = actingUnder.get(place);
-        pools.forEach((t, p) -> {
-            int over = Math.max(0, floor(under.getOrDefault(t, UNCAPPED)) - p.floor);
-            Share s = p.shares.get(place);
-            if (s == null && over > 0) {
-                s = share(p, place);
-            }
-            if (s != null) {
-                over(p, s, over);
+    /**
+     * A place acts under another revision than before. Floors that rose it uses only once it was told that they are free,
+     * which only the revision in force can tell; so a place that is new here has no floor by any earlier one.
+     */
+    void acting(int place, long newRevision) {
+        if (!places.contains(place)) {
+            places.put(place, revision);
+        } else if (newRevision > places.revision(place)) {
+            places.put(place, Math.min(newRevision, revision));
+            forgetEarlierFloors();
+        }
+    }
+
+    /** What floors were under revisions that nobody acts under any more. */
+    private void forgetEarlierFloors() {
+        long oldest = places.oldest();
+        while (!loweredAt.isEmpty() && loweredAt.firstKey() <= oldest) {
+            for (TenantId tenant : loweredAt.pollFirstEntry().getValue()) {
+                CapPool pool = pools.get(tenant);
+                if (pool != null) {
+                    poolsVisited++;
+                    pool.forgetFloorsBefore(oldest);
+                    dropIfIdle(pool);
+                }
             }
-        });
+        }
     }
 
-    private static void over(Pool p, Share s, int over) {
-        p.floorsOver += over - s.floorOver;
-        s.floorOver = over;
+    /** Whether the floors of all places and what is lent fit into each cap, so that all floors may be used. */
+    boolean floorsFree() {
+        if (floorsFree) {
+            return true;
+        }
+        // Who fits once does so until its cap changes: each is taken out at most once for each time it was put in.
+        Iterator<TenantId> waiting = overcommitted.iterator();
+        while (waiting.hasNext()) {
+            CapPool pool = pools.get(waiting.next());
+            if (pool != null) {
+                poolsVisited++;
+                if (!fits(pool)) {
+                    return false;
+                }
+            }
+            waiting.remove();
+        }
+        floorsFree = true;
+        return true;
     }
 
-    private static Share share(Pool p, int place) {
-        return p.shares.computeIfAbsent(place, x -> new Share());
+    private boolean fits(CapPool pool) {
+        return pool.cap() == UNCAPPED || spoken(pool) <= pool.cap();
     }
 
+    // ---- places
+
     /**
      * A place says what it needs: what it does not name it has given back. What it may have more is lent at once where
      * there is any.
      */
     Map<TenantId, Grant> report(int place, Map<TenantId, Need> needs, long now) {
-        Map<TenantId, Grant> told = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
-        pools.forEach((t, p) -> {
-            Need n = needs.get(t);
-            Share s = p.shares.get(place);
-            if (n == null && s == null) {
-                return;
-            }
-            if (s == null) {
-                s = share(p, place);
-            }
-            lend(p, s, n == null ? new Need(0, 0) : n, now);
-            if (s.granted > 0 || s.want > 0) {
-                told.put(t, new Grant(s.granted, target(p, s)));
-            } else if (s.floorOver == 0) {
-                p.shares.remove(place);
+        if (!places.contains(place)) {
+            places.put(place, revision); // it may hear that floors are free
+        }
+        for (CapPool pool : List.copyOf(poolsOf(place))) {
+            if (!needs.containsKey(pool.tenant())) {
+                report(pool, place, NOTHING, now);
             }
+        }
+        needs.forEach((tenant, need) -> {
+            CapPool known = pools.get(tenant);
+            report(known != null ? known : pool(tenant, caps.of(tenant)), place, need, now);
         });
-        return told;
+        return lent(place);
     }
 
-    /** What a place is lent, for an answer that changes nothing. */
-    Map<TenantId, Grant> lent(int place) {
-        Map<TenantId, Grant> told = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
-        pools.forEach((t, p) -> {
-            Share s = p.shares.get(place);
-            if (s != null && (s.granted > 0 || s.want > 0)) {
-                told.put(t, new Grant(s.granted, target(p, s)));
-            }
-        });
-        return told;
+    private void report(CapPool pool, int place, Need need, long now) {
+        poolsVisited++;
+        pool.report(place, need, lendable(pool), now, levelEvery);
+        if (pool.concerns(place)) {
+            poolsOfPlace.computeIfAbsent(place, p -> new HashMap<>()).put(pool.tenant(), pool);
+        } else {
+            removeShare(pool, place);
+        }
     }
 
-    private void lend(Pool p, Share s, Need n, long now) {
-        int kept = Math.min(s.granted, Math.max(0, n.keep()));
-        p.granted += kept - s.granted;
-        s.granted = kept;
-        p.wanted += n.want() - s.want;
-        s.want = n.want();
-        if (p.cap == UNCAPPED) {
-            return;
-        }
-        if (p.wanted <= lendable(p)) {
-            p.level = Integer.MAX_VALUE;
-            p.levelAt = Long.MIN_VALUE;
-        } else if (p.levelAt == Long.MIN_VALUE || now - p.levelAt >= levelEvery) {
-            level(p, now);
-        }
-        long more = Math.min(target(p, s) - s.granted, lendable(p) - p.granted);
-        if (more > 0) {
-            s.granted += (int) more;
-            p.granted += more;
+    private void removeShare(CapPool pool, int place) {
+        pool.remove(place);
+        Map<TenantId, CapPool> ofPlace = poolsOfPlace.get(place);
+        if (ofPlace != null && ofPlace.remove(pool.tenant()) != null && ofPlace.isEmpty()) {
+            poolsOfPlace.remove(place);
         }
+        dropIfIdle(pool);
     }
 
     /** All that may be lent, lent or not. */
-    private long lendable(Pool p) {
-        return floorsLent ? p.cap : p.cap - (long) p.floor * places - p.floorsOver;
+    private long lendable(CapPool pool) {
+        return floorsLent ? pool.cap() : pool.cap() - floors(pool);
     }
 
-    private static int target(Pool p, Share s) {
-        if (p.cap == UNCAPPED) {
-            return s.granted;
-        }
-        return p.level == Integer.MAX_VALUE ? s.want : Math.min(s.want, p.level + (s.extra ? 1 : 0));
+    /** The floors of all places, and by how much those may be higher that they have by earlier revisions. */
+    private long floors(CapPool pool) {
+        return (long) pool.floor() * placesMost + pool.floorsOver(places);
     }
 
-    /**
-     * The level up to which everybody's wish is met (max-min). What does not divide goes to some of those who want more,
-     * each time to others, so that under a cap smaller than their number each has its turn.
-     */
-    private void level(Pool p, long now) {
-        List<Share> wanting = new ArrayList<>();
-        p.shares.values().forEach(s -> {
-            s.extra = false;
-            if (s.want > 0) {
-                wanting.add(s);
-            }
-        });
-        List<Share> least = new ArrayList<>(wanting);
-        least.sort((a, b) -> Integer.compare(a.want, b.want));
-        long left = Math.max(0, lendable(p));
-        int level = 0;
-        for (int i = 0; i < least.size(); i++) {
-            long each = left / (least.size() - i);
-            if (least.get(i).want > each) {
-                level = (int) each;
-                left -= each * (least.size() - i);
-                break;
-            }
-            left -= least.get(i).want;
-        }
-        p.level = level;
-        p.levelAt = now;
-        int of = wanting.size();
-        for (int i = 0; i < of && left > 0; i++) {
-            Share s = wanting.get((p.turn + i) % of);
-            if (s.want > level) {
-                s.extra = true;
-                left--;
+    private Collection<CapPool> poolsOf(int place) {
+        return poolsOfPlace.getOrDefault(place, Map.of()).values();
+    }
+
+    /** What a place is lent, for an answer that changes nothing. */
+    Map<TenantId, Grant> lent(int place) {
+        Map<TenantId, Grant> told = new TreeMap<>(BY_NAME);
+        for (CapPool pool : poolsOf(place)) {
+            poolsVisited++;
+            if (pool.concerns(place)) {
+                told.put(pool.tenant(), pool.lent(place));
             }
         }
-        p.turn = of == 0 ? 0 : (p.turn + 1) % of;
+        return told;
     }
 
     /** Nothing that a place was lent can be in use there any more. */
     void back(int place) {
-        pools.values().forEach(p -> {
-            Share s = p.shares.get(place);
-            if (s != null) {
-                p.granted -= s.granted;
-                p.wanted -= s.want;
-                s.granted = 0;
-                s.want = 0;
-            }
-        });
+        for (CapPool pool : poolsOf(place)) {
+            poolsVisited++;
+            pool.back(place);
+        }
     }
 
     /** A place is free: nobody relies on a floor there. */
     void free(int place) {
-        back(place);
-        actingUnder.remove(place);
-        pools.values().forEach(p -> {
-            Share s = p.shares.remove(place);
-            if (s != null) {
-                p.floorsOver -= s.floorOver;
-            }
-        });
+        for (CapPool pool : List.copyOf(poolsOf(place))) {
+            poolsVisited++;
+            removeShare(pool, place);
+        }
+        places.remove(place);
+        forgetEarlierFloors();
     }
 
+    /** Whether a place was lent anything that it has not given back. */
     boolean holds(int place) {
-        return pools.values().stream().anyMatch(p -> p.shares.containsKey(place) && p.shares.get(place).granted > 0);
+        for (CapPool pool : poolsOf(place)) {
+            poolsVisited++;
+            if (pool.lent(place).granted() > 0) {
+                return true;
+            }
+        }
+        return false;
     }
 
+    // ---- what can be seen
+
     /** All that may be relied on of a tenant's cap, against that cap: floors of all places, and what is lent. */
     long spoken(TenantId tenant) {
-        Pool p = pools.get(tenant);
-        return p == null ? 0 : (long) p.floor * places + p.floorsOver + p.granted;
+        CapPool pool = pools.get(tenant);
+        return pool == null ? (long) floor(caps.of(tenant)) * placesMost : spoken(pool);
     }
 
+    private long spoken(CapPool pool) {
+        return floors(pool) + pool.granted();
+    }
+
+    /** What is lent of a tenant's cap. */
     long granted(TenantId tenant) {
-        Pool p = pools.get(tenant);
-        return p == null ? 0 : p.granted;
+        CapPool pool = pools.get(tenant);
+        return pool == null ? 0 : pool.granted();
     }
 
-    // ---- for snapshots: what cannot be worked out from the rest
+    /** By how much the floors that places may have by earlier revisions are above those of the revision in force. */
+    long floorsOver(TenantId tenant) {
+        CapPool pool = pools.get(tenant);
+        return pool == null ? 0 : pool.floorsOver(places);
+    }
 
-    List<Object> save() {
-        List<Object> all = new ArrayList<>();
-        new TreeMap<>(pools.keySet().stream().collect(Collectors.toMap(TenantId::value, t -> t))).forEach((name, t) -> {
-            Pool p = pools.get(t);
-            List<Object> shares = new ArrayList<>();
-            p.shares.forEach((place, s) -> shares.add(List.of(place, s.granted, s.want, s.extra, s.floorOver)));
-            all.add(List.of(name, p.level, p.levelAt, p.turn, shares));
-        });
-        return all;
+    /** How many pools there are. */
+    int pools() {
+        return pools.size();
     }
 
-    void load(List<?> all) {
-        for (Object each : all) {
-            List<?> of = (List<?>) each;
-            Pool p = pools.computeIfAbsent(new TenantId((String) of.get(0)), t -> new Pool());
-            p.level = number(of.get(1)).intValue();
-            p.levelAt = number(of.get(2)).longValue();
-            p.turn = number(of.get(3)).intValue();
-            for (Object share : (List<?>) of.get(4)) {
-                List<?> from = (List<?>) share;
-                Share s = share(p, number(from.get(0)).intValue());
-                s.granted = number(from.get(1)).intValue();
-                s.want = number(from.get(2)).intValue();
-                s.extra = (Boolean) from.get(3);
-                over(p, s, number(from.get(4)).intValue());
-                p.granted += s.granted;
-                p.wanted += s.want;
-            }
+    /** How many pools were looked at so far: what the inputs cost, for tests. */
+    long poolsVisited() {
+        return poolsVisited;
+    }
+
+    // ---- for snapshots
+
+    /** What cannot be worked out from the caps, piece by piece, always in the same order. */
+    void save(Consumer<LendingPart> to) {
+        to.accept(new LendingPart.RevisionState(revision));
+        places.forEach((place, under) -> to.accept(new LendingPart.PlaceState(place, under)));
+        pools.values().stream()
+                .sorted(Comparator.comparing(CapPool::tenant, BY_NAME))
+                .forEach(pool -> to.accept(pool.save()));
+    }
+
+    /** Into one that is new but for its settings: a piece of what another saved. */
+    void load(LendingPart part) {
+        if (part instanceof LendingPart.RevisionState state) {
+            revision = state.revision();
+        } else if (part instanceof LendingPart.PlaceState state) {
+            places.put(state.place(), state.revision());
+        } else if (part instanceof LendingPart.PoolState state) {
+            load(state);
         }
     }
 
-    static Number number(Object of) {
-        return (Number) of;
+    private void load(LendingPart.PoolState state) {
+        CapPool pool = pool(state.tenant(), state.cap());
+        pool.load(state);
+        overcommitted.add(pool.tenant()); // for floorsFree to find out
+        for (LendingPart.EarlierFloor earlier : state.earlierFloors()) {
+            loweredAt.computeIfAbsent(earlier.until(), r -> new ArrayList<>()).add(pool.tenant());
+        }
+        for (LendingPart.ShareState share : state.shares()) {
+            poolsOfPlace.computeIfAbsent(share.place(), p -> new HashMap<>()).put(pool.tenant(), pool);
+        }
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -188,7 +188,7 @@
                     floorsFree && wanted.equals(acting));
         }
         if (wanted.value() == 0 && acting.value() == 0) {
-            gate.caps(Map.of()); // there is no revision yet
+            gate.caps(Caps.NONE); // there is no revision yet
         }
         this.wanted = wanted;
         this.toCheck = toCheck;
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.EnumSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -83,7 +84,7 @@
     /** @param without guards that are off, for checks only */
     public State(Set<Guard> without) {
         this.without = without.isEmpty() ? EnumSet.noneOf(Guard.class) : EnumSet.copyOf(without);
-        lending = new Lending(!has(Guard.FLOOR));
+        lending = new Lending(!has(Guard.FLOOR), this::cap);
         // Of a server: first what its silence means, then whether it goes out, then what comes back from it.
         ofSeat.add(
                 () -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + behindMost,
@@ -298,8 +299,9 @@
     }
 
     private void comesIntoForce() {
+        Map<TenantId, Integer> before = caps();
         revisions.comesIntoForce(now, wall);
-        lending.caps(revisions.caps(revisions.inForce()));
+        lending.caps(revisions.inForce().value(), capChanges(before, caps()));
         seats.values().forEach(each -> each.health.change());
         for (Seat each : List.copyOf(seats.values())) {
             if (each.standing == Seat.Standing.LIVE || each.standing == Seat.Standing.ENTERING) {
@@ -310,6 +312,25 @@
         }
     }
 
+    /** The cap of a tenant in the revision in force. */
+    private int cap(TenantId tenant) {
+        return caps().getOrDefault(tenant, Caps.UNCAPPED);
+    }
+
+    private static List<CapChange> capChanges(Map<TenantId, Integer> before, Map<TenantId, Integer> after) {
+        Set<TenantId> named = new HashSet<>(before.keySet());
+        named.addAll(after.keySet());
+        List<CapChange> changes = new ArrayList<>();
+        for (TenantId tenant : named) {
+            int capBefore = before.getOrDefault(tenant, Caps.UNCAPPED);
+            int capAfter = after.getOrDefault(tenant, Caps.UNCAPPED);
+            if (capBefore != capAfter) {
+                changes.add(new CapChange(tenant, capBefore, capAfter));
+            }
+        }
+        return changes;
+    }
+
     // ---- inputs
 
     /** What the next input was stamped with: the fleet's clock, tenths of a millisecond, and the wall's, ms since 1970. */
@@ -369,7 +390,6 @@
                     this.version > 0 ? this.serversMost : serversMost,
                     this.version > 0 ? this.floorShare : floorShare);
             probation(probation, worseRatio, sickShare);
-            lending.caps(revisions.caps(revisions.inForce()));
             List.copyOf(seats.values()).forEach(this::settle);
         }
         settle();
@@ -554,7 +574,7 @@
             seat.pass(
                     new Passage(as, seat.acting, acting, to == null ? 0 : Math.max(0, now - to.since), outdated, wall));
             seat.acting = acting;
-            lending.acting(seat.place, revisions.caps(acting));
+            lending.acting(seat.place, acting.value());
         }
         seat.inForce = inForce;
         Body body = revisions.body(acting);
@@ -766,12 +786,62 @@
         all.put("probation", List.of(probation, worseRatio, sickShare));
         all.put("clock", List.of(now, wall, incarnations, judgedAt));
         all.put("revisions", revisions.save());
-        all.put("lending", lending.save());
+        List<Object> lent = new ArrayList<>();
+        lending.save(part -> lent.add(saved(part)));
+        all.put("lending", lent);
         all.put("seats", seats.values().stream().map(State::saved).toList());
         all.put("gone", gone.stream().map(State::saved).toList());
         return all;
     }
 
+    private static List<Object> saved(LendingPart part) {
+        if (part instanceof LendingPart.RevisionState state) {
+            return List.of("revision", state.revision());
+        }
+        if (part instanceof LendingPart.PlaceState state) {
+            return List.of("place", state.place(), state.revision());
+        }
+        LendingPart.PoolState pool = (LendingPart.PoolState) part;
+        List<Object> floors = new ArrayList<>();
+        pool.earlierFloors().forEach(each -> floors.add(List.of(each.until(), each.floor())));
+        List<Object> shares = new ArrayList<>();
+        pool.shares().forEach(each -> shares.add(List.of(each.place(), each.granted(), each.want(), each.extra())));
+        return List.of(
+                "pool", pool.tenant().value(), pool.cap(), pool.level(), pool.levelAt(), pool.turn(), floors, shares);
+    }
+
+    private static LendingPart loadedPart(List<?> f) {
+        if (f.get(0).equals("revision")) {
+            return new LendingPart.RevisionState(Revisions.number(f.get(1)));
+        }
+        if (f.get(0).equals("place")) {
+            return new LendingPart.PlaceState((int) Revisions.number(f.get(1)), Revisions.number(f.get(2)));
+        }
+        List<LendingPart.EarlierFloor> floors = new ArrayList<>();
+        for (Object each : (List<?>) f.get(6)) {
+            List<?> floor = (List<?>) each;
+            floors.add(
+                    new LendingPart.EarlierFloor(Revisions.number(floor.get(0)), (int) Revisions.number(floor.get(1))));
+        }
+        List<LendingPart.ShareState> shares = new ArrayList<>();
+        for (Object each : (List<?>) f.get(7)) {
+            List<?> share = (List<?>) each;
+            shares.add(new LendingPart.ShareState(
+                    (int) Revisions.number(share.get(0)),
+                    (int) Revisions.number(share.get(1)),
+                    (int) Revisions.number(share.get(2)),
+                    (Boolean) share.get(3)));
+        }
+        return new LendingPart.PoolState(
+                new TenantId((String) f.get(1)),
+                (int) Revisions.number(f.get(2)),
+                (int) Revisions.number(f.get(3)),
+                Revisions.number(f.get(4)),
+                (int) Revisions.number(f.get(5)),
+                floors,
+                shares);
+    }
+
     private static Object saved(Seat of) {
         List<Object> passages = new ArrayList<>();
         of.passages.forEach(p -> passages.add(
@@ -863,8 +933,7 @@
         wall = Revisions.number(clock.get(1));
         incarnations = Revisions.number(clock.get(2));
         revisions.load((Map<?, ?>) all.get("revisions"));
-        lending.load((List<?>) all.get("lending"));
-        lending.restored(revisions.caps(revisions.inForce()));
+        ((List<?>) all.get("lending")).forEach(each -> lending.load(loadedPart((List<?>) each)));
         for (Object each : (List<?>) all.get("seats")) {
             Seat of = loaded((List<?>) each);
             seats.put(of.server, of);
@@ -875,9 +944,6 @@
             if (of.marked) {
                 marked.add(of.server);
             }
-            if (of.acting.value() > 0) {
-                lending.restored(of.place, revisions.caps(of.acting));
-            }
             due(of);
         }
         ((List<?>) all.get("gone")).forEach(each -> gone.add(loaded((List<?>) each)));
--- a/fleet/src/test/java/tallyweir/fleet/LendingModelTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/LendingModelTest.java
@@ -43,9 +43,9 @@
             @ForAll @IntRange(min = 0, max = 60) int cap,
             @ForAll @IntRange(min = 0, max = 2) int floors) {
         SplittableRandom chance = new SplittableRandom(seed);
-        Lending lending = new Lending(false);
+        Lending lending = new Lending(false, t -> cap);
         lending.settings(servers, floors * 0.25, 10);
-        lending.caps(Map.of(T, cap));
+        lending.caps(1, List.of(new CapChange(T, Caps.UNCAPPED, cap)));
         int lendable = cap - lending.floor(cap) * servers;
         int[] wants = new int[servers];
         int[] has = new int[servers];
@@ -85,26 +85,28 @@
     void floorsOfAnEarlierCapCountAsLongAsAnybodyMayRelyOnThem(@ForAll long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
         int servers = 4;
-        Lending lending = new Lending(false);
-        lending.settings(servers, 0.5, 10);
         List<Map<TenantId, Integer>> caps = new ArrayList<>(List.of(Map.of(T, 40)));
-        lending.caps(caps.get(0));
+        Lending lending = new Lending(false, t -> caps.get(caps.size() - 1).get(t));
+        lending.settings(servers, 0.5, 10);
+        lending.caps(1, List.of(new CapChange(T, Caps.UNCAPPED, 40)));
         int[] under = new int[servers];
         int[] floors = new int[servers];
         Map<Integer, Integer> has = new HashMap<>();
         for (int i = 0; i < servers; i++) {
-            lending.acting(i, caps.get(0));
+            lending.acting(i, 1);
             floors[i] = lending.floor(40);
         }
         for (int turn = 1; turn < 200; turn++) {
             int i = chance.nextInt(servers);
             long before = relied(floors, has);
             if (chance.nextInt(10) == 0) {
-                caps.add(Map.of(T, chance.nextInt(0, 80)));
-                lending.caps(caps.get(caps.size() - 1));
+                int earlier = caps.get(caps.size() - 1).get(T);
+                int later = chance.nextInt(0, 80);
+                caps.add(Map.of(T, later));
+                lending.caps(caps.size(), List.of(new CapChange(T, earlier, later)));
             } else if (chance.nextInt(4) == 0) {
                 under[i] = caps.size() - 1;
-                lending.acting(i, caps.get(under[i]));
+                lending.acting(i, under[i] + 1);
                 floors[i] = Math.min(floors[i], lending.floor(caps.get(under[i]).get(T)));
             } else {
                 int want = chance.nextInt(0, 30);
