Fleet: changes by key with a queue, and costs that do not grow with the fleet

Operators lost the race to each other though they changed different entries, and a revision that came into force walked all servers. Changes of entries are now conditional on their keys and wait in a queue of 1,000 while a revision is open; those that wait go into the next one together, and a batch that cannot be taken is tried in halves. Each keeps its author, reason and outcome. A command of an outcome unknown tells it again: done, waiting, or why it was turned down.

State, of over 800 lines, becomes a front of small classes: ServerRegistry, Stragglers, RevisionHistory, Proposal, ChangeQueue, RevisionControl, Probation, FleetContext, SnapshotWriter and SnapshotReader. Being behind follows from when the revision that a server acts on was superseded, so that a change touches no server; who is to say whether it can take a revision is a bit set; probation counts as servers report. As before a server that is behind has behind_ms from when that began, but a later revision no longer starts its time anew: through a burst of changes a straggler was never shut out. A whole revision whose changes do not fit the table of the expected one is turned down.

The model found that a change of an entry to what it was did not count as touching it; it does now.

--- a/fleet/src/main/java/tallyweir/fleet/ChangeRecord.java
+++ b/fleet/src/main/java/tallyweir/fleet/ChangeRecord.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
 
 /** What an operator asked for once, and what has become of it. */
 public final class ChangeRecord {
@@ -54,6 +55,32 @@
         this.wall = wall;
     }
 
+    /** As it was when it was saved. */
+    ChangeRecord(SnapshotPart.Record saved, List<Change> changes) {
+        this(
+                saved.command(),
+                saved.kind(),
+                saved.kind() == Kind.ENTRIES ? changes : List.of(),
+                saved.by(),
+                saved.why(),
+                saved.forced(),
+                saved.wall());
+        outcome = saved.outcome();
+        revision = saved.revision();
+        fault = saved.fault().orElse(null);
+    }
+
+    /** @param more how many parts with its changes follow */
+    SnapshotPart.Record save(int more) {
+        return new SnapshotPart.Record(
+                command, kind, by, why, forced, wall, outcome, revision, Optional.ofNullable(fault), more);
+    }
+
+    /** It is to be part of another revision than the last. */
+    void waits() {
+        outcome = Outcome.WAITING;
+    }
+
     /** It is part of that revision now. */
     void taken(RevisionId into) {
         outcome = Outcome.TAKEN;
@@ -66,13 +93,6 @@
         fault = cause;
     }
 
-    /** As it was when it was saved. */
-    void restore(Outcome outcome, RevisionId revision, Optional<Fault.KeyConflict> fault) {
-        this.outcome = outcome;
-        this.revision = revision;
-        this.fault = fault.orElse(null);
-    }
-
     public OperatorCommand command() {
         return command;
     }
@@ -86,6 +106,11 @@
         return changes;
     }
 
+    /** Whether it names the entry of a key. */
+    boolean names(Key key) {
+        return changes.stream().anyMatch(change -> change.key().equals(key));
+    }
+
     public String by() {
         return by;
     }
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -144,7 +144,7 @@
                 acts = said;
                 table = fetched;
             }
-            gate.caps(tenant -> State.connections(fetched.get(new Key(Kind.CAP, tenant.value()))));
+            gate.caps(tenant -> RevisionControl.connections(fetched.get(new Key(Kind.CAP, tenant.value()))));
             member.acting(said, lie ? new Digest("lie") : table.root(), 0);
         }
 
@@ -315,11 +315,15 @@
                     .append(state.proposed())
                     .append(state.lent(TENANT))
                     .append(state.spoken(TENANT));
-            state.servers().forEach(x -> all.append(x.describe(time)));
+            state.servers().forEach(x -> all.append(x.describe(time)).append(since(state.behindSince(x))));
             servers.forEach(s -> all.append(s.describe()));
             return all.toString();
         }
 
+        private String since(long at) {
+            return at == Long.MAX_VALUE ? "-" : String.valueOf(at - time);
+        }
+
         @Override
         public List<String> enabled() {
             List<String> all = new ArrayList<>();
--- a/fleet/src/main/java/tallyweir/fleet/Health.java
+++ b/fleet/src/main/java/tallyweir/fleet/Health.java
@@ -9,6 +9,7 @@
     private final long[] before = new long[2];
     private final long[] after = new long[2];
     private double usual = -1; // the share before the revision in force, -1 for not known
+    private RevisionId inForce = RevisionId.NONE; // that after counts from
 
     /** Another process: its counts begin at zero. */
     void begin() {
@@ -32,14 +33,23 @@
         }
     }
 
-    /** Another revision is in force: what was is what it is held against. */
-    void change() {
+    /** A revision is in force; if it is another, what was is what it is held against. */
+    void under(RevisionId revision) {
+        if (isUnder(revision)) {
+            return;
+        }
+        inForce = revision;
         long of = span[0] + before[0];
         usual = of == 0 ? -1 : (span[1] + before[1]) / (double) of;
         after[0] = 0;
         after[1] = 0;
     }
 
+    /** Whether it has been told that this revision is in force. */
+    boolean isUnder(RevisionId revision) {
+        return inForce.equals(revision);
+    }
+
     /** Whether enough has ended since to tell. */
     boolean tells(int least) {
         return usual >= 0 && after[0] >= least;
@@ -53,7 +63,7 @@
 
     SnapshotPart.Counts save() {
         return new SnapshotPart.Counts(
-                ended, bad, since, span[0], span[1], before[0], before[1], after[0], after[1], usual);
+                ended, bad, since, span[0], span[1], before[0], before[1], after[0], after[1], usual, inForce);
     }
 
     void load(SnapshotPart.Counts saved) {
@@ -67,5 +77,6 @@
         after[0] = saved.afterEnded();
         after[1] = saved.afterBad();
         usual = saved.usual();
+        inForce = saved.inForce();
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/Revision.java
+++ b/fleet/src/main/java/tallyweir/fleet/Revision.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
 import tallyweir.fleet.table.Table;
 
 /** One revision of what the fleet routes by: the table that it makes of the one that it was proposed on. */
@@ -18,14 +19,18 @@
     final RevisionId base; // whose table it changes
     final RevisionId of; // whose table it takes up again, NONE for one of its own
     final Digest root;
-    final List<ChangeRecord> records; // what operators asked for
     final boolean forced;
     final long proposedWall;
+    private final List<ChangeRecord> records;
     private final Table baseTable;
     private Table table; // null once it was turned down: nobody can come back to it
+    private final int size;
+    private final int changed;
+    boolean firstOfRoot; // no revision before it has the same table
     Fate fate = Fate.PROPOSED;
     long since; // in force, by the fleet's clock
     long sinceWall;
+    long supersededAt = Long.MAX_VALUE; // by the fleet's clock
     String reasons = ""; // why it was turned down
 
     Revision(
@@ -44,11 +49,49 @@
         this.root = root;
         this.baseTable = baseTable;
         this.table = table;
+        this.size = table.size();
+        this.changed = baseTable.differenceTo(table).size();
         this.records = List.copyOf(records);
         this.forced = forced;
         this.proposedWall = proposedWall;
     }
 
+    /** One that was saved; without a table if it was turned down. */
+    Revision(SnapshotPart.RevisionHeader saved, Table baseTable, Table table, List<ChangeRecord> records) {
+        id = saved.id();
+        base = saved.base();
+        of = saved.of();
+        root = saved.root();
+        this.baseTable = baseTable;
+        this.table = table;
+        size = saved.size();
+        changed = saved.changed();
+        this.records = List.copyOf(records);
+        forced = saved.forced();
+        proposedWall = saved.proposedWall();
+        fate = saved.fate();
+        since = saved.since();
+        sinceWall = saved.sinceWall();
+        reasons = saved.reasons();
+    }
+
+    SnapshotPart.RevisionHeader save() {
+        return new SnapshotPart.RevisionHeader(
+                id,
+                base,
+                of,
+                root,
+                size,
+                changed,
+                forced,
+                proposedWall,
+                fate,
+                since,
+                sinceWall,
+                reasons,
+                records.size());
+    }
+
     public RevisionId id() {
         return id;
     }
@@ -73,6 +116,16 @@
         return new RevisionRoot(id, root);
     }
 
+    /** How many entries its table has. */
+    public int size() {
+        return size;
+    }
+
+    /** How many entries it changes in the table of its base. */
+    public int changed() {
+        return changed;
+    }
+
     /** What operators asked for, in the order in which it came. */
     public List<ChangeRecord> records() {
         return records;
@@ -98,6 +151,21 @@
         return records.stream().flatMap(record -> record.changes().stream()).toList();
     }
 
+    /** Whether the entry of a key is another than in the table of its base. */
+    boolean changes(Key key) {
+        return table != null && !baseTable.get(key).equals(table.get(key));
+    }
+
+    /** Whether somebody asked for a change of that entry in it, though it be to what it is. */
+    boolean touches(Key key) {
+        return records.stream().anyMatch(record -> record.names(key)) || changes(key);
+    }
+
+    /** What an operator asked for by which the entry of a key changed. */
+    ChangeRecord recordOf(Key key) {
+        return records.stream().filter(record -> record.names(key)).findFirst().orElse(records.get(0));
+    }
+
     /** Who asked for it; of several the first, and how many more there are. */
     public String by() {
         return andMore(records.get(0).by());
--- /dev/null
+++ b/fleet/src/main/java/tallyweir/fleet/RevisionControl.java
@@ -0,0 +1,393 @@
+package tallyweir.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
+import tallyweir.ids.TenantId;
+import tallyweir.rules.Rules;
+
+/** What operators ask for: the conditions of it, which revision it becomes part of, and whether that comes into force. */
+final class RevisionControl {
+    private static final int SAYING_LEASES = 2; // in which every live server is to say whether it can take a revision
+    private static final int REFUSED_MOST = 1_000; // that are remembered
+    private static final int TENTHS_IN_MS = 10;
+    private static final String NOBODY = "nobody";
+    private static final String UNKNOWN = "unknown";
+
+    private final FleetContext context;
+    private final RevisionHistory history;
+    private final Proposal proposal;
+    private final Probation probation;
+    private final ServerRegistry servers;
+    private final Lending lending;
+    private final ChangeQueue queue = new ChangeQueue();
+    private final ArrayDeque<ChangeRecord> refused = new ArrayDeque<>(); // after they had waited, the latest last
+    private final Rules rules = new Rules();
+
+    RevisionControl(
+            FleetContext context,
+            RevisionHistory history,
+            Proposal proposal,
+            Probation probation,
+            ServerRegistry servers,
+            Lending lending) {
+        this.context = context;
+        this.history = history;
+        this.proposal = proposal;
+        this.probation = probation;
+        this.servers = servers;
+        this.lending = lending;
+        // First what is proposed comes into force or not, then whether what is in force is taken back, then what waits.
+        rules.add(
+                () -> proposal.isOpen() && !proposal.allSaid() && context.now() >= proposal.due(),
+                () -> proposal.timeOver(servers::serverAt));
+        rules.add(() -> proposal.isOpen() && (proposal.revision().forced || enoughCan()), this::comesIntoForce);
+        rules.add(() -> proposal.isOpen() && proposal.allSaid(), this::cannotBeTaken);
+        rules.add(probation::isDue, this::judge);
+        rules.add(() -> !proposal.isOpen() && !queue.isEmpty(), this::takeUp);
+    }
+
+    /** Everything that follows by now. */
+    void settle() {
+        rules.settle();
+    }
+
+    ChangeQueue queue() {
+        return queue;
+    }
+
+    /** Changes that were turned down after they had waited, the latest last. */
+    List<ChangeRecord> refused() {
+        return List.copyOf(refused);
+    }
+
+    // ---- what is proposed, and what is in force
+
+    private boolean enoughCan() {
+        return proposal.allSaid()
+                && proposal.cannotShare() <= context.settings().mostCannot();
+    }
+
+    private void comesIntoForce() {
+        Revision revision = proposal.revision();
+        proposal.close();
+        List<Change> changes = history.inForceTable().differenceTo(revision.table());
+        history.comesIntoForce(revision, context.now(), context.wall());
+        lending.caps(revision.id.value(), capChanges(changes));
+        probation.begin();
+    }
+
+    private static List<CapChange> capChanges(List<Change> changes) {
+        return changes.stream()
+                .filter(change -> change.key().kind() == Kind.CAP)
+                .map(change -> new CapChange(
+                        new TenantId(change.key().name()), connections(change.before()), connections(change.after())))
+                .toList();
+    }
+
+    /** What the entry of a cap says. */
+    static int connections(Optional<Value> cap) {
+        return cap.map(value -> ((Value.Cap) value).connections()).orElse(Caps.UNCAPPED);
+    }
+
+    /** Too many servers cannot take it. Of several changes one may be at fault, so that each half has its turn. */
+    private void cannotBeTaken() {
+        List<ChangeRecord> batch = proposal.revision().records();
+        turnDown(proposal.reasons());
+        if (batch.size() > 1) {
+            queue.split(batch);
+        }
+    }
+
+    private void turnDown(String reasons) {
+        history.turnDown(proposal.revision(), reasons);
+        proposal.close();
+    }
+
+    private void judge() {
+        if (probation.judge(servers.live())) {
+            takeBack();
+        }
+    }
+
+    /** Rolled back once, by the state itself: the one before comes into force again at this point of the log. */
+    private void takeBack() {
+        Revision worse = history.inForce();
+        if (proposal.isOpen()) {
+            turnDown("revision " + worse.id.value() + ", which it follows, was taken back");
+        }
+        ChangeRecord record = new ChangeRecord(
+                new OperatorCommand(Probation.AUTHOR + " " + worse.id.value()),
+                ChangeRecord.Kind.ROLLBACK,
+                List.of(),
+                Probation.AUTHOR,
+                "under revision " + worse.id.value() + " more queries were late or errored than before",
+                true,
+                context.wall());
+        Revision back = history.before();
+        propose(worse, back.id, back.table(), List.of(record));
+    }
+
+    /** What waits goes into one revision together, but for what does not hold any more. */
+    private void takeUp() {
+        Table table = history.inForceTable();
+        List<ChangeRecord> holding = new ArrayList<>();
+        List<Change> changes = new ArrayList<>();
+        for (ChangeRecord record : queue.takeBatch()) {
+            Optional<Fault.KeyConflict> conflict = differing(table, record.changes());
+            if (conflict.isPresent()) {
+                refuse(record, conflict.get());
+            } else {
+                holding.add(record);
+                changes.addAll(record.changes());
+            }
+        }
+        if (!holding.isEmpty()) {
+            propose(history.inForce(), RevisionId.NONE, table.apply(changes), holding);
+        }
+    }
+
+    private void refuse(ChangeRecord record, Fault.KeyConflict conflict) {
+        record.refused(conflict);
+        refused.add(record);
+        if (refused.size() > REFUSED_MOST) {
+            history.forget(refused.poll());
+        }
+    }
+
+    private Revision propose(Revision base, RevisionId of, Table table, List<ChangeRecord> records) {
+        boolean forced = records.get(0).forced();
+        Revision revision = history.add(base, of, table, records, forced, context.wall());
+        BitSet ask = forced ? new BitSet() : servers.heard();
+        proposal.open(
+                revision, context.now() + SAYING_LEASES * context.settings().lease(), ask);
+        return revision;
+    }
+
+    // ---- what operators ask for
+
+    Answer publish(Command.Publish publish) {
+        Optional<Answer> known = outcome(publish.command());
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Optional<Answer> lost = lostRace(publish.expected());
+        if (lost.isPresent()) {
+            return lost.get();
+        }
+        Table base = history.table(publish.expected());
+        if (base == null) {
+            return new Answer.Refused(
+                    new Fault.UnknownRoot("of revision " + publish.expected().value()));
+        }
+        Optional<Fault> fault = faulty(publish.changes()).or(() -> differingIn(base, publish.changes()));
+        if (fault.isPresent()) {
+            return new Answer.Refused(fault.get());
+        }
+        ChangeRecord record = record(
+                publish.command(), ChangeRecord.Kind.PUBLISH, List.of(), publish.by(), publish.why(), publish.force());
+        Revision on = history.get(publish.expected());
+        return done(propose(on, RevisionId.NONE, base.apply(publish.changes()), List.of(record)));
+    }
+
+    Answer rollback(Command.Rollback rollback) {
+        Optional<Answer> known = outcome(rollback.command());
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Revision back = history.get(rollback.to());
+        if (back == null || !history.wasInForce(rollback.to())) {
+            return new Answer.Refused(new Fault.NoSuchRevision(
+                    rollback.to().value(), history.inForceId().value()));
+        }
+        Optional<Answer> lost = lostRace(rollback.expected());
+        if (lost.isPresent()) {
+            return lost.get();
+        }
+        ChangeRecord record = record(
+                rollback.command(),
+                ChangeRecord.Kind.ROLLBACK,
+                List.of(),
+                rollback.by(),
+                rollback.why(),
+                rollback.force());
+        return done(propose(history.inForce(), back.id, back.table(), List.of(record)));
+    }
+
+    Answer change(Command.ChangeEntries change) {
+        Optional<Answer> known = outcome(change.command());
+        if (known.isPresent()) {
+            return known.get();
+        }
+        if (change.changes().isEmpty()) {
+            return new Answer.Refused(new Fault.EntryFaulty("", "the change names no entry"));
+        }
+        Optional<Fault> fault = faulty(change.changes()).or(() -> conflict(change.changes()));
+        if (fault.isPresent()) {
+            return new Answer.Refused(fault.get());
+        }
+        ChangeRecord record = record(
+                change.command(),
+                ChangeRecord.Kind.ENTRIES,
+                change.changes(),
+                change.by(),
+                change.why(),
+                change.force());
+        if (!proposal.isOpen()) {
+            Table table = history.inForceTable().apply(change.changes());
+            return done(propose(history.inForce(), RevisionId.NONE, table, List.of(record)));
+        }
+        if (queue.isFull()) {
+            long again = Math.max(0, proposal.due() - context.now()) / TENTHS_IN_MS;
+            return new Answer.Refused(new Fault.QueueFull(queue.size(), again));
+        }
+        int ahead = queue.size();
+        queue.add(record);
+        history.remember(record);
+        return new Answer.Waiting(ahead);
+    }
+
+    private ChangeRecord record(
+            OperatorCommand command,
+            ChangeRecord.Kind kind,
+            List<Change> changes,
+            String by,
+            String why,
+            boolean forced) {
+        return new ChangeRecord(command, kind, changes, by, why, forced, context.wall());
+    }
+
+    private Answer done(Revision revision) {
+        settle();
+        return new Answer.Done(revision.id);
+    }
+
+    // ---- conditions
+
+    /** What has become of a command that was sent before. */
+    private Optional<Answer> outcome(OperatorCommand command) {
+        return history.record(command).map(this::outcome);
+    }
+
+    private Answer outcome(ChangeRecord record) {
+        return switch (record.outcome()) {
+            case WAITING -> new Answer.Waiting(queue.all().indexOf(record));
+            case REFUSED -> new Answer.Refused(record.fault().orElseThrow());
+            case TAKEN -> outcome(history.get(record.revision()));
+        };
+    }
+
+    private static Answer outcome(Revision revision) {
+        return revision.fate == Revision.Fate.TURNED_DOWN
+                ? new Answer.Refused(new Fault.CannotTake(revision.id.value(), revision.reasons))
+                : new Answer.Done(revision.id);
+    }
+
+    /** The condition of a change to the whole: nothing came after the revision that its author saw. */
+    private Optional<Answer> lostRace(RevisionId expected) {
+        if (!context.has(Guard.EXPECTED)) {
+            return Optional.empty();
+        }
+        Revision last = proposal.isOpen() ? proposal.revision() : history.inForce();
+        RevisionId found = last == null ? RevisionId.NONE : last.id;
+        if (!queue.isEmpty()) {
+            ChangeRecord first = queue.all().get(0);
+            return Optional.of(lostRace(expected, found, first.by(), first.wall()));
+        }
+        if (found.equals(expected) && !proposal.isOpen()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                last == null
+                        ? lostRace(expected, found, NOBODY, 0)
+                        : lostRace(expected, found, last.by(), last.proposedWall));
+    }
+
+    private static Answer lostRace(RevisionId expected, RevisionId found, String by, long wall) {
+        return new Answer.Refused(new Fault.LostRace(expected.value(), found.value(), by, wall));
+    }
+
+    /** A command names each entry once. */
+    private static Optional<Fault> faulty(List<Change> changes) {
+        Set<Key> named = new HashSet<>();
+        for (Change change : changes) {
+            if (!named.add(change.key())) {
+                return Optional.of(new Fault.EntryFaulty(text(change.key()), "it is named twice"));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** The condition of a change to some entries: nobody else has changed them since their author looked, or is about to. */
+    private Optional<Fault> conflict(List<Change> changes) {
+        if (!context.has(Guard.EXPECTED)) {
+            return Optional.empty();
+        }
+        for (Change change : changes) {
+            Optional<ChangeRecord> first = pending(change.key());
+            if (first.isPresent()) {
+                return first.map(record -> conflict(change.key(), record));
+            }
+        }
+        return differingIn(history.inForceTable(), changes);
+    }
+
+    /** Who is about to change an entry. */
+    private Optional<ChangeRecord> pending(Key key) {
+        if (proposal.isOpen() && proposal.revision().touches(key)) {
+            return Optional.of(proposal.revision().recordOf(key));
+        }
+        return queue.touching(key);
+    }
+
+    private Optional<Fault> differingIn(Table table, List<Change> changes) {
+        return differing(table, changes).map(conflict -> conflict);
+    }
+
+    /** The first entry that is not what a change has as before. */
+    private Optional<Fault.KeyConflict> differing(Table table, List<Change> changes) {
+        if (!context.has(Guard.EXPECTED)) {
+            return Optional.empty();
+        }
+        return changes.stream()
+                .filter(change -> !table.get(change.key()).equals(change.before()))
+                .findFirst()
+                .map(change -> history.lastChange(change.key())
+                        .map(record -> conflict(change.key(), record))
+                        .orElse(new Fault.KeyConflict(text(change.key()), UNKNOWN, 0)));
+    }
+
+    private static Fault.KeyConflict conflict(Key key, ChangeRecord first) {
+        return new Fault.KeyConflict(text(key), first.by(), first.wall());
+    }
+
+    private static String text(Key key) {
+        return key.kind() + " " + key.name();
+    }
+
+    // ---- for snapshots
+
+    void restoreWaiting(ChangeRecord record) {
+        queue.add(record);
+        history.remember(record);
+    }
+
+    void restoreRetry(List<ChangeRecord> batch) {
+        queue.restoreRetry(batch);
+        batch.forEach(history::remember);
+    }
+
+    void restoreRefused(ChangeRecord record) {
+        refused.add(record);
+        history.remember(record);
+    }
+}
--- a/fleet/src/main/java/tallyweir/fleet/Seat.java
+++ b/fleet/src/main/java/tallyweir/fleet/Seat.java
@@ -30,7 +30,8 @@
     RevisionId acting = RevisionId.NONE;
     Digest inForce = Digest.NONE;
     boolean odd; // the digest is not that of the revision
-    long behindSince = Long.MAX_VALUE;
+    long enteredAt; // when it came in last, as this incarnation
+    long wrongSince = Long.MAX_VALUE; // that it is odd, or acts on what never was in force
     int flaps;
     long steadySince; // when it came in last
     long mayReturn;
@@ -71,6 +72,11 @@
         return as;
     }
 
+    /** Whether it is live and heard. */
+    boolean isHeard() {
+        return standing == Standing.LIVE && !silent;
+    }
+
     public Standing standing() {
         return standing;
     }
@@ -136,7 +142,8 @@
                 acting,
                 inForce,
                 odd,
-                behindSince,
+                enteredAt,
+                wrongSince,
                 flaps,
                 steadySince,
                 mayReturn,
@@ -163,7 +170,8 @@
         seat.acting = saved.acting();
         seat.inForce = saved.inForce();
         seat.odd = saved.odd();
-        seat.behindSince = saved.behindSince();
+        seat.enteredAt = saved.enteredAt();
+        seat.wrongSince = saved.wrongSince();
         seat.flaps = saved.flaps();
         seat.steadySince = saved.steadySince();
         seat.mayReturn = saved.mayReturn();
@@ -180,7 +188,7 @@
     String describe(long from) {
         return server.value() + as.value() + standing + (leaseUntil - from) + "," + (floorUntil - from) + silent
                 + marked
-                + acting.value() + inForce.value() + odd + (behindSince == Long.MAX_VALUE ? "-" : behindSince - from)
+                + acting.value() + inForce.value() + odd + (wrongSince == Long.MAX_VALUE ? "-" : wrongSince - from)
                 + flaps + ","
                 + (mayReturn - from);
     }
--- a/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
+++ b/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
@@ -6,7 +6,7 @@
 import tallyweir.fleet.table.Change;
 
 /**
- * A piece of a snapshot of the {@link State}. The order in which they were saved is that in which they are loaded; each is
+ * A part of a snapshot of the {@link State}. The order in which they were saved is that in which they are loaded; each is
  * small, so that no more than one need be in memory.
  */
 public sealed interface SnapshotPart {
@@ -17,22 +17,48 @@
     record Fleet(String fleet, FleetSettings settings, long now, long wall, long incarnations, long judgedAt)
             implements SnapshotPart {}
 
-    /** A revision; the records of what operators asked for follow. */
+    /**
+     * A revision.
+     *
+     * @param size entries of its table
+     * @param changed entries that differ from the table of its base
+     * @param records how many records of what operators asked for follow
+     */
     record RevisionHeader(
             RevisionId id,
             RevisionId base,
             RevisionId of,
             Digest root,
+            int size,
+            int changed,
             boolean forced,
             long proposedWall,
             Revision.Fate fate,
             long since,
             long sinceWall,
-            String reasons)
+            String reasons,
+            int records)
             implements SnapshotPart {}
 
+    /** Why records are kept beside those of revisions. */
+    enum Group {
+        /** Part of a batch that was turned down, to be tried by itself. */
+        RETRY,
+        /** Waits for the revision that is open. */
+        WAITING,
+        /** Was turned down after it had waited. */
+        REFUSED
+    }
+
+    /**
+     * What operators asked for beside the revisions.
+     *
+     * @param records how many records follow
+     */
+    record RecordGroup(Group group, int records) implements SnapshotPart {}
+
     /**
-     * What an operator asked for, as part of the revision before it, or on its own; its changes follow.
+     * What an operator asked for, as part of the revision or the group before it.
      *
      * @param more how many parts with its changes follow
      */
@@ -52,14 +78,23 @@
     /** Some of the entries that the record before changes. */
     record Changes(List<Change> changes) implements SnapshotPart {}
 
-    /** What live servers have said of the revision that is open. */
-    record Proposal(RevisionId revision, long until, List<ServerId> asked, Map<ServerId, String> cannot, int can)
+    /**
+     * What live servers have said of the revision that is open.
+     *
+     * @param revision NONE where none is
+     * @param unasked places of those that are still to say
+     */
+    record Proposed(RevisionId revision, long until, List<Integer> unasked, Map<ServerId, String> cannot, int can)
             implements SnapshotPart {}
 
     /** Something of what is lent of the caps. */
     record Lent(LendingPart part) implements SnapshotPart {}
 
-    /** A server that has a place, or had one. */
+    /**
+     * A server.
+     *
+     * @param gone whether it has left its place
+     */
     record Server(
             int place,
             ServerId server,
@@ -76,7 +111,8 @@
             RevisionId acting,
             Digest inForce,
             boolean odd,
-            long behindSince,
+            long enteredAt,
+            long wrongSince,
             int flaps,
             long steadySince,
             long mayReturn,
@@ -100,5 +136,6 @@
             long beforeBad,
             long afterEnded,
             long afterBad,
-            double usual) {}
+            double usual,
+            RevisionId inForce) {}
 }
--- /dev/null
+++ b/fleet/src/main/java/tallyweir/fleet/SnapshotReader.java
@@ -0,0 +1,65 @@
+package tallyweir.fleet;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Table;
+
+/** Puts back what operators asked for and the revisions that came of it. Tables share what is equal, as they did before. */
+final class SnapshotReader {
+    private final Iterator<SnapshotPart> from;
+    private final RevisionHistory history;
+
+    SnapshotReader(Iterator<SnapshotPart> from, RevisionHistory history) {
+        this.from = from;
+        this.history = history;
+    }
+
+    /**
+     * A revision; its records follow.
+     *
+     * @throws FleetException if its table is not the one that was saved
+     */
+    Revision read(SnapshotPart.RevisionHeader header) {
+        List<ChangeRecord> records = new ArrayList<>();
+        List<Change> changes = new ArrayList<>();
+        for (int more = header.records(); more > 0; more--) {
+            records.add(readRecord(changes));
+        }
+        Table base = history.table(header.base());
+        Table table = table(header, base, changes);
+        if (table != null && !table.root().equals(header.root())) {
+            throw new FleetException(
+                    new Fault.DigestMismatch(header.root().value(), table.root().value()));
+        }
+        return new Revision(header, base, table, records);
+    }
+
+    private Table table(SnapshotPart.RevisionHeader header, Table base, List<Change> changes) {
+        if (header.fate() == Revision.Fate.TURNED_DOWN) {
+            return null;
+        }
+        return header.of().equals(RevisionId.NONE) ? base.apply(changes) : history.table(header.of());
+    }
+
+    /** The records of a group, which follow. */
+    List<ChangeRecord> read(SnapshotPart.RecordGroup group) {
+        List<ChangeRecord> records = new ArrayList<>();
+        for (int more = group.records(); more > 0; more--) {
+            records.add(readRecord(new ArrayList<>()));
+        }
+        return records;
+    }
+
+    /** One that is part of several revisions, which were turned down but for the last, is the same in each. */
+    private ChangeRecord readRecord(List<Change> all) {
+        SnapshotPart.Record saved = (SnapshotPart.Record) from.next();
+        List<Change> changes = new ArrayList<>();
+        for (int more = saved.more(); more > 0; more--) {
+            changes.addAll(((SnapshotPart.Changes) from.next()).changes());
+        }
+        all.addAll(changes);
+        return history.record(saved.command()).orElseGet(() -> new ChangeRecord(saved, changes));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/tallyweir/fleet/SnapshotWriter.java
@@ -0,0 +1,39 @@
+package tallyweir.fleet;
+
+import java.util.List;
+import java.util.function.Consumer;
+import tallyweir.fleet.table.Change;
+
+/** Saves what operators asked for and the revisions that came of it, in parts. */
+final class SnapshotWriter {
+    private final Consumer<SnapshotPart> to;
+
+    SnapshotWriter(Consumer<SnapshotPart> to) {
+        this.to = to;
+    }
+
+    /** A revision with its records; its table is what they make of that of its base, or that of another revision. */
+    void write(Revision revision) {
+        to.accept(revision.save());
+        for (ChangeRecord record : revision.records()) {
+            boolean isWhole = record.kind() == ChangeRecord.Kind.PUBLISH && revision.table() != null;
+            write(record, isWhole ? revision.changes() : record.changes());
+        }
+    }
+
+    /** Records beside those of revisions. */
+    void write(SnapshotPart.Group group, List<ChangeRecord> records) {
+        to.accept(new SnapshotPart.RecordGroup(group, records.size()));
+        records.forEach(record -> write(record, record.changes()));
+    }
+
+    private void write(ChangeRecord record, List<Change> changes) {
+        int parts = (changes.size() + SnapshotPart.CHANGES_MOST - 1) / SnapshotPart.CHANGES_MOST;
+        to.accept(record.save(parts));
+        for (int part = 0; part < parts; part++) {
+            int from = part * SnapshotPart.CHANGES_MOST;
+            int until = Math.min(changes.size(), from + SnapshotPart.CHANGES_MOST);
+            to.accept(new SnapshotPart.Changes(List.copyOf(changes.subList(from, until))));
+        }
+    }
+}
