Fleet: standard names in the state's classes

Methods within the state's own classes are named after what they do (reject, expire, renewLease, admit, proposeWaiting).

StateTest, LendingModelTest, ChangeEntriesTest and ChangeEntriesModelTest pass.

--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -50,7 +50,7 @@
     }
 
     /** One server: its own side, and what it sends to the fleet. */
-    private static final class Server implements Acts {
+    private static final class Server implements MemberActions {
         private final Fleet in;
         private final ServerId id;
         private Gate gate;
@@ -449,14 +449,14 @@
                     > 2) {
                 wrong.add("two operators were both told that theirs is the next");
             }
-            for (Seat seat : state.servers()) {
+            for (ServerRecord record : state.servers()) {
                 Server s = servers.stream()
-                        .filter(x -> x.id.equals(seat.server()))
+                        .filter(x -> x.id.equals(record.server()))
                         .findFirst()
                         .orElseThrow();
-                if (seat.standing() == Seat.Standing.LIVE
-                        && !seat.odd()
-                        && s.said.equals(seat.acting())
+                if (record.status() == ServerRecord.Status.LIVE
+                        && !record.odd()
+                        && s.said.equals(record.acting())
                         && !s.acts.equals(s.said)) {
                     wrong.add("nobody sees that a server does not do what it says");
                 }
@@ -478,14 +478,14 @@
 
         @Override
         public String wrongAtRest() {
-            for (Seat seat : state.servers()) {
-                if (seat.standing() == Seat.Standing.LIVE
-                        && !seat.silent()
-                        && !seat.marked()
-                        && !seat.acting().equals(state.inForce())
+            for (ServerRecord record : state.servers()) {
+                if (record.status() == ServerRecord.Status.LIVE
+                        && !record.silent()
+                        && !record.marked()
+                        && !record.acting().equals(state.inForce())
                         && !state.proposed().equals(state.inForce())
                         && servers.stream()
-                                .anyMatch(s -> s.id.equals(seat.server()) && s.acts.equals(state.inForce()))) {
+                                .anyMatch(s -> s.id.equals(record.server()) && s.acts.equals(state.inForce()))) {
                     return "the fleet does not know what a server acts on";
                 }
             }
--- a/fleet/src/main/java/tallyweir/fleet/FleetContext.java
+++ b/fleet/src/main/java/tallyweir/fleet/FleetContext.java
@@ -31,7 +31,7 @@
     void settings(String fleet, FleetSettings settings) {
         this.fleet = fleet;
         this.settings = settings;
-        tail = Spans.waited(settings.tail(), settings.drift());
+        tail = LeaseSpans.waited(settings.tail(), settings.drift());
     }
 
     /** How long after a server's lease what it accepted may still be open, by the fleet's clock. */
--- a/fleet/src/main/java/tallyweir/fleet/Spans.java
+++ b/fleet/src/main/java/tallyweir/fleet/LeaseSpans.java
@@ -1,11 +1,11 @@
 package tallyweir.fleet;
 
 /**
- * Spans of time that two clocks measure. Each may run fast or slow by a set ratio; of the one that relies on something
+ * LeaseSpans of time that two clocks measure. Each may run fast or slow by a set ratio; of the one that relies on something
  * the span is made shorter, of the one that gives it to another longer, so that the first is over before the second.
  */
-public final class Spans {
-    private Spans() {}
+public final class LeaseSpans {
+    private LeaseSpans() {}
 
     /** How long a server may rely on what lasts so long by the fleet's clock. */
     public static long relied(long span, double drift) {
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -12,7 +12,7 @@
 public final class Member {
     private static final int AGAIN_MOST = 16; // doublings of the wait are bounded: no fleet is left alone for long
 
-    private final Acts out;
+    private final MemberActions out;
     private final Gate gate;
     private final Set<Guard> without;
     private final ServerId server;
@@ -50,7 +50,7 @@
      * @param backWhole whether a server that is out stands back whole, or goes on but for what it was lent
      */
     public Member(
-            Acts out,
+            MemberActions out,
             Gate gate,
             ServerId server,
             String listen,
@@ -125,7 +125,7 @@
             sentAt = now;
             answered = false;
         }
-        Acts.Ended queries = out.ended();
+        MemberActions.Ended queries = out.ended();
         out.report(new Command.Report(
                 server,
                 as,
--- a/fleet/src/main/java/tallyweir/fleet/Acts.java
+++ b/fleet/src/main/java/tallyweir/fleet/MemberActions.java
@@ -1,7 +1,7 @@
 package tallyweir.fleet;
 
 /** What a server's own side of the fleet asks for. None of these calls back before it returns. */
-public interface Acts {
+public interface MemberActions {
     /**
      * Queries that have ended since the process began.
      *
--- a/fleet/src/main/java/tallyweir/fleet/Probation.java
+++ b/fleet/src/main/java/tallyweir/fleet/Probation.java
@@ -26,7 +26,7 @@
         Revision revision = history.inForce();
         return revision != null
                 && context.now() < revision.since + context.settings().probation()
-                && history.before() != null
+                && history.previous() != null
                 && !revision.by().equals(AUTHOR);
     }
 
@@ -36,7 +36,7 @@
     }
 
     /** A server has said how its queries ended. */
-    void report(Seat server, long ended, long bad) {
+    void report(ServerRecord server, long ended, long bad) {
         server.health.under(history.inForceId());
         boolean counts = isActive() && server.acting.equals(history.inForceId());
         server.health.report(
@@ -49,17 +49,17 @@
     }
 
     /** Whether a server fares worse is known by its last report. */
-    void note(Seat server) {
+    void note(ServerRecord server) {
         worse.set(
                 server.place,
-                server.standing == Seat.Standing.LIVE
+                server.status == ServerRecord.Status.LIVE
                         && server.acting.equals(history.inForceId())
                         && server.health.isUnder(history.inForceId())
                         && server.health.tells(ENDED_LEAST)
                         && server.health.worse(context.settings().worseRatio(), WORSE_LEAST));
     }
 
-    void notLive(int place) {
+    void remove(int place) {
         worse.clear(place);
     }
 
--- a/fleet/src/main/java/tallyweir/fleet/Proposal.java
+++ b/fleet/src/main/java/tallyweir/fleet/Proposal.java
@@ -11,9 +11,9 @@
 
     private Revision revision;
     private long until;
-    private BitSet unasked = new BitSet(); // places of live servers that have not said whether they can take it
-    private final TreeMap<ServerId, String> cannot = new TreeMap<>();
-    private int can;
+    private BitSet pending = new BitSet(); // places of live servers that have not said whether they can take it
+    private final TreeMap<ServerId, String> rejections = new TreeMap<>();
+    private int accepted;
 
     /**
      * Opens a revision for servers to say whether they can take it.
@@ -24,9 +24,9 @@
     void open(Revision proposed, long until, BitSet ask) {
         revision = proposed;
         this.until = until;
-        unasked = (BitSet) ask.clone();
-        cannot.clear();
-        can = 0;
+        pending = (BitSet) ask.clone();
+        rejections.clear();
+        accepted = 0;
     }
 
     /** It has been decided. */
@@ -58,56 +58,58 @@
 
     /** A server has looked at a revision; why it cannot take it, empty if it can. */
     void checked(int place, ServerId server, RevisionId which, String why) {
-        if (!which.equals(id()) || !unasked.get(place)) {
+        if (!which.equals(id()) || !pending.get(place)) {
             return;
         }
-        unasked.clear(place);
+        pending.clear(place);
         if (why.isEmpty()) {
-            can++;
+            accepted++;
         } else {
-            cannot.put(server, why);
+            rejections.put(server, why);
         }
     }
 
     /** A server that is not live any more need not say. */
-    void notLive(int place) {
-        unasked.clear(place);
+    void remove(int place) {
+        pending.clear(place);
     }
 
-    boolean allSaid() {
-        return unasked.isEmpty();
+    boolean isComplete() {
+        return pending.isEmpty();
     }
 
     /** Those who are silent though live count as unable. */
-    void timeOver(IntFunction<ServerId> serverAt) {
-        unasked.stream().forEach(place -> cannot.put(serverAt.apply(place), "it did not say in time"));
-        unasked.clear();
+    void expire(IntFunction<ServerId> serverAt) {
+        pending.stream().forEach(place -> rejections.put(serverAt.apply(place), "it did not say in time"));
+        pending.clear();
     }
 
     /** Of those who have said, the share that cannot take it. */
-    double cannotShare() {
-        int said = can + cannot.size();
-        return said == 0 ? 0 : cannot.size() / (double) said;
+    double rejectedShare() {
+        int said = accepted + rejections.size();
+        return said == 0 ? 0 : rejections.size() / (double) said;
     }
 
     /** How many cannot take it, and why the first of them cannot. */
     String reasons() {
-        List<String> first = cannot.entrySet().stream()
+        List<String> first = rejections.entrySet().stream()
                 .limit(REASONS_MOST)
                 .map(each -> each.getKey().value() + ": " + each.getValue())
                 .toList();
-        return cannot.size() + " of " + (can + cannot.size()) + " cannot take it: " + String.join("; ", first);
+        return rejections.size() + " of " + (accepted + rejections.size()) + " cannot take it: "
+                + String.join("; ", first);
     }
 
     SnapshotPart.Proposed save() {
-        return new SnapshotPart.Proposed(id(), until, unasked.stream().boxed().toList(), new TreeMap<>(cannot), can);
+        return new SnapshotPart.Proposed(
+                id(), until, pending.stream().boxed().toList(), new TreeMap<>(rejections), accepted);
     }
 
     void load(SnapshotPart.Proposed saved, Revision proposed) {
         revision = proposed;
         until = saved.until();
-        saved.unasked().forEach(unasked::set);
-        cannot.putAll(saved.cannot());
-        can = saved.can();
+        saved.pending().forEach(pending::set);
+        rejections.putAll(saved.rejections());
+        accepted = saved.accepted();
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/RevisionControl.java
+++ b/fleet/src/main/java/tallyweir/fleet/RevisionControl.java
@@ -48,12 +48,12 @@
         this.lending = lending;
         // First what is proposed comes into force or not, then whether what is in force is taken back, then what waits.
         rules.add(
-                () -> proposal.isOpen() && !proposal.allSaid() && context.now() >= proposal.due(),
-                () -> proposal.timeOver(servers::serverAt));
-        rules.add(() -> proposal.isOpen() && (proposal.revision().forced || enoughCan()), this::comesIntoForce);
-        rules.add(() -> proposal.isOpen() && proposal.allSaid(), this::cannotBeTaken);
+                () -> proposal.isOpen() && !proposal.isComplete() && context.now() >= proposal.due(),
+                () -> proposal.expire(servers::serverAt));
+        rules.add(() -> proposal.isOpen() && (proposal.revision().forced || enoughCan()), this::bringIntoForce);
+        rules.add(() -> proposal.isOpen() && proposal.isComplete(), this::reject);
         rules.add(probation::isDue, this::judge);
-        rules.add(() -> !proposal.isOpen() && !queue.isEmpty(), this::takeUp);
+        rules.add(() -> !proposal.isOpen() && !queue.isEmpty(), this::proposeWaiting);
     }
 
     /** Everything that follows by now. */
@@ -73,15 +73,15 @@
     // ---- what is proposed, and what is in force
 
     private boolean enoughCan() {
-        return proposal.allSaid()
-                && proposal.cannotShare() <= context.settings().mostCannot();
+        return proposal.isComplete()
+                && proposal.rejectedShare() <= context.settings().mostCannot();
     }
 
-    private void comesIntoForce() {
+    private void bringIntoForce() {
         Revision revision = proposal.revision();
         proposal.close();
         List<Change> changes = history.inForceTable().differenceTo(revision.table());
-        history.comesIntoForce(revision, context.now(), context.wall());
+        history.bringIntoForce(revision, context.now(), context.wall());
         lending.caps(revision.id.value(), capChanges(changes));
         probation.begin();
     }
@@ -100,7 +100,7 @@
     }
 
     /** Too many servers cannot take it. Of several changes one may be at fault, so that each half has its turn. */
-    private void cannotBeTaken() {
+    private void reject() {
         List<ChangeRecord> batch = proposal.revision().records();
         turnDown(proposal.reasons());
         if (batch.size() > 1) {
@@ -115,12 +115,12 @@
 
     private void judge() {
         if (probation.judge(servers.live())) {
-            takeBack();
+            rollBack();
         }
     }
 
     /** Rolled back once, by the state itself: the one before comes into force again at this point of the log. */
-    private void takeBack() {
+    private void rollBack() {
         Revision worse = history.inForce();
         if (proposal.isOpen()) {
             turnDown("revision " + worse.id.value() + ", which it follows, was taken back");
@@ -133,17 +133,17 @@
                 "under revision " + worse.id.value() + " more queries were late or errored than before",
                 true,
                 context.wall());
-        Revision back = history.before();
+        Revision back = history.previous();
         propose(worse, back.id, back.table(), List.of(record));
     }
 
     /** What waits goes into one revision together, but for what does not hold any more. */
-    private void takeUp() {
+    private void proposeWaiting() {
         Table table = history.inForceTable();
         List<ChangeRecord> holding = new ArrayList<>();
         List<Change> changes = new ArrayList<>();
         for (ChangeRecord record : queue.takeBatch()) {
-            Optional<Fault.KeyConflict> conflict = differing(table, record.changes());
+            Optional<Fault.KeyConflict> conflict = firstConflict(table, record.changes());
             if (conflict.isPresent()) {
                 refuse(record, conflict.get());
             } else {
@@ -189,7 +189,7 @@
             return new Answer.Refused(
                     new Fault.UnknownRoot("of revision " + publish.expected().value()));
         }
-        Optional<Fault> fault = faulty(publish.changes()).or(() -> differingIn(base, publish.changes()));
+        Optional<Fault> fault = firstFault(publish.changes()).or(() -> conflictWith(base, publish.changes()));
         if (fault.isPresent()) {
             return new Answer.Refused(fault.get());
         }
@@ -231,7 +231,7 @@
         if (change.changes().isEmpty()) {
             return new Answer.Refused(new Fault.EntryFaulty("", "the change names no entry"));
         }
-        Optional<Fault> fault = faulty(change.changes()).or(() -> conflict(change.changes()));
+        Optional<Fault> fault = firstFault(change.changes()).or(() -> conflict(change.changes()));
         if (fault.isPresent()) {
             return new Answer.Refused(fault.get());
         }
@@ -317,7 +317,7 @@
     }
 
     /** A command names each entry once. */
-    private static Optional<Fault> faulty(List<Change> changes) {
+    private static Optional<Fault> firstFault(List<Change> changes) {
         Set<Key> named = new HashSet<>();
         for (Change change : changes) {
             if (!named.add(change.key())) {
@@ -338,7 +338,7 @@
                 return first.map(record -> conflict(change.key(), record));
             }
         }
-        return differingIn(history.inForceTable(), changes);
+        return conflictWith(history.inForceTable(), changes);
     }
 
     /** Who is about to change an entry. */
@@ -349,12 +349,12 @@
         return queue.touching(key);
     }
 
-    private Optional<Fault> differingIn(Table table, List<Change> changes) {
-        return differing(table, changes).map(conflict -> conflict);
+    private Optional<Fault> conflictWith(Table table, List<Change> changes) {
+        return firstConflict(table, changes).map(conflict -> conflict);
     }
 
     /** The first entry that is not what a change has as before. */
-    private Optional<Fault.KeyConflict> differing(Table table, List<Change> changes) {
+    private Optional<Fault.KeyConflict> firstConflict(Table table, List<Change> changes) {
         if (!context.has(Guard.EXPECTED)) {
             return Optional.empty();
         }
--- a/fleet/src/main/java/tallyweir/fleet/RevisionHistory.java
+++ b/fleet/src/main/java/tallyweir/fleet/RevisionHistory.java
@@ -18,7 +18,7 @@
     private final Map<Digest, Table> tables = new HashMap<>(); // of all that were not turned down, by root
     private final Map<OperatorCommand, ChangeRecord> commands = new HashMap<>();
     private Revision inForce;
-    private Revision before; // what was in force before
+    private Revision previous; // what was in force before
     private long firstSince = Long.MAX_VALUE; // when the first came into force
 
     RevisionHistory() {
@@ -42,8 +42,8 @@
     }
 
     /** What was in force before what is, null if there was none. */
-    Revision before() {
-        return before;
+    Revision previous() {
+        return previous;
     }
 
     RevisionId inForceId() {
@@ -150,7 +150,7 @@
     }
 
     /** A revision comes into force in the place of the one that was. */
-    void comesIntoForce(Revision revision, long now, long wall) {
+    void bringIntoForce(Revision revision, long now, long wall) {
         revision.fate = Revision.Fate.IN_FORCE;
         revision.since = now;
         revision.sinceWall = wall;
@@ -164,7 +164,7 @@
             inForce.fate = Revision.Fate.PAST;
             inForce.supersededAt = by.since;
         }
-        before = inForce;
+        previous = inForce;
         inForce = by;
     }
 
--- a/fleet/src/main/java/tallyweir/fleet/Passage.java
+++ b/fleet/src/main/java/tallyweir/fleet/RevisionTransition.java
@@ -7,4 +7,5 @@
  * @param outdated queries it began under the earlier one after that
  * @param wall when it was taken down, by the leader's wall clock, ms since 1970; for people
  */
-public record Passage(Incarnation as, RevisionId from, RevisionId to, long behind, long outdated, long wall) {}
+public record RevisionTransition(
+        Incarnation as, RevisionId from, RevisionId to, long behind, long outdated, long wall) {}
--- a/fleet/src/main/java/tallyweir/fleet/Seat.java
+++ b/fleet/src/main/java/tallyweir/fleet/ServerRecord.java
@@ -4,23 +4,23 @@
 import java.util.List;
 
 /** One place of the fleet, and the server that has it. */
-public final class Seat {
+public final class ServerRecord {
     /** How it stands with the server. */
-    public enum Standing {
+    public enum Status {
         ENTERING,
         LIVE,
         OUT,
         LEFT
     }
 
-    static final int PASSAGES_MOST = 32;
+    static final int TRANSITIONS_MOST = 32;
 
     final int place;
     final ServerId server;
     final String listen;
     Incarnation as;
     long life; // of its process
-    Standing standing = Standing.ENTERING;
+    Status status = Status.ENTERING;
     long number; // of its last report
     long leaseUntil;
     long floorUntil;
@@ -38,20 +38,20 @@
     long heardWall;
     long outWall;
     final Health health = new Health();
-    int folded; // passages that are no longer kept
+    int folded; // transitions that are no longer kept
     long foldedOutdated;
-    final ArrayDeque<Passage> passages = new ArrayDeque<>();
+    final ArrayDeque<RevisionTransition> transitions = new ArrayDeque<>();
 
-    Seat(int place, ServerId server, String listen) {
+    ServerRecord(int place, ServerId server, String listen) {
         this.place = place;
         this.server = server;
         this.listen = listen;
     }
 
-    void pass(Passage p) {
-        passages.add(p);
-        if (passages.size() > PASSAGES_MOST) {
-            foldedOutdated += passages.poll().outdated();
+    void add(RevisionTransition transition) {
+        transitions.add(transition);
+        if (transitions.size() > TRANSITIONS_MOST) {
+            foldedOutdated += transitions.poll().outdated();
             folded++;
         }
     }
@@ -74,11 +74,11 @@
 
     /** Whether it is live and heard. */
     boolean isHeard() {
-        return standing == Standing.LIVE && !silent;
+        return status == Status.LIVE && !silent;
     }
 
-    public Standing standing() {
-        return standing;
+    public Status status() {
+        return status;
     }
 
     public boolean silent() {
@@ -117,12 +117,13 @@
         return folded;
     }
 
-    public Iterable<Passage> passages() {
-        return passages;
+    public Iterable<RevisionTransition> transitions() {
+        return transitions;
     }
 
     public long outdated() {
-        return foldedOutdated + passages.stream().mapToLong(Passage::outdated).sum();
+        return foldedOutdated
+                + transitions.stream().mapToLong(RevisionTransition::outdated).sum();
     }
 
     SnapshotPart.Server save(boolean isGone) {
@@ -132,7 +133,7 @@
                 listen,
                 as,
                 life,
-                standing,
+                status,
                 number,
                 leaseUntil,
                 floorUntil,
@@ -151,42 +152,42 @@
                 outWall,
                 folded,
                 foldedOutdated,
-                List.copyOf(passages),
+                List.copyOf(transitions),
                 health.save(),
                 isGone);
     }
 
-    static Seat load(SnapshotPart.Server saved) {
-        Seat seat = new Seat(saved.place(), saved.server(), saved.listen());
-        seat.as = saved.as();
-        seat.life = saved.life();
-        seat.standing = saved.standing();
-        seat.number = saved.number();
-        seat.leaseUntil = saved.leaseUntil();
-        seat.floorUntil = saved.floorUntil();
-        seat.silent = saved.silent();
-        seat.marked = saved.marked();
-        seat.cause = saved.cause();
-        seat.acting = saved.acting();
-        seat.inForce = saved.inForce();
-        seat.odd = saved.odd();
-        seat.enteredAt = saved.enteredAt();
-        seat.wrongSince = saved.wrongSince();
-        seat.flaps = saved.flaps();
-        seat.steadySince = saved.steadySince();
-        seat.mayReturn = saved.mayReturn();
-        seat.heardWall = saved.heardWall();
-        seat.outWall = saved.outWall();
-        seat.folded = saved.folded();
-        seat.foldedOutdated = saved.foldedOutdated();
-        seat.passages.addAll(saved.passages());
-        seat.health.load(saved.counts());
-        return seat;
+    static ServerRecord load(SnapshotPart.Server saved) {
+        ServerRecord record = new ServerRecord(saved.place(), saved.server(), saved.listen());
+        record.as = saved.as();
+        record.life = saved.life();
+        record.status = saved.status();
+        record.number = saved.number();
+        record.leaseUntil = saved.leaseUntil();
+        record.floorUntil = saved.floorUntil();
+        record.silent = saved.silent();
+        record.marked = saved.marked();
+        record.cause = saved.cause();
+        record.acting = saved.acting();
+        record.inForce = saved.inForce();
+        record.odd = saved.odd();
+        record.enteredAt = saved.enteredAt();
+        record.wrongSince = saved.wrongSince();
+        record.flaps = saved.flaps();
+        record.steadySince = saved.steadySince();
+        record.mayReturn = saved.mayReturn();
+        record.heardWall = saved.heardWall();
+        record.outWall = saved.outWall();
+        record.folded = saved.folded();
+        record.foldedOutdated = saved.foldedOutdated();
+        record.transitions.addAll(saved.transitions());
+        record.health.load(saved.counts());
+        return record;
     }
 
     /** All that its future hangs on, times from this one on. */
     String describe(long from) {
-        return server.value() + as.value() + standing + (leaseUntil - from) + "," + (floorUntil - from) + silent
+        return server.value() + as.value() + status + (leaseUntil - from) + "," + (floorUntil - from) + silent
                 + marked
                 + acting.value() + inForce.value() + odd + (wrongSince == Long.MAX_VALUE ? "-" : wrongSince - from)
                 + flaps + ","
--- a/fleet/src/main/java/tallyweir/fleet/ServerRegistry.java
+++ b/fleet/src/main/java/tallyweir/fleet/ServerRegistry.java
@@ -31,18 +31,18 @@
     private final Lending lending;
     private final Stragglers stragglers;
     private final Rules rules = new Rules();
-    private final TreeMap<ServerId, Seat> byName = new TreeMap<>();
-    private final Map<Integer, Seat> byPlace = new HashMap<>();
+    private final TreeMap<ServerId, ServerRecord> byName = new TreeMap<>();
+    private final Map<Integer, ServerRecord> byPlace = new HashMap<>();
     private final TreeSet<Integer> free = new TreeSet<>();
     private final TreeSet<ServerId> marked = new TreeSet<>();
     private final BitSet heard = new BitSet(); // places of servers that are live and not silent
     private final TreeSet<Due> dues = new TreeSet<>();
     private final Map<Integer, Long> dueAt = new HashMap<>();
-    private final ArrayDeque<Seat> gone = new ArrayDeque<>();
+    private final ArrayDeque<ServerRecord> gone = new ArrayDeque<>();
     private long incarnations;
     private int live;
     private int out;
-    private Seat seat; // what the rules are about
+    private ServerRecord current; // what the rules are about
 
     ServerRegistry(
             FleetContext context, RevisionHistory history, Proposal proposal, Probation probation, Lending lending) {
@@ -54,12 +54,12 @@
         stragglers = new Stragglers(history);
         // First what a server's silence means, then whether it goes out, then what comes back from it.
         rules.add(this::didNotComeIn, () -> out("did not come in"));
-        rules.add(() -> seat.isHeard() && now() >= seat.leaseUntil, this::silent);
-        rules.add(() -> stays() && seat.marked, this::unmark);
+        rules.add(() -> current.isHeard() && now() >= current.leaseUntil, this::silent);
+        rules.add(() -> stays() && current.marked, this::unmark);
         rules.add(() -> mustGo() && hasRoom(), () -> out(whyGo()));
-        rules.add(() -> mustGo() && !seat.marked, this::mark);
-        rules.add(() -> nothingIsOpen() && lending.holds(seat.place), () -> lending.back(seat.place));
-        rules.add(this::nobodyIsThere, this::forget);
+        rules.add(() -> mustGo() && !current.marked, this::mark);
+        rules.add(() -> nothingIsOpen() && lending.holds(current.place), () -> lending.back(current.place));
+        rules.add(this::nobodyIsThere, this::release);
     }
 
     private long now() {
@@ -73,16 +73,16 @@
     // ---- what there is
 
     /** The server of that name, null if it has no place. */
-    Seat get(ServerId server) {
+    ServerRecord get(ServerId server) {
         return byName.get(server);
     }
 
-    Collection<Seat> all() {
+    Collection<ServerRecord> all() {
         return byName.values();
     }
 
     /** Servers that have had a place and left it, the latest last. */
-    Collection<Seat> gone() {
+    Collection<ServerRecord> gone() {
         return gone;
     }
 
@@ -112,59 +112,59 @@
     }
 
     /** Since when a server does not act as the revision in force says, Long.MAX_VALUE if it does. */
-    long behindSince(Seat of) {
-        if (of.standing == Seat.Standing.ENTERING) {
-            return Math.max(of.enteredAt, history.inForceSince());
+    long behindSince(ServerRecord server) {
+        if (server.status == ServerRecord.Status.ENTERING) {
+            return Math.max(server.enteredAt, history.inForceSince());
         }
-        return Math.min(of.wrongSince, history.supersededAt(of.acting));
+        return Math.min(server.wrongSince, history.supersededAt(server.acting));
     }
 
     // ---- the rules of a server
 
     private boolean didNotComeIn() {
-        return seat.standing == Seat.Standing.ENTERING && behindTooLong();
+        return current.status == ServerRecord.Status.ENTERING && behindTooLong();
     }
 
     private boolean behindTooLong() {
-        long since = behindSince(seat);
+        long since = behindSince(current);
         return since != Long.MAX_VALUE && now() >= since + settings().behindMost();
     }
 
     private boolean mustGo() {
-        return seat.standing == Seat.Standing.LIVE && (seat.silent || behindTooLong());
+        return current.status == ServerRecord.Status.LIVE && (current.silent || behindTooLong());
     }
 
     private boolean stays() {
-        return seat.isHeard() && !behindTooLong();
+        return current.isHeard() && !behindTooLong();
     }
 
     /** Nothing that it accepted on what it was lent can be open any more. */
     private boolean nothingIsOpen() {
-        return now() >= seat.leaseUntil + context.tail();
+        return now() >= current.leaseUntil + context.tail();
     }
 
     private boolean nobodyIsThere() {
-        return byPlace.get(seat.place) == seat
-                && (seat.standing == Seat.Standing.OUT || seat.silent)
-                && now() >= forgetAt(seat);
+        return byPlace.get(current.place) == current
+                && (current.status == ServerRecord.Status.OUT || current.silent)
+                && now() >= forgetAt(current);
     }
 
-    private long forgetAt(Seat of) {
-        return Math.max(of.floorUntil + context.tail(), of.mayReturn);
+    private long forgetAt(ServerRecord server) {
+        return Math.max(server.floorUntil + context.tail(), server.mayReturn);
     }
 
     private void silent() {
-        seat.silent = true;
-        seat.cause = "silent";
+        current.silent = true;
+        current.cause = "silent";
     }
 
     private String whyGo() {
-        if (seat.silent) {
+        if (current.silent) {
             return "silent";
         }
-        return seat.odd
-                ? "what is in force there is not what revision " + seat.acting.value() + " says"
-                : "behind: acts on revision " + seat.acting.value() + " and not "
+        return current.odd
+                ? "what is in force there is not what revision " + current.acting.value() + " says"
+                : "behind: acts on revision " + current.acting.value() + " and not "
                         + history.inForceId().value();
     }
 
@@ -177,59 +177,59 @@
     }
 
     private void mark() {
-        seat.marked = true;
-        seat.cause = whyGo() + "; too many are out to shut it out";
-        marked.add(seat.server);
+        current.marked = true;
+        current.cause = whyGo() + "; too many are out to shut it out";
+        marked.add(current.server);
     }
 
     private void unmark() {
-        seat.marked = false;
-        seat.cause = "";
-        marked.remove(seat.server);
+        current.marked = false;
+        current.cause = "";
+        marked.remove(current.server);
     }
 
     private void out(String why) {
-        count(seat, -1);
-        seat.standing = Seat.Standing.OUT;
-        count(seat, 1);
-        seat.marked = false;
-        marked.remove(seat.server);
-        seat.cause = why;
-        seat.outWall = context.wall();
+        count(current, -1);
+        current.status = ServerRecord.Status.OUT;
+        count(current, 1);
+        current.marked = false;
+        marked.remove(current.server);
+        current.cause = why;
+        current.outWall = context.wall();
         boolean wasSteady =
-                now() - seat.steadySince > STEADY_LEASES * settings().lease();
-        seat.flaps = wasSteady ? 0 : Math.min(FLAPS_MOST, seat.flaps + 1);
+                now() - current.steadySince > STEADY_LEASES * settings().lease();
+        current.flaps = wasSteady ? 0 : Math.min(FLAPS_MOST, current.flaps + 1);
         long waitLeast = Math.max(1, settings().lease() / WAITS_IN_LEASE);
-        seat.mayReturn = now() + (waitLeast << seat.flaps);
-        notLive(seat);
+        current.mayReturn = now() + (waitLeast << current.flaps);
+        removeFromVotes(current);
     }
 
     /** Nobody is at the place any more, by any clock. */
-    private void forget() {
-        count(seat, -1);
-        notLive(seat);
-        heard.clear(seat.place);
-        stragglers.untrack(seat.place);
-        lending.free(seat.place);
-        byPlace.remove(seat.place);
-        byName.remove(seat.server);
-        marked.remove(seat.server);
-        free.add(seat.place);
-        due(seat.place, Long.MAX_VALUE);
-        gone.add(seat);
+    private void release() {
+        count(current, -1);
+        removeFromVotes(current);
+        heard.clear(current.place);
+        stragglers.untrack(current.place);
+        lending.free(current.place);
+        byPlace.remove(current.place);
+        byName.remove(current.server);
+        marked.remove(current.server);
+        free.add(current.place);
+        due(current.place, Long.MAX_VALUE);
+        gone.add(current);
         if (gone.size() > GONE_MOST) {
             gone.poll();
         }
     }
 
-    private void count(Seat of, int by) {
-        live += of.standing == Seat.Standing.LIVE ? by : 0;
-        out += of.standing == Seat.Standing.OUT ? by : 0;
+    private void count(ServerRecord server, int by) {
+        live += server.status == ServerRecord.Status.LIVE ? by : 0;
+        out += server.status == ServerRecord.Status.OUT ? by : 0;
     }
 
-    private void notLive(Seat of) {
-        proposal.notLive(of.place);
-        probation.notLive(of.place);
+    private void removeFromVotes(ServerRecord server) {
+        proposal.remove(server.place);
+        probation.remove(server.place);
     }
 
     // ---- what happens to one
@@ -247,55 +247,55 @@
      * @param life of the process, higher than that of any before at this address; one that is no higher frees nothing, so
      *     that a word which was long on its way takes nothing from who has come in since
      */
-    Seat enter(ServerId server, String listen, long life) {
-        Seat of = byName.computeIfAbsent(server, name -> new Seat(free.pollFirst(), name, listen));
-        byPlace.put(of.place, of);
-        if (life > of.life) {
-            of.life = life;
-            lending.free(of.place);
-            of.health.begin();
-            of.acting = RevisionId.NONE;
+    ServerRecord join(ServerId name, String listen, long life) {
+        ServerRecord server = byName.computeIfAbsent(name, id -> new ServerRecord(free.pollFirst(), id, listen));
+        byPlace.put(server.place, server);
+        if (life > server.life) {
+            server.life = life;
+            lending.free(server.place);
+            server.health.begin();
+            server.acting = RevisionId.NONE;
         }
-        count(of, -1);
-        of.as = new Incarnation(++incarnations);
-        of.standing = Seat.Standing.ENTERING;
-        of.number = 0;
-        of.silent = false;
-        of.marked = false;
-        marked.remove(server);
-        of.cause = "";
-        of.enteredAt = now();
-        of.wrongSince = Long.MAX_VALUE;
-        of.heardWall = context.wall();
-        notLive(of);
-        settle(of);
-        return of;
+        count(server, -1);
+        server.as = new Incarnation(++incarnations);
+        server.status = ServerRecord.Status.ENTERING;
+        server.number = 0;
+        server.silent = false;
+        server.marked = false;
+        marked.remove(name);
+        server.cause = "";
+        server.enteredAt = now();
+        server.wrongSince = Long.MAX_VALUE;
+        server.heardWall = context.wall();
+        removeFromVotes(server);
+        settle(server);
+        return server;
     }
 
     /** What is in force at a server is what the revision in force says. */
-    void comesIn(Seat of) {
-        if (of.standing == Seat.Standing.ENTERING) {
-            of.standing = Seat.Standing.LIVE;
-            of.steadySince = now();
-            count(of, 1);
+    void admit(ServerRecord server) {
+        if (server.status == ServerRecord.Status.ENTERING) {
+            server.status = ServerRecord.Status.LIVE;
+            server.steadySince = now();
+            count(server, 1);
         }
     }
 
     /** A live server may rely on what it is lent for another lease. */
-    void renew(Seat of) {
-        if (of.standing == Seat.Standing.LIVE) {
-            of.leaseUntil = now() + settings().lease();
-            of.floorUntil = now() + settings().floorLease();
-            of.silent = false;
+    void renewLease(ServerRecord server) {
+        if (server.status == ServerRecord.Status.LIVE) {
+            server.leaseUntil = now() + settings().lease();
+            server.floorUntil = now() + settings().floorLease();
+            server.silent = false;
         }
     }
 
     /** A server ends in an orderly way. */
-    void leave(Seat of) {
-        seat = of;
-        forget();
-        of.standing = Seat.Standing.LEFT;
-        of.outWall = context.wall();
+    void leave(ServerRecord server) {
+        current = server;
+        release();
+        server.status = ServerRecord.Status.LEFT;
+        server.outWall = context.wall();
     }
 
     // ---- what is due
@@ -319,9 +319,9 @@
     }
 
     /** Those that ought to be shut out are, as far as that is allowed by now. */
-    void settleMarked() {
+    void shutOutMarked() {
         while (!marked.isEmpty() && hasRoom()) {
-            Seat first = byName.get(marked.first());
+            ServerRecord first = byName.get(marked.first());
             int before = out;
             settle(first);
             if (out == before && first.marked) {
@@ -336,41 +336,41 @@
     }
 
     /** One more round of the rules for a server, after which it is noted when it is to be looked at again. */
-    void settle(Seat of) {
-        if (byPlace.get(of.place) != of) {
+    void settle(ServerRecord server) {
+        if (byPlace.get(server.place) != server) {
             return;
         }
-        seat = of;
+        current = server;
         rules.settle();
-        if (byPlace.get(of.place) == of) {
-            note(of);
+        if (byPlace.get(server.place) == server) {
+            reschedule(server);
         }
     }
 
     /** Notes when a server is to be looked at again, and among whom it counts. */
-    void note(Seat of) {
-        heard.set(of.place, of.isHeard());
-        if (of.standing == Seat.Standing.LIVE && history.wasInForce(of.acting)) {
-            stragglers.track(of.place, of.acting);
+    void reschedule(ServerRecord server) {
+        heard.set(server.place, server.isHeard());
+        if (server.status == ServerRecord.Status.LIVE && history.wasInForce(server.acting)) {
+            stragglers.track(server.place, server.acting);
         } else {
-            stragglers.untrack(of.place);
+            stragglers.untrack(server.place);
         }
-        due(of.place, dueOf(of));
+        due(server.place, dueOf(server));
     }
 
-    private long dueOf(Seat of) {
-        long at = of.isHeard() ? of.leaseUntil : Long.MAX_VALUE;
-        if (of.standing == Seat.Standing.ENTERING) {
-            at = Math.min(at, behindSince(of) + settings().behindMost());
+    private long dueOf(ServerRecord server) {
+        long at = server.isHeard() ? server.leaseUntil : Long.MAX_VALUE;
+        if (server.status == ServerRecord.Status.ENTERING) {
+            at = Math.min(at, behindSince(server) + settings().behindMost());
         }
-        if (of.standing == Seat.Standing.LIVE && !of.marked && of.wrongSince != Long.MAX_VALUE) {
-            at = Math.min(at, of.wrongSince + settings().behindMost());
+        if (server.status == ServerRecord.Status.LIVE && !server.marked && server.wrongSince != Long.MAX_VALUE) {
+            at = Math.min(at, server.wrongSince + settings().behindMost());
         }
-        if (lending.holds(of.place)) {
-            at = Math.min(at, of.leaseUntil + context.tail());
+        if (lending.holds(server.place)) {
+            at = Math.min(at, server.leaseUntil + context.tail());
         }
-        if (of.standing == Seat.Standing.OUT || of.silent) {
-            at = Math.min(at, forgetAt(of));
+        if (server.status == ServerRecord.Status.OUT || server.silent) {
+            at = Math.min(at, forgetAt(server));
         }
         return at;
     }
@@ -396,19 +396,19 @@
 
     /** Puts back a server that was saved, after the revisions and what is lent. */
     void restore(SnapshotPart.Server saved) {
-        Seat of = Seat.load(saved);
+        ServerRecord server = ServerRecord.load(saved);
         if (saved.gone()) {
-            gone.add(of);
+            gone.add(server);
             return;
         }
-        byName.put(of.server, of);
-        byPlace.put(of.place, of);
-        free.remove(of.place);
-        count(of, 1);
-        if (of.marked) {
-            marked.add(of.server);
+        byName.put(server.server, server);
+        byPlace.put(server.place, server);
+        free.remove(server.place);
+        count(server, 1);
+        if (server.marked) {
+            marked.add(server.server);
         }
-        probation.note(of);
-        note(of);
+        probation.note(server);
+        reschedule(server);
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
+++ b/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
@@ -82,9 +82,10 @@
      * What live servers have said of the revision that is open.
      *
      * @param revision NONE where none is
-     * @param unasked places of those that are still to say
+     * @param pending places of those that are still to say
      */
-    record Proposed(RevisionId revision, long until, List<Integer> unasked, Map<ServerId, String> cannot, int can)
+    record Proposed(
+            RevisionId revision, long until, List<Integer> pending, Map<ServerId, String> rejections, int accepted)
             implements SnapshotPart {}
 
     /** Something of what is lent of the caps. */
@@ -101,7 +102,7 @@
             String listen,
             Incarnation as,
             long life,
-            Seat.Standing standing,
+            ServerRecord.Status status,
             long number,
             long leaseUntil,
             long floorUntil,
@@ -120,7 +121,7 @@
             long outWall,
             int folded,
             long foldedOutdated,
-            List<Passage> passages,
+            List<RevisionTransition> transitions,
             Counts counts,
             boolean gone)
             implements SnapshotPart {}
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -102,7 +102,7 @@
     private void settle() {
         servers.settleDue();
         control.settle();
-        servers.settleMarked();
+        servers.shutOutMarked();
     }
 
     private Answer found(Command.Found found) {
@@ -130,120 +130,121 @@
      * one before has ended.
      */
     private Answer join(Command.Join join) {
-        Seat seat = servers.get(join.server());
-        if (seat != null && !seat.listen.equals(join.listen())) {
-            return new Answer.Refused(new Fault.NameTaken(join.server().value(), seat.listen));
+        ServerRecord server = servers.get(join.server());
+        if (server != null && !server.listen.equals(join.listen())) {
+            return new Answer.Refused(new Fault.NameTaken(join.server().value(), server.listen));
         }
-        if (seat == null && !servers.hasPlace()) {
+        if (server == null && !servers.hasPlace()) {
             return new Answer.Refused(new Fault.NoPlace(context.settings().serversMost()));
         }
-        if (seat != null && seat.standing == Seat.Standing.OUT && context.now() < seat.mayReturn) {
-            return new Answer.Refused(new Fault.NotYet(join.server().value(), seat.mayReturn - context.now()));
+        if (server != null && server.status == ServerRecord.Status.OUT && context.now() < server.mayReturn) {
+            return new Answer.Refused(new Fault.NotYet(join.server().value(), server.mayReturn - context.now()));
         }
-        Seat entered = servers.enter(join.server(), join.listen(), join.life());
+        ServerRecord entered = servers.join(join.server(), join.listen(), join.life());
         return new Answer.Joined(
                 entered.as, context.settings().serversMost(), context.settings().floorShare(), next(entered));
     }
 
     /** A server says what is in force there. Only what names the incarnation it has here counts. */
     private Answer report(Command.Report report) {
-        Seat seat = servers.get(report.server());
-        Optional<Fault> why = shutOut(seat, report);
+        ServerRecord server = servers.get(report.server());
+        Optional<Fault> why = shutOut(server, report);
         if (why.isPresent()) {
             return new Answer.Refused(why.get());
         }
-        boolean fresh = report.number() > seat.number || !seat.as.equals(report.as());
+        boolean fresh = report.number() > server.number || !server.as.equals(report.as());
         if (fresh) {
-            take(seat, report);
+            take(server, report);
         }
-        if (seat.standing == Seat.Standing.OUT) {
-            return new Answer.Refused(shutOut(seat));
+        if (server.status == ServerRecord.Status.OUT) {
+            return new Answer.Refused(shutOut(server));
         }
         Map<TenantId, Grant> shares = Map.of();
-        if (seat.standing == Seat.Standing.LIVE) {
-            shares = fresh ? lending.report(seat.place, report.needs(), context.now()) : lending.lent(seat.place);
+        if (server.status == ServerRecord.Status.LIVE) {
+            shares = fresh ? lending.report(server.place, report.needs(), context.now()) : lending.lent(server.place);
         }
-        servers.note(seat);
-        return told(seat, report.number(), shares);
+        servers.reschedule(server);
+        return told(server, report.number(), shares);
     }
 
-    private Optional<Fault> shutOut(Seat seat, Command.Report report) {
-        if (seat == null) {
+    private Optional<Fault> shutOut(ServerRecord server, Command.Report report) {
+        if (server == null) {
             return Optional.of(new Fault.ShutOut(report.server().value(), "it has no place here", 0));
         }
-        if (!seat.as.equals(report.as()) && context.has(Guard.INCARNATION)) {
+        if (!server.as.equals(report.as()) && context.has(Guard.INCARNATION)) {
             return Optional.of(new Fault.ShutOut(report.server().value(), "another incarnation of it has come", 0));
         }
-        return seat.standing == Seat.Standing.OUT ? Optional.of(shutOut(seat)) : Optional.empty();
+        return server.status == ServerRecord.Status.OUT ? Optional.of(shutOut(server)) : Optional.empty();
     }
 
-    private Fault shutOut(Seat seat) {
-        return new Fault.ShutOut(seat.server.value(), seat.cause, Math.max(0, seat.mayReturn - context.now()));
+    private Fault shutOut(ServerRecord server) {
+        return new Fault.ShutOut(server.server.value(), server.cause, Math.max(0, server.mayReturn - context.now()));
     }
 
-    private void take(Seat seat, Command.Report report) {
-        seat.number = report.number();
-        seat.heardWall = context.wall();
-        acts(seat, report);
-        probation.report(seat, report.ended(), report.bad());
-        proposal.checked(seat.place, seat.server, report.checked(), report.cannot());
-        servers.renew(seat);
-        servers.settle(seat);
+    private void take(ServerRecord server, Command.Report report) {
+        server.number = report.number();
+        server.heardWall = context.wall();
+        acts(server, report);
+        probation.report(server, report.ended(), report.bad());
+        proposal.checked(server.place, server.server, report.checked(), report.cannot());
+        servers.renewLease(server);
+        servers.settle(server);
         settle(); // who says last that it can hears at once that it is in force
     }
 
-    private void acts(Seat seat, Command.Report report) {
+    private void acts(ServerRecord server, Command.Report report) {
         RevisionId acting = report.acting();
         Revision revision = history.get(acting);
-        if (!acting.equals(seat.acting)) {
+        if (!acting.equals(server.acting)) {
             long behind = revision == null ? 0 : Math.max(0, context.now() - revision.since);
-            seat.pass(new Passage(report.as(), seat.acting, acting, behind, report.outdated(), context.wall()));
-            seat.acting = acting;
-            lending.acting(seat.place, acting.value());
+            server.add(new RevisionTransition(
+                    report.as(), server.acting, acting, behind, report.outdated(), context.wall()));
+            server.acting = acting;
+            lending.acting(server.place, acting.value());
         }
-        seat.inForce = report.inForce();
-        seat.odd = revision != null
+        server.inForce = report.inForce();
+        server.odd = revision != null
                 && revision.table() != null
                 && context.has(Guard.DIGEST)
                 && !revision.root.equals(report.inForce());
-        if (!seat.odd && history.wasInForce(acting)) {
-            seat.wrongSince = Long.MAX_VALUE;
+        if (!server.odd && history.wasInForce(acting)) {
+            server.wrongSince = Long.MAX_VALUE;
         } else {
-            seat.wrongSince = Math.min(seat.wrongSince, context.now());
+            server.wrongSince = Math.min(server.wrongSince, context.now());
         }
-        if (!seat.odd && acting.equals(history.inForceId())) {
-            servers.comesIn(seat);
+        if (!server.odd && acting.equals(history.inForceId())) {
+            servers.admit(server);
         }
     }
 
-    private Answer told(Seat seat, long number, Map<TenantId, Grant> shares) {
-        boolean isMember = seat.standing == Seat.Standing.LIVE;
+    private Answer told(ServerRecord server, long number, Map<TenantId, Grant> shares) {
+        boolean isMember = server.status == ServerRecord.Status.LIVE;
         FleetSettings settings = context.settings();
         return new Answer.Told(
                 number,
-                isMember ? Spans.relied(settings.lease(), settings.drift()) : 0,
-                isMember ? Spans.relied(settings.floorLease(), settings.drift()) : 0,
+                isMember ? LeaseSpans.relied(settings.lease(), settings.drift()) : 0,
+                isMember ? LeaseSpans.relied(settings.floorLease(), settings.drift()) : 0,
                 lending.floorsFree(),
                 history.inForceNamed(),
                 history.inForce() == null ? 0 : context.now() - history.inForceSince(),
                 proposal.named(),
                 shares,
-                next(seat));
+                next(server));
     }
 
     /** How soon a server should report again: the more there are, the more seldom. */
-    private long next(Seat seat) {
+    private long next(ServerRecord server) {
         long lease = context.settings().lease();
         long all = (long) (servers.live() + servers.out()) * SECOND / REPORTS_PER_SECOND;
         long pace = Math.max(lease / REPORTS_IN_LEASE, all);
-        boolean isSoon = servers.behindSince(seat) != Long.MAX_VALUE || proposal.isOpen();
+        boolean isSoon = servers.behindSince(server) != Long.MAX_VALUE || proposal.isOpen();
         return Math.min(lease / REPORTS_LEAST, isSoon ? pace / 2 : pace);
     }
 
     private Answer leave(Command.Leave leave) {
-        Seat seat = servers.get(leave.server());
-        if (seat != null && seat.as.equals(leave.as())) {
-            servers.leave(seat);
+        ServerRecord server = servers.get(leave.server());
+        if (server != null && server.as.equals(leave.as())) {
+            servers.leave(server);
         }
         settle();
         return new Answer.Done(history.inForceId());
@@ -320,17 +321,17 @@
     }
 
     /** All servers that have a place, by name. */
-    public Collection<Seat> servers() {
+    public Collection<ServerRecord> servers() {
         return Collections.unmodifiableCollection(servers.all());
     }
 
     /** Since when a server does not act as the revision in force says, MAX_VALUE if it does. */
-    public long behindSince(Seat server) {
+    public long behindSince(ServerRecord server) {
         return servers.behindSince(server);
     }
 
     /** Servers that have had a place and left it, the latest last. */
-    public Collection<Seat> gone() {
+    public Collection<ServerRecord> gone() {
         return Collections.unmodifiableCollection(servers.gone());
     }
 
@@ -386,8 +387,8 @@
         writer.write(SnapshotPart.Group.WAITING, control.queue().waiting());
         writer.write(SnapshotPart.Group.REFUSED, control.refused());
         lending.save(part -> to.accept(new SnapshotPart.Lent(part)));
-        servers.all().forEach(seat -> to.accept(seat.save(false)));
-        servers.gone().forEach(seat -> to.accept(seat.save(true)));
+        servers.all().forEach(server -> to.accept(server.save(false)));
+        servers.gone().forEach(server -> to.accept(server.save(true)));
     }
 
     /** Into a new state: what another saved. */
--- a/fleet/src/test/java/tallyweir/fleet/StateTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/StateTest.java
@@ -132,7 +132,7 @@
                 new OperatorCommand(command), new RevisionId(expected), new RevisionId(to), by, why, false));
     }
 
-    private Seat seat(int i) {
+    private ServerRecord server(int i) {
         return state.servers().stream()
                 .filter(s -> s.server().value().equals("s" + i))
                 .findFirst()
@@ -208,7 +208,7 @@
                 }
             }
         }
-        assertEquals(Seat.Standing.OUT, seat(0).standing());
+        assertEquals(ServerRecord.Status.OUT, server(0).status());
         acts(0, 1);
         long wait = ((Fault.ShutOut) fault).backAfter();
         join(0);
@@ -221,7 +221,7 @@
         assertEquals(0, lease, "not a member while it is behind");
         acts(0, 1);
         assertTrue(lease > 0);
-        assertEquals(Seat.Standing.LIVE, seat(0).standing());
+        assertEquals(ServerRecord.Status.LIVE, server(0).status());
         apply(new Command.Report(
                 new ServerId("s0"),
                 before,
@@ -247,16 +247,18 @@
         acts(0, 1);
         acts(1, 1);
         report(2, 1, "other", 1, "", Map.of());
-        assertTrue(seat(2).odd());
-        assertFalse(seat(1).odd());
+        assertTrue(server(2).odd());
+        assertFalse(server(1).odd());
         for (long t = 100; t <= BEHIND; t += 100) {
             at(t);
             acts(0, 1);
             acts(1, 1);
             report(2, 1, "other", 1, "", Map.of());
         }
-        assertEquals(Seat.Standing.OUT, seat(2).standing());
-        assertTrue(seat(2).cause().contains("not what revision 1 says"), seat(2).cause());
+        assertEquals(ServerRecord.Status.OUT, server(2).status());
+        assertTrue(
+                server(2).cause().contains("not what revision 1 says"),
+                server(2).cause());
     }
 
     @Test
@@ -265,11 +267,11 @@
         at(LEASE + 1);
         apply(new Command.Tick());
         assertEquals(2, state.out());
-        assertEquals(2, state.servers().stream().filter(Seat::marked).count());
+        assertEquals(2, state.servers().stream().filter(ServerRecord::marked).count());
         for (int i = 0; i < 4; i++) {
-            if (seat(i).standing() == Seat.Standing.LIVE) {
+            if (server(i).status() == ServerRecord.Status.LIVE) {
                 acts(i, 0);
-                assertTrue(lease > 0 && !seat(i).marked(), "one that was only marked goes on");
+                assertTrue(lease > 0 && !server(i).marked(), "one that was only marked goes on");
             }
         }
     }
