Explorer: a scene of changes of entries while a revision is open

Two operators change the same entry and a third another one, in every order with two servers' reports.

--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -21,7 +21,7 @@
  * Plays every order of events that a few servers, the links between them and their fleet, and two operators can bring
  * about, over the real {@link State}, {@link Member} and {@link Gate}: a lent share and a server that is stopped past its
  * lease, or restarted with a word of its earlier life on the way, a race of revisions with a server that says what is
- * not so, and a table of which only a part arrives.
+ * not so, a table of which only a part arrives, and changes of entries while a revision is open.
  */
 public final class Explorer {
     /** What is explored. */
@@ -29,7 +29,8 @@
         STOP,
         RESTART,
         RACE,
-        TRANSFER
+        TRANSFER,
+        CHANGES
     }
 
     private static final TenantId TENANT = new TenantId("t");
@@ -42,6 +43,11 @@
     private static final int CROWDS = 2; // of one server
     private static final int SPEAKS = 3; // so often it speaks with the fleet, where a share is lent
 
+    private static final Map<String, Key> ENTRIES = Map.of(
+            "a", new Key(Kind.STAND_BACK, "x"),
+            "b", new Key(Kind.STAND_BACK, "x"),
+            "c", new Key(Kind.STAND_BACK, "y")); // that operators change, where they do not want whole revisions
+
     private Explorer() {}
 
     /** @param most states at the most, after which it gives up and says so */
@@ -224,6 +230,7 @@
         private final List<String> wrong = new ArrayList<>();
         private final TreeSet<String> operators = new TreeSet<>();
         private final List<Long> acknowledged = new ArrayList<>();
+        private final TreeSet<String> accepted = new TreeSet<>(); // operators whose change of an entry was taken
         private long time;
         private int stopped = -1;
         private boolean hasStopped;
@@ -263,6 +270,8 @@
                 operators.addAll(List.of("a", "b"));
             } else if (scene == Scene.TRANSFER) {
                 operators.add("a");
+            } else if (scene == Scene.CHANGES) {
+                operators.addAll(ENTRIES.keySet());
             }
         }
 
@@ -299,6 +308,27 @@
             }
         }
 
+        private Answer change(String operator) {
+            Change change = new Change(ENTRIES.get(operator), Optional.empty(), Optional.of(new Value.Present()));
+            return state.apply(
+                    new Command.ChangeEntries(new OperatorCommand(operator), List.of(change), operator, "", false));
+        }
+
+        private void firstChange(String operator) {
+            Answer answer = change(operator);
+            if (answer instanceof Answer.Done || answer instanceof Answer.Waiting) {
+                accepted.add(operator);
+            } else if (!(answer instanceof Answer.Refused refused && refused.why() instanceof Fault.KeyConflict)) {
+                wrong.add("an operator heard " + answer);
+            }
+        }
+
+        /** A change that was taken is in force, unless its operator is told otherwise. */
+        private boolean isLost(String operator) {
+            return change(operator) instanceof Answer.Done
+                    && state.table(state.inForce()).get(ENTRIES.get(operator)).isEmpty();
+        }
+
         @Override
         public String describe() {
             StringBuilder all = new StringBuilder()
@@ -311,6 +341,8 @@
                     .append(broken)
                     .append(operators)
                     .append(acknowledged)
+                    .append(accepted)
+                    .append(entries())
                     .append(state.inForce())
                     .append(state.proposed())
                     .append(state.lent(TENANT))
@@ -320,6 +352,16 @@
             return all.toString();
         }
 
+        /** What is in force and what waits, where entries change. */
+        private String entries() {
+            return scene == Scene.CHANGES
+                    ? state.table(state.inForce()).root().value()
+                            + state.waiting().stream()
+                                    .map(ChangeRecord::command)
+                                    .toList()
+                    : "";
+        }
+
         private String since(long at) {
             return at == Long.MAX_VALUE ? "-" : String.valueOf(at - time);
         }
@@ -363,7 +405,7 @@
             if (scene == Scene.RESTART && !restarted) {
                 all.add("restart 0");
             }
-            operators.forEach(o -> all.add("publish " + o));
+            operators.forEach(o -> all.add((scene == Scene.CHANGES ? "change " : "publish ") + o));
             return all;
         }
 
@@ -404,6 +446,10 @@
                     restarted = true;
                     s.start();
                 }
+                case "change" -> {
+                    operators.remove(a[1]);
+                    firstChange(a[1]);
+                }
                 default -> {
                     operators.remove(a[1]);
                     propose(a[1], 1);
@@ -461,6 +507,9 @@
                     wrong.add("nobody sees that a server does not do what it says");
                 }
             }
+            if (accepted.containsAll(List.of("a", "b"))) {
+                wrong.add("two operators were both told that their change of the same entry is taken");
+            }
             if (servers.stream()
                     .anyMatch(server -> state.table(server.table.root()).isEmpty())) {
                 wrong.add("a server acts on what no revision says");
@@ -489,7 +538,8 @@
                     return "the fleet does not know what a server acts on";
                 }
             }
-            return null;
+            boolean isDecided = state.proposed().equals(RevisionId.NONE);
+            return isDecided && accepted.stream().anyMatch(this::isLost) ? "a change that was taken is lost" : null;
         }
 
         @Override
