--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tallyweir.fleet.Acts;
+import tallyweir.fleet.MemberActions;
 import tallyweir.fleet.Answer;
 import tallyweir.fleet.Command;
 import tallyweir.fleet.Fault;
@@ -24,7 +24,7 @@
  * This server in its fleet: connects its own side of the fleet with the client and with the parts that go by a revision. All of
  * it is called on the deciding thread and nothing in it grows with a revision's table.
  */
-final class FleetSeat implements Acts {
+final class FleetSeat implements MemberActions {
     private static final Logger LOG = LoggerFactory.getLogger(FleetSeat.class);
     private static final long PRESSED = 500; // a tenant that was turned away is reported within so long
     private static final long BACK_OFF = 2_500; // and told to come back after it has had an answer
--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -21,7 +21,7 @@
  * Plays every order of events that a few servers, the links between them and their fleet, and two operators can bring
  * about, over the real {@link State}, {@link Member} and {@link Gate}: a lent share and a server that is stopped past its
  * lease, or restarted with a word of its earlier life on the way, a race of revisions with a server that says what is
- * not so, and a table of which only a part arrives.
+ * not so, a table of which only a part arrives, and changes of entries while a revision is open.
  */
 public final class Explorer {
     /** What is explored. */
@@ -29,7 +29,8 @@
         STOP,
         RESTART,
         RACE,
-        TRANSFER
+        TRANSFER,
+        CHANGES
     }
 
     private static final TenantId TENANT = new TenantId("t");
@@ -42,6 +43,11 @@
     private static final int CROWDS = 2; // of one server
     private static final int SPEAKS = 3; // so often it speaks with the fleet, where a share is lent
 
+    private static final Map<String, Key> ENTRIES = Map.of(
+            "a", new Key(Kind.STAND_BACK, "x"),
+            "b", new Key(Kind.STAND_BACK, "x"),
+            "c", new Key(Kind.STAND_BACK, "y")); // that operators change, where they do not want whole revisions
+
     private Explorer() {}
 
     /** @param most states at the most, after which it gives up and says so */
@@ -50,7 +56,7 @@
     }
 
     /** One server: its own side, and what it sends to the fleet. */
-    private static final class Server implements Acts {
+    private static final class Server implements MemberActions {
         private final Fleet in;
         private final ServerId id;
         private Gate gate;
@@ -144,7 +150,7 @@
                 acts = said;
                 table = fetched;
             }
-            gate.caps(caps(fetched));
+            gate.caps(tenant -> RevisionControl.connections(fetched.get(new Key(Kind.CAP, tenant.value()))));
             member.acting(said, lie ? new Digest("lie") : table.root(), 0);
         }
 
@@ -216,12 +222,6 @@
         }
     }
 
-    private static Map<TenantId, Integer> caps(Table table) {
-        return table.get(TENANT_KEY)
-                .map(value -> Map.of(TENANT, ((Value.Cap) value).connections()))
-                .orElse(Map.of());
-    }
-
     private static final class Fleet implements World {
         private final Scene scene;
         private final Set<Guard> without;
@@ -230,6 +230,7 @@
         private final List<String> wrong = new ArrayList<>();
         private final TreeSet<String> operators = new TreeSet<>();
         private final List<Long> acknowledged = new ArrayList<>();
+        private final TreeSet<String> accepted = new TreeSet<>(); // operators whose change of an entry was taken
         private long time;
         private int stopped = -1;
         private boolean hasStopped;
@@ -269,6 +270,8 @@
                 operators.addAll(List.of("a", "b"));
             } else if (scene == Scene.TRANSFER) {
                 operators.add("a");
+            } else if (scene == Scene.CHANGES) {
+                operators.addAll(ENTRIES.keySet());
             }
         }
 
@@ -305,6 +308,27 @@
             }
         }
 
+        private Answer change(String operator) {
+            Change change = new Change(ENTRIES.get(operator), Optional.empty(), Optional.of(new Value.Present()));
+            return state.apply(
+                    new Command.ChangeEntries(new OperatorCommand(operator), List.of(change), operator, "", false));
+        }
+
+        private void firstChange(String operator) {
+            Answer answer = change(operator);
+            if (answer instanceof Answer.Done || answer instanceof Answer.Waiting) {
+                accepted.add(operator);
+            } else if (!(answer instanceof Answer.Refused refused && refused.why() instanceof Fault.KeyConflict)) {
+                wrong.add("an operator heard " + answer);
+            }
+        }
+
+        /** A change that was taken is in force, unless its operator is told otherwise. */
+        private boolean isLost(String operator) {
+            return change(operator) instanceof Answer.Done
+                    && state.table(state.inForce()).get(ENTRIES.get(operator)).isEmpty();
+        }
+
         @Override
         public String describe() {
             StringBuilder all = new StringBuilder()
@@ -317,15 +341,31 @@
                     .append(broken)
                     .append(operators)
                     .append(acknowledged)
+                    .append(accepted)
+                    .append(entries())
                     .append(state.inForce())
                     .append(state.proposed())
                     .append(state.lent(TENANT))
                     .append(state.spoken(TENANT));
-            state.servers().forEach(x -> all.append(x.describe(time)));
+            state.servers().forEach(x -> all.append(x.describe(time)).append(since(state.behindSince(x))));
             servers.forEach(s -> all.append(s.describe()));
             return all.toString();
         }
 
+        /** What is in force and what waits, where entries change. */
+        private String entries() {
+            return scene == Scene.CHANGES
+                    ? state.table(state.inForce()).root().value()
+                            + state.waiting().stream()
+                                    .map(ChangeRecord::command)
+                                    .toList()
+                    : "";
+        }
+
+        private String since(long at) {
+            return at == Long.MAX_VALUE ? "-" : String.valueOf(at - time);
+        }
+
         @Override
         public List<String> enabled() {
             List<String> all = new ArrayList<>();
@@ -365,7 +405,7 @@
             if (scene == Scene.RESTART && !restarted) {
                 all.add("restart 0");
             }
-            operators.forEach(o -> all.add("publish " + o));
+            operators.forEach(o -> all.add((scene == Scene.CHANGES ? "change " : "publish ") + o));
             return all;
         }
 
@@ -406,6 +446,10 @@
                     restarted = true;
                     s.start();
                 }
+                case "change" -> {
+                    operators.remove(a[1]);
+                    firstChange(a[1]);
+                }
                 default -> {
                     operators.remove(a[1]);
                     propose(a[1], 1);
@@ -451,18 +495,21 @@
                     > 2) {
                 wrong.add("two operators were both told that theirs is the next");
             }
-            for (Seat seat : state.servers()) {
+            for (ServerRecord record : state.servers()) {
                 Server s = servers.stream()
-                        .filter(x -> x.id.equals(seat.server()))
+                        .filter(x -> x.id.equals(record.server()))
                         .findFirst()
                         .orElseThrow();
-                if (seat.standing() == Seat.Standing.LIVE
-                        && !seat.odd()
-                        && s.said.equals(seat.acting())
+                if (record.status() == ServerRecord.Status.LIVE
+                        && !record.odd()
+                        && s.said.equals(record.acting())
                         && !s.acts.equals(s.said)) {
                     wrong.add("nobody sees that a server does not do what it says");
                 }
             }
+            if (accepted.containsAll(List.of("a", "b"))) {
+                wrong.add("two operators were both told that their change of the same entry is taken");
+            }
             if (servers.stream()
                     .anyMatch(server -> state.table(server.table.root()).isEmpty())) {
                 wrong.add("a server acts on what no revision says");
@@ -480,18 +527,19 @@
 
         @Override
         public String wrongAtRest() {
-            for (Seat seat : state.servers()) {
-                if (seat.standing() == Seat.Standing.LIVE
-                        && !seat.silent()
-                        && !seat.marked()
-                        && !seat.acting().equals(state.inForce())
+            for (ServerRecord record : state.servers()) {
+                if (record.status() == ServerRecord.Status.LIVE
+                        && !record.silent()
+                        && !record.marked()
+                        && !record.acting().equals(state.inForce())
                         && !state.proposed().equals(state.inForce())
                         && servers.stream()
-                                .anyMatch(s -> s.id.equals(seat.server()) && s.acts.equals(state.inForce()))) {
+                                .anyMatch(s -> s.id.equals(record.server()) && s.acts.equals(state.inForce()))) {
                     return "the fleet does not know what a server acts on";
                 }
             }
-            return null;
+            boolean isDecided = state.proposed().equals(RevisionId.NONE);
+            return isDecided && accepted.stream().anyMatch(this::isLost) ? "a change that was taken is lost" : null;
         }
 
         @Override
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -1,6 +1,5 @@
 package tallyweir.fleet;
 
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import tallyweir.rules.Rules;
@@ -13,7 +12,7 @@
 public final class Member {
     private static final int AGAIN_MOST = 16; // doublings of the wait are bounded: no fleet is left alone for long
 
-    private final Acts out;
+    private final MemberActions out;
     private final Gate gate;
     private final Set<Guard> without;
     private final ServerId server;
@@ -51,7 +50,7 @@
      * @param backWhole whether a server that is out stands back whole, or goes on but for what it was lent
      */
     public Member(
-            Acts out,
+            MemberActions out,
             Gate gate,
             ServerId server,
             String listen,
@@ -126,7 +125,7 @@
             sentAt = now;
             answered = false;
         }
-        Acts.Ended queries = out.ended();
+        MemberActions.Ended queries = out.ended();
         out.report(new Command.Report(
                 server,
                 as,
@@ -204,7 +203,7 @@
                     told.floorsFree() && told.inForce().id().equals(acting));
         }
         if (told.inForce().id().value() == 0 && acting.value() == 0) {
-            gate.caps(Map.of()); // there is no revision yet
+            gate.caps(Caps.NONE); // there is no revision yet
         }
         wanted = told.inForce();
         toCheck = told.toCheck();
