--- /dev/null
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/CodecTest.java
@@ -0,0 +1,185 @@
+package tallyweir.fleet.ratis;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+import tallyweir.fleet.Digest;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.Incarnation;
+import tallyweir.fleet.OperatorCommand;
+import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.ServerId;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Value;
+
+/** Messages are the same after they have been encoded and decoded, and damaged ones are turned down. */
+class CodecTest {
+    private static final int QUIET_REPORT_BYTES = 200;
+
+    private final CommandCodec commands = new CommandCodec();
+    private final AnswerCodec answers = new AnswerCodec();
+
+    @Provide
+    Arbitrary<Command> anyCommand() {
+        return RecordArbitraries.of(Command.class);
+    }
+
+    @Provide
+    Arbitrary<Answer> anyAnswer() {
+        return RecordArbitraries.of(Answer.class);
+    }
+
+    @Provide
+    Arbitrary<Fault> anyFault() {
+        return RecordArbitraries.of(Fault.class);
+    }
+
+    @Property
+    void everyCommandIsTheSameOnceDecoded(@ForAll("anyCommand") Command command) throws MalformedMessageException {
+        assertEquals(command, commands.decode(commands.encode(command)));
+    }
+
+    @Property
+    void everyAnswerIsTheSameOnceDecoded(@ForAll("anyAnswer") Answer answer) throws MalformedMessageException {
+        assertEquals(answer, answers.decode(answers.encode(answer)));
+    }
+
+    @Property
+    void everyFaultIsTheSameOnceDecoded(@ForAll("anyFault") Fault fault) throws MalformedMessageException {
+        Answer refused = new Answer.Refused(fault);
+        assertEquals(refused, answers.decode(answers.encode(refused)));
+    }
+
+    /** Arbitrary values might by chance leave a record out. */
+    @Example
+    void everyRecordOfEachTypeIsTheSameOnceDecoded() throws MalformedMessageException {
+        for (Class<?> type : RecordArbitraries.records(Command.class)) {
+            Command command = (Command) RecordArbitraries.of(type).sample();
+            assertEquals(command, commands.decode(commands.encode(command)), type.getName());
+        }
+        for (Class<?> type : RecordArbitraries.records(Answer.class)) {
+            Answer answer = (Answer) RecordArbitraries.of(type).sample();
+            assertEquals(answer, answers.decode(answers.encode(answer)), type.getName());
+        }
+        for (Class<? extends Fault> kind : Fault.kinds()) {
+            Answer refused = new Answer.Refused(RecordArbitraries.of(kind).sample());
+            assertEquals(refused, answers.decode(answers.encode(refused)), kind.getName());
+        }
+    }
+
+    @Example
+    void everyFaultHasAName() {
+        assertEquals(
+                Set.copyOf(RecordArbitraries.records(Fault.class)), Set.copyOf(Fault.kinds()), "kinds() lists all");
+        assertEquals(
+                "BodyFaulty CannotTake DigestMismatch EntryFaulty KeyConflict LogDamaged LogFull LostRace NameTaken "
+                        + "NoLeader NoPlace NoSuchRevision NotFounded NotYet OutcomeUnknown QueueFull ShutOut Stranger "
+                        + "UnknownRoot",
+                Fault.kinds().stream().map(Class::getSimpleName).collect(Collectors.toCollection(TreeSet::new)).stream()
+                        .collect(Collectors.joining(" ")),
+                "the names stand in logs and snapshots on disk");
+    }
+
+    /** Each prefix of a message, a message followed by anything, and no message at all. */
+    @Property(tries = 200)
+    void whatIsCutOrContinuedIsTurnedDown(@ForAll("anyCommand") Command command) {
+        byte[] whole = commands.encode(command);
+        for (int length = 0; length < whole.length; length++) {
+            byte[] cut = Arrays.copyOf(whole, length);
+            assertThrows(MalformedMessageException.class, () -> commands.decode(cut));
+        }
+        byte[] continued = Arrays.copyOf(whole, whole.length + 1);
+        assertThrows(MalformedMessageException.class, () -> commands.decode(continued));
+    }
+
+    /** Damage is either turned down or makes another valid message; nothing else is thrown. */
+    @Property
+    void damageHasNoOtherOutcome(@ForAll("anyCommand") Command command, @ForAll int place, @ForAll byte damage) {
+        byte[] bytes = commands.encode(command);
+        bytes[Math.floorMod(place, bytes.length)] = damage;
+        Optional<Command> decoded;
+        try {
+            decoded = Optional.of(commands.decode(bytes));
+        } catch (MalformedMessageException e) {
+            decoded = Optional.empty();
+        }
+        decoded.ifPresent(commands::encode);
+    }
+
+    @Property
+    void anyBytesHaveNoOtherOutcome(@ForAll byte[] bytes) {
+        try {
+            commands.encode(commands.decode(bytes));
+        } catch (MalformedMessageException e) {
+            assertTrue(e.getMessage().startsWith("not a Command"), e.getMessage());
+        }
+    }
+
+    @Example
+    void anotherNameOrAMissingComponentIsTurnedDown() throws Exception {
+        var mapper = FleetMapper.create();
+        for (Object wrong : List.of(
+                List.of("erase", List.of()),
+                List.of("leave", List.of("s")),
+                List.of("leave", List.of("s", 1, 2)),
+                List.of("leave", List.of(1, 1)),
+                List.of("leave", List.of("s", "1")),
+                List.of("leave", Arrays.asList("s", null)),
+                Map.of("leave", List.of("s", 1)),
+                List.of())) {
+            byte[] bytes = mapper.writeValueAsBytes(wrong);
+            assertThrows(MalformedMessageException.class, () -> commands.decode(bytes), wrong::toString);
+        }
+        byte[] right = mapper.writeValueAsBytes(List.of("leave", List.of("s", 1)));
+        assertEquals(new Command.Leave(new ServerId("s"), new Incarnation(1)), commands.decode(right));
+    }
+
+    @Example
+    void aReportWithNothingToSayIsSmall() {
+        Command report = new Command.Report(
+                new ServerId("server-0123.example"),
+                new Incarnation(1_000_000),
+                10_000_000,
+                new RevisionId(1_000_000),
+                Digest.of("table"),
+                1_000,
+                new RevisionId(1_000_000),
+                "",
+                1_000_000_000,
+                1_000_000,
+                Map.of());
+        int bytes = commands.encode(report).length;
+        assertTrue(bytes < QUIET_REPORT_BYTES, () -> bytes + " bytes");
+    }
+
+    @Example
+    void aChangeOfOneEntryOfManyIsSmall() {
+        List<Change> changes = new ArrayList<>();
+        for (int i = 0; i < 1_000; i++) {
+            changes.add(new Change(
+                    new Key(Kind.CAP, "tenant-" + (100_000 + i)),
+                    Optional.of(new Value.Cap(10)),
+                    Optional.of(new Value.Cap(20))));
+        }
+        Command command = new Command.ChangeEntries(new OperatorCommand("c"), changes, "ann", "more", false);
+        assertTrue(commands.encode(command).length < 30 * changes.size());
+    }
+}
