--- a/consensus/src/main/java/tallyweir/fleet/ratis/FleetMapper.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/FleetMapper.java
@@ -16,6 +16,8 @@
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.Set;
 import java.util.function.Function;
 import tallyweir.fleet.Digest;
 import tallyweir.fleet.Fault;
@@ -32,6 +34,9 @@
  * that is missing, unknown or of another type is an error.
  */
 final class FleetMapper {
+    private static final Set<Class<?>> TEXTS = Set.of(ServerId.class, TenantId.class, OperatorCommand.class);
+    private static final Set<Class<?>> NUMBERS = Set.of(RevisionId.class, Incarnation.class);
+
     private FleetMapper() {}
 
     /** A new mapper, to which mix-ins for sealed types may be added. */
@@ -47,14 +52,12 @@
                 .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
                 .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
                 .addMixIn(Fault.class, FaultNames.class)
-                .addMixIn(ServerId.class, TextValue.class)
-                .addMixIn(TenantId.class, TextValue.class)
-                .addMixIn(OperatorCommand.class, TextValue.class)
-                .addMixIn(RevisionId.class, NumberValue.class)
-                .addMixIn(Incarnation.class, NumberValue.class)
                 .addMixIn(Path.class, PathValue.class)
+                .addModule(new Jdk8Module())
                 .addModule(tables())
                 .addModule(names());
+        TEXTS.forEach(type -> builder.addMixIn(type, TextValue.class));
+        NUMBERS.forEach(type -> builder.addMixIn(type, NumberValue.class));
         Fault.kinds().forEach(kind -> builder.registerSubtypes(new NamedType(kind, kind.getSimpleName())));
         return builder.build();
     }
@@ -81,7 +84,8 @@
 
         @Override
         public JsonFormat.Value findFormat(Annotated annotated) {
-            if (annotated.getRawType().isRecord()) {
+            Class<?> type = annotated.getRawType();
+            if (type.isRecord() && type != Path.class && !TEXTS.contains(type) && !NUMBERS.contains(type)) {
                 return JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
             }
             return super.findFormat(annotated);
--- a/consensus/src/main/java/tallyweir/fleet/ratis/MessageCodec.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/MessageCodec.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import tallyweir.fleet.FleetException;
 
 /**
  * Encodes and decodes the messages of one sealed type as CBOR: an array of the record's name and the array of its components.
@@ -42,7 +41,7 @@
         T message;
         try {
             message = reader.readValue(bytes);
-        } catch (IOException | FleetException | IllegalArgumentException e) {
+        } catch (IOException | RuntimeException e) { // damaged bytes may fail anywhere in the decoder
             throw new MalformedMessageException("not a " + type.getSimpleName() + ": " + e.getMessage(), e);
         }
         if (message == null) {
