--- a/consensus/src/main/java/tallyweir/fleet/ratis/MessageCodec.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/MessageCodec.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Arrays;
 
 /**
  * Encodes and decodes the messages of one sealed type as CBOR: an array of the record's name and the array of its components.
@@ -33,7 +34,7 @@
     }
 
     /**
-     * Decodes a message.
+     * Decodes a message. Each message has exactly one encoding.
      *
      * @throws MalformedMessageException where the bytes are not exactly one message of the type
      */
@@ -44,8 +45,8 @@
         } catch (IOException | RuntimeException e) { // damaged bytes may fail anywhere in the decoder
             throw new MalformedMessageException("not a " + type.getSimpleName() + ": " + e.getMessage(), e);
         }
-        if (message == null) {
-            throw new MalformedMessageException("not a " + type.getSimpleName() + ": null");
+        if (message == null || !Arrays.equals(encode(message), bytes)) { // Jackson passes over surplus components
+            throw new MalformedMessageException("not a " + type.getSimpleName() + " as it is encoded");
         }
         return message;
     }
