--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -144,7 +144,7 @@
                 acts = said;
                 table = fetched;
             }
-            gate.caps(caps(fetched));
+            gate.caps(tenant -> State.connections(fetched.get(new Key(Kind.CAP, tenant.value()))));
             member.acting(said, lie ? new Digest("lie") : table.root(), 0);
         }
 
@@ -216,12 +216,6 @@
         }
     }
 
-    private static Map<TenantId, Integer> caps(Table table) {
-        return table.get(TENANT_KEY)
-                .map(value -> Map.of(TENANT, ((Value.Cap) value).connections()))
-                .orElse(Map.of());
-    }
-
     private static final class Fleet implements World {
         private final Scene scene;
         private final Set<Guard> without;
--- a/fleet/src/main/java/tallyweir/fleet/Member.java
+++ b/fleet/src/main/java/tallyweir/fleet/Member.java
@@ -1,6 +1,5 @@
 package tallyweir.fleet;
 
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import tallyweir.rules.Rules;
@@ -204,7 +203,7 @@
                     told.floorsFree() && told.inForce().id().equals(acting));
         }
         if (told.inForce().id().value() == 0 && acting.value() == 0) {
-            gate.caps(Map.of()); // there is no revision yet
+            gate.caps(Caps.NONE); // there is no revision yet
         }
         wanted = told.inForce();
         toCheck = told.toCheck();
--- a/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
+++ b/fleet/src/main/java/tallyweir/fleet/SnapshotPart.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 import tallyweir.fleet.table.Change;
-import tallyweir.ids.TenantId;
 
 /**
  * A piece of a snapshot of the {@link State}. The order in which they were saved is that in which they are loaded; each is
@@ -57,12 +56,8 @@
     record Proposal(RevisionId revision, long until, List<ServerId> asked, Map<ServerId, String> cannot, int can)
             implements SnapshotPart {}
 
-    /** A cap and what of it is lent. */
-    record LentCap(TenantId tenant, int level, long levelAt, int turn, List<LentShare> shares)
-            implements SnapshotPart {}
-
-    /** What one place is lent of a cap. */
-    record LentShare(int place, int granted, int want, boolean extra, int floorOver) {}
+    /** Something of what is lent of the caps. */
+    record Lent(LendingPart part) implements SnapshotPart {}
 
     /** A server that has a place, or had one. */
     record Server(
--- a/fleet/src/main/java/tallyweir/fleet/State.java
+++ b/fleet/src/main/java/tallyweir/fleet/State.java
@@ -14,6 +14,8 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
 import tallyweir.fleet.table.Table;
 import tallyweir.fleet.table.Value;
 import tallyweir.ids.TenantId;
@@ -78,7 +80,7 @@
     /** @param without guards that are off, for checks only */
     public State(Set<Guard> without) {
         this.without = without.isEmpty() ? EnumSet.noneOf(Guard.class) : EnumSet.copyOf(without);
-        lending = new Lending(!has(Guard.FLOOR));
+        lending = new Lending(!has(Guard.FLOOR), this::cap);
         // Of a server: first what its silence means, then whether it goes out, then what comes back from it.
         ofSeat.add(
                 () -> s.standing == Seat.Standing.ENTERING && now >= s.behindSince + settings.behindMost(),
@@ -309,9 +311,29 @@
         return caps;
     }
 
+    /** The cap of a tenant in the revision in force. */
+    private int cap(TenantId tenant) {
+        return connections(revisions.table(revisions.inForce()).get(new Key(Kind.CAP, tenant.value())));
+    }
+
+    /** What the entry of a cap says. */
+    static int connections(Optional<Value> cap) {
+        return cap.map(value -> ((Value.Cap) value).connections()).orElse(Caps.UNCAPPED);
+    }
+
+    private static List<CapChange> capChanges(List<Change> changes) {
+        return changes.stream()
+                .filter(change -> change.key().kind() == Kind.CAP)
+                .map(change -> new CapChange(
+                        new TenantId(change.key().name()), connections(change.before()), connections(change.after())))
+                .toList();
+    }
+
     private void comesIntoForce() {
+        Table before = revisions.table(revisions.inForce());
         revisions.comesIntoForce(now, wall);
-        lending.caps(caps(revisions.inForce()));
+        Table after = revisions.table(revisions.inForce());
+        lending.caps(revisions.inForce().value(), capChanges(before.differenceTo(after)));
         seats.values().forEach(each -> each.health.change());
         for (Seat each : List.copyOf(seats.values())) {
             if (each.standing == Seat.Standing.LIVE || each.standing == Seat.Standing.ENTERING) {
@@ -358,7 +380,6 @@
         if (found.settings().version() > settings.version()) {
             boolean first = settings.version() == 0;
             settings(found.fleet(), first ? found.settings() : found.settings().after(settings));
-            lending.caps(caps(revisions.inForce()));
             List.copyOf(seats.values()).forEach(this::settle);
         }
         settle();
@@ -512,7 +533,7 @@
             long behind = revision == null ? 0 : Math.max(0, now - revision.since);
             seat.pass(new Passage(report.as(), seat.acting, acting, behind, report.outdated(), wall));
             seat.acting = acting;
-            lending.acting(seat.place, caps(acting));
+            lending.acting(seat.place, acting.value());
         }
         seat.inForce = report.inForce();
         seat.odd = revision != null
@@ -767,7 +788,7 @@
     public void save(Consumer<SnapshotPart> to) {
         to.accept(new SnapshotPart.Fleet(fleet, settings, now, wall, incarnations, judgedAt));
         revisions.save(to);
-        lending.save(to);
+        lending.save(part -> to.accept(new SnapshotPart.Lent(part)));
         seats.values().forEach(seat -> to.accept(seat.save(false)));
         gone.forEach(seat -> to.accept(seat.save(true)));
     }
@@ -781,23 +802,14 @@
         incarnations = whole.incarnations();
         judgedAt = whole.judgedAt();
         revisions.load(from);
-        Map<TenantId, Integer> caps = caps(revisions.inForce());
-        boolean lent = true; // the shares that are lent come before the servers
         while (from.hasNext()) {
             SnapshotPart part = from.next();
-            if (part instanceof SnapshotPart.LentCap cap) {
-                lending.load(cap);
+            if (part instanceof SnapshotPart.Lent lent) {
+                lending.load(lent.part());
             } else {
-                if (lent) {
-                    lending.restored(caps);
-                    lent = false;
-                }
                 load((SnapshotPart.Server) part);
             }
         }
-        if (lent) {
-            lending.restored(caps);
-        }
     }
 
     private void load(SnapshotPart.Server saved) {
@@ -814,9 +826,6 @@
         if (seat.marked) {
             marked.add(seat.server);
         }
-        if (seat.acting.value() > 0) {
-            lending.restored(seat.place, caps(seat.acting));
-        }
         due(seat);
     }
 }
