--- a/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
@@ -106,7 +106,8 @@
                 state.live(),
                 state.out(),
                 latest.stream().map(this::revision).toList(),
-                state.waiting().stream().map(Auditor::waiting).toList(),
+                state.waiting().stream().map(Auditor::outsideRevision).toList(),
+                state.refused().stream().map(Auditor::outsideRevision).toList(),
                 state.servers().stream().map(Auditor::server).toList(),
                 state.gone().stream().map(Auditor::server).toList(),
                 caps.size(),
@@ -123,8 +124,8 @@
                 revision.id(),
                 revision.of(),
                 revision.root(),
-                tables.after.map(Table::size).orElse(0),
-                difference.entries,
+                revision.size(),
+                revision.changed(),
                 revision.by(),
                 revision.why(),
                 revision.fate(),
@@ -136,7 +137,7 @@
                         .toList());
     }
 
-    private static FleetAudit.ChangeAudit waiting(ChangeRecord record) {
+    private static FleetAudit.ChangeAudit outsideRevision(ChangeRecord record) {
         return change(record, Difference.of(List.of()));
     }
 
--- a/consensus/src/main/java/tallyweir/fleet/ratis/FleetAudit.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/FleetAudit.java
@@ -19,6 +19,7 @@
  * @param version of the settings, 0 before the fleet is founded
  * @param revisions the latest, at most {@link #REVISIONS_MOST}, in order
  * @param waiting changes that wait until the revision that is open has been decided
+ * @param refused changes that were turned down after they had waited
  * @param gone servers that had a place
  * @param capped how many tenants have a cap
  * @param caps of the first of them by name, at most {@link #CAPS_MOST}
@@ -32,6 +33,7 @@
         int out,
         List<RevisionAudit> revisions,
         List<ChangeAudit> waiting,
+        List<ChangeAudit> refused,
         List<ServerAudit> servers,
         List<ServerAudit> gone,
         int capped,
--- a/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotReader.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotFileReader.java
@@ -15,10 +15,10 @@
 import tallyweir.fleet.SnapshotPart;
 
 /**
- * Reads what {@link SnapshotWriter} wrote, no more than one part in memory. Damage is thrown as an {@link UncheckedIOException} of a
+ * Reads what {@link SnapshotFileWriter} wrote, no more than one part in memory. Damage is thrown as an {@link UncheckedIOException} of a
  * {@link SnapshotDamagedException}.
  */
-final class SnapshotReader implements Iterator<SnapshotPart>, Closeable {
+final class SnapshotFileReader implements Iterator<SnapshotPart>, Closeable {
     private static final int BUFFER_BYTES = 1 << 16;
     private static final int PART_BYTES_MOST = 1 << 26;
 
@@ -27,9 +27,9 @@
     private Optional<SnapshotPart> next;
     private int parts;
 
-    SnapshotReader(Path path) throws IOException {
+    SnapshotFileReader(Path path) throws IOException {
         in = new DataInputStream(new BufferedInputStream(Files.newInputStream(path), BUFFER_BYTES));
-        byte[] magic = SnapshotWriter.MAGIC.getBytes(StandardCharsets.US_ASCII);
+        byte[] magic = SnapshotFileWriter.MAGIC.getBytes(StandardCharsets.US_ASCII);
         if (!Arrays.equals(magic, in.readNBytes(magic.length))) {
             throw new SnapshotDamagedException("it does not begin as a snapshot");
         }
@@ -55,7 +55,7 @@
     private Optional<SnapshotPart> read() throws IOException {
         try {
             int length = in.readInt();
-            if (length == SnapshotWriter.END) {
+            if (length == SnapshotFileWriter.END) {
                 readEnd();
                 return Optional.empty();
             }
@@ -73,7 +73,7 @@
         }
         int checksum = in.readInt();
         byte[] bytes = in.readNBytes(length);
-        if (bytes.length < length || SnapshotWriter.checksum(bytes) != checksum) {
+        if (bytes.length < length || SnapshotFileWriter.checksum(bytes) != checksum) {
             throw new SnapshotDamagedException("part " + parts + " has not the checksum it was written with");
         }
         parts++;
--- a/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotWriter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotFileWriter.java
@@ -16,7 +16,7 @@
  * Writes a snapshot part by part, no more than one of them in memory. The file begins with {@link #MAGIC}; then for each part its
  * length, its checksum (CRC-32C) and its bytes; at last the length {@link #END} and the number of parts.
  */
-final class SnapshotWriter implements Consumer<SnapshotPart>, Closeable {
+final class SnapshotFileWriter implements Consumer<SnapshotPart>, Closeable {
     static final String MAGIC = "tallyweir fleet snapshot 1\n";
     static final int END = 0;
 
@@ -27,7 +27,7 @@
     private final DataOutputStream out;
     private int parts;
 
-    SnapshotWriter(Path path) throws IOException {
+    SnapshotFileWriter(Path path) throws IOException {
         file = new FileOutputStream(path.toFile());
         out = new DataOutputStream(new BufferedOutputStream(file, BUFFER_BYTES));
         out.write(MAGIC.getBytes(StandardCharsets.US_ASCII));
--- a/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotStore.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotStore.java
@@ -37,7 +37,7 @@
     SingleFileSnapshotInfo save(State state, TermIndex at) throws IOException {
         String name = SimpleStateMachineStorage.getSnapshotFileName(at.getTerm(), at.getIndex());
         Path unfinished = dir.resolve(UNFINISHED + name);
-        try (SnapshotWriter writer = new SnapshotWriter(unfinished)) {
+        try (SnapshotFileWriter writer = new SnapshotFileWriter(unfinished)) {
             state.save(writer);
             writer.finish();
         }
@@ -98,7 +98,7 @@
 
     private static Loaded load(Path file) throws IOException {
         State state = new State();
-        try (SnapshotReader reader = new SnapshotReader(file)) {
+        try (SnapshotFileReader reader = new SnapshotFileReader(file)) {
             state.load(reader);
             if (reader.hasNext()) {
                 throw new SnapshotDamagedException("it goes on after its last part");
