--- a/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
@@ -9,10 +9,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import tallyweir.fleet.ChangeRecord;
 import tallyweir.fleet.Fault;
-import tallyweir.fleet.Passage;
+import tallyweir.fleet.RevisionTransition;
 import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.Seat;
+import tallyweir.fleet.ServerRecord;
 import tallyweir.fleet.State;
 import tallyweir.fleet.table.Change;
 import tallyweir.fleet.table.Entry;
@@ -177,14 +177,14 @@
         return "present";
     }
 
-    private static FleetAudit.ServerAudit server(Seat server) {
+    private static FleetAudit.ServerAudit server(ServerRecord server) {
         List<FleetAudit.PassageAudit> passages = new ArrayList<>();
-        server.passages().forEach(passage -> passages.add(passage(passage)));
+        server.transitions().forEach(passage -> passages.add(passage(passage)));
         return new FleetAudit.ServerAudit(
                 server.server(),
                 server.listen(),
                 server.as(),
-                server.standing(),
+                server.status(),
                 server.silent(),
                 server.marked(),
                 server.odd(),
@@ -198,7 +198,7 @@
                 passages);
     }
 
-    private static FleetAudit.PassageAudit passage(Passage passage) {
+    private static FleetAudit.PassageAudit passage(RevisionTransition passage) {
         return new FleetAudit.PassageAudit(
                 passage.as(),
                 passage.from(),
--- a/consensus/src/main/java/tallyweir/fleet/ratis/FleetAudit.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/FleetAudit.java
@@ -9,7 +9,7 @@
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.Seat;
+import tallyweir.fleet.ServerRecord;
 import tallyweir.fleet.ServerId;
 import tallyweir.ids.TenantId;
 
@@ -101,7 +101,7 @@
             ServerId server,
             String listen,
             Incarnation incarnation,
-            Seat.Standing standing,
+            ServerRecord.Status standing,
             boolean silent,
             boolean marked,
             boolean odd,
