Fleet commands ask by RatisFleetClient and read the typed audit

Need: the commands read the audit as bare JSON by the old client. Change: RatisFleetClient and FleetAudit in every fleet command; the tests keep reading the JSON that operators get.

--- a/tool/src/main/java/tallyweir/tool/AuditReader.java
+++ b/tool/src/main/java/tallyweir/tool/AuditReader.java
@@ -1,36 +1,26 @@
 package tallyweir.tool;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import tallyweir.fleet.Digest;
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.RevisionRoot;
+import tallyweir.fleet.ratis.FleetAudit;
 
 /** Finds things in an audit. */
 final class AuditReader {
     private AuditReader() {}
 
-    /** The revision in force. */
-    static RevisionId inForce(JsonNode audit) {
-        return new RevisionId(audit.get("in_force").longValue());
-    }
-
     /** What the audit says of a revision. */
-    static JsonNode revision(JsonNode audit, long id) {
-        for (JsonNode revision : audit.get("revisions")) {
-            if (revision.get("revision").longValue() == id) {
-                return revision;
-            }
-        }
-        throw new Fault.NoSuchRevision(id, inForce(audit).value()).thrown();
+    static FleetAudit.RevisionAudit revision(FleetAudit audit, RevisionId id) {
+        return audit.revisions().stream()
+                .filter(revision -> revision.revision().equals(id))
+                .findFirst()
+                .orElseThrow(() -> new Fault.NoSuchRevision(id.value(), audit.inForce().value()).thrown());
     }
 
     /** A revision with the root of its table. */
-    static RevisionRoot root(JsonNode audit, RevisionId id) {
-        if (id.equals(RevisionId.NONE)) {
-            return RevisionRoot.NONE;
-        }
-        JsonNode revision = revision(audit, id.value());
-        return new RevisionRoot(id, new Digest(revision.get("root").textValue()));
+    static RevisionRoot root(FleetAudit audit, RevisionId id) {
+        return id.equals(RevisionId.NONE)
+                ? RevisionRoot.NONE
+                : new RevisionRoot(id, revision(audit, id).root());
     }
 }
--- a/tool/src/main/java/tallyweir/tool/FleetCapsCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCapsCommand.java
@@ -1,6 +1,5 @@
 package tallyweir.tool;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintWriter;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -8,7 +7,8 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
 import tallyweir.fleet.FleetException;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.FleetAudit;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
 /** Shows what tenants' caps are lent to. */
 @CommandLine.Command(
@@ -25,29 +25,30 @@
 
     @Override
     public Integer call() {
-        JsonNode audit;
-        try (Link link = fleet.open()) {
-            audit = link.audit();
+        try (RatisFleetClient client = fleet.open()) {
+            return print(client.audit());
         } catch (FleetException e) {
             return FleetOptions.print(spec, e.fault());
         }
-        long behind = 0;
-        for (JsonNode server : audit.get("servers")) {
-            behind += server.get("acting").longValue() < audit.get("in_force").longValue() ? 1 : 0;
-        }
+    }
+
+    private int print(FleetAudit audit) {
+        long behind = audit.servers().stream()
+                .filter(server -> server.acting().before(audit.inForce()))
+                .count();
         PrintWriter out = spec.commandLine().getOut();
-        out.println("revision " + audit.get("in_force").longValue() + ", " + behind + " servers under an earlier one");
-        for (JsonNode cap : audit.get("caps")) {
-            out.println(line(cap, behind));
+        out.println("revision " + audit.inForce().value() + ", " + behind + " servers under an earlier one");
+        audit.caps().forEach(cap -> out.println(line(cap, behind)));
+        int more = audit.capped() - audit.caps().size();
+        if (more > 0) {
+            out.println("and " + more + " more tenants with a cap");
         }
         return 0;
     }
 
-    private static String line(JsonNode cap, long behind) {
-        long spoken = cap.get("spoken").longValue();
-        long connections = cap.get("cap").longValue();
-        return cap.get("tenant").textValue() + ": cap " + connections + ", floor of each place "
-                + cap.get("floor").longValue() + ", lent " + cap.get("lent").longValue() + ", spoken for " + spoken
-                + (spoken <= connections && behind == 0 ? ", reached" : ", not reached yet");
+    private static String line(FleetAudit.CapAudit cap, long behind) {
+        boolean reached = cap.spoken() <= cap.cap() && behind == 0;
+        return cap.tenant().value() + ": cap " + cap.cap() + ", floor of each place " + cap.floor() + ", lent " + cap.lent()
+                + ", spoken for " + cap.spoken() + (reached ? ", reached" : ", not reached yet");
     }
 }
--- a/tool/src/main/java/tallyweir/tool/FleetChange.java
+++ b/tool/src/main/java/tallyweir/tool/FleetChange.java
@@ -13,7 +13,7 @@
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.FleetException;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
 /** A change that an operator asks for: sends its command until it has been taken or turned down, then follows the revision. */
 abstract class FleetChange implements Callable<Integer> {
@@ -30,18 +30,18 @@
     private FleetChangeOptions change;
 
     /** The command that is to be sent, as often as it takes. */
-    abstract Command command(Link link, FleetChangeOptions options) throws IOException;
+    abstract Command command(RatisFleetClient client, FleetChangeOptions options) throws IOException;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        try (Link link = fleet.open()) {
+        try (RatisFleetClient client = fleet.open()) {
             long until = change.followUntil();
-            Command command = command(link, change);
-            RevisionId revision = send(link, command, until);
+            Command command = command(client, change);
+            RevisionId revision = send(client, command, until);
             if (revision == null) {
                 return NOT_IN_TIME;
             }
-            return new RevisionFollower(link, out(), until).follow(revision);
+            return new RevisionFollower(client, out(), until).follow(revision);
         } catch (BadSetting e) {
             return FleetOptions.print(spec, new Fault.BodyFaulty(e.getMessage()));
         } catch (FleetException e) {
@@ -54,10 +54,10 @@
     }
 
     /** The revision that the command has become a part of, null where that takes too long. */
-    private RevisionId send(Link link, Command command, long until) throws InterruptedException {
+    private RevisionId send(RatisFleetClient client, Command command, long until) throws InterruptedException {
         boolean toldToWait = false;
         while (true) {
-            Answer answer = link.ask(command);
+            Answer answer = client.ask(command);
             long waitMs;
             if (answer instanceof Answer.Done done) {
                 return done.revision();
--- a/tool/src/main/java/tallyweir/tool/FleetChangeCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetChangeCommand.java
@@ -8,7 +8,7 @@
 import picocli.CommandLine.Parameters;
 import tallyweir.config.ChangeFile;
 import tallyweir.fleet.Command;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.RatisFleetClient;
 import tallyweir.fleet.table.Key;
 import tallyweir.fleet.table.Value;
 
@@ -23,9 +23,9 @@
     private Path file;
 
     @Override
-    Command command(Link link, FleetChangeOptions options) throws IOException {
+    Command command(RatisFleetClient client, FleetChangeOptions options) throws IOException {
         ChangeFile wanted = ChangeFile.parse(Files.readAllBytes(file));
-        Map<Key, Value> now = link.values(wanted.keys()).values();
+        Map<Key, Value> now = client.values(wanted.keys()).values();
         return new Command.ChangeEntries(
                 options.command(), wanted.changes(now), options.by(), options.why(), options.force());
     }
--- a/tool/src/main/java/tallyweir/tool/FleetChangeOptions.java
+++ b/tool/src/main/java/tallyweir/tool/FleetChangeOptions.java
@@ -50,7 +50,7 @@
         return new OperatorCommand(again != null ? again : UUID.randomUUID().toString());
     }
 
-    /** When following ends, by {@link System#nanoTime}. */
+    /** When following ends, by {@client System#nanoTime}. */
     long followUntil() {
         return System.nanoTime() + followS * 1_000_000_000L;
     }
--- a/tool/src/main/java/tallyweir/tool/FleetOptions.java
+++ b/tool/src/main/java/tallyweir/tool/FleetOptions.java
@@ -6,7 +6,7 @@
 import tallyweir.config.BadSetting;
 import tallyweir.config.Operators;
 import tallyweir.fleet.Fault;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
 /** Options of every command that asks a fleet. */
 final class FleetOptions {
@@ -23,12 +23,12 @@
     private long giveUpMs;
 
     /** A client of the fleet that is named. */
-    Link open() {
+    RatisFleetClient open() {
         Operators read = Operators.read(operators);
         if (!read.inFleet()) {
             throw new BadSetting("fleet is missing in " + operators + ": it names the fleet and its voters");
         }
-        return new Link(read.fleetName(), read.voters(), giveUpMs);
+        return new RatisFleetClient(read.fleetName(), read.voters(), giveUpMs);
     }
 
     /** Prints what is the matter and what can be done; the exit code goes by the kind of fault. */
--- a/tool/src/main/java/tallyweir/tool/FleetPublishCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetPublishCommand.java
@@ -1,6 +1,5 @@
 package tallyweir.tool;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,7 +11,8 @@
 import tallyweir.fleet.Command;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.RevisionRoot;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.FleetAudit;
+import tallyweir.fleet.ratis.RatisFleetClient;
 import tallyweir.fleet.table.Change;
 import tallyweir.fleet.table.Table;
 
@@ -31,12 +31,12 @@
     private Long expected;
 
     @Override
-    Command command(Link link, FleetChangeOptions options) throws IOException {
+    Command command(RatisFleetClient client, FleetChangeOptions options) throws IOException {
         Table wanted = RevisionFile.parse(Files.readAllBytes(file));
-        JsonNode audit = link.audit();
-        RevisionId seen = expected != null ? new RevisionId(expected) : AuditReader.inForce(audit);
+        FleetAudit audit = client.audit();
+        RevisionId seen = expected != null ? new RevisionId(expected) : audit.inForce();
         RevisionRoot base = AuditReader.root(audit, seen);
-        Table before = base.equals(RevisionRoot.NONE) ? Table.EMPTY : link.table(Table.EMPTY, base);
+        Table before = base.equals(RevisionRoot.NONE) ? Table.EMPTY : client.table(Table.EMPTY, base);
         List<Change> changes = before.differenceTo(wanted);
         return new Command.Publish(options.command(), seen, changes, options.by(), options.why(), options.force());
     }
--- a/tool/src/main/java/tallyweir/tool/FleetRollbackCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetRollbackCommand.java
@@ -4,7 +4,7 @@
 import picocli.CommandLine.Option;
 import tallyweir.fleet.Command;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
 /** Brings an earlier revision back. */
 @CommandLine.Command(
@@ -21,8 +21,8 @@
     private Long expected;
 
     @Override
-    Command command(Link link, FleetChangeOptions options) {
-        RevisionId seen = expected != null ? new RevisionId(expected) : AuditReader.inForce(link.audit());
+    Command command(RatisFleetClient client, FleetChangeOptions options) {
+        RevisionId seen = expected != null ? new RevisionId(expected) : client.audit().inForce();
         return new Command.Rollback(
                 options.command(), seen, new RevisionId(to), options.by(), options.why(), options.force());
     }
--- a/tool/src/main/java/tallyweir/tool/RevisionFollower.java
+++ b/tool/src/main/java/tallyweir/tool/RevisionFollower.java
@@ -1,11 +1,13 @@
 package tallyweir.tool;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintWriter;
 import java.util.concurrent.TimeUnit;
 import tallyweir.fleet.Fault;
+import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ServerRecord;
+import tallyweir.fleet.ratis.FleetAudit;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
 /** Follows a revision until every server is accounted for: acts on it, or is out or gone. */
 final class RevisionFollower {
@@ -13,14 +15,14 @@
     private static final int ACCOUNTED_FOR = 0;
     private static final int NOT_IN_TIME = 1;
 
-    private final Link link;
+    private final RatisFleetClient client;
     private final PrintWriter out;
     private final long until;
     private String printed = "";
 
-    /** @param until by {@link System#nanoTime} */
-    RevisionFollower(Link link, PrintWriter out, long until) {
-        this.link = link;
+    /** @param until by {@client System#nanoTime} */
+    RevisionFollower(RatisFleetClient client, PrintWriter out, long until) {
+        this.client = client;
         this.out = out;
         this.until = until;
     }
@@ -28,13 +30,12 @@
     /** Prints each step; returns the exit code. */
     int follow(RevisionId id) throws InterruptedException {
         while (true) {
-            JsonNode audit = link.audit();
-            JsonNode revision = AuditReader.revision(audit, id.value());
-            String fate = revision.get("fate").textValue();
-            if (fate.equals("TURNED_DOWN")) {
-                throw new Fault.CannotTake(id.value(), revision.get("reasons").textValue()).thrown();
+            FleetAudit audit = client.audit();
+            FleetAudit.RevisionAudit revision = AuditReader.revision(audit, id);
+            if (revision.fate() == Revision.Fate.TURNED_DOWN) {
+                throw new Fault.CannotTake(id.value(), revision.reasons()).thrown();
             }
-            boolean open = fate.equals("PROPOSED");
+            boolean open = revision.fate() == Revision.Fate.PROPOSED;
             Progress progress = Progress.of(audit, id);
             print("revision " + id.value() + (open ? " proposed" : " in force") + ": " + progress.text());
             if (!open && progress.accountedFor()) {
@@ -56,21 +57,20 @@
 
     /** How many servers are where. */
     private record Progress(int acted, int behind, int shutOut, int unknown) {
-        static Progress of(JsonNode audit, RevisionId id) {
+        static Progress of(FleetAudit audit, RevisionId id) {
             int acted = 0;
             int behind = 0;
             int shutOut = 0;
             int unknown = 0;
-            for (JsonNode server : audit.get("servers")) {
-                if (server.get("standing").textValue().equals("OUT")) {
+            for (FleetAudit.ServerAudit server : audit.servers()) {
+                if (server.standing() == ServerRecord.Status.OUT) {
                     shutOut++;
-                } else if (server.get("silent").booleanValue()
-                        || server.get("odd").booleanValue()) {
+                } else if (server.silent() || server.odd()) {
                     unknown++;
-                } else if (server.get("acting").longValue() >= id.value()) {
-                    acted++;
-                } else {
+                } else if (server.acting().before(id)) {
                     behind++;
+                } else {
+                    acted++;
                 }
             }
             return new Progress(acted, behind, shutOut, unknown);
--- a/tool/src/test/java/tallyweir/tool/FleetOperatorsTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetOperatorsTest.java
@@ -85,7 +85,7 @@
 
     /** The revision that a command has become a part of. */
     private long revisionOf(String command) {
-        for (JsonNode revision : link.audit().get("revisions")) {
+        for (JsonNode revision : link.audit().toJson().get("revisions")) {
             for (JsonNode change : revision.get("changes")) {
                 if (change.get("command").textValue().equals(command)) {
                     return revision.get("revision").longValue();
--- a/tool/src/test/java/tallyweir/tool/FleetProcesses.java
+++ b/tool/src/test/java/tallyweir/tool/FleetProcesses.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 import tallyweir.config.Operators;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.RatisFleetClient;
 import tallyweir.stand.StandSidecar;
 
 /** A fleet of processes for a test, and what operators do to it. */
@@ -27,13 +27,13 @@
     Path dir;
 
     FleetStage stage;
-    Link link;
+    RatisFleetClient link;
     private final List<RouteWatcher> watchers = new ArrayList<>();
 
     void start(int servers, int stores) throws Exception {
         stage = new FleetStage(dir, servers, stores, null, 1, LEASE_MS, List.of());
         Operators operators = Operators.read(stage.operators);
-        link = new Link(operators.fleetName(), operators.voters(), GIVE_UP_MS);
+        link = new RatisFleetClient(operators.fleetName(), operators.voters(), GIVE_UP_MS);
         until("all are in", () -> acting(0) == servers);
     }
 
@@ -65,7 +65,7 @@
 
     private String auditText() {
         try {
-            return link.audit().toString();
+            return link.audit().toJson().toString();
         } catch (RuntimeException e) {
             return "no audit: " + e.getMessage();
         }
@@ -74,7 +74,7 @@
     /** How many live servers act on a revision, if it is in force; -1 while that cannot be known. */
     int acting(long revision) {
         try {
-            JsonNode audit = link.audit();
+            JsonNode audit = link.audit().toJson();
             int acting = 0;
             for (JsonNode server : audit.get("servers")) {
                 boolean live = server.get("standing").textValue().equals("LIVE")
--- a/tool/src/test/java/tallyweir/tool/FleetTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import tallyweir.config.Operators;
-import tallyweir.fleet.ratis.Link;
+import tallyweir.fleet.ratis.RatisFleetClient;
 import tallyweir.stand.StandRelay;
 import tallyweir.stand.StandSidecar;
 
@@ -42,7 +42,7 @@
     private FleetStage stage;
     private List<Program> servers;
     private Path operators;
-    private Link link;
+    private RatisFleetClient link;
 
     @BeforeEach
     void start() throws Exception {
@@ -50,7 +50,7 @@
         operators = stage.operators;
         servers = stage.servers;
         Operators o = Operators.read(operators);
-        link = new Link(o.fleetName(), o.voters(), 10_000);
+        link = new RatisFleetClient(o.fleetName(), o.voters(), 10_000);
         until("all are in", () -> acting(0, SERVERS));
     }
 
@@ -69,7 +69,7 @@
     private void until(String what, Check check) throws Exception {
         long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
         while (!check.holds()) {
-            assertTrue(System.nanoTime() < end, "not in time: " + what + "; " + link.audit());
+            assertTrue(System.nanoTime() < end, "not in time: " + what + "; " + link.audit().toJson());
             TimeUnit.MILLISECONDS.sleep(20);
         }
     }
@@ -77,7 +77,7 @@
     /** Whether so many live servers say that they act on a revision. */
     private boolean acting(long revision, int servers) {
         try {
-            JsonNode a = link.audit();
+            JsonNode a = link.audit().toJson();
             int is = 0;
             for (JsonNode s : a.get("servers")) {
                 is += s.get("standing").textValue().equals("LIVE")
@@ -198,7 +198,7 @@
         TimeUnit.MILLISECONDS.sleep(2_500); // its lease is over by its own clock
         assertTrue(taken(alone, "ten", 8) <= 2, "no more than its floor");
         assertEquals(8, taken(alone, "free", 8), "whoever has no cap goes on");
-        try (Link rest = new Link(link.name(), others(alone), 10_000)) {
+        try (RatisFleetClient rest = new RatisFleetClient(link.name(), others(alone), 10_000)) {
             link.close();
             link = rest;
             publishTo(1, alone);
@@ -209,7 +209,7 @@
         }
         stage.around(alone).forEach(StandRelay::mend);
         Operators o = Operators.read(operators);
-        link = new Link(o.fleetName(), o.voters(), 10_000);
+        link = new RatisFleetClient(o.fleetName(), o.voters(), 10_000);
         until("it is brought up", () -> acting(2, SERVERS));
         assertEquals(1, storeOf(alone));
     }
@@ -293,7 +293,7 @@
                 0,
                 command("fleet", "publish", wrong.toString(), "--operators", operators.toString(), "--why", "a slip"));
         until("it is taken back", () -> acting(3, SERVERS));
-        JsonNode back = link.audit().get("revisions").get(2);
+        JsonNode back = link.audit().toJson().get("revisions").get(2);
         assertEquals("probation", back.get("by").textValue());
         assertEquals(1, back.get("of").longValue());
         for (int i = 0; i < SERVERS; i++) {
@@ -303,7 +303,7 @@
         for (Thread t : clients) {
             t.join();
         }
-        assertEquals(3, link.audit().get("in_force").longValue(), "once");
+        assertEquals(3, link.audit().toJson().get("in_force").longValue(), "once");
     }
 
     private static void pause() {
--- a/tool/src/test/java/tallyweir/tool/FleetTransferTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTransferTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -14,8 +13,10 @@
 import org.junit.jupiter.api.Test;
 import tallyweir.fleet.Answer;
 import tallyweir.fleet.Command;
+import tallyweir.fleet.Digest;
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.OperatorCommand;
+import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.table.Change;
 import tallyweir.fleet.table.Key;
 import tallyweir.fleet.table.Kind;
@@ -134,7 +135,7 @@
             ask(new Command.ChangeEntries(new OperatorCommand("c" + i), List.of(change), "test", "change " + i, false));
         }
         assertEquals(0, command("change", stage.largeMove(0, 1).toString(), "--why", "moves"));
-        long last = link.audit().get("in_force").longValue();
+        long last = link.audit().inForce().value();
         until("all act on the last", () -> acting(last) == 3);
         int aside = 2;
         stage.around(aside).forEach(StandRelay::cut);
@@ -143,14 +144,17 @@
         assertEquals(1, storeOf(aside), "it cannot know yet");
         stage.around(aside).forEach(StandRelay::mend);
         until("all act as on the first", () -> acting(last + 1) == 3);
-        JsonNode audit = link.audit();
-        assertEquals(AuditReader.revision(audit, 1).get("root"), AuditReader.revision(audit, last + 1).get("root"));
-        assertNotEquals(AuditReader.revision(audit, 1).get("root"), AuditReader.revision(audit, last).get("root"));
+        assertEquals(root(1), root(last + 1));
+        assertNotEquals(root(1), root(last));
         for (RouteWatcher watcher : watchers) {
             watcher.assertStores(List.of(0, 1, 0));
         }
     }
 
+    private Digest root(long revision) {
+        return AuditReader.revision(link.audit(), new RevisionId(revision)).root();
+    }
+
     private void ask(Command.ChangeEntries change) throws Exception {
         Answer answer = link.ask(change);
         if (answer instanceof Answer.Refused refused && refused.why() instanceof Fault.QueueFull) {
