TableTransfer: a table comes over in pieces, each held against its digest

Need: a server that is too far behind for a difference had to fetch all entries at once and again after a break.

--- a/fleet/src/main/java/tallyweir/fleet/table/EntryReader.java
+++ b/fleet/src/main/java/tallyweir/fleet/table/EntryReader.java
@@ -73,6 +73,12 @@
         return count;
     }
 
+    /** Goes past some bytes. */
+    void skip(int length) {
+        need(length);
+        position += length;
+    }
+
     /** Goes past a key. */
     Kind skipKey() {
         Kind kind = kind();
@@ -127,9 +133,7 @@
     }
 
     private void skipText() {
-        int length = varint();
-        need(length);
-        position += length;
+        skip(varint());
     }
 
     private String text(int bytesMost) {
@@ -137,9 +141,8 @@
         if (length > bytesMost) {
             throw faulty("a text in it has " + length + " bytes, " + bytesMost + " are allowed");
         }
-        need(length);
         int from = position;
-        position += length;
+        skip(length);
         return isAscii(from, length)
                 ? new String(bytes, from, length, StandardCharsets.US_ASCII)
                 : decoded(from, length);
--- a/fleet/src/main/java/tallyweir/fleet/table/Path.java
+++ b/fleet/src/main/java/tallyweir/fleet/table/Path.java
@@ -33,6 +33,16 @@
         return new Path(digits + Character.forDigit(digit, RADIX));
     }
 
+    /** Whether a hash begins with these digits. */
+    boolean leadsTo(Hash256 hash) {
+        for (int i = 0; i < depth(); i++) {
+            if (hash.digit(i) != digit(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean isDigit(char c) {
         return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
     }
--- a/fleet/src/main/java/tallyweir/fleet/table/Table.java
+++ b/fleet/src/main/java/tallyweir/fleet/table/Table.java
@@ -81,6 +81,18 @@
         return difference.changes();
     }
 
+    /**
+     * What {@link TableTransfer#take} takes for a path: the encoded entries of that part if they are few, or else the digests and
+     * counts of its children.
+     */
+    public byte[] piece(Path path) {
+        Node node = rootNode;
+        for (int depth = 0; depth < path.depth(); depth++) {
+            node = node.child(path.digit(depth), depth, hashing);
+        }
+        return Piece.of(node);
+    }
+
     /** Tables are equal if they have the same entries. */
     @Override
     public boolean equals(Object other) {
