--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -182,8 +182,8 @@
             long life,
             Set<Guard> without) {
         queries.seat(new FleetSeat(
-                queries, links, deadlines, client, fleet, deciding, name, listen, linger, again, backWhole, seed, now, life,
-                without));
+                queries, links, deadlines, client, fleet, deciding, name, listen, linger, again, backWhole, seed, now,
+                life, without));
     }
 
     /** Tells the fleet that this server has answered all and ends. */
--- a/daemon/src/main/java/tallyweir/backend/RevisionPreparer.java
+++ b/daemon/src/main/java/tallyweir/backend/RevisionPreparer.java
@@ -68,8 +68,6 @@
 
     private Routes routes(Routes inUse, Table table) {
         Optional<List<Change>> difference = inUse.table().differenceTo(table, DIFFERENCE_MOST);
-        return difference
-                .map(changes -> inUse.with(table, changes))
-                .orElseGet(() -> Routes.of(table, workloads));
+        return difference.map(changes -> inUse.with(table, changes)).orElseGet(() -> Routes.of(table, workloads));
     }
 }
--- a/daemon/src/test/java/tallyweir/backend/FleetMemoryProbe.java
+++ b/daemon/src/test/java/tallyweir/backend/FleetMemoryProbe.java
@@ -48,7 +48,9 @@
         List<Change> changes = new ArrayList<>();
         for (int i = 0; i < ROUTES + CAPS; i++) {
             changes.add(
-                    i < ROUTES ? put(store(i), new Value.Weight(1 + i % 1_000)) : put(cap(i - ROUTES), new Value.Cap(1)));
+                    i < ROUTES
+                            ? put(store(i), new Value.Weight(1 + i % 1_000))
+                            : put(cap(i - ROUTES), new Value.Cap(1)));
             if (changes.size() == AT_ONCE) {
                 table = table.apply(changes);
                 changes.clear();
@@ -94,7 +96,9 @@
         long least = Long.MAX_VALUE;
         for (int i = 0; i < COLLECTIONS; i++) {
             System.gc();
-            least = Math.min(least, Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+            least = Math.min(
+                    least,
+                    Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         }
         return least;
     }
--- a/daemon/src/test/java/tallyweir/backend/FleetSeatTest.java
+++ b/daemon/src/test/java/tallyweir/backend/FleetSeatTest.java
@@ -39,8 +39,9 @@
                "Gauges":["core_use","on_cores"],"PassesDeadline":true,"ClassCalls":[true]},
               "RoundUs":5000,"Permissions":{"RetryAfter":true,"MaxRetryAfterUs":1000000},
               "Rules":{"AnswerSlackUs":60000,"DrainGraceUs":1000000,"FallMultiple":8,"FallUs":3000000}}}""";
-    private static final Table FIRST = table("{\"stores\":[{\"address\":\"1.0.0.1:1\"}],\"kernels\":{\"n3\":\"1.0.0.9:4\"},"
-            + "\"announce\":\"1.0.0.8:5\",\"caps\":{\"t\":3}}");
+    private static final Table FIRST =
+            table("{\"stores\":[{\"address\":\"1.0.0.1:1\"}],\"kernels\":{\"n3\":\"1.0.0.9:4\"},"
+                    + "\"announce\":\"1.0.0.8:5\",\"caps\":{\"t\":3}}");
     private static final long LEASE = 100_000;
     private static final long SOON = 1_000;
 
@@ -87,8 +88,7 @@
         } else {
             Command.Report report = assertInstanceOf(Command.Report.class, sent.command());
             reports.add(report);
-            sent.answer(new Answer.Told(
-                    report.number(), LEASE, LEASE, true, inForce, 0, proposed, Map.of(), SOON));
+            sent.answer(new Answer.Told(report.number(), LEASE, LEASE, true, inForce, 0, proposed, Map.of(), SOON));
         }
     }
 
@@ -152,7 +152,8 @@
     @Test
     void aFetchThatFailsIsTriedAgainBeforeItIsToldThatItCannot() {
         proposed = revision(1, FIRST);
-        Fault damaged = new Fault.DigestMismatch(FIRST.root().value(), Digest.of("x").value());
+        Fault damaged =
+                new Fault.DigestMismatch(FIRST.root().value(), Digest.of("x").value());
         int fetches = 0;
         for (int i = 0; i < 100 && cannotSoFar().equals(""); i++) {
             rounds(1_000);
--- a/daemon/src/test/java/tallyweir/backend/RecordedFleetClient.java
+++ b/daemon/src/test/java/tallyweir/backend/RecordedFleetClient.java
@@ -23,8 +23,7 @@
     }
 
     /** A fetch that waits for its table. */
-    record Fetch(
-            Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
+    record Fetch(Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
         void answer(Table table) {
             deciding.execute(() -> to.accept(table));
         }
@@ -43,8 +42,7 @@
     }
 
     @Override
-    public void fetch(
-            Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
+    public void fetch(Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
         fetches.add(new Fetch(have, wanted, deciding, to, failed));
     }
 
--- a/tool/src/main/java/tallyweir/tool/AuditReader.java
+++ b/tool/src/main/java/tallyweir/tool/AuditReader.java
@@ -14,7 +14,8 @@
         return audit.revisions().stream()
                 .filter(revision -> revision.revision().equals(id))
                 .findFirst()
-                .orElseThrow(() -> new Fault.NoSuchRevision(id.value(), audit.inForce().value()).thrown());
+                .orElseThrow(() ->
+                        new Fault.NoSuchRevision(id.value(), audit.inForce().value()).thrown());
     }
 
     /** A revision with the root of its table. */
--- a/tool/src/main/java/tallyweir/tool/FleetAuditCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetAuditCommand.java
@@ -17,8 +17,9 @@
 @CommandLine.Command(
         name = "audit",
         mixinStandardHelpOptions = true,
-        description = "Shows each revision with its changes, those that wait, who acted on which revision and when, and who"
-                + " is behind, out or unheard of.")
+        description =
+                "Shows each revision with its changes, those that wait, who acted on which revision and when, and who"
+                        + " is behind, out or unheard of.")
 final class FleetAuditCommand implements Callable<Integer> {
     private static final String UNKNOWN = "unknown";
     private static final String NO_VALUE = "none";
--- a/tool/src/main/java/tallyweir/tool/FleetCapsCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCapsCommand.java
@@ -48,7 +48,7 @@
 
     private static String line(FleetAudit.CapAudit cap, long behind) {
         boolean reached = cap.spoken() <= cap.cap() && behind == 0;
-        return cap.tenant().value() + ": cap " + cap.cap() + ", floor of each place " + cap.floor() + ", lent " + cap.lent()
-                + ", spoken for " + cap.spoken() + (reached ? ", reached" : ", not reached yet");
+        return cap.tenant().value() + ": cap " + cap.cap() + ", floor of each place " + cap.floor() + ", lent "
+                + cap.lent() + ", spoken for " + cap.spoken() + (reached ? ", reached" : ", not reached yet");
     }
 }
--- a/tool/src/main/java/tallyweir/tool/FleetDrill.java
+++ b/tool/src/main/java/tallyweir/tool/FleetDrill.java
@@ -353,7 +353,8 @@
                 + ", over cap " + overCap + ", ran twice " + ranTwice + ", unanswered " + unanswered + ", brought up "
                 + (disturbed.size() - Math.min(disturbed.size(), unaccounted)) + ", shut out " + shutOut);
         if (kills == 0 || cuts == 0 || rollbacks == 0 || byKey == 0 || capped.get() == 0 || acknowledged.isEmpty()) {
-            out.println("void: nothing was cut, killed, changed by key, rolled back or held at a cap; give it more --seconds");
+            out.println(
+                    "void: nothing was cut, killed, changed by key, rolled back or held at a cap; give it more --seconds");
             return 1;
         }
         return mixed + lost + unaccounted + overCap + ranTwice + unanswered.get() == 0 ? 0 : 1;
--- a/tool/src/main/java/tallyweir/tool/FleetExploreCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetExploreCommand.java
@@ -25,9 +25,7 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(
-            names = "--without",
-            description = "One guard only: ${COMPLETION-CANDIDATES}. WHOLE is not of this check.")
+    @Option(names = "--without", description = "One guard only: ${COMPLETION-CANDIDATES}. WHOLE is not of this check.")
     private Guard without;
 
     @Option(names = "--most", defaultValue = "3000000", description = "States at the most (${DEFAULT-VALUE}).")
@@ -58,8 +56,7 @@
         }
         for (Map.Entry<Guard, Explorer.Scene> guard : Explorer.guards().entrySet()) {
             Search.Seen seen = Explorer.explore(guard.getValue(), EnumSet.of(guard.getKey()), most);
-            boolean missed =
-                    !seen.wrong().isEmpty() && !seen.wrong().get(0).startsWith("given up");
+            boolean missed = !seen.wrong().isEmpty() && !seen.wrong().get(0).startsWith("given up");
             out().println("without " + guard.getKey() + ": "
                     + (missed ? seen.wrong().get(0) : "NOT MISSED"));
             good &= missed;
--- a/tool/src/main/java/tallyweir/tool/FleetPublishCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetPublishCommand.java
@@ -25,9 +25,7 @@
     @Parameters(paramLabel = "FILE", description = "The revision, as deploy/example-revision.json.")
     private Path file;
 
-    @Option(
-            names = "--expected",
-            description = "The revision in force that you saw; without it, the one in force now.")
+    @Option(names = "--expected", description = "The revision in force that you saw; without it, the one in force now.")
     private Long expected;
 
     @Override
--- a/tool/src/main/java/tallyweir/tool/FleetRollbackCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetRollbackCommand.java
@@ -15,14 +15,13 @@
     @Option(names = "--to", required = true, description = "The revision that is to come back.")
     private long to;
 
-    @Option(
-            names = "--expected",
-            description = "The revision in force that you saw; without it, the one in force now.")
+    @Option(names = "--expected", description = "The revision in force that you saw; without it, the one in force now.")
     private Long expected;
 
     @Override
     Command command(RatisFleetClient client, FleetChangeOptions options) {
-        RevisionId seen = expected != null ? new RevisionId(expected) : client.audit().inForce();
+        RevisionId seen =
+                expected != null ? new RevisionId(expected) : client.audit().inForce();
         return new Command.Rollback(
                 options.command(), seen, new RevisionId(to), options.by(), options.why(), options.force());
     }
--- a/tool/src/main/java/tallyweir/tool/FleetStage.java
+++ b/tool/src/main/java/tallyweir/tool/FleetStage.java
@@ -166,9 +166,9 @@
 
     /** A file with a revision that routes each workload by an entry of its own to the same store, and has so many other caps. */
     Path largeRevision(int store, int caps) throws IOException {
-        List<String> stores = new ArrayList<>();
+        List<String> routes = new ArrayList<>();
         for (String workload : WORKLOADS) {
-            stores.add("{\"address\":\"" + stores.get(store).address() + "\",\"workloads\":[\"" + workload + "\"]}");
+            routes.add("{\"address\":\"" + stores.get(store).address() + "\",\"workloads\":[\"" + workload + "\"]}");
         }
         List<String> all = new ArrayList<>();
         for (int i = 0; i < caps; i++) {
@@ -176,7 +176,7 @@
         }
         return Files.writeString(
                 dir.resolve("large-" + store + ".json"),
-                "{\"stores\":[" + String.join(",", stores) + "],\"caps\":{" + String.join(",", all) + "}}");
+                "{\"stores\":[" + String.join(",", routes) + "],\"caps\":{" + String.join(",", all) + "}}");
     }
 
     /** A file with a change by key, that has the two entries of a large revision say another store. */
--- a/tool/src/test/java/tallyweir/tool/FleetOperatorsTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetOperatorsTest.java
@@ -65,14 +65,20 @@
         Fault why = ((Answer.Refused) second).why();
         assertTrue(why instanceof Fault.KeyConflict conflict && conflict.by().equals("first"), why.what());
         until("the first is in force", () -> new Value.Cap(2).equals(capOf("c")));
-        assertEquals(
-                new Answer.Done(new RevisionId(revisionOf("first"))), link.ask(cap("first", "c", 1, 2)));
+        assertEquals(new Answer.Done(new RevisionId(revisionOf("first"))), link.ask(cap("first", "c", 1, 2)));
 
         Path move = stage.change(1, "a", 6);
         StringWriter said = new StringWriter();
         assertEquals(0, command(said, "change", move.toString(), "--why", "other store", "--command", "moved"));
-        assertEquals(0, command("change", move.toString(), "--why", "other store", "--command", "moved"), "it acts once");
-        assertEquals(24, command("change", change("x.json", "{\"put\":{\"caps\":{\"a\":-1}}}").toString(), "--why", "x"));
+        assertEquals(
+                0, command("change", move.toString(), "--why", "other store", "--command", "moved"), "it acts once");
+        assertEquals(
+                24,
+                command(
+                        "change",
+                        change("x.json", "{\"put\":{\"caps\":{\"a\":-1}}}").toString(),
+                        "--why",
+                        "x"));
         until("all call the other store", () -> storeOf(0) == 1 && storeOf(1) == 1 && storeOf(2) == 1);
         watcher.assertStores(List.of(0, 1));
 
--- a/tool/src/test/java/tallyweir/tool/FleetProcesses.java
+++ b/tool/src/test/java/tallyweir/tool/FleetProcesses.java
@@ -124,8 +124,8 @@
         int store = -1;
         for (String workload : FleetStage.WORKLOADS) {
             String job = stage.job();
-            try (StandSidecar sidecar = new StandSidecar(
-                    stage.servers.get(server).port())) {
+            try (StandSidecar sidecar =
+                    new StandSidecar(stage.servers.get(server).port())) {
                 assertEquals(
                         200,
                         FleetStage.ask(sidecar, job, FleetStage.FREE, workload, 5_000)
--- a/tool/src/test/java/tallyweir/tool/FleetTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTest.java
@@ -69,7 +69,9 @@
     private void until(String what, Check check) throws Exception {
         long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
         while (!check.holds()) {
-            assertTrue(System.nanoTime() < end, "not in time: " + what + "; " + link.audit().toJson());
+            assertTrue(
+                    System.nanoTime() < end,
+                    "not in time: " + what + "; " + link.audit().toJson());
             TimeUnit.MILLISECONDS.sleep(20);
         }
     }
