--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/FleetMapper.java
@@ -0,0 +1,136 @@
+package tallyweir.fleet.ratis;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.annotation.JsonValue;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.KeyDeserializer;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.cfg.MapperBuilder;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.util.Set;
+import java.util.function.Function;
+import tallyweir.fleet.Digest;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.Incarnation;
+import tallyweir.fleet.OperatorCommand;
+import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.ServerId;
+import tallyweir.fleet.table.Path;
+import tallyweir.ids.TenantId;
+
+/**
+ * Configures Jackson for the records of the fleet: records as arrays of their components, names and numbers that are wrapped in
+ * a record as they are, digests as bytes, and lists of entries and changes as the bytes of the table's own codec. Anything
+ * that is missing, unknown or of another type is an error.
+ */
+final class FleetMapper {
+    private static final Set<Class<?>> TEXTS = Set.of(ServerId.class, TenantId.class, OperatorCommand.class);
+    private static final Set<Class<?>> NUMBERS = Set.of(RevisionId.class, Incarnation.class);
+
+    private FleetMapper() {}
+
+    /** A new mapper, to which mix-ins for sealed types may be added. */
+    static ObjectMapper create() {
+        MapperBuilder<?, ?> builder = CBORMapper.builder()
+                .annotationIntrospector(new RecordsAsArrays())
+                .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+                .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
+                .addMixIn(Fault.class, FaultNames.class)
+                .addMixIn(Path.class, PathValue.class)
+                .addModule(new Jdk8Module())
+                .addModule(tables())
+                .addModule(names());
+        TEXTS.forEach(type -> builder.addMixIn(type, TextValue.class));
+        NUMBERS.forEach(type -> builder.addMixIn(type, NumberValue.class));
+        Fault.kinds().forEach(kind -> builder.registerSubtypes(new NamedType(kind, kind.getSimpleName())));
+        return builder.build();
+    }
+
+    private static SimpleModule tables() {
+        SimpleModule module = new SimpleModule("tables");
+        module.setSerializers(new EntryListSerializers());
+        module.setDeserializers(new EntryListDeserializers());
+        return module;
+    }
+
+    private static SimpleModule names() {
+        SimpleModule module = new SimpleModule("names");
+        module.addSerializer(new DigestSerializer());
+        module.addDeserializer(Digest.class, new DigestDeserializer());
+        module.addKeyDeserializer(TenantId.class, new NameDeserializer(TenantId::new));
+        module.addKeyDeserializer(ServerId.class, new NameDeserializer(ServerId::new));
+        return module;
+    }
+
+    /** Records without further annotations are arrays of their components. */
+    private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        public JsonFormat.Value findFormat(Annotated annotated) {
+            Class<?> type = annotated.getRawType();
+            if (type.isRecord() && type != Path.class && !TEXTS.contains(type) && !NUMBERS.contains(type)) {
+                return JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+            }
+            return super.findFormat(annotated);
+        }
+    }
+
+    /** A map's key that is a record of one text. */
+    private static final class NameDeserializer extends KeyDeserializer {
+        private final Function<String, Object> name;
+
+        private NameDeserializer(Function<String, Object> name) {
+            this.name = name;
+        }
+
+        @Override
+        public Object deserializeKey(String key, DeserializationContext context) {
+            return name.apply(key);
+        }
+    }
+
+    /** Faults are named by their class; a test holds the names. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+    private interface FaultNames {}
+
+    private abstract static class TextValue {
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        TextValue(String value) {}
+
+        @JsonValue
+        abstract String value();
+    }
+
+    private abstract static class NumberValue {
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        NumberValue(long value) {}
+
+        @JsonValue
+        abstract long value();
+    }
+
+    private abstract static class PathValue {
+        @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+        PathValue(String digits) {}
+
+        @JsonValue
+        abstract String digits();
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/MalformedMessageException.java
@@ -0,0 +1,16 @@
+package tallyweir.fleet.ratis;
+
+import java.io.IOException;
+
+/** Bytes that are not a whole, valid message of the expected type. Nothing of such a message is used. */
+final class MalformedMessageException extends IOException {
+    private static final long serialVersionUID = 1;
+
+    MalformedMessageException(String message) {
+        super(message);
+    }
+
+    MalformedMessageException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/QuestionCodec.java
@@ -0,0 +1,20 @@
+package tallyweir.fleet.ratis;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** Encodes questions to voters. */
+final class QuestionCodec extends MessageCodec<Question> {
+    QuestionCodec() {
+        super(FleetMapper.create().addMixIn(Question.class, Names.class), Question.class);
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = Question.Audit.class, name = "audit"),
+        @JsonSubTypes.Type(value = Question.Values.class, name = "values"),
+        @JsonSubTypes.Type(value = Question.Difference.class, name = "difference"),
+        @JsonSubTypes.Type(value = Question.Piece.class, name = "piece"),
+    })
+    private interface Names {}
+}
--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/ReplyCodec.java
@@ -0,0 +1,22 @@
+package tallyweir.fleet.ratis;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** Encodes what voters reply to questions. */
+final class ReplyCodec extends MessageCodec<Reply> {
+    ReplyCodec() {
+        super(FleetMapper.create().addMixIn(Reply.class, Names.class), Reply.class);
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = Reply.Audit.class, name = "audit"),
+        @JsonSubTypes.Type(value = Reply.Values.class, name = "values"),
+        @JsonSubTypes.Type(value = Reply.Difference.class, name = "difference"),
+        @JsonSubTypes.Type(value = Reply.TooFar.class, name = "too_far"),
+        @JsonSubTypes.Type(value = Reply.Piece.class, name = "piece"),
+        @JsonSubTypes.Type(value = Reply.UnknownRoot.class, name = "unknown_root"),
+    })
+    private interface Names {}
+}
--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotPartCodec.java
@@ -0,0 +1,31 @@
+package tallyweir.fleet.ratis;
+
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.jsontype.NamedType;
+import tallyweir.fleet.LendingPart;
+import tallyweir.fleet.SnapshotPart;
+
+/** Encodes the parts of a snapshot, each named by its record. */
+final class SnapshotPartCodec extends MessageCodec<SnapshotPart> {
+    SnapshotPartCodec() {
+        super(mapper(), SnapshotPart.class);
+    }
+
+    private static ObjectMapper mapper() {
+        ObjectMapper mapper = FleetMapper.create();
+        nameRecords(mapper, SnapshotPart.class);
+        nameRecords(mapper, LendingPart.class);
+        return mapper;
+    }
+
+    private static void nameRecords(ObjectMapper mapper, Class<?> sealed) {
+        mapper.addMixIn(sealed, Named.class);
+        for (Class<?> each : sealed.getPermittedSubclasses()) {
+            mapper.registerSubtypes(new NamedType(each, each.getSimpleName()));
+        }
+    }
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+    private interface Named {}
+}
--- /dev/null
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/CodecTest.java
@@ -0,0 +1,237 @@
+package tallyweir.fleet.ratis;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+import tallyweir.fleet.Digest;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.Incarnation;
+import tallyweir.fleet.OperatorCommand;
+import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.ServerId;
+import tallyweir.fleet.SnapshotPart;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Value;
+
+/** Messages are the same after they have been encoded and decoded, and damaged ones are turned down. */
+class CodecTest {
+    private static final int QUIET_REPORT_BYTES = 200;
+
+    private final CommandCodec commands = new CommandCodec();
+    private final AnswerCodec answers = new AnswerCodec();
+    private final QuestionCodec questions = new QuestionCodec();
+    private final ReplyCodec replies = new ReplyCodec();
+    private final SnapshotPartCodec parts = new SnapshotPartCodec();
+
+    @Provide
+    Arbitrary<Command> anyCommand() {
+        return RecordArbitraries.of(Command.class);
+    }
+
+    @Provide
+    Arbitrary<Answer> anyAnswer() {
+        return RecordArbitraries.of(Answer.class);
+    }
+
+    @Provide
+    Arbitrary<Question> anyQuestion() {
+        return RecordArbitraries.of(Question.class);
+    }
+
+    @Provide
+    Arbitrary<Reply> anyReply() {
+        return RecordArbitraries.of(Reply.class);
+    }
+
+    @Provide
+    Arbitrary<SnapshotPart> anyPart() {
+        return RecordArbitraries.of(SnapshotPart.class);
+    }
+
+    @Provide
+    Arbitrary<Fault> anyFault() {
+        return RecordArbitraries.of(Fault.class);
+    }
+
+    @Property(tries = 300)
+    void everyCommandIsTheSameOnceDecoded(@ForAll("anyCommand") Command command) throws MalformedMessageException {
+        assertEquals(command, commands.decode(commands.encode(command)));
+    }
+
+    @Property(tries = 300)
+    void everyAnswerIsTheSameOnceDecoded(@ForAll("anyAnswer") Answer answer) throws MalformedMessageException {
+        assertEquals(answer, answers.decode(answers.encode(answer)));
+    }
+
+    /** By their bytes, since two pieces are only equal if they are the same array. */
+    @Property(tries = 300)
+    void everyQuestionAndReplyIsTheSameOnceDecoded(
+            @ForAll("anyQuestion") Question question, @ForAll("anyReply") Reply reply)
+            throws MalformedMessageException {
+        assertEquals(question, questions.decode(questions.encode(question)));
+        byte[] bytes = replies.encode(reply);
+        assertArrayEquals(bytes, replies.encode(replies.decode(bytes)));
+    }
+
+    @Property(tries = 300)
+    void everySnapshotPartIsTheSameOnceDecoded(@ForAll("anyPart") SnapshotPart part) throws MalformedMessageException {
+        assertEquals(part, parts.decode(parts.encode(part)));
+    }
+
+    @Property
+    void everyFaultIsTheSameOnceDecoded(@ForAll("anyFault") Fault fault) throws MalformedMessageException {
+        Answer refused = new Answer.Refused(fault);
+        assertEquals(refused, answers.decode(answers.encode(refused)));
+    }
+
+    /** Arbitrary values might by chance leave a record out. */
+    @Example
+    void everyRecordOfEachTypeIsTheSameOnceDecoded() throws MalformedMessageException {
+        for (Class<?> type : RecordArbitraries.records(Command.class)) {
+            Command command = (Command) RecordArbitraries.of(type).sample();
+            assertEquals(command, commands.decode(commands.encode(command)), type.getName());
+        }
+        for (Class<?> type : RecordArbitraries.records(Answer.class)) {
+            Answer answer = (Answer) RecordArbitraries.of(type).sample();
+            assertEquals(answer, answers.decode(answers.encode(answer)), type.getName());
+        }
+        for (Class<?> type : RecordArbitraries.records(SnapshotPart.class)) {
+            SnapshotPart part = (SnapshotPart) RecordArbitraries.of(type).sample();
+            assertEquals(part, parts.decode(parts.encode(part)), type.getName());
+        }
+        for (Class<? extends Fault> kind : Fault.kinds()) {
+            Answer refused = new Answer.Refused(RecordArbitraries.of(kind).sample());
+            assertEquals(refused, answers.decode(answers.encode(refused)), kind.getName());
+        }
+    }
+
+    @Example
+    void everyFaultHasAName() {
+        assertEquals(
+                Set.copyOf(RecordArbitraries.records(Fault.class)), Set.copyOf(Fault.kinds()), "kinds() lists all");
+        assertEquals(
+                "BodyFaulty CannotTake DigestMismatch EntryFaulty KeyConflict LogDamaged LogFull LostRace NameTaken "
+                        + "NoLeader NoPlace NoSuchRevision NotFounded NotYet OutcomeUnknown QueueFull ShutOut Stranger "
+                        + "UnknownRoot",
+                Fault.kinds().stream().map(Class::getSimpleName).collect(Collectors.toCollection(TreeSet::new)).stream()
+                        .collect(Collectors.joining(" ")),
+                "the names stand in logs and snapshots on disk");
+    }
+
+    /** Each prefix of a message, a message followed by anything, and no message at all. */
+    @Property(tries = 50)
+    void whatIsCutOrContinuedIsTurnedDown(@ForAll("anyCommand") Command command) {
+        byte[] whole = commands.encode(command);
+        for (int length = 0; length < whole.length; length++) {
+            byte[] cut = Arrays.copyOf(whole, length);
+            assertThrows(MalformedMessageException.class, () -> commands.decode(cut));
+        }
+        byte[] continued = Arrays.copyOf(whole, whole.length + 1);
+        assertThrows(MalformedMessageException.class, () -> commands.decode(continued));
+    }
+
+    /** Damage is either turned down or makes another valid message; nothing else is thrown. */
+    @Property
+    void damageHasNoOtherOutcome(@ForAll("anyCommand") Command command, @ForAll int place, @ForAll byte damage) {
+        byte[] bytes = commands.encode(command);
+        bytes[Math.floorMod(place, bytes.length)] = damage;
+        Optional<Command> decoded;
+        try {
+            decoded = Optional.of(commands.decode(bytes));
+        } catch (MalformedMessageException e) {
+            decoded = Optional.empty();
+        }
+        decoded.ifPresent(commands::encode);
+    }
+
+    @Property
+    void anyBytesHaveNoOtherOutcome(@ForAll byte[] bytes) {
+        try {
+            commands.encode(commands.decode(bytes));
+        } catch (MalformedMessageException e) {
+            assertTrue(e.getMessage().startsWith("not a Command"), e.getMessage());
+        }
+    }
+
+    /** An array of one component, encoded as a record is. */
+    record One(Object first) {}
+
+    /** An array of two. */
+    record Two(Object first, Object second) {}
+
+    /** An array of three. */
+    record Three(Object first, Object second, Object third) {}
+
+    @Example
+    void anotherNameOrOtherComponentsAreTurnedDown() throws Exception {
+        var mapper = FleetMapper.create();
+        byte[] right = mapper.writeValueAsBytes(new Two("leave", new Two("s", 1)));
+        assertEquals(new Command.Leave(new ServerId("s"), new Incarnation(1)), commands.decode(right));
+        for (Object wrong : List.of(
+                new Two("erase", new Two("s", 1)),
+                new Two("leave", new One("s")),
+                new Two("leave", new Three("s", 1, 2)),
+                new Two("leave", new Two(1, 1)),
+                new Two("leave", new Two("s", "1")),
+                new Two("leave", new Two("s", 1.0)),
+                new Two("leave", new Two("s", null)),
+                new Two("leave", List.of("s", 1)),
+                new Three("leave", new Two("s", 1), 1),
+                Map.of("leave", new Two("s", 1)),
+                new One("leave"),
+                "leave")) {
+            byte[] bytes = mapper.writeValueAsBytes(wrong);
+            assertThrows(MalformedMessageException.class, () -> commands.decode(bytes), wrong::toString);
+        }
+    }
+
+    @Example
+    void aReportWithNothingToSayIsSmall() {
+        Command report = new Command.Report(
+                new ServerId("server-0123.example"),
+                new Incarnation(1_000_000),
+                10_000_000,
+                new RevisionId(1_000_000),
+                Digest.of("table"),
+                1_000,
+                new RevisionId(1_000_000),
+                "",
+                1_000_000_000,
+                1_000_000,
+                Map.of());
+        int bytes = commands.encode(report).length;
+        assertTrue(bytes < QUIET_REPORT_BYTES, () -> bytes + " bytes");
+    }
+
+    @Example
+    void aChangeOfOneEntryOfManyIsSmall() {
+        List<Change> changes = new ArrayList<>();
+        for (int i = 0; i < 1_000; i++) {
+            changes.add(new Change(
+                    new Key(Kind.CAP, "tenant-" + (100_000 + i)),
+                    Optional.of(new Value.Cap(10)),
+                    Optional.of(new Value.Cap(20))));
+        }
+        Command command = new Command.ChangeEntries(new OperatorCommand("c"), changes, "ann", "more", false);
+        assertTrue(commands.encode(command).length < 30 * changes.size());
+    }
+}
