--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotFileWriter.java
@@ -0,0 +1,67 @@
+package tallyweir.fleet.ratis;
+
+import java.io.BufferedOutputStream;
+import java.io.Closeable;
+import java.io.DataOutputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import java.util.zip.CRC32C;
+import tallyweir.fleet.SnapshotPart;
+
+/**
+ * Writes a snapshot part by part, no more than one of them in memory. The file begins with {@link #MAGIC}; then for each part its
+ * length, its checksum (CRC-32C) and its bytes; at last the length {@link #END} and the number of parts.
+ */
+final class SnapshotFileWriter implements Consumer<SnapshotPart>, Closeable {
+    static final String MAGIC = "tallyweir fleet snapshot 1\n";
+    static final int END = 0;
+
+    private static final int BUFFER_BYTES = 1 << 16;
+
+    private final SnapshotPartCodec codec = new SnapshotPartCodec();
+    private final FileOutputStream file;
+    private final DataOutputStream out;
+    private int parts;
+
+    SnapshotFileWriter(Path path) throws IOException {
+        file = new FileOutputStream(path.toFile());
+        out = new DataOutputStream(new BufferedOutputStream(file, BUFFER_BYTES));
+        out.write(MAGIC.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void accept(SnapshotPart part) {
+        byte[] bytes = codec.encode(part);
+        try {
+            out.writeInt(bytes.length);
+            out.writeInt(checksum(bytes));
+            out.write(bytes);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        parts++;
+    }
+
+    /** Marks the snapshot as whole and forces it to the disk. */
+    void finish() throws IOException {
+        out.writeInt(END);
+        out.writeInt(parts);
+        out.flush();
+        file.getFD().sync();
+    }
+
+    static int checksum(byte[] bytes) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes);
+        return (int) checksum.getValue();
+    }
+
+    @Override
+    public void close() throws IOException {
+        out.close();
+    }
+}
