Consensus: tables by difference and pieces from any voter, and a client of typed calls

A revision's text came whole from the leader, over the thread that reports go out on. A client now asks any voter, by reads that may be behind, for the difference between the table it has and the root that it was promised, or for pieces where that is too far, and holds all of it against that root. A transfer that was cut goes on with the pieces it has, a voter that fails, lags or sends something else is left for the next, and retries wait for random growing spans.

VotersTest has all that it checked before, over the new API.

An entry of the log may have 16 MB (4 before), for a revision of some hundred thousand entries at once. Logs written before are not read.

--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
@@ -1,6 +1,7 @@
 package tallyweir.fleet.ratis;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,43 +25,44 @@
 import org.apache.ratis.util.TimeDuration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import tallyweir.fleet.Command;
 import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetSettings;
 
 /** One of the servers that keep the log: Ratis's server round the shared state, and what its leader does by the clock. */
 public final class Voter implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
     private static final long ELECTION_MS = 300; // a leader not heard for so long to twice as long is replaced
     private static final long SNAPSHOT_EVERY = 20_000; // entries
+    private static final int SNAPSHOTS_KEPT = 2;
     private static final int LOOK_MS = 10;
     private static final int SEGMENT_MB = 8;
-    private static final int ENTRY_MB = 4;
+    private static final int ENTRY_MB = 16; // of the log: a revision that changes half a million entries
 
+    private final CommandCodec commands = new CommandCodec();
     private final String fleet;
     private final RaftServer server;
     private final Machine machine;
     private final RaftClient client;
     private final Thread clockwork;
-    private final byte[] found;
-    private final long version;
+    private final FleetSettings settings;
     private volatile boolean closed;
 
     /**
      * @param dir where the log is kept
-     * @param found the command by which its leader founds the fleet, or gives it newer settings, of this version
+     * @param settings by which its leader founds the fleet, or which it gives it where they are newer
      */
     private Voter(
             String fleet,
             Map<String, String> voters,
             String self,
             Path dir,
-            byte[] found,
-            long version,
+            FleetSettings settings,
             LongSupplier clock,
             LongSupplier wall)
             throws IOException {
         this.fleet = fleet;
-        this.found = found;
-        this.version = version;
+        this.settings = settings;
         machine = new Machine(clock, wall);
         RaftProperties p = new RaftProperties();
         RaftServerConfigKeys.setStorageDir(p, List.of(dir.toFile()));
@@ -72,10 +74,12 @@
                 p, TimeDuration.valueOf(2 * ELECTION_MS, TimeUnit.MILLISECONDS));
         RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(p, true);
         RaftServerConfigKeys.Snapshot.setAutoTriggerThreshold(p, SNAPSHOT_EVERY);
-        RaftServerConfigKeys.Snapshot.setRetentionFileNum(p, 2);
+        RaftServerConfigKeys.Snapshot.setRetentionFileNum(p, SNAPSHOTS_KEPT);
+        // So that the log goes on from the earlier of two snapshots if the later one is damaged.
+        RaftServerConfigKeys.Log.setPurgePreservationLogNum(p, 2 * SNAPSHOT_EVERY);
         RaftServerConfigKeys.Log.setSegmentSizeMax(p, SizeInBytes.valueOf(SEGMENT_MB + "MB"));
         RaftServerConfigKeys.Log.setPreallocatedSize(p, SizeInBytes.valueOf("256KB"));
-        RaftServerConfigKeys.Log.setWriteBufferSize(p, SizeInBytes.valueOf(2 * ENTRY_MB + "MB"));
+        RaftServerConfigKeys.Log.setWriteBufferSize(p, SizeInBytes.valueOf(ENTRY_MB + 1 + "MB"));
         RaftServerConfigKeys.Log.Appender.setBufferByteLimit(p, SizeInBytes.valueOf(ENTRY_MB + "MB"));
         RaftServerConfigKeys.Read.setOption(p, RaftServerConfigKeys.Read.Option.LINEARIZABLE);
         String at = voters.get(self);
@@ -107,7 +111,7 @@
             Map<String, String> voters,
             String self,
             Path dir,
-            Founding founding,
+            FleetSettings settings,
             LongSupplier clock,
             LongSupplier wall)
             throws IOException {
@@ -124,7 +128,7 @@
         }
         Voter v;
         try {
-            v = new Voter(fleet, voters, self, dir, founding.command(fleet), founding.version(), clock, wall);
+            v = new Voter(fleet, voters, self, dir, settings, clock, wall);
             v.server.start();
         } catch (IOException | RuntimeException e) {
             throw new Fault.LogDamaged(self, e.toString()).thrown();
@@ -133,40 +137,6 @@
         return v;
     }
 
-    /** The settings by which a fleet is founded; a later version replaces an earlier one. */
-    public record Founding(
-            long version,
-            long lease,
-            long tail,
-            long floorLease,
-            long behindMost,
-            double drift,
-            double mostOut,
-            double mostCannot,
-            int serversMost,
-            double floorShare,
-            long probation,
-            double worseRatio,
-            double sickShare) {
-        private byte[] command(String fleet) {
-            return Wire.found(
-                    fleet,
-                    version,
-                    lease,
-                    tail,
-                    floorLease,
-                    behindMost,
-                    drift,
-                    mostOut,
-                    mostCannot,
-                    serversMost,
-                    floorShare,
-                    probation,
-                    worseRatio,
-                    sickShare);
-        }
-    }
-
     /** What a leader does by itself: it founds the fleet, and tells the state the time where something is due by it. */
     private void lead() {
         boolean told = false;
@@ -177,10 +147,10 @@
                     told = true;
                     LOG.error(fault().what() + "; " + fault().advice());
                 }
-                if (machine.leads() && machine.version() < version) {
-                    client.io().send(Message.valueOf(ByteString.copyFrom(found)));
+                if (machine.leads() && machine.settingsVersion() < settings.version()) {
+                    send(new Command.Found(fleet, settings));
                 } else if (machine.due()) {
-                    client.io().send(Message.valueOf(ByteString.copyFrom(Wire.tick())));
+                    send(new Command.Tick());
                 }
             } catch (InterruptedException e) {
                 return;
@@ -190,22 +160,32 @@
         }
     }
 
+    private void send(Command command) throws IOException {
+        client.io().send(Message.valueOf(ByteString.copyFrom(commands.encode(command))));
+    }
+
+    /** Whether this voter leads, as far as it knows. */
     public boolean leads() {
         return machine.leads();
     }
 
     /** What the log's disk did, null while it works. */
     public Fault fault() {
-        Throwable why = machine.failed();
-        return why == null ? null : new Fault.LogFull(server.getId().toString(), why.toString());
+        return machine.logFailure()
+                .map(why -> new Fault.LogFull(server.getId().toString(), why.toString()))
+                .orElse(null);
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         closed = true;
         clockwork.interrupt();
-        client.close();
-        server.close();
+        try {
+            client.close();
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
         LOG.atInfo().addKeyValue("fleet", fleet).log("this voter has ended");
     }
 }
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voters.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voters.java
@@ -3,18 +3,24 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import org.apache.ratis.client.RaftClient;
 import org.apache.ratis.client.RaftClientConfigKeys;
 import org.apache.ratis.conf.RaftProperties;
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
+import org.apache.ratis.retry.ExponentialBackoffRetry;
 import org.apache.ratis.retry.RetryPolicies;
+import org.apache.ratis.retry.RetryPolicy;
 import org.apache.ratis.util.TimeDuration;
 
-/** Who keeps a fleet's log, as all its members are told: names and addresses, the fleet being known by its name. */
+/** The Raft group of a fleet: its members by name and address, and its id, which is made of the fleet's name. */
 final class Voters {
-    private static final int TRIES_MS = 50;
+    private static final long RETRY_LEAST_MS = 50;
+    private static final long RETRY_MOST_MS = 400;
+    private static final long REQUEST_LEAST_MS = 100;
+    private static final int REQUESTS_IN_GIVE_UP = 3;
 
     private Voters() {}
 
@@ -27,24 +33,40 @@
         return RaftGroup.valueOf(
                 id(fleet),
                 voters.entrySet().stream()
-                        .map(e -> RaftPeer.newBuilder()
-                                .setId(e.getKey())
-                                .setAddress(e.getValue())
+                        .map(voter -> RaftPeer.newBuilder()
+                                .setId(voter.getKey())
+                                .setAddress(voter.getValue())
                                 .build())
                         .toList());
     }
 
-    /** One that gives up after so many milliseconds. */
+    /** A client that finds the leader, and tries again at random growing intervals for about so many milliseconds. */
     static RaftClient client(String fleet, Map<String, String> voters, long giveUpMs) {
-        RaftProperties p = new RaftProperties();
+        RetryPolicy retries = ExponentialBackoffRetry.newBuilder()
+                .setBaseSleepTime(milliseconds(RETRY_LEAST_MS))
+                .setMaxSleepTime(milliseconds(RETRY_MOST_MS))
+                .setMaxAttempts((int) Math.max(REQUESTS_IN_GIVE_UP, giveUpMs / RETRY_MOST_MS + REQUESTS_IN_GIVE_UP))
+                .build();
+        return client(fleet, voters, giveUpMs, retries);
+    }
+
+    /** A client that tries a voter once. */
+    static RaftClient clientWithoutRetry(String fleet, Map<String, String> voters, long giveUpMs) {
+        return client(fleet, voters, giveUpMs, RetryPolicies.noRetry());
+    }
+
+    private static RaftClient client(String fleet, Map<String, String> voters, long giveUpMs, RetryPolicy retries) {
+        RaftProperties properties = new RaftProperties();
         RaftClientConfigKeys.Rpc.setRequestTimeout(
-                p, TimeDuration.valueOf(Math.max(100, giveUpMs / 3), java.util.concurrent.TimeUnit.MILLISECONDS));
+                properties, milliseconds(Math.max(REQUEST_LEAST_MS, giveUpMs / REQUESTS_IN_GIVE_UP)));
         return RaftClient.newBuilder()
-                .setProperties(p)
+                .setProperties(properties)
                 .setRaftGroup(group(fleet, voters))
-                .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(
-                        (int) Math.max(3, giveUpMs / TRIES_MS),
-                        TimeDuration.valueOf(TRIES_MS, java.util.concurrent.TimeUnit.MILLISECONDS)))
+                .setRetryPolicy(retries)
                 .build();
     }
+
+    private static TimeDuration milliseconds(long count) {
+        return TimeDuration.valueOf(count, TimeUnit.MILLISECONDS);
+    }
 }
--- /dev/null
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/BackoffTest.java
@@ -0,0 +1,54 @@
+package tallyweir.fleet.ratis;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.IntSummaryStatistics;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Waits after failures grow, have a bound, and spread many clients that failed at the same moment. */
+class BackoffTest {
+    private static final long LEAST_MS = 100;
+    private static final long MOST_MS = 5_000;
+    private static final int CLIENTS = 2_000;
+
+    private static List<Backoff> clients() {
+        return IntStream.range(0, CLIENTS)
+                .mapToObj(seed -> new Backoff(LEAST_MS, MOST_MS, new Random(seed)))
+                .toList();
+    }
+
+    @Test
+    void waitsGrowUpToABoundAndBeginAnewAfterASuccess() {
+        Backoff backoff = new Backoff(LEAST_MS, MOST_MS, new Random(1));
+        long first = backoff.afterFailureMs();
+        assertTrue(first >= LEAST_MS / 2 && first <= 2 * LEAST_MS, () -> first + " ms");
+        for (int failure = 0; failure < 100; failure++) {
+            long wait = backoff.afterFailureMs();
+            assertTrue(wait >= LEAST_MS / 2 && wait <= 2 * MOST_MS, () -> wait + " ms");
+        }
+        assertTrue(backoff.afterFailureMs() >= MOST_MS / 2);
+        backoff.succeeded();
+        assertTrue(backoff.afterFailureMs() <= 2 * LEAST_MS);
+    }
+
+    /** After the same number of failures, no twentieth of the span has more than twice its share of the clients. */
+    @Test
+    void manyThatFailTogetherDoNotReturnTogether() {
+        List<Backoff> clients = clients();
+        for (int failure = 0; failure < 8; failure++) {
+            List<Long> waits = clients.stream().map(Backoff::afterFailureMs).toList();
+            long span = Math.min(MOST_MS, LEAST_MS << failure);
+            int[] twentieths = new int[20];
+            waits.forEach(wait -> twentieths[(int) Math.min(19, (wait - span / 2) * 20 / (span + 1))]++);
+            IntSummaryStatistics counts = IntStream.of(twentieths).summaryStatistics();
+            assertEquals(CLIENTS, counts.getSum());
+            assertTrue(
+                    counts.getMax() < 2 * CLIENTS / 20, () -> Stream.of(waits).toString());
+        }
+    }
+}
--- /dev/null
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/TableFetchTest.java
@@ -0,0 +1,217 @@
+package tallyweir.fleet.ratis;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import tallyweir.fleet.Digest;
+import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetException;
+import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.RevisionRoot;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Path;
+import tallyweir.fleet.table.Table;
+
+/** Fetches from sources that fail, lag behind, or send something else. */
+class TableFetchTest {
+    private static final int MANY = 40_000;
+    private static final Table BASE = Table.EMPTY.apply(VoterCluster.caps(MANY, -1, 1));
+    private static final Table NEAR = BASE.apply(VoterCluster.caps(10, 1, 2));
+    private static final Table FAR = BASE.apply(VoterCluster.caps(MANY, 1, 3));
+
+    /** What a voter that has these tables replies. */
+    private static final class TestSource implements TableSource {
+        private final List<Table> tables;
+        private final List<Question> asked = new ArrayList<>();
+        private Function<Reply, Reply> onTheWay = Function.identity();
+        private int repliesLeft = Integer.MAX_VALUE;
+
+        TestSource(Table... tables) {
+            this.tables = List.of(tables);
+        }
+
+        @Override
+        public Reply ask(Question question) throws IOException {
+            asked.add(question);
+            if (repliesLeft == 0) {
+                throw new IOException("cut");
+            }
+            repliesLeft--;
+            return onTheWay.apply(reply(question));
+        }
+
+        private Reply reply(Question question) {
+            if (question instanceof Question.Difference difference) {
+                Optional<Table> to = table(difference.to().root());
+                if (to.isEmpty()) {
+                    return new Reply.UnknownRoot();
+                }
+                return table(difference.from())
+                        .flatMap(from -> from.differenceTo(to.get(), difference.most()))
+                        .<Reply>map(Reply.Difference::new)
+                        .orElseGet(Reply.TooFar::new);
+            }
+            Question.Piece piece = (Question.Piece) question;
+            return table(piece.root())
+                    .<Reply>map(table -> new Reply.Piece(table.piece(piece.path())))
+                    .orElseGet(Reply.UnknownRoot::new);
+        }
+
+        private Optional<Table> table(Digest root) {
+            return tables.stream().filter(table -> table.root().equals(root)).findFirst();
+        }
+
+        private List<Path> pieces() {
+            return asked.stream()
+                    .filter(Question.Piece.class::isInstance)
+                    .map(question -> ((Question.Piece) question).path())
+                    .toList();
+        }
+    }
+
+    private static TableFetch fetchFrom(TestSource... sources) {
+        return new TableFetch(List.of(sources), "test", 1);
+    }
+
+    private static RevisionRoot wanted(Table table) {
+        return new RevisionRoot(new RevisionId(1), table.root());
+    }
+
+    private static Fault failure(TableFetch fetch, Table have, Table wanted) {
+        return assertThrows(FleetException.class, () -> fetch.fetch(have, wanted(wanted)))
+                .fault();
+    }
+
+    @Test
+    void whatIsNearComesAsOneDifference() {
+        TestSource source = new TestSource(BASE, NEAR);
+        assertEquals(NEAR, fetchFrom(source).fetch(BASE, wanted(NEAR)));
+        assertEquals(1, source.asked.size());
+    }
+
+    @Test
+    void whatIsThereIsNotAskedFor() {
+        TestSource source = new TestSource(BASE);
+        assertSame(BASE, fetchFrom(source).fetch(BASE, wanted(BASE)));
+        assertEquals(0, source.asked.size());
+    }
+
+    @Test
+    void whatIsFarComesInPiecesEachOnce() {
+        TestSource source = new TestSource(Table.EMPTY, FAR);
+        assertEquals(FAR, fetchFrom(source).fetch(Table.EMPTY, wanted(FAR)));
+        List<Path> pieces = source.pieces();
+        assertTrue(pieces.size() > 10, pieces::toString);
+        assertEquals(pieces.size(), new HashSet<>(pieces).size(), "each piece once");
+    }
+
+    @Test
+    void aTableThatNobodyKnowsIsNoObstacle() {
+        Table own = Table.EMPTY.apply(VoterCluster.caps(5, -1, 7));
+        assertEquals(NEAR, fetchFrom(new TestSource(BASE, NEAR)).fetch(own, wanted(NEAR)));
+    }
+
+    @Test
+    void aTransferThatWasCutGoesOnWithThePiecesThatItHas() {
+        TestSource source = new TestSource(FAR);
+        TableFetch fetch = fetchFrom(source);
+        source.repliesLeft = 8; // the difference, and seven pieces
+        assertInstanceOf(Fault.NoLeader.class, failure(fetch, Table.EMPTY, FAR));
+        List<Path> before = source.pieces().subList(0, 7);
+        source.asked.clear();
+        source.repliesLeft = Integer.MAX_VALUE;
+        assertEquals(FAR, fetch.fetch(Table.EMPTY, wanted(FAR)));
+        List<Path> after = source.pieces();
+        assertTrue(after.stream().noneMatch(before::contains), () -> before + " asked for again: " + after);
+    }
+
+    @Test
+    void aTransferTowardsANewerTableGoesOnWithWhatBothHave() {
+        Table newer = FAR.apply(List.of(VoterCluster.cap("tenant7", 3, 4)));
+        TestSource source = new TestSource(FAR, newer);
+        TableFetch fetch = fetchFrom(source);
+        int whole = pieces(newer);
+        source.repliesLeft = whole - 1; // all but the last two pieces
+        failure(fetch, Table.EMPTY, FAR);
+        source.asked.clear();
+        source.repliesLeft = Integer.MAX_VALUE;
+        assertEquals(newer, fetch.fetch(Table.EMPTY, wanted(newer)));
+        assertTrue(source.pieces().size() <= 6, () -> "of " + whole + " pieces: " + source.pieces());
+    }
+
+    private static int pieces(Table table) {
+        TestSource source = new TestSource(table);
+        fetchFrom(source).fetch(Table.EMPTY, wanted(table));
+        return source.pieces().size();
+    }
+
+    @Test
+    void aSourceThatFailsOrLagsIsLeftForAnother() {
+        TestSource silent = new TestSource(FAR);
+        silent.repliesLeft = 3;
+        TestSource behind = new TestSource(BASE);
+        TestSource whole = new TestSource(FAR);
+        assertEquals(FAR, fetchFrom(silent, behind, whole).fetch(Table.EMPTY, wanted(FAR)));
+        assertInstanceOf(Fault.UnknownRoot.class, failure(fetchFrom(behind), Table.EMPTY, FAR));
+    }
+
+    @Test
+    void damageOnTheWayIsRefusedAndNothingOfItIsKept() {
+        TestSource damaged = new TestSource(BASE, FAR);
+        damaged.onTheWay = TableFetchTest::damage;
+        TableFetch fetch = fetchFrom(damaged);
+        assertInstanceOf(Fault.DigestMismatch.class, failure(fetch, Table.EMPTY, FAR));
+        assertInstanceOf(Fault.DigestMismatch.class, failure(fetch, Table.EMPTY, FAR), "and again");
+        damaged.onTheWay = Function.identity();
+        assertEquals(FAR, fetch.fetch(Table.EMPTY, wanted(FAR)));
+        TestSource other = new TestSource(FAR);
+        damaged.onTheWay = TableFetchTest::damage;
+        assertEquals(FAR, fetchFrom(damaged, other).fetch(Table.EMPTY, wanted(FAR)), "the other is asked");
+    }
+
+    private static Reply damage(Reply reply) {
+        if (reply instanceof Reply.Piece piece) {
+            byte[] bytes = piece.bytes().clone();
+            bytes[bytes.length / 2] ^= 1;
+            return new Reply.Piece(bytes);
+        }
+        return reply;
+    }
+
+    @Test
+    void aDifferenceThatLeadsElsewhereIsRefused() {
+        TestSource source = new TestSource(BASE, NEAR);
+        source.onTheWay = reply -> new Reply.Difference(
+                List.<Change>of(VoterCluster.cap("tenant1", 1, 2), VoterCluster.cap("tenant2", 1, 900)));
+        assertInstanceOf(Fault.DigestMismatch.class, failure(fetchFrom(source), BASE, NEAR));
+    }
+
+    @Test
+    void aReplyToAnotherQuestionIsOfNoUse() {
+        TestSource source = new TestSource(BASE, NEAR);
+        source.onTheWay = reply -> new Reply.Piece(new byte[] {1});
+        assertInstanceOf(Fault.NoLeader.class, failure(fetchFrom(source), BASE, NEAR));
+    }
+
+    /** What the guard is for: without it a mix of both tables is handed over first. */
+    @Test
+    void withoutTheGuardAMixIsUsed() throws Exception {
+        List<Table> used = new ArrayList<>();
+        new UncheckedFetch(new TestSource(BASE, NEAR)).fetch(BASE, wanted(NEAR), used::add);
+        assertEquals(2, used.size());
+        assertNotEquals(NEAR, used.get(0));
+        assertNotEquals(BASE, used.get(0));
+        assertEquals(NEAR, used.get(1));
+    }
+}
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -1,226 +1,249 @@
 package tallyweir.fleet.ratis;
 
-import static org.awaitility.Awaitility.await;
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
-import java.util.LinkedHashMap;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import tallyweir.fleet.Answers;
-import tallyweir.fleet.Body;
-import tallyweir.fleet.Digest;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.FleetException;
-import tallyweir.fleet.Grant;
 import tallyweir.fleet.Incarnation;
 import tallyweir.fleet.Need;
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ServerId;
+import tallyweir.fleet.RevisionRoot;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Key;
+import tallyweir.fleet.table.Kind;
+import tallyweir.fleet.table.Table;
+import tallyweir.fleet.table.Value;
 import tallyweir.ids.TenantId;
 
 /** Three voters on loopback, one of them ended or started anew, and what was acknowledged. */
 class VotersTest {
-    private static final Duration PATIENCE = Duration.ofSeconds(30);
-    private static final Voter.Founding FOUNDING =
-            new Voter.Founding(1, 20_000, 5_000, 100_000, 50_000, 0.01, 0.5, 0.25, 8, 0.5, 0, 2, 0.5);
-    private static final TenantId T = new TenantId("t");
+    private static final TenantId TENANT = new TenantId("t");
+    private static final Key KEY = new Key(Kind.CAP, "t");
+    private static final RevisionRoot FIRST = new RevisionRoot(RevisionId.NONE, Table.EMPTY.root());
+    private static final int RESENT = 8;
 
     @TempDir
     private Path dir;
 
-    private final Map<String, String> addresses = new LinkedHashMap<>();
-    private final Map<String, Voter> voters = new LinkedHashMap<>();
-    private Link link;
+    private VoterCluster cluster;
 
     @BeforeEach
     void start() throws IOException {
-        for (int i = 1; i <= 3; i++) {
-            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                addresses.put("v" + i, "127.0.0.1:" + s.getLocalPort());
-            }
-        }
-        for (String name : addresses.keySet()) {
-            voters.put(name, voter(name, addresses, "f"));
-        }
-        link = new Link("f", addresses, 10_000);
-        await().atMost(PATIENCE).until(() -> link.audit().get("version").longValue() == 1);
-    }
-
-    private Voter voter(String name, Map<String, String> all, String fleet) throws IOException {
-        return Voter.start(
-                fleet,
-                all,
-                name,
-                dir.resolve(name),
-                FOUNDING,
-                () -> System.nanoTime() / 100_000,
-                System::currentTimeMillis);
+        cluster = new VoterCluster(dir);
     }
 
     @AfterEach
-    void end() throws IOException {
-        link.close();
-        for (Voter v : voters.values()) {
-            v.close();
-        }
+    void end() {
+        cluster.close();
     }
 
-    /** What came back to one question. */
-    private static final class Heard implements Answers {
-        private final CompletableFuture<Object> what = new CompletableFuture<>();
-
-        @Override
-        public void joined(Incarnation as, int places, double floorShare, long next) {
-            what.complete(as);
-        }
-
-        @Override
-        public void told(
-                long number,
-                long lease,
-                long floorLease,
-                boolean floorsFree,
-                RevisionId inForce,
-                long age,
-                RevisionId toCheck,
-                Map<TenantId, Grant> shares,
-                long next) {
-            what.complete(Map.of(
-                    "lease", lease, "in_force", inForce.value(), "check", toCheck.value(), "granted", (long)
-                            shares.getOrDefault(T, new Grant(0, 0)).granted()));
-        }
-
-        @Override
-        public void done(RevisionId revision) {
-            what.complete(revision);
-        }
+    private static Map<TenantId, Need> need(int keep, int want) {
+        return Map.of(TENANT, new Need(keep, want));
+    }
 
-        @Override
-        public void refused(Fault why) {
-            what.complete(why);
-        }
+    private static Answer done(long revision) {
+        return new Answer.Done(new RevisionId(revision));
+    }
 
-        private Object get() throws Exception {
-            return what.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
-        }
+    private static <T extends Fault> T refused(Class<T> kind, Answer answer) {
+        return assertInstanceOf(
+                kind, assertInstanceOf(Answer.Refused.class, answer).why());
     }
 
-    private Object publish(String command, long expected, int cap) throws Exception {
-        Heard heard = new Heard();
-        byte[] text = {1, 2, (byte) cap};
-        link.publish(
-                new OperatorCommand(command),
-                new RevisionId(expected),
-                Digest.of(text),
-                new Body(text, Map.of(T, cap), Map.of("", new Digest("d" + cap))),
-                "ann",
-                "because",
-                false,
-                heard);
-        return heard.get();
-    }
-
-    @SuppressWarnings("unchecked")
-    private Map<String, Long> report(Incarnation as, long number, long acting, String digest, long checked, Need need)
-            throws Exception {
-        Heard heard = new Heard();
-        link.report(
-                new ServerId("s"),
-                as,
-                number,
-                new RevisionId(acting),
-                new Digest(digest),
-                0,
-                new RevisionId(checked),
-                "",
-                0,
-                0,
-                Map.of(T, need),
-                Runnable::run,
-                heard,
-                () -> heard.what.complete("failed"));
-        return (Map<String, Long>) heard.get();
-    }
-
-    private String leader() {
-        await().atMost(PATIENCE).until(() -> voters.values().stream().anyMatch(Voter::leads));
-        return voters.entrySet().stream()
-                .filter(e -> e.getValue().leads())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+    private Optional<Value> inForce() {
+        return Optional.ofNullable(
+                cluster.client().values(List.of(KEY)).values().get(KEY));
     }
 
     @Test
     void whatWasAcknowledgedOutlivesTheLeaderAndComesBackFromItsDisk() throws Exception {
-        Heard joined = new Heard();
-        link.join(new ServerId("s"), "127.0.0.1:1", 1, Runnable::run, joined, () -> joined.what.complete("failed"));
-        Incarnation as = (Incarnation) joined.get();
-        assertTrue(report(as, 1, 0, "", 0, new Need(0, 0)).get("lease") > 0);
-        assertEquals(new RevisionId(1), publish("c1", 0, 8));
-        assertEquals(1, report(as, 2, 0, "", 0, new Need(0, 0)).get("check"));
-        assertEquals(1, report(as, 3, 0, "", 1, new Need(0, 0)).get("in_force"));
-        assertEquals(3, report(as, 4, 1, "d8", 1, new Need(0, 3)).get("granted"));
-        String first = leader();
-        voters.remove(first).close();
-        assertEquals(3, report(as, 5, 1, "d8", 1, new Need(3, 3)).get("granted"), "under the next leader");
-        assertInstanceOf(Fault.LostRace.class, publish("late", 0, 9));
-        assertEquals(new RevisionId(1), publish("c1", 0, 8), "the same command, sent again to another leader");
-        assertArrayEquals(new byte[] {1, 2, 8}, link.body(new RevisionId(1)));
-        voters.put(first, voter(first, addresses, "f"));
-        for (String other : addresses.keySet()) {
+        Incarnation as = cluster.join();
+        assertTrue(cluster.report(as, 1, FIRST, 0, need(0, 0)).lease() > 0);
+        List<Change> eight = List.of(VoterCluster.cap("t", -1, 8));
+        RevisionRoot revision =
+                new RevisionRoot(new RevisionId(1), Table.EMPTY.apply(eight).root());
+        assertEquals(done(1), cluster.publish("c1", 0, eight));
+        assertEquals(revision, cluster.report(as, 2, FIRST, 0, need(0, 0)).toCheck());
+        assertEquals(revision, cluster.report(as, 3, FIRST, 1, need(0, 0)).inForce());
+        assertEquals(3, granted(cluster.report(as, 4, revision, 1, need(0, 3))));
+        String first = cluster.leader();
+        cluster.stopVoter(first);
+        assertEquals(3, granted(cluster.report(as, 5, revision, 1, need(3, 3))), "under the next leader");
+        refused(Fault.LostRace.class, cluster.publish("late", 0, List.of(VoterCluster.cap("t", -1, 9))));
+        assertEquals(done(1), cluster.publish("c1", 0, eight), "the same command, sent again to another leader");
+        assertEquals(
+                Table.EMPTY.apply(eight), cluster.client().table(Table.EMPTY, revision), "fetched from who is left");
+        cluster.startVoter(first);
+        for (String other : cluster.addresses().keySet()) {
             if (!other.equals(first)) {
-                voters.remove(other).close();
-                voters.put(other, voter(other, addresses, "f"));
+                cluster.stopVoter(other);
+                cluster.startVoter(other);
             }
         }
-        JsonNode audit = link.audit();
-        assertEquals(1, audit.get("in_force").longValue(), "after all have started anew");
-        assertEquals("s", audit.get("servers").get(0).get("server").textValue());
-        assertEquals("d8", audit.get("servers").get(0).get("digest").textValue());
+        FleetAudit audit = cluster.client().audit();
+        assertEquals(new RevisionId(1), audit.inForce(), "after all have started anew");
+        assertEquals(VoterCluster.SERVER, audit.servers().get(0).server());
+        assertEquals(revision.root(), audit.servers().get(0).digest());
+        assertEquals(1, audit.toJson().get("in_force").longValue());
+        assertEquals("s", audit.toJson().get("servers").get(0).get("server").textValue());
+        assertEquals(
+                "CAP t",
+                audit.toJson()
+                        .get("revisions")
+                        .get(0)
+                        .get("changes")
+                        .get(0)
+                        .get("keys")
+                        .get(0)
+                        .get("key")
+                        .textValue());
+    }
+
+    private static int granted(Answer.Told told) {
+        return told.shares().get(TENANT).granted();
     }
 
     @Test
     void withoutAMajorityNothingIsAcknowledgedAndAStrangerFindsNoFleet() throws Exception {
-        try (Link strange = new Link("g", addresses, 1_000)) {
+        try (RatisFleetClient strange = new RatisFleetClient("g", cluster.addresses(), 1_000)) {
             assertInstanceOf(
                     Fault.Stranger.class,
                     assertThrows(FleetException.class, strange::audit).fault());
         }
         assertInstanceOf(
                 Fault.NameTaken.class,
-                assertThrows(
-                                FleetException.class,
-                                () -> Voter.start(
-                                        "f", addresses, "v1", dir.resolve("other"), FOUNDING, () -> 0, () -> 0))
+                assertThrows(FleetException.class, () -> cluster.startVoter("v1", dir.resolve("other")))
                         .fault(),
                 "its address is in use");
-        voters.remove("v1").close();
-        voters.remove("v2").close();
-        try (Link shortOf = new Link("f", addresses, 1_500)) {
+        cluster.stopVoter("v1");
+        cluster.stopVoter("v2");
+        try (RatisFleetClient shortOf = new RatisFleetClient(VoterCluster.FLEET, cluster.addresses(), 1_500)) {
             FleetException e = assertThrows(FleetException.class, shortOf::audit);
             assertEquals(10, e.fault().exit());
-            Heard heard = new Heard();
-            shortOf.rollback(new OperatorCommand("c"), RevisionId.NONE, new RevisionId(1), "ann", "", false, heard);
-            assertInstanceOf(Fault.OutcomeUnknown.class, heard.get());
+            Command rollback = new Command.Rollback(
+                    new OperatorCommand("c"), RevisionId.NONE, new RevisionId(1), "ann", "", false);
+            assertEquals(
+                    "c",
+                    refused(Fault.OutcomeUnknown.class, shortOf.ask(rollback)).command());
         }
-        voters.put("v1", voter("v1", addresses, "f"));
-        assertEquals(0, link.audit().get("in_force").longValue());
+        cluster.startVoter("v1");
+        assertEquals(RevisionId.NONE, cluster.client().audit().inForce());
+    }
+
+    /** Many send the same command at once, as who has no answer does; it makes one revision. */
+    @Test
+    void aCommandThatIsSentAgainActsOnce() {
+        List<Change> eight = List.of(VoterCluster.cap("t", -1, 8));
+        List<CompletableFuture<Answer>> answers = IntStream.range(0, RESENT)
+                .mapToObj(i -> CompletableFuture.supplyAsync(() -> cluster.change("again", eight)))
+                .toList();
+        answers.forEach(answer -> assertEquals(done(1), answer.join()));
+        FleetAudit audit = cluster.client().audit();
+        assertEquals(1, audit.revisions().size());
+        assertEquals(1, audit.revisions().get(0).changed());
+        assertEquals(Optional.of(new Value.Cap(8)), inForce());
+    }
+
+    @Test
+    void whatIsNoCommandDoesNotReachTheLogAndWhatIsNoQuestionHasNoReply() throws Exception {
+        Message garbage = Message.valueOf("garbage");
+        try (RaftClient raw = Voters.client(VoterCluster.FLEET, cluster.addresses(), 2_000)) {
+            assertThrows(IOException.class, () -> succeeded(raw.io().send(garbage)));
+            assertThrows(IOException.class, () -> succeeded(raw.io().sendReadOnly(garbage)));
+        }
+        assertEquals(done(1), cluster.publish("c1", 0, List.of(VoterCluster.cap("t", -1, 8))));
+    }
+
+    private static void succeeded(RaftClientReply reply) throws IOException {
+        if (!reply.isSuccess()) {
+            throw reply.getException();
+        }
+    }
+
+    /** A change waits behind a revision that a server has not said anything of; the leader goes; it comes into force. */
+    @Test
+    void aChangeThatWaitsOutlivesTheLeader() throws Exception {
+        Incarnation as = cluster.join();
+        cluster.report(as, 1, FIRST, 0, Map.of());
+        assertEquals(done(1), cluster.publish("first", 0, List.of(VoterCluster.cap("other", -1, 1))));
+        List<Change> eight = List.of(VoterCluster.cap("t", -1, 8));
+        assertInstanceOf(Answer.Waiting.class, cluster.change("waits", eight));
+        cluster.stopVoter(cluster.leader());
+        assertInstanceOf(Answer.Waiting.class, cluster.change("waits", eight), "asked again of the next leader");
+        assertEquals(1, cluster.client().audit().waiting().size());
+        RevisionRoot revision = cluster.revision(1);
+        assertEquals(revision, cluster.report(as, 2, FIRST, 1, Map.of()).inForce());
+        assertEquals(
+                new RevisionId(2),
+                cluster.report(as, 3, revision, 1, Map.of()).toCheck().id());
+        cluster.report(as, 4, revision, 2, Map.of());
+        assertEquals(done(2), cluster.change("waits", eight), "and once more");
+        assertEquals(Optional.of(new Value.Cap(8)), inForce());
+        assertEquals(0, cluster.client().audit().waiting().size());
+    }
+
+    /** A voter writes a snapshot as it ends. Of two the newer is damaged, then both are. */
+    @Test
+    void aDamagedSnapshotIsLeftForTheOneBeforeAndWithoutAnyTheLogIsDamaged() throws Exception {
+        cluster.publish("c1", 0, List.of(VoterCluster.cap("t", -1, 8)));
+        cluster.awaitRevision("v1", cluster.revision(1));
+        cluster.stopVoter("v1");
+        cluster.startVoter("v1");
+        cluster.change("c2", List.of(VoterCluster.cap("t", 8, 9)));
+        cluster.awaitRevision("v1", cluster.revision(2));
+        cluster.stopVoter("v1");
+        List<Path> snapshots = snapshots("v1");
+        assertEquals(2, snapshots.size(), snapshots::toString);
+        damage(snapshots.get(1));
+        cluster.startVoter("v1");
+        cluster.stopVoter("v2");
+        assertEquals(Optional.of(new Value.Cap(9)), inForce(), "the log goes on from the earlier snapshot");
+        cluster.startVoter("v2");
+        cluster.stopVoter("v1");
+        for (Path snapshot : snapshots("v1")) {
+            damage(snapshot);
+        }
+        assertInstanceOf(
+                Fault.LogDamaged.class,
+                assertThrows(FleetException.class, () -> cluster.startVoter("v1"))
+                        .fault());
+    }
+
+    /** The snapshots of a voter, the newest last. */
+    private List<Path> snapshots(String voter) throws IOException {
+        try (Stream<Path> files = Files.walk(cluster.dir(voter))) {
+            return files.filter(file -> file.getFileName().toString().matches("snapshot\\.\\d+_\\d+"))
+                    .sorted(Comparator.comparing(Path::toString))
+                    .toList();
+        }
+    }
+
+    private static void damage(Path file) throws IOException {
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[bytes.length / 2]++;
+        Files.write(file, bytes);
     }
 }
--- a/fleet/src/main/java/tallyweir/fleet/FleetClient.java
+++ b/fleet/src/main/java/tallyweir/fleet/FleetClient.java
@@ -36,7 +36,7 @@
     /** Tells the fleet that a server ends in an orderly way; lost without a trace where no voter answers. */
     void leave(ServerId server, Incarnation as);
 
-    /** Ends the client; callbacks that are still due are not run. */
+    /** Ends the client; callbacks that are still due may not be run. */
     @Override
     void close();
 }
