--- a/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import tallyweir.fleet.ChangeRecord;
 import tallyweir.fleet.Fault;
-import tallyweir.fleet.RevisionTransition;
 import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.RevisionTransition;
 import tallyweir.fleet.ServerRecord;
 import tallyweir.fleet.State;
 import tallyweir.fleet.table.Change;
@@ -82,8 +82,7 @@
             return differences.getOrDefault(tables.revision.id(), Difference.of(List.of()));
         }
         return differences.computeIfAbsent(
-                tables.revision.id(),
-                id -> Difference.of(tables.before.get().differenceTo(tables.after.get())));
+                tables.revision.id(), id -> Difference.of(tables.before.get().differenceTo(tables.after.get())));
     }
 
     private static List<Entry> caps(Table table) {
@@ -161,7 +160,8 @@
     private static FleetAudit.KeyAudit keyAudit(Change change) {
         Key key = change.key();
         String text = key.name().isEmpty() ? key.kind().name() : key.kind() + " " + key.name();
-        return new FleetAudit.KeyAudit(text, change.before().map(Auditor::text), change.after().map(Auditor::text));
+        return new FleetAudit.KeyAudit(
+                text, change.before().map(Auditor::text), change.after().map(Auditor::text));
     }
 
     private static String text(Value value) {
--- a/consensus/src/main/java/tallyweir/fleet/ratis/FleetAudit.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/FleetAudit.java
@@ -9,8 +9,8 @@
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ServerRecord;
 import tallyweir.fleet.ServerId;
+import tallyweir.fleet.ServerRecord;
 import tallyweir.ids.TenantId;
 
 /**
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Machine.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Machine.java
@@ -70,7 +70,8 @@
     @Override
     public void initialize(RaftServer server, RaftGroupId group, RaftStorage raftStorage) throws IOException {
         super.initialize(server, group, raftStorage);
-        snapshots = new SnapshotStore(raftStorage.getStorageDir().getStateMachineDir().toPath());
+        snapshots = new SnapshotStore(
+                raftStorage.getStorageDir().getStateMachineDir().toPath());
         Optional<SnapshotStore.Loaded> loaded = snapshots.loadNewestUndamaged();
         storage.init(raftStorage); // afterwards: it takes the newest file for the latest snapshot
         loaded.ifPresent(this::use);
--- a/consensus/src/main/java/tallyweir/fleet/ratis/RatisFleetClient.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/RatisFleetClient.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
-
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -103,8 +102,7 @@
     }
 
     @Override
-    public void fetch(
-            Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
+    public void fetch(Table have, RevisionRoot wanted, Executor deciding, Consumer<Table> to, Consumer<Fault> failed) {
         onThread(fetching, () -> {
             try {
                 fetchNow(have, wanted, table -> deciding.execute(() -> to.accept(table)));
--- a/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotStore.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/SnapshotStore.java
@@ -58,7 +58,10 @@
             try {
                 return Optional.of(load(file));
             } catch (SnapshotDamagedException e) {
-                LOG.atError().setCause(e).addKeyValue("file", file).log("a snapshot is damaged; an earlier one is used");
+                LOG.atError()
+                        .setCause(e)
+                        .addKeyValue("file", file)
+                        .log("a snapshot is damaged; an earlier one is used");
                 Files.move(
                         file, file.resolveSibling(DAMAGED + file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
             }
--- a/consensus/src/test/java/tallyweir/fleet/ratis/CodecTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/CodecTest.java
@@ -93,8 +93,7 @@
     }
 
     @Property(tries = 300)
-    void everySnapshotPartIsTheSameOnceDecoded(@ForAll("anyPart") SnapshotPart part)
-            throws MalformedMessageException {
+    void everySnapshotPartIsTheSameOnceDecoded(@ForAll("anyPart") SnapshotPart part) throws MalformedMessageException {
         assertEquals(part, parts.decode(parts.encode(part)));
     }
 
@@ -173,23 +172,36 @@
         }
     }
 
+    /** An array of one component, encoded as a record is. */
+    record One(Object first) {}
+
+    /** An array of two. */
+    record Two(Object first, Object second) {}
+
+    /** An array of three. */
+    record Three(Object first, Object second, Object third) {}
+
     @Example
-    void anotherNameOrAMissingComponentIsTurnedDown() throws Exception {
+    void anotherNameOrOtherComponentsAreTurnedDown() throws Exception {
         var mapper = FleetMapper.create();
+        byte[] right = mapper.writeValueAsBytes(new Two("leave", new Two("s", 1)));
+        assertEquals(new Command.Leave(new ServerId("s"), new Incarnation(1)), commands.decode(right));
         for (Object wrong : List.of(
-                List.of("erase", List.of()),
-                List.of("leave", List.of("s")),
-                List.of("leave", List.of("s", 1, 2)),
-                List.of("leave", List.of(1, 1)),
-                List.of("leave", List.of("s", "1")),
-                List.of("leave", Arrays.asList("s", null)),
-                Map.of("leave", List.of("s", 1)),
-                List.of())) {
+                new Two("erase", new Two("s", 1)),
+                new Two("leave", new One("s")),
+                new Two("leave", new Three("s", 1, 2)),
+                new Two("leave", new Two(1, 1)),
+                new Two("leave", new Two("s", "1")),
+                new Two("leave", new Two("s", 1.0)),
+                new Two("leave", new Two("s", null)),
+                new Two("leave", List.of("s", 1)),
+                new Three("leave", new Two("s", 1), 1),
+                Map.of("leave", new Two("s", 1)),
+                new One("leave"),
+                "leave")) {
             byte[] bytes = mapper.writeValueAsBytes(wrong);
             assertThrows(MalformedMessageException.class, () -> commands.decode(bytes), wrong::toString);
         }
-        byte[] right = mapper.writeValueAsBytes(List.of("leave", List.of("s", 1)));
-        assertEquals(new Command.Leave(new ServerId("s"), new Incarnation(1)), commands.decode(right));
     }
 
     @Example
--- a/consensus/src/test/java/tallyweir/fleet/ratis/RecordArbitraries.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/RecordArbitraries.java
@@ -80,10 +80,10 @@
     }
 
     private static Arbitrary<?> simple(Class<?> type) {
-        if (type == long.class) {
+        if (type == long.class || type == Long.class) {
             return Arbitraries.longs();
         }
-        if (type == int.class) {
+        if (type == int.class || type == Integer.class) {
             return Arbitraries.integers();
         }
         if (type == double.class) {
--- a/consensus/src/test/java/tallyweir/fleet/ratis/SnapshotStoreTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/SnapshotStoreTest.java
@@ -33,6 +33,7 @@
     private static final TermIndex EARLIER = TermIndex.valueOf(1, 9);
     private static final TermIndex LATER = TermIndex.valueOf(2, 10);
     private static final int CAPS_IN_COMMAND = 50_000;
+    private static final int STEP = 17; // from one changed tenant to the next
 
     // Larger ones are measured with -Dsnapshot.caps=400000 -Dsnapshot.changes=25000.
     private static final int CAPS = Integer.getInteger("snapshot.caps", 20_000);
@@ -59,9 +60,11 @@
                             "first",
                             false)));
         }
+        int[] current = new int[caps];
+        Arrays.fill(current, 1);
         for (int i = 0; i < changes; i++) {
-            String tenant = "tenant" + (i * 17 % caps);
-            List<Change> one = List.of(VoterCluster.cap(tenant, 1 + i * 17 / caps, 2 + i * 17 / caps));
+            int tenant = i * STEP % caps;
+            List<Change> one = List.of(VoterCluster.cap("tenant" + tenant, current[tenant], ++current[tenant]));
             assertDone(
                     ++revision,
                     state.apply(new Command.ChangeEntries(
@@ -130,8 +133,7 @@
         store.save(state(30, 1), LATER);
         Path newest = dir.resolve("snapshot.2_10");
         Files.write(newest, new byte[] {1, 2, 3});
-        assertInstanceOf(
-                SnapshotDamagedException.class, assertThrows(IOException.class, store::loadNewestUndamaged));
+        assertInstanceOf(SnapshotDamagedException.class, assertThrows(IOException.class, store::loadNewestUndamaged));
         assertTrue(Files.exists(dir.resolve("damaged.snapshot.2_10")), "kept for whoever looks into it");
     }
 
@@ -168,7 +170,8 @@
                 TimeUnit.NANOSECONDS.toMillis(saved - begun),
                 TimeUnit.NANOSECONDS.toMillis(ended - saved));
         assertEquals(
-                state.table(state.inForce()), loaded.state().table(loaded.state().inForce()));
+                state.table(state.inForce()),
+                loaded.state().table(loaded.state().inForce()));
         assertTrue(base < 30L * CAPS, () -> base + " bytes");
         assertTrue(bytes - base < 400L * CHANGES, () -> (bytes - base) + " bytes for the changes");
     }
--- a/consensus/src/test/java/tallyweir/fleet/ratis/TransfersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/TransfersTest.java
@@ -56,7 +56,9 @@
         assertEquals(first, fetch(Table.EMPTY, cluster.revision(1)));
         assertEquals(second, fetch(first, cluster.revision(2)));
         assertEquals(second, cluster.client().table(Table.EMPTY, cluster.revision(2)));
-        RevisionRoot never = new RevisionRoot(cluster.revision(2).id(), first.apply(VoterCluster.caps(1, 1, 9)).root());
+        RevisionRoot never = new RevisionRoot(
+                cluster.revision(2).id(),
+                first.apply(VoterCluster.caps(1, 1, 9)).root());
         assertInstanceOf(Fault.UnknownRoot.class, fetch(first, never));
         cluster.stopVoter("v1");
         cluster.stopVoter("v2");
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VoterCluster.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VoterCluster.java
@@ -165,6 +165,16 @@
         return new RevisionRoot(new RevisionId(id), root);
     }
 
+    /** Waits until a voter has a revision, whether it leads or not. */
+    void awaitRevision(String voter, RevisionRoot revision) throws IOException {
+        Question question = new Question.Difference(revision.root(), revision, 0);
+        try (VoterConnection connection = new VoterConnection(FLEET, addresses, GIVE_UP_MS)) {
+            await().atMost(PATIENCE)
+                    .ignoreExceptions()
+                    .until(() -> connection.askVoter(voter, question) instanceof Reply.Difference);
+        }
+    }
+
     @Override
     public void close() {
         client.close();
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -15,6 +15,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.apache.ratis.client.RaftClient;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientReply;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -80,8 +83,8 @@
         Incarnation as = cluster.join();
         assertTrue(cluster.report(as, 1, FIRST, 0, need(0, 0)).lease() > 0);
         List<Change> eight = List.of(VoterCluster.cap("t", -1, 8));
-        RevisionRoot revision = new RevisionRoot(
-                new RevisionId(1), Table.EMPTY.apply(eight).root());
+        RevisionRoot revision =
+                new RevisionRoot(new RevisionId(1), Table.EMPTY.apply(eight).root());
         assertEquals(done(1), cluster.publish("c1", 0, eight));
         assertEquals(revision, cluster.report(as, 2, FIRST, 0, need(0, 0)).toCheck());
         assertEquals(revision, cluster.report(as, 3, FIRST, 1, need(0, 0)).inForce());
@@ -143,7 +146,8 @@
             Command rollback = new Command.Rollback(
                     new OperatorCommand("c"), RevisionId.NONE, new RevisionId(1), "ann", "", false);
             assertEquals(
-                    "c", refused(Fault.OutcomeUnknown.class, shortOf.ask(rollback)).command());
+                    "c",
+                    refused(Fault.OutcomeUnknown.class, shortOf.ask(rollback)).command());
         }
         cluster.startVoter("v1");
         assertEquals(RevisionId.NONE, cluster.client().audit().inForce());
@@ -163,6 +167,22 @@
         assertEquals(Optional.of(new Value.Cap(8)), inForce());
     }
 
+    @Test
+    void whatIsNoCommandDoesNotReachTheLogAndWhatIsNoQuestionHasNoReply() throws Exception {
+        Message garbage = Message.valueOf("garbage");
+        try (RaftClient raw = Voters.client(VoterCluster.FLEET, cluster.addresses(), 2_000)) {
+            assertThrows(IOException.class, () -> succeeded(raw.io().send(garbage)));
+            assertThrows(IOException.class, () -> succeeded(raw.io().sendReadOnly(garbage)));
+        }
+        assertEquals(done(1), cluster.publish("c1", 0, List.of(VoterCluster.cap("t", -1, 8))));
+    }
+
+    private static void succeeded(RaftClientReply reply) throws IOException {
+        if (!reply.isSuccess()) {
+            throw reply.getException();
+        }
+    }
+
     /** A change waits behind a revision that a server has not said anything of; the leader goes; it comes into force. */
     @Test
     void aChangeThatWaitsOutlivesTheLeader() throws Exception {
@@ -189,9 +209,11 @@
     @Test
     void aDamagedSnapshotIsLeftForTheOneBeforeAndWithoutAnyTheLogIsDamaged() throws Exception {
         cluster.publish("c1", 0, List.of(VoterCluster.cap("t", -1, 8)));
+        cluster.awaitRevision("v1", cluster.revision(1));
         cluster.stopVoter("v1");
         cluster.startVoter("v1");
         cluster.change("c2", List.of(VoterCluster.cap("t", 8, 9)));
+        cluster.awaitRevision("v1", cluster.revision(2));
         cluster.stopVoter("v1");
         List<Path> snapshots = snapshots("v1");
         assertEquals(2, snapshots.size(), snapshots::toString);
