--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -13,7 +13,7 @@
 import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
@@ -44,8 +44,8 @@
         this(links, config, now, wall, null);
     }
 
-    /** @param shelf where results of queries with an effect are kept over restarts, null for nowhere */
-    public Backend(Links links, Config config, long now, long wall, Shelf shelf) {
+    /** @param resultStore where results of queries with an effect are kept over restarts, null for nowhere */
+    public Backend(Links links, Config config, long now, long wall, ResultStore resultStore) {
         this.links = links;
         this.now = now;
         name = config.name;
@@ -59,7 +59,7 @@
                 config.sockets / SOCKETS_STORE,
                 config.seed,
                 now,
-                shelf);
+                resultStore);
         queries.clock(now, wall);
     }
 
--- a/daemon/src/main/java/tallyweir/backend/KeptResults.java
+++ b/daemon/src/main/java/tallyweir/backend/KeptResults.java
@@ -11,19 +11,19 @@
 import tallyweir.results.Known;
 import tallyweir.results.Mark;
 import tallyweir.results.Marks;
+import tallyweir.results.ResultStore;
 import tallyweir.results.RunId;
-import tallyweir.results.Shelf;
 import tallyweir.results.Verdict;
 
 /**
  * Results of queries with an effect, kept over restarts: stands between the queries, the marks that decide what is
- * recorded and who gets it, and the shelf. Nothing here where an installation keeps none.
+ * recorded and who gets it, and the result store. Nothing here where an installation keeps none.
  */
 final class KeptResults implements Keeping {
     private static final int MARKS_MOST = 1 << 16;
 
     private final Queries queries;
-    private final Shelf shelf;
+    private final ResultStore resultStore;
     private final Marks marks;
     private final Map<RunId, JobId> jobs = new HashMap<>(); // of runs under way, by what the kernel calls them
     private final Map<JobId, RunId> before = new HashMap<>(); // runs of the process before, until they are settled
@@ -31,12 +31,12 @@
     private final Set<RunId> admitted = new HashSet<>();
     private boolean trying; // the disk will be offered again what it refused
 
-    KeptResults(Queries queries, Shelf shelf) {
+    KeptResults(Queries queries, ResultStore resultStore) {
         this.queries = queries;
-        this.shelf = shelf;
-        marks = new Marks(this, MARKS_MOST, shelf.without());
+        this.resultStore = resultStore;
+        marks = new Marks(this, MARKS_MOST, resultStore.without());
         long number = 0;
-        for (Shelf.Kept k : shelf.intents()) {
+        for (ResultStore.Kept k : resultStore.intents()) {
             RunId run = new RunId(--number);
             jobs.put(run, k.job());
             before.put(k.job(), run);
@@ -67,8 +67,8 @@
 
     Verdict read(InFlight t, SubjectId stamp) {
         t.mark = new Mark(t.workload, stamp);
-        Verdict v = marks.read(run(t), t.mark, t.bodyDigest(), shelf.knows(t.mark));
-        return v == Verdict.NEW && !shelf.hasRoom(jobs.size()) ? Verdict.NO_ROOM : v;
+        Verdict v = marks.read(run(t), t.mark, t.bodyDigest(), resultStore.knows(t.mark));
+        return v == Verdict.NEW && !resultStore.hasRoom(jobs.size()) ? Verdict.NO_ROOM : v;
     }
 
     /** @param until when the mark may be forgotten, tenths of a millisecond since 1970 */
@@ -127,14 +127,14 @@
 
     @Override
     public void intend(RunId run, Mark mark, long body, long until) {
-        shelf.intend(mark, jobs.get(run), body, until, good -> {
+        resultStore.intend(mark, jobs.get(run), body, until, good -> {
             marks.intended(run, good);
         });
     }
 
     @Override
     public void record(RunId run, Mark mark, long body, Known known, byte[] result, long until) {
-        shelf.record(mark, jobs.get(run), body, known, result, until, good -> {
+        resultStore.record(mark, jobs.get(run), body, known, result, until, good -> {
             marks.recorded(run, good);
             if (!good && !trying) {
                 trying = true;
@@ -145,14 +145,14 @@
 
     @Override
     public void withdraw(RunId run, Mark mark) {
-        shelf.withdraw(mark, good -> {
+        resultStore.withdraw(mark, good -> {
             marks.withdrawn(run);
         });
     }
 
     @Override
     public void look(Mark mark) {
-        shelf.look(mark, kept -> {
+        resultStore.look(mark, kept -> {
             if (kept == null) {
                 marks.lookFailed(mark);
             } else {
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -21,7 +21,7 @@
 import tallyweir.ids.TimerId;
 import tallyweir.ids.WorkloadId;
 import tallyweir.results.Known;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * The queries of one backend between the fronts, the decisions, the kernel and the store. Each is answered
@@ -72,7 +72,7 @@
             int storeLinks,
             long seed,
             long now,
-            Shelf shelf) {
+            ResultStore resultStore) {
         this.deadlines = deadlines;
         this.counters = counters;
         this.settings = settings;
@@ -88,7 +88,7 @@
         kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
         connections = new Connections(links, deadlines, counters, this, settings, connectionsMost);
-        kept = shelf == null ? null : new KeptResults(this, shelf);
+        kept = resultStore == null ? null : new KeptResults(this, resultStore);
         if (kept != null) {
             counters.now("unsettled", kept::unsettled);
             counters.now("results_refused_by_disk", kept::lost);
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -23,7 +23,7 @@
 import tallyweir.fleet.Guard;
 import tallyweir.fleet.Seating;
 import tallyweir.net.Server;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Marks;
 import tallyweir.results.Settling;
 
@@ -132,9 +132,9 @@
                 .addKeyValue("from_snapshot", store.store().openedFromSnapshot())
                 .log("the store is open");
         try {
-            store.openDesk(
-                    operators.desk(),
-                    operators.keepsResults() ? Settling.verbs(store.store(), store.committer()) : Map.of());
+            store.openAdminSocket(
+                    operators.adminSocket(),
+                    operators.keepsResults() ? Settling.commands(store.store(), store.committer()) : Map.of());
         } catch (IOException e) {
             LOG.atWarn().addKeyValue("fault", e.getMessage()).log("operators cannot ask this process about its store");
         }
@@ -164,7 +164,7 @@
         });
         return new Server(
                 config,
-                deciding -> new DurableShelf(
+                deciding -> new DurableResultStore(
                         store.store(),
                         store.committer(),
                         deciding,
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -16,7 +16,7 @@
 import tallyweir.durable.Namespace;
 import tallyweir.fleet.Seating;
 import tallyweir.fleet.Way;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Settling;
 
 /**
@@ -238,7 +238,7 @@
     }
 
     /** Where the process that holds the store answers operators. */
-    public Path desk() {
+    public Path adminSocket() {
         return Path.of(durable.text("dir")).resolve("desk");
     }
 
@@ -280,8 +280,8 @@
                 throw new BadSetting(at + ".name: " + e.getMessage());
             }
             if (results != null
-                    && (n.text("name").equals(DurableShelf.RESULTS)
-                            || n.text("name").equals(DurableShelf.INTENTS)
+                    && (n.text("name").equals(DurableResultStore.RESULTS)
+                            || n.text("name").equals(DurableResultStore.INTENTS)
                             || n.text("name").equals(Settling.AUDIT))) {
                 throw new BadSetting(at + ".name is '" + n.text("name") + "', which belongs to the results part");
             }
@@ -291,8 +291,9 @@
         }
         if (results != null) {
             // Nothing in its window may go to make room, so both refuse; an open intent takes under 1.2 KB.
-            all.add(new Namespace(DurableShelf.RESULTS, results.whole("bound_mb", 1, 1 << 20) * (long) MB, false));
-            all.add(new Namespace(DurableShelf.INTENTS, Long.MAX_VALUE, false));
+            all.add(new Namespace(
+                    DurableResultStore.RESULTS, results.whole("bound_mb", 1, 1 << 20) * (long) MB, false));
+            all.add(new Namespace(DurableResultStore.INTENTS, Long.MAX_VALUE, false));
             all.add(new Namespace(Settling.AUDIT, Long.MAX_VALUE, false));
         }
         if (all.size() > Namespace.MOST) {
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -46,7 +46,7 @@
 import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * The sockets round one backend. MINA's threads only lay down what arrived; one thread takes it up,
@@ -100,9 +100,9 @@
         this(config, server -> null);
     }
 
-    /** Makes the shelf on which results are kept over restarts, null for none. */
+    /** Makes the result store on which results are kept over restarts, null for none. */
     public interface Shelves {
-        Shelf make(Executor deciding) throws IOException;
+        ResultStore make(Executor deciding) throws IOException;
     }
 
     /** @param shelves given what runs news on the deciding thread, which is the one that makes this server */
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -33,7 +33,7 @@
 import tallyweir.config.Config;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /** The core between its links: a plain kernel, store and sidecars stand round it and say what is not allowed. */
 class BackendTest {
@@ -111,9 +111,9 @@
         }
 
         /** With results kept over restarts, and the time at which this process begins. */
-        Round(Shelf shelf, long from) {
+        Round(ResultStore resultStore, long from) {
             now = from;
-            backend = new Backend(this, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), from, from + wall, shelf);
+            backend = new Backend(this, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), from, from + wall, resultStore);
         }
 
         void clock() {
--- a/daemon/src/test/java/tallyweir/KeptResultsTest.java
+++ b/daemon/src/test/java/tallyweir/KeptResultsTest.java
@@ -15,12 +15,12 @@
 import tallyweir.ids.JobId;
 import tallyweir.results.Known;
 import tallyweir.results.Mark;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /** The backend with results kept over restarts, between a plain kernel, sidecars and a disk that does what it is told. */
 class KeptResultsTest {
     /** Writes wait until they are let through or refused. */
-    private static final class Disk implements Shelf {
+    private static final class Disk implements ResultStore {
         private final Map<Mark, Kept> there = new HashMap<>();
         private final ArrayDeque<Consumer<Boolean>> waiting = new ArrayDeque<>();
         private boolean full;
--- a/durable/src/main/java/tallyweir/durable/DeskVerbs.java
+++ b/durable/src/main/java/tallyweir/durable/AdminCommands.java
@@ -12,23 +12,23 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
-/** What a process that holds a store answers at its {@link Desk}. */
-public final class DeskVerbs {
+/** What a process that holds a store answers at its {@link AdminSocket}. */
+public final class AdminCommands {
     private static final String NONE = "-";
     private static final long LOOK_MS = 20;
 
     private final Durable store;
     private final Times times;
 
-    private DeskVerbs(Durable store, Times times) {
+    private AdminCommands(Durable store, Times times) {
         this.store = store;
         this.times = times;
     }
 
     /** The questions by their first word. */
-    public static Map<String, Desk.Verb> of(Durable store, Times times) {
-        DeskVerbs v = new DeskVerbs(store, times);
-        Map<String, Desk.Verb> all = new LinkedHashMap<>();
+    public static Map<String, AdminSocket.Command> of(Durable store, Times times) {
+        AdminCommands v = new AdminCommands(store, times);
+        Map<String, AdminSocket.Command> all = new LinkedHashMap<>();
         all.put("info", v::info);
         all.put("get", v::get);
         all.put("list", v::list);
@@ -63,13 +63,13 @@
         }
     }
 
-    /** A record as a line of the desk: key, stamp, expiry, value, bytes in hexadecimal. */
+    /** A record as a line of the admin socket: key, stamp, expiry, value, bytes in hexadecimal. */
     static String line(Found f) {
         HexFormat hex = HexFormat.of();
         return hex.formatHex(f.key()) + "\t" + f.stamp() + "\t" + f.expires() + "\t" + hex.formatHex(f.value());
     }
 
-    /** The record that a line of the desk says. */
+    /** The record that a line of the admin socket says. */
     public static Found record(String line) {
         String[] w = line.split("\t", -1);
         return new Found(
--- a/durable/src/main/java/tallyweir/durable/Desk.java
+++ b/durable/src/main/java/tallyweir/durable/AdminSocket.java
@@ -35,9 +35,9 @@
  * answer: lines that begin with {@code +}, how far long work has come behind {@code *}, and at last {@code .}, or
  * {@code !} and why not. No question holds up the writing of the store.
  */
-public final class Desk implements AutoCloseable {
+public final class AdminSocket implements AutoCloseable {
     /** What answers one kind of question. */
-    public interface Verb {
+    public interface Command {
         /**
          * @param words behind the first one
          * @param line takes a line of the answer, without an end of line in it
@@ -51,22 +51,22 @@
     private static final int QUESTION_SECONDS = 5; // until it has been asked
 
     private final Path socket;
-    private final Map<String, Verb> verbs;
+    private final Map<String, Command> commands;
     private final ServerSocketChannel server;
     private final Object file;
     private final Semaphore room = new Semaphore(AT_ONCE);
-    private final ExecutorService workers = Executors.newCachedThreadPool(r -> daemon(r, "durable desk answers"));
+    private final ExecutorService workers = Executors.newCachedThreadPool(r -> daemon(r, "durable admin answers"));
     private final ScheduledExecutorService patience =
-            Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "durable desk patience"));
+            Executors.newSingleThreadScheduledExecutor(r -> daemon(r, "durable admin time-outs"));
 
     /**
      * Opens it. What lies at the place is taken away, so it has to be one that only the holder of the store's lock uses.
      *
      * @throws IOException where there can be no socket: the path is too long for one (about 100 bytes), or not writable
      */
-    public Desk(Path socket, Map<String, Verb> verbs) throws IOException {
+    public AdminSocket(Path socket, Map<String, Command> commands) throws IOException {
         this.socket = socket;
-        this.verbs = Map.copyOf(verbs);
+        this.commands = Map.copyOf(commands);
         Files.deleteIfExists(socket);
         server = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
         try {
@@ -75,9 +75,9 @@
             file = key(socket);
         } catch (IOException | RuntimeException e) {
             server.close();
-            throw new IOException("no desk at " + socket + ": " + e.getMessage(), e);
+            throw new IOException("no admin socket at " + socket + ": " + e.getMessage(), e);
         }
-        daemon(this::accept, "durable desk").start();
+        daemon(this::accept, "durable admin socket").start();
     }
 
     /** What tells one file from a later one of the same name. */
@@ -157,15 +157,15 @@
 
     private void answer(String question, boolean mine, BufferedWriter out) throws IOException {
         List<String> words = List.of(question.split("\t", -1));
-        Verb verb = verbs.get(words.get(0));
+        Command command = commands.get(words.get(0));
         try {
             if (!mine) {
                 throw new IOException("too many ask at once: come again");
             }
-            if (verb == null) {
+            if (command == null) {
                 throw new IOException("not known here: " + words.get(0));
             }
-            verb.answer(
+            command.answer(
                     words.subList(1, words.size()),
                     line -> say(out, "+" + line, false),
                     far -> say(out, "*" + far, true));
@@ -194,7 +194,7 @@
     }
 
     /**
-     * Asks the process that has a desk at a place.
+     * Asks the process that has an admin socket at a place.
      *
      * @throws IOException where nobody answers there, or with what it says why not
      */
--- a/durable/src/main/java/tallyweir/durable/FileStore.java
+++ b/durable/src/main/java/tallyweir/durable/FileStore.java
@@ -21,7 +21,7 @@
     private final Times times = new Times();
     private final Durable store;
     private final Committer committer;
-    private Desk desk;
+    private AdminSocket adminSocket;
 
     /**
      * Opens or makes it. For the numbers see {@link Durable} and {@link Committer}.
@@ -83,10 +83,10 @@
      * @param socket a place in the store's own directory
      * @param more questions beside those about the store itself
      */
-    public void openDesk(Path socket, Map<String, Desk.Verb> more) throws IOException {
-        Map<String, Desk.Verb> all = DeskVerbs.of(store, times);
+    public void openAdminSocket(Path socket, Map<String, AdminSocket.Command> more) throws IOException {
+        Map<String, AdminSocket.Command> all = AdminCommands.of(store, times);
         all.putAll(more);
-        desk = new Desk(socket, all);
+        adminSocket = new AdminSocket(socket, all);
     }
 
     /** How long its steps take. */
@@ -97,8 +97,8 @@
     /** Writes what waits, then the index, and ends. */
     @Override
     public void close() {
-        if (desk != null) {
-            desk.close();
+        if (adminSocket != null) {
+            adminSocket.close();
         }
         committer.close();
         store.close();
--- a/durable/src/test/java/tallyweir/durable/DeskTest.java
+++ b/durable/src/test/java/tallyweir/durable/AdminSocketTest.java
@@ -26,13 +26,13 @@
 
 /** Asking a process that holds a store, while it writes. */
 @Timeout(60)
-class DeskTest {
+class AdminSocketTest {
     private static final List<Namespace> SPACES = List.of(new Namespace("a", 1L << 30, false));
 
     @TempDir
     private Path dir;
 
-    private Path desk;
+    private Path adminSocket;
     private FileStore store;
 
     private FileStore open() throws IOException {
@@ -42,9 +42,9 @@
 
     @BeforeEach
     void begin() throws IOException {
-        desk = dir.resolve("desk");
+        adminSocket = dir.resolve("desk");
         store = open();
-        store.openDesk(desk, Map.of("double", (words, line, progress) -> {
+        store.openAdminSocket(adminSocket, Map.of("double", (words, line, progress) -> {
             line.accept(words.get(0) + words.get(0));
             if (words.get(0).isEmpty()) {
                 throw new IOException("nothing\nto double");
@@ -63,7 +63,7 @@
 
     private List<String> ask(String... words) throws IOException {
         List<String> lines = new ArrayList<>();
-        Desk.ask(desk, List.of(words), lines::add, n -> {});
+        AdminSocket.ask(adminSocket, List.of(words), lines::add, n -> {});
         return lines;
     }
 
@@ -76,7 +76,7 @@
         for (int i = 0; i < 5; i++) {
             store.committer().write(new Batch().put("a", b("k" + i), b("v" + i)));
         }
-        Found f = DeskVerbs.record(ask("get", "a", "6b33").get(0));
+        Found f = AdminCommands.record(ask("get", "a", "6b33").get(0));
         assertArrayEquals(b("k3"), f.key());
         assertArrayEquals(b("v3"), f.value());
         assertTrue(Math.abs(FileStore.clock() - Stamp.time(f.stamp())) < 600_000);
@@ -95,7 +95,9 @@
     }
 
     private static List<String> keys(List<String> lines) {
-        return lines.stream().map(l -> new String(DeskVerbs.record(l).key())).toList();
+        return lines.stream()
+                .map(l -> new String(AdminCommands.record(l).key()))
+                .toList();
     }
 
     @Test
@@ -171,11 +173,11 @@
     void whoeverConnectsAndSaysNothingHoldsUpNobody() throws Exception {
         List<SocketChannel> idle = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
-            idle.add(SocketChannel.open(UnixDomainSocketAddress.of(desk)));
+            idle.add(SocketChannel.open(UnixDomainSocketAddress.of(adminSocket)));
         }
         assertTrue(ask("info").contains("keys\t0"));
         for (int i = 0; i < 40; i++) {
-            idle.add(SocketChannel.open(UnixDomainSocketAddress.of(desk)));
+            idle.add(SocketChannel.open(UnixDomainSocketAddress.of(adminSocket)));
         }
         String last = "";
         for (int tries = 0; tries < 200 && !last.isEmpty() | tries == 0; tries++) {
@@ -197,22 +199,22 @@
 
     @Test
     void onlyItsOwnUserMayAskAndWhatAKilledProcessLeftIsNoHindrance() throws IOException {
-        assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(desk)));
-        assertTrue(Desk.answers(desk));
+        assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(adminSocket)));
+        assertTrue(AdminSocket.answers(adminSocket));
         store.close();
-        assertFalse(Desk.answers(desk));
-        assertFalse(Files.exists(desk));
-        Files.writeString(desk, "left");
+        assertFalse(AdminSocket.answers(adminSocket));
+        assertFalse(Files.exists(adminSocket));
+        Files.writeString(adminSocket, "left");
         store = open();
-        store.openDesk(desk, Map.of());
+        store.openAdminSocket(adminSocket, Map.of());
         assertTrue(ask("info").contains("keys\t0"));
-        try (Desk later = new Desk(desk, Map.of())) {
+        try (AdminSocket later = new AdminSocket(adminSocket, Map.of())) {
             store.close();
-            assertTrue(Desk.answers(desk), "whoever goes takes the desk of a later one away");
+            assertTrue(AdminSocket.answers(adminSocket), "whoever goes takes the admin socket of a later one away");
         }
         store = open();
-        assertTrue(assertThrows(IOException.class, () -> store.openDesk(dir.resolve("x".repeat(120)), Map.of()))
+        assertTrue(assertThrows(IOException.class, () -> store.openAdminSocket(dir.resolve("x".repeat(120)), Map.of()))
                 .getMessage()
-                .contains("no desk at"));
+                .contains("no admin socket at"));
     }
 }
--- a/results/src/main/java/tallyweir/results/DurableShelf.java
+++ b/results/src/main/java/tallyweir/results/DurableResultStore.java
@@ -25,7 +25,7 @@
  * {@code intents} holds the marks of open intents, so that a start need not look through all. A record takes the place of
  * its intent in one batch.
  */
-public final class DurableShelf implements Shelf {
+public final class DurableResultStore implements ResultStore {
     /** The namespace of outcomes and intents; it has to refuse at its bound, since nothing in its window may go. */
     public static final String RESULTS = "results";
     /** The namespace of open intents. */
@@ -47,7 +47,8 @@
      * @param reads runs what may wait for the disk to be read
      * @param without guards of the marks that are off, for drills only
      */
-    public DurableShelf(Durable store, Committer committer, Executor back, Executor reads, Set<Marks.Guard> without)
+    public DurableResultStore(
+            Durable store, Committer committer, Executor back, Executor reads, Set<Marks.Guard> without)
             throws IOException {
         this.without = without;
         this.store = store;
@@ -98,7 +99,7 @@
 
     /** The value of an outcome. */
     static byte[] encoded(Known known, JobId job, long body, long until, byte[] result) {
-        byte[] small = result == null ? null : Squeeze.smaller(result);
+        byte[] small = result == null ? null : ResultCompression.compress(result);
         return small == null
                 ? value(known.ordinal() + 1, job, body, until, result)
                 : value(
@@ -142,7 +143,7 @@
         if ((form & SMALLER) != 0) {
             result = result.length < 4
                     ? null
-                    : Squeeze.whole(
+                    : ResultCompression.decompress(
                             Arrays.copyOfRange(result, 4, result.length),
                             ByteBuffer.wrap(result).getInt());
             if (result == null) {
--- a/results/src/main/java/tallyweir/results/Squeeze.java
+++ b/results/src/main/java/tallyweir/results/ResultCompression.java
@@ -4,16 +4,16 @@
 import com.github.luben.zstd.ZstdException;
 
 /** Results made smaller for the disk by Zstandard (RFC 8878), where it pays. */
-final class Squeeze {
+final class ResultCompression {
     private static final int LEVEL = 3;
     private static final int LEAST = 128; // bytes; a shorter result has a frame's head to win back first
     private static final double GAIN = 0.125; // share that must be saved
     private static final int LONGEST = 16 << 20; // the longest value that the store takes
 
-    private Squeeze() {}
+    private ResultCompression() {}
 
     /** The bytes made smaller; null where that does not pay. */
-    static byte[] smaller(byte[] bytes) {
+    static byte[] compress(byte[] bytes) {
         if (bytes.length < LEAST) {
             return null;
         }
@@ -22,7 +22,7 @@
     }
 
     /** The bytes as they were; null where they cannot have been that many, or are no frame of Zstandard. */
-    static byte[] whole(byte[] small, int length) {
+    static byte[] decompress(byte[] small, int length) {
         if (length < 0 || length > LONGEST) {
             return null;
         }
--- a/results/src/main/java/tallyweir/results/Shelf.java
+++ b/results/src/main/java/tallyweir/results/ResultStore.java
@@ -10,7 +10,7 @@
  * asked, in any order; writes of one mark take effect in the order in which they were asked for. Times are tenths of a
  * millisecond since 1970.
  */
-public interface Shelf {
+public interface ResultStore {
     /** What is kept of one mark: an intent where {@code known} is null. */
     record Kept(Mark mark, JobId job, long body, Known known, byte[] result, long written, long until) {}
 
--- a/results/src/main/java/tallyweir/results/Settling.java
+++ b/results/src/main/java/tallyweir/results/Settling.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiPredicate;
+import tallyweir.durable.AdminSocket;
 import tallyweir.durable.Batch;
 import tallyweir.durable.Committer;
-import tallyweir.durable.Desk;
 import tallyweir.durable.Durable;
 import tallyweir.durable.Found;
 
@@ -37,7 +37,7 @@
         FORGOTTEN
     }
 
-    private record Rule(BiPredicate<Shelf.Kept, As> when, String why) {}
+    private record Rule(BiPredicate<ResultStore.Kept, As> when, String why) {}
 
     // Gone through in order; the first that fires says why not.
     private static final List<Rule> RULES = List.of(
@@ -53,7 +53,7 @@
     private Settling() {}
 
     /** Why a change is not made, null if it is. */
-    static String refusal(Shelf.Kept kept, As as) {
+    static String refusal(ResultStore.Kept kept, As as) {
         return RULES.stream()
                 .filter(r -> r.when.test(kept, as))
                 .map(Rule::why)
@@ -74,9 +74,9 @@
         if (by.isBlank() || why.isBlank() || by.length() > TEXT_MOST || why.length() > TEXT_MOST) {
             throw new IOException("who and why are needed, of at most " + TEXT_MOST + " characters each");
         }
-        byte[] key = DurableShelf.key(mark);
-        Found f = store.get(DurableShelf.RESULTS, key);
-        Shelf.Kept kept = f == null ? null : DurableShelf.of(f);
+        byte[] key = DurableResultStore.key(mark);
+        Found f = store.get(DurableResultStore.RESULTS, key);
+        ResultStore.Kept kept = f == null ? null : DurableResultStore.of(f);
         String refusal = refusal(kept, as);
         if (refusal != null) {
             throw new IOException(refusal);
@@ -84,7 +84,7 @@
         Batch b = new Batch();
         switch (as) {
             case RAN ->
-                DurableShelf.put(
+                DurableResultStore.put(
                         b,
                         mark,
                         kept.job(),
@@ -92,8 +92,8 @@
                         Known.GOOD,
                         result == null ? new byte[0] : result,
                         kept.until());
-            case RAN_BADLY -> DurableShelf.put(b, mark, kept.job(), kept.body(), Known.BAD, null, kept.until());
-            default -> b.delete(DurableShelf.RESULTS, key);
+            case RAN_BADLY -> DurableResultStore.put(b, mark, kept.job(), kept.body(), Known.BAD, null, kept.until());
+            default -> b.delete(DurableResultStore.RESULTS, key);
         }
         b.put(AUDIT, free(store, key), String.join("\t", as.name(), by, why).getBytes(StandardCharsets.UTF_8));
         committer.write(b);
@@ -122,12 +122,12 @@
         ByteBuffer in = ByteBuffer.wrap(f.key());
         long at = in.getLong();
         in.get(key);
-        Mark mark = DurableShelf.mark(key);
+        Mark mark = DurableResultStore.mark(key);
         return mark == null ? null : new Change(at, mark, text[0], text[1], text[2]);
     }
 
-    /** What a process that holds the store answers at its desk: {@code settle WORKLOAD MARK AS RESULT_HEX BY WHY}. */
-    public static Map<String, Desk.Verb> verbs(Durable store, Committer committer) {
+    /** What a process that holds the store answers at its admin socket: {@code settle WORKLOAD MARK AS RESULT_HEX BY WHY}. */
+    public static Map<String, AdminSocket.Command> commands(Durable store, Committer committer) {
         return Map.of("settle", (words, line, progress) -> {
             if (words.size() != 6) {
                 throw new IOException("6 words are needed, not " + words.size());
@@ -143,7 +143,7 @@
             settle(
                     store,
                     committer,
-                    DurableShelf.mark(words.get(0), words.get(1)),
+                    DurableResultStore.mark(words.get(0), words.get(1)),
                     as,
                     result,
                     words.get(4),
--- a/results/src/test/java/tallyweir/results/DurableShelfTest.java
+++ b/results/src/test/java/tallyweir/results/DurableResultStoreTest.java
@@ -21,9 +21,9 @@
 
 /** Marks in the store over restarts and to the end of their windows. */
 @Timeout(30)
-class DurableShelfTest {
-    private static final Mark MARK = DurableShelf.mark("reset", "m1");
-    private static final Mark OTHER = DurableShelf.mark("reset", "m2");
+class DurableResultStoreTest {
+    private static final Mark MARK = DurableResultStore.mark("reset", "m1");
+    private static final Mark OTHER = DurableResultStore.mark("reset", "m2");
 
     private final SimDisk.Power power = new SimDisk.Power(1);
     private final SimDisk first = new SimDisk(power, 512, "first");
@@ -31,7 +31,7 @@
     private long clock = 17_000_000_000_000L;
 
     private interface With {
-        void shelf(DurableShelf shelf) throws Exception;
+        void resultStore(DurableResultStore resultStore) throws Exception;
     }
 
     private void open(With with) throws Exception {
@@ -44,14 +44,14 @@
                         0.5,
                         0,
                         List.of(
-                                new Namespace(DurableShelf.RESULTS, 64 << 10, false),
-                                new Namespace(DurableShelf.INTENTS, 1 << 20, false)),
+                                new Namespace(DurableResultStore.RESULTS, 64 << 10, false),
+                                new Namespace(DurableResultStore.INTENTS, 1 << 20, false)),
                         1,
                         () -> clock,
                         Runnable::run,
                         Set.of());
                 Committer c = new Committer(d, 1 << 20, 0, 1 << 20)) {
-            with.shelf(new DurableShelf(d, c, Runnable::run, Runnable::run, Set.of()));
+            with.resultStore(new DurableResultStore(d, c, Runnable::run, Runnable::run, Set.of()));
         }
     }
 
@@ -62,8 +62,8 @@
         return done.get(10, TimeUnit.SECONDS);
     }
 
-    private static Shelf.Kept look(DurableShelf s, Mark mark) {
-        Shelf.Kept[] is = new Shelf.Kept[1];
+    private static ResultStore.Kept look(DurableResultStore s, Mark mark) {
+        ResultStore.Kept[] is = new ResultStore.Kept[1];
         s.look(mark, k -> is[0] = k);
         return is[0];
     }
@@ -116,7 +116,7 @@
         open(s -> {
             int n = 0;
             for (; s.hasRoom(0); n++) {
-                Mark m = DurableShelf.mark("reset", "x" + n);
+                Mark m = DurableResultStore.mark("reset", "x" + n);
                 byte[] noise = new byte[1_000];
                 new java.util.SplittableRandom(n).nextBytes(noise);
                 assertTrue(
@@ -125,7 +125,7 @@
             }
             assertTrue(n > 40, "room for " + n);
             assertFalse(s.hasRoom(0));
-            assertTrue(s.knows(DurableShelf.mark("reset", "x0")), "dropped within its window to make room");
+            assertTrue(s.knows(DurableResultStore.mark("reset", "x0")), "dropped within its window to make room");
         });
         open(s -> {
             clock = until + 700_000; // past the next look for what has expired, once a minute
--- a/results/src/test/java/tallyweir/results/MarksModelTest.java
+++ b/results/src/test/java/tallyweir/results/MarksModelTest.java
@@ -233,7 +233,7 @@
         }
 
         private static Mark mark(String name) {
-            return DurableShelf.mark("w", name);
+            return DurableResultStore.mark("w", name);
         }
 
         void event() {
--- a/results/src/test/java/tallyweir/results/SqueezeTest.java
+++ b/results/src/test/java/tallyweir/results/ResultCompressionTest.java
@@ -16,15 +16,15 @@
 import tallyweir.ids.JobId;
 
 /** Results on the disk, smaller or as they are. */
-class SqueezeTest {
-    private static final Mark MARK = DurableShelf.mark("reset", "m");
+class ResultCompressionTest {
+    private static final Mark MARK = DurableResultStore.mark("reset", "m");
 
     private static byte[] value(Known known, byte[] result) {
-        return DurableShelf.encoded(known, new JobId("job"), 42, 99, result);
+        return DurableResultStore.encoded(known, new JobId("job"), 42, 99, result);
     }
 
-    private static Shelf.Kept back(byte[] value) {
-        return DurableShelf.of(new Found(DurableShelf.key(MARK), value, 0, 99));
+    private static ResultStore.Kept back(byte[] value) {
+        return DurableResultStore.of(new Found(DurableResultStore.key(MARK), value, 0, 99));
     }
 
     @Property(seed = "20261201", tries = 500)
@@ -54,13 +54,13 @@
         for (int at = 22; at < v.length; at++) {
             byte[] bad = v.clone();
             bad[at] ^= 0x55;
-            Shelf.Kept k =
+            ResultStore.Kept k =
                     back(bad); // the store's checksums are what finds damage: here it only must not be thrown about
             assertTrue(k == null || k.known() == Known.GOOD);
         }
         assertNull(back(Arrays.copyOf(v, v.length - 1)));
-        assertNull(Squeeze.whole(new byte[] {1, 2, 3}, 10));
-        assertNull(Squeeze.whole(new byte[0], -1));
-        assertNull(Squeeze.whole(new byte[0], Integer.MAX_VALUE));
+        assertNull(ResultCompression.decompress(new byte[] {1, 2, 3}, 10));
+        assertNull(ResultCompression.decompress(new byte[0], -1));
+        assertNull(ResultCompression.decompress(new byte[0], Integer.MAX_VALUE));
     }
 }
--- a/results/src/test/java/tallyweir/results/SettlingTest.java
+++ b/results/src/test/java/tallyweir/results/SettlingTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import tallyweir.durable.AdminSocket;
 import tallyweir.durable.Both;
 import tallyweir.durable.Committer;
-import tallyweir.durable.Desk;
 import tallyweir.durable.Durable;
 import tallyweir.durable.Found;
 import tallyweir.durable.Namespace;
@@ -28,14 +28,14 @@
 /** What a person may change, and what is kept of it. */
 @Timeout(30)
 class SettlingTest {
-    private static final Mark MARK = DurableShelf.mark("reset", "m1");
+    private static final Mark MARK = DurableResultStore.mark("reset", "m1");
 
     private final SimDisk.Power power = new SimDisk.Power(1);
     private final long clock = 17_000_000_000_000L;
     private final long until = clock + 36_000_000;
     private Durable store;
     private Committer committer;
-    private DurableShelf shelf;
+    private DurableResultStore resultStore;
 
     @BeforeEach
     void open() throws IOException {
@@ -48,15 +48,15 @@
                 0.5,
                 0,
                 List.of(
-                        new Namespace(DurableShelf.RESULTS, 1 << 20, false),
-                        new Namespace(DurableShelf.INTENTS, 1 << 20, false),
+                        new Namespace(DurableResultStore.RESULTS, 1 << 20, false),
+                        new Namespace(DurableResultStore.INTENTS, 1 << 20, false),
                         new Namespace(Settling.AUDIT, 1 << 20, false)),
                 1,
                 () -> clock,
                 Runnable::run,
                 Set.of());
         committer = new Committer(store, 1 << 20, 0, 1 << 20);
-        shelf = new DurableShelf(store, committer, Runnable::run, Runnable::run, Set.of());
+        resultStore = new DurableResultStore(store, committer, Runnable::run, Runnable::run, Set.of());
     }
 
     @AfterEach
@@ -67,13 +67,13 @@
 
     private void keep(Known known, String result) throws IOException {
         tallyweir.durable.Batch b = new tallyweir.durable.Batch();
-        DurableShelf.put(b, MARK, new JobId("j"), 42, known, result == null ? null : result.getBytes(), until);
+        DurableResultStore.put(b, MARK, new JobId("j"), 42, known, result == null ? null : result.getBytes(), until);
         committer.write(b);
     }
 
-    private Shelf.Kept kept() {
-        Shelf.Kept[] is = new Shelf.Kept[1];
-        shelf.look(MARK, k -> is[0] = k);
+    private ResultStore.Kept kept() {
+        ResultStore.Kept[] is = new ResultStore.Kept[1];
+        resultStore.look(MARK, k -> is[0] = k);
         return is[0];
     }
 
@@ -111,15 +111,15 @@
         Settling.settle(
                 store, committer, MARK, Settling.As.NEVER_RAN, null, "amal", "the kernel's log has no such run");
         assertNull(kept());
-        assertEquals(false, shelf.knows(MARK));
+        assertEquals(false, resultStore.knows(MARK));
         assertEquals(2, audit().size());
     }
 
     @Test
     void whatIsOpenOrKnownOrUnsignedIsNotSettled() throws IOException {
         assertTrue(refusal(Settling.As.NEVER_RAN, "amal", "x").contains("nothing is kept"));
-        shelf.intend(MARK, new JobId("j"), 42, until, good -> {});
-        while (!shelf.knows(MARK)) {
+        resultStore.intend(MARK, new JobId("j"), 42, until, good -> {});
+        while (!resultStore.knows(MARK)) {
             Thread.onSpinWait();
         }
         for (Settling.As as : Settling.As.values()) {
@@ -144,8 +144,8 @@
     }
 
     @Test
-    void theDeskTakesTheSameAndRefusesWhatItCannotRead() throws IOException {
-        Desk.Verb settle = Settling.verbs(store, committer).get("settle");
+    void theAdminSocketTakesTheSameAndRefusesWhatItCannotRead() throws IOException {
+        AdminSocket.Command settle = Settling.commands(store, committer).get("settle");
         List<String> lines = new ArrayList<>();
         keep(Known.UNKNOWN, null);
         settle.answer(List.of("reset", "m1", "RAN", "7269", "amal", "seen"), lines::add, n -> {});
--- a/tool/src/main/java/tallyweir/tool/DurableCommand.java
+++ b/tool/src/main/java/tallyweir/tool/DurableCommand.java
@@ -21,9 +21,9 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import tallyweir.durable.AdminCommands;
+import tallyweir.durable.AdminSocket;
 import tallyweir.durable.Backup;
-import tallyweir.durable.Desk;
-import tallyweir.durable.DeskVerbs;
 import tallyweir.durable.Durable;
 import tallyweir.durable.Figures;
 import tallyweir.durable.Found;
@@ -137,11 +137,11 @@
             };
         }
 
-        /** Names and values that a desk says. */
-        Map<String, Object> asked(Path desk, String unit, String... words) throws IOException {
+        /** Names and values that an admin socket says. */
+        Map<String, Object> asked(Path adminSocket, String unit, String... words) throws IOException {
             Map<String, Object> all = new LinkedHashMap<>();
-            Desk.ask(
-                    desk,
+            AdminSocket.ask(
+                    adminSocket,
                     List.of(words),
                     line -> {
                         String[] of = line.split("\t", 2);
@@ -186,7 +186,7 @@
                                 all.put("figures", d.figures().all());
                                 return all;
                             },
-                            desk -> asked(desk, "", "info")));
+                            adminSocket -> asked(adminSocket, "", "info")));
             return 0;
         }
     }
@@ -218,12 +218,12 @@
                             return view.get(namespace, k);
                         }
                     },
-                    desk -> {
+                    adminSocket -> {
                         Found[] there = new Found[1];
-                        Desk.ask(
-                                desk,
+                        AdminSocket.ask(
+                                adminSocket,
                                 List.of("get", namespace, hex(k)),
-                                line -> there[0] = DeskVerbs.record(line),
+                                line -> there[0] = AdminCommands.record(line),
                                 n -> {});
                         return there[0];
                     });
@@ -294,10 +294,10 @@
                             return in.hasNext();
                         }
                     },
-                    desk -> {
+                    adminSocket -> {
                         long[] n = {0};
-                        Desk.ask(
-                                desk,
+                        AdminSocket.ask(
+                                adminSocket,
                                 List.of(
                                         "list",
                                         namespace,
@@ -308,7 +308,7 @@
                                         Long.toString(limit + 1)),
                                 line -> {
                                     if (n[0]++ < limit) {
-                                        print(DeskVerbs.record(line));
+                                        print(AdminCommands.record(line));
                                     }
                                 },
                                 far -> {});
@@ -364,8 +364,8 @@
                         print(out(), store.json(), all);
                         return damaged + lost > 0 ? 1 : 0;
                     },
-                    desk -> {
-                        Map<String, Object> all = asked(desk, "bytes compared", "verify");
+                    adminSocket -> {
+                        Map<String, Object> all = asked(adminSocket, "bytes compared", "verify");
                         print(out(), store.json(), all);
                         return (Long) all.get("unrepaired") + (Long) all.get("damaged_in_both_copies") > 0 ? 1 : 0;
                     });
@@ -429,11 +429,15 @@
 
         @Override
         public Integer call() throws IOException {
-            return store.look(d -> copy(this, d, to), desk -> {
+            return store.look(d -> copy(this, d, to), adminSocket -> {
                 print(
                         out(),
                         store.json(),
-                        asked(desk, "records", "backup", to.toAbsolutePath().toString()));
+                        asked(
+                                adminSocket,
+                                "records",
+                                "backup",
+                                to.toAbsolutePath().toString()));
                 return 0;
             });
         }
--- a/tool/src/main/java/tallyweir/tool/ResultsBench.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsBench.java
@@ -26,7 +26,7 @@
 import tallyweir.ids.JobId;
 import tallyweir.ids.SubjectId;
 import tallyweir.ids.WorkloadId;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Known;
 import tallyweir.results.Mark;
 import tallyweir.stand.StandKernel;
@@ -287,7 +287,7 @@
             for (int n = 0; n < marks; ) {
                 Batch b = new Batch();
                 for (int i = 0; i < 1_000 && n < marks; i++, n++) {
-                    DurableShelf.put(
+                    DurableResultStore.put(
                             b,
                             new Mark(new WorkloadId("reset"), new SubjectId("s" + n)),
                             new JobId(String.format("%016x", n)),
@@ -346,8 +346,8 @@
                 0,
                 64L << 20,
                 List.of(
-                        new Namespace(DurableShelf.RESULTS, 1L << 30, false),
-                        new Namespace(DurableShelf.INTENTS, Long.MAX_VALUE, false)));
+                        new Namespace(DurableResultStore.RESULTS, 1L << 30, false),
+                        new Namespace(DurableResultStore.INTENTS, Long.MAX_VALUE, false)));
     }
 
     private static long sum(String body) {
--- a/tool/src/main/java/tallyweir/tool/ResultsCommand.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsCommand.java
@@ -19,15 +19,15 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
-import tallyweir.durable.Desk;
-import tallyweir.durable.DeskVerbs;
+import tallyweir.durable.AdminCommands;
+import tallyweir.durable.AdminSocket;
 import tallyweir.durable.Found;
 import tallyweir.durable.View;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Explorer;
 import tallyweir.results.Marks;
+import tallyweir.results.ResultStore;
 import tallyweir.results.Settling;
-import tallyweir.results.Shelf;
 import tallyweir.search.Search;
 
 @Command(
@@ -63,7 +63,7 @@
         }
     }
 
-    private static String kind(Shelf.Kept k) {
+    private static String kind(ResultStore.Kept k) {
         return k.known() == null ? "intent" : k.known().name().toLowerCase();
     }
 
@@ -85,8 +85,8 @@
                 all.put(kind, 0L);
             }
             long[] bytes = {0};
-            each(store, DurableShelf.RESULTS, f -> {
-                Shelf.Kept k = DurableShelf.of(f);
+            each(store, DurableResultStore.RESULTS, f -> {
+                ResultStore.Kept k = DurableResultStore.of(f);
                 all.merge(k == null ? "not ours" : kind(k), 1L, (a, b) -> (Long) a + (Long) b);
                 bytes[0] += 29 + f.key().length + f.value().length;
             });
@@ -115,17 +115,20 @@
 
         @Override
         public Integer call() throws IOException {
-            byte[] mark = DurableShelf.key(DurableShelf.mark(workload, key));
-            Found f = store.look(d -> d.get(DurableShelf.RESULTS, mark), desk -> {
+            byte[] mark = DurableResultStore.key(DurableResultStore.mark(workload, key));
+            Found f = store.look(d -> d.get(DurableResultStore.RESULTS, mark), adminSocket -> {
                 Found[] there = new Found[1];
-                Desk.ask(
-                        desk,
-                        List.of("get", DurableShelf.RESULTS, HexFormat.of().formatHex(mark)),
-                        line -> there[0] = DeskVerbs.record(line),
+                AdminSocket.ask(
+                        adminSocket,
+                        List.of(
+                                "get",
+                                DurableResultStore.RESULTS,
+                                HexFormat.of().formatHex(mark)),
+                        line -> there[0] = AdminCommands.record(line),
                         n -> {});
                 return there[0];
             });
-            Shelf.Kept k = f == null ? null : DurableShelf.of(f);
+            ResultStore.Kept k = f == null ? null : DurableResultStore.of(f);
             if (k == null) {
                 spec.commandLine().getErr().println("tallyweir: nothing is kept of " + key);
                 return 1;
@@ -135,7 +138,7 @@
         }
     }
 
-    private static Map<String, Object> fields(Shelf.Kept k) {
+    private static Map<String, Object> fields(ResultStore.Kept k) {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("outcome", kind(k));
         all.put("request", k.job().value());
@@ -158,11 +161,11 @@
                     }
                     return null;
                 },
-                desk -> {
-                    Desk.ask(
-                            desk,
+                adminSocket -> {
+                    AdminSocket.ask(
+                            adminSocket,
                             List.of("list", namespace, "-", "-", "-", "-", "-"),
-                            line -> to.accept(DeskVerbs.record(line)),
+                            line -> to.accept(AdminCommands.record(line)),
                             n -> {});
                     return null;
                 });
@@ -190,8 +193,8 @@
                             spec.commandLine(), "--outcome is '" + o + "': intent, good, bad or unknown is needed");
                 }
             }
-            each(store, DurableShelf.RESULTS, f -> {
-                Shelf.Kept k = DurableShelf.of(f);
+            each(store, DurableResultStore.RESULTS, f -> {
+                ResultStore.Kept k = DurableResultStore.of(f);
                 if (k != null && (outcomes.isEmpty() || outcomes.contains(kind(k)))) {
                     Map<String, Object> all = new LinkedHashMap<>();
                     all.put("workload", k.mark().workload().value());
@@ -229,11 +232,11 @@
 
         int settle(Settling.As as, byte[] result) throws IOException {
             store.change(
-                    List.of(DurableShelf.RESULTS, Settling.AUDIT),
-                    (d, c) -> Settling.settle(d, c, DurableShelf.mark(workload, key), as, result, by, why),
-                    desk -> {
-                        Desk.ask(
-                                desk,
+                    List.of(DurableResultStore.RESULTS, Settling.AUDIT),
+                    (d, c) -> Settling.settle(d, c, DurableResultStore.mark(workload, key), as, result, by, why),
+                    adminSocket -> {
+                        AdminSocket.ask(
+                                adminSocket,
                                 List.of(
                                         "settle",
                                         workload,
--- a/tool/src/main/java/tallyweir/tool/ResultsDrill.java
+++ b/tool/src/main/java/tallyweir/tool/ResultsDrill.java
@@ -26,7 +26,7 @@
 import tallyweir.durable.FileDisk;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.View;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.stand.History;
 import tallyweir.stand.StandKernel;
 import tallyweir.stand.StandSidecar;
@@ -282,7 +282,7 @@
                             Runnable::run,
                             Set.of());
                     View view = d.view()) {
-                filled = view.bytes(DurableShelf.RESULTS) / (double) ((long) BOUND_MB << 20);
+                filled = view.bytes(DurableResultStore.RESULTS) / (double) ((long) BOUND_MB << 20);
                 over = filled > 1 ? 1 : 0;
             }
         }
--- a/tool/src/main/java/tallyweir/tool/StoreOptions.java
+++ b/tool/src/main/java/tallyweir/tool/StoreOptions.java
@@ -10,9 +10,9 @@
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Option;
 import tallyweir.config.Operators;
+import tallyweir.durable.AdminSocket;
 import tallyweir.durable.Both;
 import tallyweir.durable.Committer;
-import tallyweir.durable.Desk;
 import tallyweir.durable.Disk;
 import tallyweir.durable.Durable;
 import tallyweir.durable.FileDisk;
@@ -69,19 +69,19 @@
 
     /** The same, asked of the process that holds it. */
     interface There<T> {
-        T at(Path desk) throws IOException;
+        T at(Path adminSocket) throws IOException;
     }
 
-    /** Looks at the store; where another process holds it and answers at its desk, that process is asked. */
+    /** Looks at the store; where another process holds it and answers at its admin socket, that process is asked. */
     <T> T look(Here<T> here, There<T> there) throws IOException {
         try (Durable d = look()) {
             return here.with(d);
         } catch (Refused r) {
             Operators o = which.settings == null ? null : Operators.read(which.settings);
-            if (r.why() != Refused.Cause.IN_USE || !Desk.answers(desk(o))) {
+            if (r.why() != Refused.Cause.IN_USE || !AdminSocket.answers(adminSocket(o))) {
                 throw r;
             }
-            return there.at(desk(o));
+            return there.at(adminSocket(o));
         }
     }
 
@@ -91,7 +91,7 @@
     }
 
     /**
-     * Changes something in the store; where another process holds it and answers at its desk, that process does it.
+     * Changes something in the store; where another process holds it and answers at its admin socket, that process does it.
      *
      * @param spaces what is written, where no operators' file says its bounds
      */
@@ -107,15 +107,15 @@
                 Committer c = new Committer(d, 64 << 20, 0, 1)) {
             here.with(d, c);
         } catch (Refused r) {
-            if (r.why() != Refused.Cause.IN_USE || !Desk.answers(desk(o))) {
+            if (r.why() != Refused.Cause.IN_USE || !AdminSocket.answers(adminSocket(o))) {
                 throw r;
             }
-            there.at(desk(o));
+            there.at(adminSocket(o));
         }
     }
 
-    private Path desk(Operators o) {
-        return o != null ? o.desk() : which.directories.dir.resolve("desk");
+    private Path adminSocket(Operators o) {
+        return o != null ? o.adminSocket() : which.directories.dir.resolve("desk");
     }
 
     /** Opens it, which mends what is damaged. */
--- a/tool/src/test/java/tallyweir/tool/MainTest.java
+++ b/tool/src/test/java/tallyweir/tool/MainTest.java
@@ -22,7 +22,7 @@
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
 import tallyweir.ids.JobId;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Known;
 import tallyweir.results.Settling;
 
@@ -87,7 +87,7 @@
     }
 
     @Test
-    void aStoreInUseIsAskedAboutAtItsDesk(@TempDir Path dir) throws IOException {
+    void aStoreInUseIsAskedAboutAtItsAdminSocket(@TempDir Path dir) throws IOException {
         Path at = dir.resolve("store");
         String store = at.toString();
         fill(at);
@@ -104,7 +104,7 @@
                 List.of(new Namespace("a", 1 << 20, false)))) {
             assertEquals(1, run("durable", "info", "--dir", store));
             assertTrue(err.toString().contains("is open in this process"), err.toString());
-            s.openDesk(at.resolve("desk"), java.util.Map.of());
+            s.openAdminSocket(at.resolve("desk"), java.util.Map.of());
             assertEquals(0, run("durable", "info", "--dir", store, "--json"), err.toString());
             assertTrue(out.toString().contains("\"keys\":30"), out.toString());
             assertEquals(0, run("durable", "get", "--dir", store, "--namespace", "a", "k7"));
@@ -243,16 +243,16 @@
         String store = at.toString();
         Path result = Files.writeString(dir.resolve("result"), "slot 7");
         List<Namespace> spaces = List.of(
-                new Namespace(DurableShelf.RESULTS, 1 << 20, false),
-                new Namespace(DurableShelf.INTENTS, 1 << 20, false),
+                new Namespace(DurableResultStore.RESULTS, 1 << 20, false),
+                new Namespace(DurableResultStore.INTENTS, 1 << 20, false),
                 new Namespace(Settling.AUDIT, 1 << 20, false));
         try (FileStore s = new FileStore(
                 at.resolve("first"), at.resolve("second"), 1 << 20, 4_096, 0.5, 0, 1 << 20, 0, 1 << 20, spaces)) {
             for (int i = 0; i < 4; i++) {
                 Batch b = new Batch();
-                DurableShelf.put(
+                DurableResultStore.put(
                         b,
-                        DurableShelf.mark("reset", "m" + i),
+                        DurableResultStore.mark("reset", "m" + i),
                         new JobId("j"),
                         1,
                         i == 3 ? Known.GOOD : Known.UNKNOWN,
@@ -260,8 +260,9 @@
                         FileStore.clock() + 36_000_000);
                 s.committer().write(b);
             }
-            java.util.Map<String, tallyweir.durable.Desk.Verb> verbs = Settling.verbs(s.store(), s.committer());
-            s.openDesk(at.resolve("desk"), verbs);
+            java.util.Map<String, tallyweir.durable.AdminSocket.Command> verbs =
+                    Settling.commands(s.store(), s.committer());
+            s.openAdminSocket(at.resolve("desk"), verbs);
             assertEquals(0, settle(store, "m0", "ran", "--result", result.toString()), err.toString());
             assertEquals(1, settle(store, "m3", "never-ran"));
             assertTrue(err.toString().contains("its outcome is known"), err.toString());
