A health check gets in while every other connection is owed an answer; two crossings forced

Seen, forced on real sockets with 64 descriptors (32 connections of callers, a query on each): a check waited in the listener's queue until the first query was given up (the failing test took 4.3 s), as a connection shows only by its request what it is.

Cause: nothing kept one connection from owing an answer. Behind it a second one: a connection that becomes idle was to give way to whoever waits, but was asked in the round in which its own answer was still to be written (Connections.restIfIdle, full, Server.endQuiet), could not, and was not asked again until another one became idle.

Change: Connections tells the decisions when a query is on the last connection on which nothing is owed while there is room for no other (Choice.lastConnection); they refuse it, and the connection gives way. Whoever cannot give way in the round is asked again 10 ms later. connections_waited counts only where an answer is owed on every connection, as oncall.md says; queries_on_last_connection is new. With 512 descriptors that is the 424th connection, past what sidecars may open (256).

The test of the idle store link that the store closes waits for both pieces in Arrivals (Server.peerPieces) in place of a sleep of 200 ms; the end of a peer's link counts as a piece of that peer. It now also asserts that the idle link had taken the call (calls_never_sent=1) and answers gauges, without which a busy machine had its link to the kernel opened anew after 2 s.

Tried first: a crowd on two cores; the decisions shed some of it for its wait, so connections gave way by themselves and nothing was forced; now all run at once.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -77,6 +77,7 @@
     private long idleMost;
     private long idleFor;
     private Query fresh;
+    private boolean lastConnection; // the query read next would leave a health check none
     private double draw;
     private long order;
     private long wakeAt = Long.MAX_VALUE;
@@ -120,6 +121,7 @@
         // What is owed comes first, then what was just read, then what waits below, then the cores.
         rules.add(this::somethingDue, this::answerDue);
         rules.add(() -> fresh != null && hopeless(fresh), () -> deferFresh(keepOffMost, true));
+        rules.add(() -> fresh != null && lastConnection, () -> deferFresh(adviceFor(), false));
         rules.add(
                 () -> fresh != null && fresh.leader == null && (draw < chanceFor(fresh) || tooLate(fresh)),
                 () -> deferFresh(adviceFor(), nowhereElse(fresh)));
@@ -277,6 +279,14 @@
         settle();
     }
 
+    /**
+     * Whether the query that is read next is on the last connection that owes no answer, while there is room for no other.
+     * Taken, it would keep health checks out until a query ends, and a server that is only busy would look dead.
+     */
+    public void lastConnection(boolean last) {
+        lastConnection = last;
+    }
+
     /** One draw a read; whoever watches other settings beside these lets them have the same. */
     protected double draw() {
         return chance.nextDouble();
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -73,6 +73,17 @@
         assertEquals("waits on reuse", repeat.place);
     }
 
+    /** A check waits where an answer is owed on each connection, and the server looks dead while it is only busy. */
+    @Test
+    void theLastConnectionIsLeftToHealthChecks() {
+        m.choice.lastConnection(true);
+        m.read(3, 0, 40_000, 10, false, null);
+        assertEquals(1, count("defer"), "with idle cores too");
+        m.choice.lastConnection(false);
+        m.read(3, 0, 40_000, 10, false, null);
+        assertEquals(List.of(1L, 1L), List.of(count("defer"), count("run")));
+    }
+
     /** The rules once went round for ever on work that was stopped, fell back and then ran out of time. */
     @Test
     void stoppedWorkThatFellBackIsAnsweredOnceInTime() {
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -55,7 +55,7 @@
                 deadlines,
                 counters,
                 config.settings,
-                callersMost(config.sockets) - callersMost(config.sockets) / SOCKETS_APART,
+                connectionLimits(config.sockets),
                 config.sockets / SOCKETS_STORE,
                 config.seed,
                 now,
@@ -98,6 +98,11 @@
         return sockets - sockets / SOCKETS_STORE - SOCKETS_OWN;
     }
 
+    private static ConnectionLimits connectionLimits(int sockets) {
+        int most = callersMost(sockets);
+        return new ConnectionLimits(most - most / SOCKETS_APART, most);
+    }
+
     /** The slot of a new connection. */
     public ConnectionId accepted() {
         return queries.connections().accepted();
--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -30,7 +30,7 @@
     private static final double SIZE_MOST = 2_000; // KB, by the protocol
     private static final long HALF_MOST = 20_000; // a silent or half sent thing is told so within three seconds
     private static final int HALVES_MOST = 1_024;
-    private static final long LEAVE_AGAIN = 100; // what lies unread when it is to be ended is read first
+    private static final long END_AGAIN = 100; // what lies unread or unwritten on one that is to end goes first
     private static final long LINGER = 10_000; // a second: the other side sees the end sooner, or never
     private static final int LINGERS_APART = 8; // of the table, one in so many may linger
     private static final byte[] NONE = {};
@@ -41,7 +41,7 @@
     private final Queries queries;
     private final RateLimitedLog warnings;
     private final Slots<Connection> slots = new Slots<>();
-    private final int most;
+    private final ConnectionLimits limits;
     private final long halfFor;
     private final long idleMost;
     private final long longestHard;
@@ -52,15 +52,22 @@
     private boolean good = true;
     private boolean back; // stands back
     private boolean leaving; // nothing more is taken in, as the stop is near
+    private Deadlines.Deadline makeRoomAgain; // null if it is not set
     private final ArrayDeque<Connection> lingering =
             new ArrayDeque<>(); // ended by us and not yet by them, the oldest first
 
-    Connections(Links links, Deadlines deadlines, Counters counters, Queries queries, Settings settings, int most) {
+    Connections(
+            Links links,
+            Deadlines deadlines,
+            Counters counters,
+            Queries queries,
+            Settings settings,
+            ConnectionLimits limits) {
         this.links = links;
         this.deadlines = deadlines;
         this.counters = counters;
         this.queries = queries;
-        this.most = most;
+        this.limits = limits;
         warnings = new RateLimitedLog(Connections.class, queries::now);
         longestHard = settings.longestHard();
         halfFor = Math.min(HALF_MOST, Math.max(HALF_MOST / 2, longestHard));
@@ -72,7 +79,7 @@
 
     /** A connection was accepted: its slot. Past the table's room others are to give way to it. */
     ConnectionId accepted() {
-        if (slots.size() >= most) {
+        if (slots.size() >= limits.usual()) {
             makeRoom();
         }
         counters.add(Count.CONNECTIONS_ACCEPTED);
@@ -81,7 +88,7 @@
         c.idleSince = queries.now();
         c.rest(halfFor); // one that has sent nothing yet is about to
         if (leaving) {
-            deadlines.set(queries.now() + LEAVE_AGAIN, c::leave); // its request is on its way
+            deadlines.set(queries.now() + END_AGAIN, c::leave); // its request is on its way
         }
         return c.slot;
     }
@@ -93,13 +100,23 @@
      */
     void full() {
         boolean room = makeRoom();
-        while (room && lingering.size() <= most / LINGERS_APART) {
+        while (room && lingering.size() <= lingersMost()) {
             room = makeRoom();
         }
-        if (lingering.size() > most / LINGERS_APART) {
+        if (lingering.size() > lingersMost()) {
             lingering.peek().drop();
-        } else if (lingering.isEmpty()) {
+        } else if (lingering.isEmpty() && slots.all().stream().noneMatch(Connection::owesNothing)) {
             counters.add(Count.CONNECTIONS_WAITED);
+        } else if (lingering.isEmpty() && makeRoomAgain == null) {
+            makeRoomAgain = deadlines.set(queries.now() + END_AGAIN, this::fullAgain);
+        }
+    }
+
+    /** An answer that was not written yet, or a request not read yet, kept a connection from giving way. */
+    private void fullAgain() {
+        makeRoomAgain = null;
+        if (links.callersWait()) {
+            full();
         }
     }
 
@@ -153,13 +170,24 @@
      * that a caller waits, nor before the longest span while there is room.
      */
     private long idleFor() {
-        return slots.size() > most / 2 ? Math.max(idleFor, longestHard) : idleMost;
+        return slots.size() > limits.usual() / 2 ? Math.max(idleFor, longestHard) : idleMost;
     }
 
     int size() {
         return slots.size();
     }
 
+    private int lingersMost() {
+        return limits.usual() / LINGERS_APART;
+    }
+
+    /** Whether a query on this one would leave no connection that can give way, as an answer is owed on each. */
+    private boolean isLastWithNothingOwed(Connection c) {
+        return slots.size() >= limits.most()
+                && c.owed.isEmpty()
+                && slots.all().stream().allMatch(other -> other == c || !other.owed.isEmpty());
+    }
+
     /**
      * Makes room for a new connection by closing one that owes and awaits no answer: of those that never sent a
      * whole request the one silent longest, else the one idle longest, else the one whose last request was begun
@@ -167,12 +195,12 @@
      * over, and silent connections by hundreds would have closed the idle ones of callers in use.
      */
     private boolean makeRoom() {
-        if (lingering.size() > most / LINGERS_APART) {
+        if (lingering.size() > lingersMost()) {
             lingering.peek().drop();
             return true;
         }
         List<Connection> quiet = slots.all().stream()
-                .filter(c -> !c.closing && !c.ending && c.owed.isEmpty())
+                .filter(Connection::owesNothing)
                 .sorted((a, b) -> a.before(b) ? -1 : b.before(a) ? 1 : 0)
                 .toList();
         for (Connection c : quiet) {
@@ -199,6 +227,10 @@
         private Deadlines.Deadline lingers;
         private ConnectionId slot;
 
+        private boolean owesNothing() {
+            return !closing && !ending && owed.isEmpty();
+        }
+
         private boolean before(Connection o) {
             return asked != o.asked
                     ? !asked
@@ -281,7 +313,7 @@
         /** Idle ones end at once, others when nothing is owed any more. */
         private void leave() {
             if (!closing && !ending && owed.isEmpty() && !links.endQuiet(slot)) {
-                deadlines.set(queries.now() + LEAVE_AGAIN, this::leave);
+                deadlines.set(queries.now() + END_AGAIN, this::leave);
             } else if (!closing && !ending && owed.isEmpty()) {
                 counters.add(Count.CONNECTIONS_CLOSED_LEAVING);
                 closes();
@@ -434,6 +466,8 @@
                 }
                 way.counts = new TenantId(tenant);
             }
+            boolean last = isLastWithNothingOwed(this);
+            counters.add(Count.QUERIES_ON_LAST_CONNECTION, last ? 1 : 0);
             owed.put(id, way);
             way.taken = queries.read(
                     way,
@@ -448,7 +482,8 @@
                     size,
                     rank,
                     patience,
-                    "1".equals(fields.text(Fields.AGAIN)));
+                    "1".equals(fields.text(Fields.AGAIN)),
+                    last);
         }
 
         private static void inRange(String field, boolean is) {
--- a/daemon/src/main/java/tallyweir/backend/Counters.java
+++ b/daemon/src/main/java/tallyweir/backend/Counters.java
@@ -25,6 +25,7 @@
         QUERIES_MALFORMED,
         QUERIES_HALF,
         QUERIES_GONE,
+        QUERIES_ON_LAST_CONNECTION,
         ANSWERED_HANDLED,
         ANSWERED_DEFERRED,
         ANSWERED_ERRORED,
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -68,7 +68,7 @@
             Deadlines deadlines,
             Counters counters,
             Settings settings,
-            int connectionsMost,
+            ConnectionLimits connectionLimits,
             int storeLinks,
             long seed,
             long now,
@@ -87,7 +87,7 @@
         LongSupplier linkNumbers = new AtomicLong()::incrementAndGet;
         kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
-        connections = new Connections(links, deadlines, counters, this, settings, connectionsMost);
+        connections = new Connections(links, deadlines, counters, this, settings, connectionLimits);
         kept = shelf == null ? null : new KeptResults(this, shelf);
         if (kept != null) {
             counters.now("unsettled", kept::unsettled);
@@ -191,7 +191,11 @@
         return workloads.get(workload);
     }
 
-    /** Takes a query in; null if it was answered at once. The wall's times are only used for what comes in. */
+    /**
+     * Takes a query in; null if it was answered at once. The wall's times are only used for what comes in.
+     *
+     * @param lastConnection taken, it would leave no connection without an answer owed
+     */
     InFlight read(
             Answer way,
             JobId job,
@@ -205,7 +209,8 @@
             double size,
             double rank,
             long patience,
-            boolean again) {
+            boolean again,
+            boolean lastConnection) {
         counters.add(Count.QUERIES_READ);
         if (choice == null) {
             // No kernel was there yet: nothing can run, so nothing has.
@@ -262,6 +267,7 @@
                 default -> {}
             }
         }
+        choice.lastConnection(lastConnection);
         choice.read(t.id, earlier, caller, subject, workload, size, age, rank, left, again, tenant, 0);
         return t.released ? null : t;
     }
--- a/daemon/src/main/java/tallyweir/backend/Watch.java
+++ b/daemon/src/main/java/tallyweir/backend/Watch.java
@@ -141,6 +141,14 @@
         }
     }
 
+    @Override
+    public void lastConnection(boolean last) {
+        super.lastConnection(last);
+        if (others != null) {
+            others.lastConnection(last);
+        }
+    }
+
     @Override
     protected double draw() {
         drawn = super.draw();
--- a/daemon/src/main/java/tallyweir/net/Arrivals.java
+++ b/daemon/src/main/java/tallyweir/net/Arrivals.java
@@ -37,6 +37,7 @@
     private final Condition something = lock.newCondition();
     private final ArrayDeque<Runnable> first = new ArrayDeque<>();
     private final ArrayDeque<Inbox> turns = new ArrayDeque<>();
+    private int peerPieces; // of all peers, whose turn has not come
 
     void put(Runnable news) {
         lock.lock();
@@ -57,6 +58,7 @@
                 piece.run();
             });
             from.waiting++;
+            peerPieces++;
             steer(from, PEER_PIECES_MOST);
             something.signal();
         } finally {
@@ -68,12 +70,23 @@
         lock.lock();
         try {
             peer.waiting--;
+            peerPieces--;
             steer(peer, most);
         } finally {
             lock.unlock();
         }
     }
 
+    /** Pieces of the peers that have arrived and that the deciding thread has not gone through. */
+    int peerPieces() {
+        lock.lock();
+        try {
+            return peerPieces;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     void put(Inbox from, Runnable piece) {
         lock.lock();
         try {
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -430,7 +430,7 @@
 
             @Override
             public void sessionClosed(IoSession session) {
-                tell(() -> {
+                arrived.putFirst(inbox(session), () -> {
                     LinkId link = (LinkId) session.getAttribute(LINK);
                     if (peers.remove(link) != null) {
                         backend.down(link, unwritten(session));
@@ -666,6 +666,11 @@
         backend.counters().also(prefix, figures);
     }
 
+    /** Pieces of the peers, ends of their links too, that have arrived and that the deciding thread has not gone through. */
+    public int peerPieces() {
+        return arrived.peerPieces();
+    }
+
     /** The counters as they are. */
     public String counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
--- a/daemon/src/test/java/tallyweir/CrossingsTest.java
+++ b/daemon/src/test/java/tallyweir/CrossingsTest.java
@@ -16,6 +16,7 @@
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +29,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import tallyweir.backend.Backend;
 import tallyweir.config.Config;
 import tallyweir.net.Server;
 
@@ -64,15 +66,19 @@
         }
     }
 
-    private void start(int sockets, String from, String to) throws Exception {
+    /** @param changes of the configuration, from and to in turn */
+    private void start(int sockets, String... changes) throws Exception {
         String text = BackendTest.CONFIG
                 .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelAt.getLocalPort() + "\"")
                 .replace("127.0.0.1:3\"", "127.0.0.1:" + storeAt.getLocalPort() + "\"")
-                .replace("\"sockets\":64", "\"sockets\":" + sockets)
-                .replace(from, to);
+                .replace("\"sockets\":64", "\"sockets\":" + sockets);
+        for (int i = 0; i < changes.length; i += 2) {
+            text = text.replace(changes[i], changes[i + 1]);
+        }
+        byte[] configuration = text.getBytes(UTF_8);
         CompletableFuture<Server> bound = new CompletableFuture<>();
         deciding = new Thread(() -> {
-            Server s = new Server(Config.parse(text.getBytes(UTF_8), Map.of()));
+            Server s = new Server(Config.parse(configuration, Map.of()));
             s.counts("held_", () -> {
                 holds.countDown();
                 await(held);
@@ -143,7 +149,7 @@
     /** A close over unread bytes resets the connection, and with it goes what the other side has not read yet. */
     @Test
     void whatWasAnsweredBeforeASpoiltRecordIsReadAndThenAnEndThatIsNoReset() throws Exception {
-        start(64, "", "");
+        start(64);
         try (Socket caller = dial(server.address())) {
             hold();
             caller.getOutputStream().write(Model.join(check(1), SPOILT));
@@ -164,7 +170,7 @@
     /** A request that wants the connection closed, or a spoilt record, took the answers of all others with it. */
     @Test
     void whatIsOwedIsAnsweredBeforeTheConnectionIsClosed() throws Exception {
-        start(64, "", "");
+        start(64);
         int i = 0;
         for (byte[] end : List.of(last(check(9)), SPOILT)) {
             String job = "00000000000000a" + i++;
@@ -187,7 +193,7 @@
     /** Past so many bytes unwritten a connection that was only slow was closed, with all its answers. */
     @Test
     void whoeverReadsSlowlyIsReadNoMoreUntilItHasAllItsAnswers() throws Exception {
-        start(64, "", "");
+        start(64);
         int many = 10_000;
         AtomicInteger asked = new AtomicInteger();
         try (Socket caller = new Socket()) {
@@ -221,7 +227,7 @@
     /** What the machine had accepted beyond the limit was closed at once, with the request that lay on it. */
     @Test
     void whoeverConnectsWhileTheTableIsFullWaitsAndIsAnswered() throws Exception {
-        start(64, "", "");
+        start(64);
         List<Socket> crowd = new ArrayList<>();
         hold();
         for (int i = 0; i < 120; i++) {
@@ -253,6 +259,49 @@
         assertEquals(List.of(), answeredAll(crowd));
     }
 
+    /** With an answer owed on each connection a check waited until one of the queries had ended. */
+    @Test
+    void aCheckIsAnsweredWhileEveryOtherConnectionIsOwedAnAnswer() throws Exception {
+        start(64, "\"TargetUs\":1800000", "\"TargetUs\":4600000", "\"Cpus\":2", "\"Cpus\":64"); // all run at once
+        List<Socket> crowd = new ArrayList<>();
+        for (int i = 0; i < Backend.callersMost(64); i++) {
+            Socket s = dial(server.address());
+            s.getOutputStream().write(query(1, "00000000000000" + (10 + i)));
+            crowd.add(s);
+        }
+        CompletableFuture<Integer> check = CompletableFuture.supplyAsync(() -> statusOfCheck(server.address()));
+        Awaitility.await().until(() -> !answered(crowd).isEmpty());
+        try (Socket givesWay = answered(crowd).get(0)) {
+            assertEquals(503, answer(givesWay.getInputStream()).status());
+            assertEquals(-1, givesWay.getInputStream().read());
+            crowd.remove(givesWay);
+        }
+        assertEquals(200, check.get(PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(List.of(), answered(crowd), "no other gave way: " + server.counters());
+        for (Socket s : crowd) {
+            s.close();
+        }
+    }
+
+    private static int statusOfCheck(SocketAddress at) {
+        try {
+            return ServerTest.check(at);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Those on which something can be read. */
+    private static List<Socket> answered(List<Socket> crowd) throws IOException {
+        List<Socket> answered = new ArrayList<>();
+        for (Socket s : crowd) {
+            if (s.getInputStream().available() > 0) {
+                answered.add(s);
+            }
+        }
+        return answered;
+    }
+
     /** Closes each once it has its answer; returns what went wrong. */
     private static List<String> answeredAll(List<Socket> crowd) {
         List<String> lost = new ArrayList<>();
@@ -269,46 +318,65 @@
     /** An idle link that the store closed in the round in which it was taken: nothing of the call was written, so none ran. */
     @Test
     void aCallOfWhichNothingWasWrittenGoesAnotherWay() throws Exception {
-        start(64, "", "");
+        start(64);
         String first = "00000000000000b1";
         String second = "00000000000000b2";
         try (Socket caller = dial(server.address())) {
             caller.getOutputStream().write(query(1, first));
-            next(commands, "SCHED");
+            command("SCHED");
+            caller.getOutputStream().write(ofWorkload("u", query(2, second)));
+            command("SCHED");
             needs(first);
             Socket link = storeAt.accept();
-            link.setSoTimeout(PATIENCE_MS);
-            BufferedReader calls = new BufferedReader(new InputStreamReader(link.getInputStream(), UTF_8));
-            assertTrue(calls.readLine().startsWith("CALL " + first));
-            link.getOutputStream().write((first + " OK 5\r\nreply\r\n").getBytes(UTF_8));
-            next(commands, "IODONE");
-            reap(first);
-            answer(caller.getInputStream());
-            caller.getOutputStream().write(ofWorkload("u", query(2, second)));
-            next(commands, "SCHED");
-            hold();
+            replyTo(first, link);
+            command("IODONE");
+            hold(); // soon enough: an idle link is dropped after half a second
+            int before = server.peerPieces();
             needs(second);
-            settled(kernel);
+            arrived(before + 1);
             link.close();
-            settled(kernel);
+            arrived(before + 2);
             release();
             CompletableFuture<Socket> taken = CompletableFuture.supplyAsync(() -> accept(storeAt));
             while (!taken.isDone()) { // calls are made again when the gauges are read
-                String tag = next(commands, "SYSINFO").replaceAll(".*\"ref\":\"(\\w+)\".*", "$1");
-                tell("{\"type\":\"INFO\",\"ref\":\"" + tag + "\",\"gauges\":[0.1,1]}");
+                answerGauges(next(commands, "SYSINFO"));
             }
             try (Socket other = taken.get()) {
-                other.setSoTimeout(PATIENCE_MS);
-                BufferedReader again = new BufferedReader(new InputStreamReader(other.getInputStream(), UTF_8));
-                assertTrue(again.readLine().startsWith("CALL " + second));
-                other.getOutputStream().write((second + " OK 5\r\nreply\r\n").getBytes(UTF_8));
-                next(commands, "IODONE");
-                reap(second);
-                assertEquals(200, answer(caller.getInputStream()).status());
+                replyTo(second, other);
+                command("IODONE");
+                for (String job : List.of(first, second)) {
+                    reap(job);
+                    assertEquals(200, answer(caller.getInputStream()).status());
+                }
+                assertTrue(server.counters().contains(" calls_never_sent=1 "), "the idle link had taken it");
             }
         }
     }
 
+    private static void replyTo(String job, Socket link) throws IOException {
+        link.setSoTimeout(PATIENCE_MS);
+        BufferedReader calls = new BufferedReader(new InputStreamReader(link.getInputStream(), UTF_8));
+        assertTrue(calls.readLine().startsWith("CALL " + job));
+        link.getOutputStream().write((job + " OK 5\r\nreply\r\n").getBytes(UTF_8));
+    }
+
+    /** The next one of that type; gauges that are asked for before are answered, or the link would be given up. */
+    private String command(String type) throws IOException {
+        String line = commands.readLine();
+        while (!line.contains("\"" + type + "\"")) {
+            answerGauges(line);
+            line = commands.readLine();
+        }
+        return line;
+    }
+
+    private void answerGauges(String line) throws IOException {
+        if (line.contains("\"SYSINFO\"")) {
+            String tag = line.replaceAll(".*\"ref\":\"(\\w+)\".*", "$1");
+            tell("{\"type\":\"INFO\",\"ref\":\"" + tag + "\",\"gauges\":[0.1,1]}");
+        }
+    }
+
     private static Socket accept(ServerSocket at) {
         try {
             return at.accept();
@@ -323,8 +391,11 @@
                 .getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
     }
 
-    /** What was written to the server is in its hands: its thread for the peers has nothing left to read. */
-    private static void settled(Socket peer) throws Exception {
-        TimeUnit.MILLISECONDS.sleep(200);
+    /** Returns once the server has so many pieces of its peers that it cannot go through, as its deciding thread is held. */
+    private void arrived(int pieces) {
+        Awaitility.await()
+                .atMost(Duration.ofMillis(PATIENCE_MS))
+                .pollInterval(Duration.ofMillis(1))
+                .until(() -> server.peerPieces() == pieces);
     }
 }
--- a/daemon/src/test/java/tallyweir/net/ArrivalsTest.java
+++ b/daemon/src/test/java/tallyweir/net/ArrivalsTest.java
@@ -54,7 +54,9 @@
             arrivals.putFirst(peer, () -> {});
         }
         assertEquals(List.of("store suspended"), log);
+        assertEquals(Arrivals.PEER_PIECES_MOST, arrivals.peerPieces());
         assertEquals(List.of("store suspended", "store resumed"), taken());
+        assertEquals(0, arrivals.peerPieces());
     }
 
     /** Answers that do not go out and pieces that are not taken each keep a caller from being read. */
