--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -13,7 +13,7 @@
 import tallyweir.fleet.Guard;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
@@ -44,8 +44,8 @@
         this(links, config, now, wall, null);
     }
 
-    /** @param shelf where results of queries with an effect are kept over restarts, null for nowhere */
-    public Backend(Links links, Config config, long now, long wall, Shelf shelf) {
+    /** @param resultStore where results of queries with an effect are kept over restarts, null for nowhere */
+    public Backend(Links links, Config config, long now, long wall, ResultStore resultStore) {
         this.links = links;
         this.now = now;
         name = config.name;
@@ -55,11 +55,11 @@
                 deadlines,
                 counters,
                 config.settings,
-                callersMost(config.sockets) - callersMost(config.sockets) / SOCKETS_APART,
+                connectionLimits(config.sockets),
                 config.sockets / SOCKETS_STORE,
                 config.seed,
                 now,
-                shelf);
+                resultStore);
         queries.clock(now, wall);
     }
 
@@ -98,6 +98,11 @@
         return sockets - sockets / SOCKETS_STORE - SOCKETS_OWN;
     }
 
+    private static ConnectionLimits connectionLimits(int sockets) {
+        int most = callersMost(sockets);
+        return new ConnectionLimits(most - most / SOCKETS_APART, most);
+    }
+
     /** The slot of a new connection. */
     public ConnectionId accepted() {
         return queries.connections().accepted();
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -46,7 +46,7 @@
 import tallyweir.fleet.Guard;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * The sockets round one backend. MINA's threads only lay down what arrived; one thread takes it up,
@@ -100,9 +100,9 @@
         this(config, server -> null);
     }
 
-    /** Makes the shelf on which results are kept over restarts, null for none. */
+    /** Makes the result store on which results are kept over restarts, null for none. */
     public interface Shelves {
-        Shelf make(Executor deciding) throws IOException;
+        ResultStore make(Executor deciding) throws IOException;
     }
 
     /** @param shelves given what runs news on the deciding thread, which is the one that makes this server */
@@ -430,7 +430,7 @@
 
             @Override
             public void sessionClosed(IoSession session) {
-                tell(() -> {
+                arrived.putFirst(inbox(session), () -> {
                     LinkId link = (LinkId) session.getAttribute(LINK);
                     if (peers.remove(link) != null) {
                         backend.down(link, unwritten(session));
@@ -667,6 +667,11 @@
         backend.counters().also(prefix, figures);
     }
 
+    /** Pieces of the peers, ends of their links too, that have arrived and that the deciding thread has not gone through. */
+    public int peerPieces() {
+        return arrived.peerPieces();
+    }
+
     /** The counters as they are. */
     public String counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
