--- a/consensus/src/test/java/tallyweir/fleet/ratis/TransfersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/TransfersTest.java
@@ -22,7 +22,8 @@
 
 /** Tables fetched from voters, of which one ends meanwhile. */
 class TransfersTest {
-    private static final int MANY = 20_000;
+    // Larger ones are tried with -Dtransfer.caps=400000.
+    private static final int MANY = Integer.getInteger("transfer.caps", 20_000);
     private static final List<Change> FIRST = VoterCluster.caps(MANY, -1, 1);
     private static final List<Change> SECOND = VoterCluster.caps(3, 1, 2);
 
