--- a/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Auditor.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import tallyweir.fleet.ChangeRecord;
+import tallyweir.fleet.Digest;
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
@@ -31,6 +32,7 @@
 
     private final Object lock;
     private final Map<RevisionId, Difference> differences = new ConcurrentHashMap<>();
+    private volatile CappedTenants capped = new CappedTenants(Digest.NONE, 0, List.of());
 
     /** @param lock that guards the state */
     Auditor(Object lock) {
@@ -49,6 +51,26 @@
         }
     }
 
+    /**
+     * The tenants with a cap in one table.
+     *
+     * @param root of the table
+     * @param first some of their caps, by name
+     */
+    private record CappedTenants(Digest root, int count, List<Entry> first) {
+        private static CappedTenants of(Table table) {
+            List<Entry> caps = new ArrayList<>();
+            table.forEach(entry -> {
+                if (entry.key().kind() == Kind.CAP) {
+                    caps.add(entry);
+                }
+            });
+            caps.sort(Comparator.comparing(Entry::key));
+            List<Entry> first = caps.subList(0, Math.min(caps.size(), FleetAudit.CAPS_MOST));
+            return new CappedTenants(table.root(), caps.size(), List.copyOf(first));
+        }
+    }
+
     /** A revision and the tables that it changes and makes, taken under the lock. */
     private record RevisionTables(Revision revision, Optional<Table> before, Optional<Table> after) {}
 
@@ -60,7 +82,7 @@
             inForce = state.table(state.inForce());
         }
         latest.forEach(this::difference);
-        List<Entry> caps = caps(inForce);
+        CappedTenants caps = cappedTenants(inForce);
         synchronized (lock) {
             return audit(state, latest, caps);
         }
@@ -85,18 +107,17 @@
                 tables.revision.id(), id -> Difference.of(tables.before.get().differenceTo(tables.after.get())));
     }
 
-    private static List<Entry> caps(Table table) {
-        List<Entry> caps = new ArrayList<>();
-        table.forEach(entry -> {
-            if (entry.key().kind() == Kind.CAP) {
-                caps.add(entry);
-            }
-        });
-        caps.sort(Comparator.comparing(Entry::key));
-        return caps;
+    /** Goes through a table once, however often it is audited. */
+    private CappedTenants cappedTenants(Table table) {
+        CappedTenants known = capped;
+        if (!known.root.equals(table.root())) {
+            known = CappedTenants.of(table);
+            capped = known;
+        }
+        return known;
     }
 
-    private FleetAudit audit(State state, List<RevisionTables> latest, List<Entry> caps) {
+    private FleetAudit audit(State state, List<RevisionTables> latest, CappedTenants caps) {
         return new FleetAudit(
                 state.fleet(),
                 state.version(),
@@ -109,11 +130,8 @@
                 state.refused().stream().map(Auditor::outsideRevision).toList(),
                 state.servers().stream().map(Auditor::server).toList(),
                 state.gone().stream().map(Auditor::server).toList(),
-                caps.size(),
-                caps.stream()
-                        .limit(FleetAudit.CAPS_MOST)
-                        .map(entry -> cap(state, entry))
-                        .toList());
+                caps.count,
+                caps.first.stream().map(entry -> cap(state, entry)).toList());
     }
 
     private FleetAudit.RevisionAudit revision(RevisionTables tables) {
--- a/consensus/src/main/java/tallyweir/fleet/ratis/TableFetch.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/TableFetch.java
@@ -29,7 +29,7 @@
     private final String names;
     private final long giveUpMs;
     private int next;
-    private boolean mismatchLogged;
+    private boolean mismatchLogged; // since the last fetch that succeeded
     private Optional<TableTransfer> transfer = Optional.empty();
 
     /**
@@ -56,6 +56,7 @@
         }
         Table fetched = byDifference(have, wanted).orElseGet(() -> byPieces(have, wanted.root()));
         transfer = Optional.empty();
+        mismatchLogged = false;
         return fetched;
     }
 
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VoterCluster.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VoterCluster.java
@@ -59,7 +59,7 @@
         await().atMost(PATIENCE).until(() -> client.audit().version() == 1);
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
--- a/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
+++ b/consensus/src/test/java/tallyweir/fleet/ratis/VotersTest.java
@@ -107,6 +107,8 @@
         assertEquals(new RevisionId(1), audit.inForce(), "after all have started anew");
         assertEquals(VoterCluster.SERVER, audit.servers().get(0).server());
         assertEquals(revision.root(), audit.servers().get(0).digest());
+        assertEquals(1, audit.capped());
+        assertEquals(8, audit.caps().get(0).cap());
         assertEquals(1, audit.toJson().get("in_force").longValue());
         assertEquals("s", audit.toJson().get("servers").get(0).get("server").textValue());
         assertEquals(
