Explorer: the test of the scene CHANGES without its guard, and less hashing

A server's table is looked up by its root only when it changes, since the digest's text was hashed anew at each step.

--- a/fleet/src/main/java/tallyweir/fleet/Explorer.java
+++ b/fleet/src/main/java/tallyweir/fleet/Explorer.java
@@ -67,6 +67,7 @@
         private RevisionId said = RevisionId.NONE; // that it acts on
         private RevisionId acts = RevisionId.NONE; // that it does act on
         private Table table = Table.EMPTY; // in use
+        private boolean mixed; // no revision has that table
         private RevisionRoot toAct = RevisionRoot.NONE;
         private RevisionRoot toCheck = RevisionRoot.NONE;
         private final ArrayDeque<Long> open = new ArrayDeque<>(); // since when; each on a connection of its own
@@ -88,6 +89,7 @@
             said = RevisionId.NONE;
             acts = RevisionId.NONE;
             table = Table.EMPTY;
+            mixed = false;
             toAct = RevisionRoot.NONE;
             toCheck = RevisionRoot.NONE;
             open.clear();
@@ -149,6 +151,7 @@
             if (!lie) {
                 acts = said;
                 table = fetched;
+                mixed = in.state.table(table.root()).isEmpty();
             }
             gate.caps(tenant -> RevisionControl.connections(fetched.get(new Key(Kind.CAP, tenant.value()))));
             member.acting(said, lie ? new Digest("lie") : table.root(), 0);
@@ -510,8 +513,7 @@
             if (accepted.containsAll(List.of("a", "b"))) {
                 wrong.add("two operators were both told that their change of the same entry is taken");
             }
-            if (servers.stream()
-                    .anyMatch(server -> state.table(server.table.root()).isEmpty())) {
+            if (servers.stream().anyMatch(server -> server.mixed)) {
                 wrong.add("a server acts on what no revision says");
             }
             if (state.out() > (state.live() + state.out()) / 2) {
--- a/fleet/src/main/java/tallyweir/fleet/RevisionHistory.java
+++ b/fleet/src/main/java/tallyweir/fleet/RevisionHistory.java
@@ -14,6 +14,8 @@
     /** How many revisions are gone back through for who changed an entry last. */
     static final int BLAME_MOST = 500;
 
+    private static final Digest EMPTY_ROOT = Table.EMPTY.root();
+
     private final TreeMap<RevisionId, Revision> all = new TreeMap<>();
     private final Map<Digest, Table> tables = new HashMap<>(); // of all that were not turned down, by root
     private final Map<OperatorCommand, ChangeRecord> commands = new HashMap<>();
@@ -22,7 +24,7 @@
     private long firstSince = Long.MAX_VALUE; // when the first came into force
 
     RevisionHistory() {
-        tables.put(Table.EMPTY.root(), Table.EMPTY);
+        tables.put(EMPTY_ROOT, Table.EMPTY);
     }
 
     // ---- what there is
@@ -136,9 +138,11 @@
         commands.put(record.command(), record);
     }
 
-    /** Forgets a command that was part of no revision. */
+    /** Forgets a command, unless it was part of a revision. */
     void forget(ChangeRecord record) {
-        commands.remove(record.command());
+        if (record.revision().equals(RevisionId.NONE)) {
+            commands.remove(record.command());
+        }
     }
 
     private void put(Revision revision) {
--- a/fleet/src/test/java/tallyweir/fleet/ExplorerTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/ExplorerTest.java
@@ -7,6 +7,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import tallyweir.search.Search;
@@ -33,4 +34,10 @@
         assertFalse(seen.wrong().isEmpty(), "nothing went wrong without " + guard);
         assertFalse(seen.wrong().get(0).startsWith("given up"), seen.wrong().get(0));
     }
+
+    @Test
+    void withoutTheConditionOnEntriesTwoOperatorsAreBothToldThatTheirsIsTaken() {
+        Search.Seen seen = Explorer.explore(Explorer.Scene.CHANGES, EnumSet.of(Guard.EXPECTED), MOST);
+        assertTrue(seen.wrong().get(0).startsWith("two operators"), seen.wrong().toString());
+    }
 }
