--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -9,8 +9,8 @@
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.FleetClient;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.ResultStore;
@@ -168,6 +168,7 @@
     /**
      * This server is in a fleet; before it starts.
      *
+     * @param fleet its name
      * @param linger how long a connection counts for a tenant after its last query
      * @param again how long it waits at the least before it asks again what was not answered
      * @param backWhole whether it stands back whole while it is out
@@ -175,7 +176,8 @@
      * @param without guards that are off, for checks only
      */
     public void seat(
-            Way way,
+            FleetClient client,
+            String fleet,
             Executor deciding,
             String listen,
             long linger,
@@ -185,8 +187,8 @@
             long life,
             Set<Guard> without) {
         queries.seat(new FleetSeat(
-                queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now, life,
-                without));
+                queries, links, deadlines, client, fleet, deciding, name, listen, linger, again, backWhole, seed, now,
+                life, without));
     }
 
     /** Tells the fleet that this server has answered all and ends. */
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -42,8 +42,8 @@
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.FleetClient;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
 import tallyweir.results.ResultStore;
@@ -633,9 +633,10 @@
     }
 
     /** This server is in a fleet; to be called before it runs. */
-    public void seat(Way way, long linger, long again, boolean backWhole, Set<Guard> without) {
+    public void seat(FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
         backend.seat(
-                way,
+                client,
+                fleet,
                 this::tell,
                 config.listen.getHostString() + ":" + config.listen.getPort(),
                 linger,
