--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -21,7 +21,7 @@
 import tallyweir.ids.TimerId;
 import tallyweir.ids.WorkloadId;
 import tallyweir.results.Known;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * The queries of one backend between the fronts, the decisions, the kernel and the store. Each is answered
@@ -60,7 +60,7 @@
     private long bad;
     private final Map<WorkloadId, Long> expected;
     private final SplittableRandom routing;
-    private Routes routes = Routes.NONE;
+    private Routes routes; // null where this server is in no fleet
     private FleetSeat fleet; // null where this server is in none
 
     Queries(
@@ -68,11 +68,11 @@
             Deadlines deadlines,
             Counters counters,
             Settings settings,
-            int connectionsMost,
+            ConnectionLimits connectionLimits,
             int storeLinks,
             long seed,
             long now,
-            Shelf shelf) {
+            ResultStore resultStore) {
         this.deadlines = deadlines;
         this.counters = counters;
         this.settings = settings;
@@ -87,8 +87,8 @@
         LongSupplier linkNumbers = new AtomicLong()::incrementAndGet;
         kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
-        connections = new Connections(links, deadlines, counters, this, settings, connectionsMost);
-        kept = shelf == null ? null : new KeptResults(this, shelf);
+        connections = new Connections(links, deadlines, counters, this, settings, connectionLimits);
+        kept = resultStore == null ? null : new KeptResults(this, resultStore);
         if (kept != null) {
             counters.now("unsettled", kept::unsettled);
             counters.now("results_refused_by_disk", kept::lost);
@@ -135,6 +135,7 @@
     /** This server is in a fleet. */
     void seat(FleetSeat seat) {
         fleet = seat;
+        routes = Routes.none(workloads.keySet());
         counters.also("fleet_", seat::counts);
     }
 
@@ -191,7 +192,11 @@
         return workloads.get(workload);
     }
 
-    /** Takes a query in; null if it was answered at once. The wall's times are only used for what comes in. */
+    /**
+     * Takes a query in; null if it was answered at once. The wall's times are only used for what comes in.
+     *
+     * @param lastConnection taken, it would leave no connection without an answer owed
+     */
     InFlight read(
             Answer way,
             JobId job,
@@ -205,7 +210,8 @@
             double size,
             double rank,
             long patience,
-            boolean again) {
+            boolean again,
+            boolean lastConnection) {
         counters.add(Count.QUERIES_READ);
         if (choice == null) {
             // No kernel was there yet: nothing can run, so nothing has.
@@ -262,6 +268,7 @@
                 default -> {}
             }
         }
+        choice.lastConnection(lastConnection);
         choice.read(t.id, earlier, caller, subject, workload, size, age, rank, left, again, tenant, 0);
         return t.released ? null : t;
     }
