FleetSeat is FleetMembership, and servers join a fleet

Need: the class had a name that a newcomer would not look for. Change: names only. Result: the daemon's sources compile by javac; no test was run on this commit.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -175,7 +175,7 @@
      * @param life of this process: higher than that of the one before it
      * @param without guards that are off, for checks only
      */
-    public void seat(
+    public void joinFleet(
             FleetClient client,
             String fleet,
             Executor deciding,
@@ -186,7 +186,7 @@
             long seed,
             long life,
             Set<Guard> without) {
-        queries.seat(new FleetSeat(
+        queries.joinFleet(new FleetMembership(
                 queries, links, deadlines, client, fleet, deciding, name, listen, linger, again, backWhole, seed, now,
                 life, without));
     }
--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -452,7 +452,7 @@
                 return;
             }
             Responder way = new Responder(this, id, keep);
-            FleetSeat fleet = queries.fleet();
+            FleetMembership fleet = queries.fleet();
             if (back) {
                 counters.add(Count.STOOD_BACK);
                 way.deferred(fleet.backOff(), false);
--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetMembership.java
@@ -24,8 +24,8 @@
  * This server in its fleet: connects its own side of the fleet with the client and with the parts that go by a revision. All of
  * it is called on the deciding thread and nothing in it grows with a revision's table.
  */
-final class FleetSeat implements MemberActions {
-    private static final Logger LOG = LoggerFactory.getLogger(FleetSeat.class);
+final class FleetMembership implements MemberActions {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetMembership.class);
     private static final long PRESSED = 500; // a tenant that was turned away is reported within so long
     private static final long BACK_OFF = 2_500; // and told to come back after it has had an answer
     private static final long BEGUN_SPAN = 600_000;
@@ -53,7 +53,7 @@
     private long newerSince; // by this server's clock: the revision that is wanted came into force
     private Deadlines.Deadline next;
 
-    FleetSeat(
+    FleetMembership(
             Queries queries,
             Links links,
             Deadlines deadlines,
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -61,7 +61,7 @@
     private final Map<WorkloadId, Long> expected;
     private final SplittableRandom routing;
     private Routes routes; // null where this server is in no fleet
-    private FleetSeat fleet; // null where this server is in none
+    private FleetMembership fleet; // null where this server is in none
 
     Queries(
             Links links,
@@ -133,13 +133,13 @@
     }
 
     /** This server is in a fleet. */
-    void seat(FleetSeat seat) {
-        fleet = seat;
+    void joinFleet(FleetMembership membership) {
+        fleet = membership;
         routes = Routes.none(workloads.keySet());
-        counters.also("fleet_", seat::counts);
+        counters.also("fleet_", membership::counts);
     }
 
-    FleetSeat fleet() {
+    FleetMembership fleet() {
         return fleet;
     }
 
--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -65,7 +65,7 @@
             server.counts("durable_tenth_ms_", () -> times.all(System.nanoTime()));
         }
         try {
-            seat(server, config, operators);
+            joinFleet(server, config, operators);
         } catch (FleetException e) {
             err.println("tallyweir: " + e.fault().what() + "; " + e.fault().advice());
             return 1;
@@ -104,7 +104,7 @@
     }
 
     /** Gives the server its place in the fleet, where the operators' file has one. */
-    private static void seat(Server server, Config config, Operators operators) {
+    private static void joinFleet(Server server, Config config, Operators operators) {
         if (!operators.inFleet()) {
             return;
         }
@@ -113,7 +113,7 @@
                 .findFirst()
                 .orElseThrow(() -> new BadSetting(
                         "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
-        server.seat(
+        server.joinFleet(
                 operators.openFleet(clients, config.name, config.settings.longestHard(), without),
                 operators.fleetName(),
                 operators.linger(),
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -633,8 +633,8 @@
     }
 
     /** This server is in a fleet; to be called before it runs. */
-    public void seat(FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
-        backend.seat(
+    public void joinFleet(FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
+        backend.joinFleet(
                 client,
                 fleet,
                 this::tell,
--- a/daemon/src/test/java/tallyweir/backend/FleetSeatTest.java
+++ b/daemon/src/test/java/tallyweir/backend/FleetMembershipTest.java
@@ -30,7 +30,7 @@
 import tallyweir.fleet.table.Value;
 
 /** A server's side of its fleet, from what the fleet answers to what it reports. */
-class FleetSeatTest {
+class FleetMembershipTest {
     private static final String CONFIG = """
             {"name":"n3","listen":"127.0.0.1:0","kernel":"127.0.0.1:1","announce":"127.0.0.1:2","store":"127.0.0.1:3",
              "seed":"1","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":192,"sockets":64},
@@ -54,9 +54,9 @@
     private RevisionRoot proposed = RevisionRoot.NONE;
     private final List<Command.Report> reports = new ArrayList<>();
 
-    FleetSeatTest() {
+    FleetMembershipTest() {
         backend = new Backend(links, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), now, now);
-        backend.seat(client, "test", told::add, "127.0.0.1:7", 0, 1_000, false, 1, 1, Set.of());
+        backend.joinFleet(client, "test", told::add, "127.0.0.1:7", 0, 1_000, false, 1, 1, Set.of());
     }
 
     private static Table table(String json) {
