Lending and Gate are held against the classes they replace, and their cost counted

Need: the new Lending and Gate keep state only for what is in use; nothing showed that they lend and let in as before.

Change: the earlier classes stay as plain models in the tests. Cost is counted in pools looked at and caps looked up, not in time. The gate does not forget a tenant that the fleet said it is short of before the fleet's next answer.

More is counted for earlier floors than before in one case: a floor rose and fell again while a place still reported a revision before both. The place may have acted under the higher one before saying so and have heard that floors are free; the earlier class overlooked it, and a test shows that.

--- a/fleet/src/main/java/tallyweir/fleet/Gate.java
+++ b/fleet/src/main/java/tallyweir/fleet/Gate.java
@@ -45,6 +45,7 @@
             return uses.isEmpty()
                     && turned.isEmpty()
                     && granted == 0
+                    && !full
                     && (cap == Caps.UNCAPPED || most == 0 && wanted == 0);
         }
     }
--- a/fleet/src/test/java/tallyweir/fleet/PlainGate.java
+++ b/fleet/src/test/java/tallyweir/fleet/PlainGate.java
@@ -11,7 +11,9 @@
 import tallyweir.ids.TenantId;
 
 /**
- * The connections of tenants at one server: a connection counts for a tenant from its first accepted query on it until
+ * A plain model of {@link Gate} that keeps state for every tenant with a cap: the class that was used before it.
+ *
+ * <p>The connections of tenants at one server: a connection counts for a tenant from its first accepted query on it until
  * none is open and a short linger has passed, or until it closes. What may be accepted is a floor, and what the fleet has
  * lent on top while its lease lasts. Deciding is a look at a counter.
  */
--- a/fleet/src/test/java/tallyweir/fleet/PlainLending.java
+++ b/fleet/src/test/java/tallyweir/fleet/PlainLending.java
@@ -9,7 +9,9 @@
 import tallyweir.ids.TenantId;
 
 /**
- * The caps on tenants' connections: a floor for each place of the fleet, never lent, and the rest lent in shares. At any
+ * A plain model of {@link Lending} that walks all pools for each input: the class that was used before it.
+ *
+ * <p>The caps on tenants' connections: a floor for each place of the fleet, never lent, and the rest lent in shares. At any
  * moment the floors that any server may rely on and all that is lent make up no more than the cap, but while a cap that
  * was lowered comes into force: then nothing more is lent until they do.
  */
