--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -9,11 +9,11 @@
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.FleetClient;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * One backend without its sockets: what came in goes into one of these methods, what goes out leaves through
@@ -44,8 +44,8 @@
         this(links, config, now, wall, null);
     }
 
-    /** @param shelf where results of queries with an effect are kept over restarts, null for nowhere */
-    public Backend(Links links, Config config, long now, long wall, Shelf shelf) {
+    /** @param resultStore where results of queries with an effect are kept over restarts, null for nowhere */
+    public Backend(Links links, Config config, long now, long wall, ResultStore resultStore) {
         this.links = links;
         this.now = now;
         name = config.name;
@@ -55,11 +55,11 @@
                 deadlines,
                 counters,
                 config.settings,
-                callersMost(config.sockets) - callersMost(config.sockets) / SOCKETS_APART,
+                connectionLimits(config.sockets),
                 config.sockets / SOCKETS_STORE,
                 config.seed,
                 now,
-                shelf);
+                resultStore);
         queries.clock(now, wall);
     }
 
@@ -98,6 +98,11 @@
         return sockets - sockets / SOCKETS_STORE - SOCKETS_OWN;
     }
 
+    private static ConnectionLimits connectionLimits(int sockets) {
+        int most = callersMost(sockets);
+        return new ConnectionLimits(most - most / SOCKETS_APART, most);
+    }
+
     /** The slot of a new connection. */
     public ConnectionId accepted() {
         return queries.connections().accepted();
@@ -163,6 +168,7 @@
     /**
      * This server is in a fleet; before it starts.
      *
+     * @param fleet its name
      * @param linger how long a connection counts for a tenant after its last query
      * @param again how long it waits at the least before it asks again what was not answered
      * @param backWhole whether it stands back whole while it is out
@@ -170,7 +176,8 @@
      * @param without guards that are off, for checks only
      */
     public void seat(
-            Way way,
+            FleetClient client,
+            String fleet,
             Executor deciding,
             String listen,
             long linger,
@@ -180,8 +187,8 @@
             long life,
             Set<Guard> without) {
         queries.seat(new FleetSeat(
-                queries, links, deadlines, way, deciding, name, listen, linger, again, backWhole, seed, now, life,
-                without));
+                queries, links, deadlines, client, fleet, deciding, name, listen, linger, again, backWhole, seed, now,
+                life, without));
     }
 
     /** Tells the fleet that this server has answered all and ends. */
--- /dev/null
+++ b/daemon/src/main/java/tallyweir/backend/RevisionParts.java
@@ -0,0 +1,45 @@
+package tallyweir.backend;
+
+import tallyweir.fleet.Digest;
+import tallyweir.fleet.Gate;
+
+/** The parts of this server that go by a revision. They are exchanged together, between two rounds of the deciding thread. */
+final class RevisionParts {
+    private final Queries queries;
+    private final Links links;
+    private final Gate gate;
+    private ServerEntries entries = ServerEntries.NONE;
+
+    RevisionParts(Queries queries, Links links, Gate gate) {
+        this.queries = queries;
+        this.links = links;
+        this.gate = gate;
+    }
+
+    /** From now on every part goes by this revision. */
+    void use(PreparedRevision next) {
+        queries.route(next.routes());
+        gate.caps(new TableCaps(next.table()));
+        boolean moved = !next.entries().sameAddresses(entries);
+        entries = next.entries();
+        if (moved) {
+            links.route(entries.kernel(), entries.announce());
+        }
+    }
+
+    /** Whether the revision has this server stand back. */
+    boolean standsBack() {
+        return entries.standsBack();
+    }
+
+    /** The root of the table that all parts in use are of; where they are of several, a digest that no table has. */
+    Digest digest() {
+        Digest ofRoutes = queries.routes().table().root();
+        Digest ofCaps = gate.caps() instanceof TableCaps caps ? caps.table().root() : Digest.NONE;
+        Digest ofEntries = entries.table().root();
+        boolean whole = ofRoutes.equals(ofCaps) && ofRoutes.equals(ofEntries);
+        return whole
+                ? ofRoutes
+                : Digest.of("mixed " + ofRoutes.value() + " " + ofCaps.value() + " " + ofEntries.value());
+    }
+}
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -42,11 +42,11 @@
 import tallyweir.backend.Peer;
 import tallyweir.config.Config;
 import tallyweir.config.Settings;
+import tallyweir.fleet.FleetClient;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.LinkId;
-import tallyweir.results.Shelf;
+import tallyweir.results.ResultStore;
 
 /**
  * The sockets round one backend. MINA's threads only lay down what arrived; one thread takes it up,
@@ -100,9 +100,9 @@
         this(config, server -> null);
     }
 
-    /** Makes the shelf on which results are kept over restarts, null for none. */
+    /** Makes the result store on which results are kept over restarts, null for none. */
     public interface Shelves {
-        Shelf make(Executor deciding) throws IOException;
+        ResultStore make(Executor deciding) throws IOException;
     }
 
     /** @param shelves given what runs news on the deciding thread, which is the one that makes this server */
@@ -430,7 +430,7 @@
 
             @Override
             public void sessionClosed(IoSession session) {
-                tell(() -> {
+                arrived.putFirst(inbox(session), () -> {
                     LinkId link = (LinkId) session.getAttribute(LINK);
                     if (peers.remove(link) != null) {
                         backend.down(link, unwritten(session));
@@ -633,9 +633,10 @@
     }
 
     /** This server is in a fleet; to be called before it runs. */
-    public void seat(Way way, long linger, long again, boolean backWhole, Set<Guard> without) {
+    public void seat(FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
         backend.seat(
-                way,
+                client,
+                fleet,
                 this::tell,
                 config.listen.getHostString() + ":" + config.listen.getPort(),
                 linger,
@@ -666,6 +667,11 @@
         backend.counters().also(prefix, figures);
     }
 
+    /** Pieces of the peers, ends of their links too, that have arrived and that the deciding thread has not gone through. */
+    public int peerPieces() {
+        return arrived.peerPieces();
+    }
+
     /** The counters as they are. */
     public String counters() {
         CompletableFuture<String> line = new CompletableFuture<>();
--- a/fleet/src/main/java/tallyweir/fleet/Health.java
+++ b/fleet/src/main/java/tallyweir/fleet/Health.java
@@ -1,7 +1,5 @@
 package tallyweir.fleet;
 
-import java.util.List;
-
 /** How a server's queries ended before and since it acts on the revision in force: of how many, how many late or errored. */
 final class Health {
     private long ended; // by its last report, since its process began
@@ -11,6 +9,7 @@
     private final long[] before = new long[2];
     private final long[] after = new long[2];
     private double usual = -1; // the share before the revision in force, -1 for not known
+    private RevisionId inForce = RevisionId.NONE; // that after counts from
 
     /** Another process: its counts begin at zero. */
     void begin() {
@@ -34,14 +33,23 @@
         }
     }
 
-    /** Another revision is in force: what was is what it is held against. */
-    void change() {
+    /** A revision is in force; if it is another, what was is what it is held against. */
+    void under(RevisionId revision) {
+        if (isUnder(revision)) {
+            return;
+        }
+        inForce = revision;
         long of = span[0] + before[0];
         usual = of == 0 ? -1 : (span[1] + before[1]) / (double) of;
         after[0] = 0;
         after[1] = 0;
     }
 
+    /** Whether it has been told that this revision is in force. */
+    boolean isUnder(RevisionId revision) {
+        return inForce.equals(revision);
+    }
+
     /** Whether enough has ended since to tell. */
     boolean tells(int least) {
         return usual >= 0 && after[0] >= least;
@@ -53,20 +61,22 @@
         return after[1] > most + 3 * Math.sqrt(most);
     }
 
-    List<Object> save() {
-        return List.of(ended, bad, since, span[0], span[1], before[0], before[1], after[0], after[1], usual);
+    SnapshotPart.Counts save() {
+        return new SnapshotPart.Counts(
+                ended, bad, since, span[0], span[1], before[0], before[1], after[0], after[1], usual, inForce);
     }
 
-    void load(List<?> f) {
-        ended = Revisions.number(f.get(0));
-        bad = Revisions.number(f.get(1));
-        since = Revisions.number(f.get(2));
-        span[0] = Revisions.number(f.get(3));
-        span[1] = Revisions.number(f.get(4));
-        before[0] = Revisions.number(f.get(5));
-        before[1] = Revisions.number(f.get(6));
-        after[0] = Revisions.number(f.get(7));
-        after[1] = Revisions.number(f.get(8));
-        usual = ((Number) f.get(9)).doubleValue();
+    void load(SnapshotPart.Counts saved) {
+        ended = saved.ended();
+        bad = saved.bad();
+        since = saved.since();
+        span[0] = saved.spanEnded();
+        span[1] = saved.spanBad();
+        before[0] = saved.beforeEnded();
+        before[1] = saved.beforeBad();
+        after[0] = saved.afterEnded();
+        after[1] = saved.afterBad();
+        usual = saved.usual();
+        inForce = saved.inForce();
     }
 }
