--- a/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Voter.java
@@ -148,7 +148,7 @@
             long probation,
             double worseRatio,
             double sickShare) {
-        private byte[] command(String fleet) {
+        byte[] command(String fleet) {
             return Wire.found(
                     fleet,
                     version,
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/scale/ReplicaVoter.java
@@ -0,0 +1,43 @@
+package tallyweir.tool.scale;
+
+import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.ratis.LocalReplica;
+import tallyweir.fleet.ratis.MessageCodec;
+
+/** A voter on the present state and codec, without Ratis and without a disk. */
+final class ReplicaVoter implements VoterUnderTest {
+    private static final long WALL = 1_700_000_000_000L; // any: the state only keeps it
+    private static final long TICKS_PER_MILLISECOND = 10;
+
+    private final LocalReplica replica = new LocalReplica();
+
+    @Override
+    public byte[] apply(long now, byte[] command) {
+        return replica.apply(now, WALL + now / TICKS_PER_MILLISECOND, command);
+    }
+
+    @Override
+    public byte[] read(byte[] question) {
+        return replica.body(new RevisionId(MessageCodec.askedBody(question)));
+    }
+
+    @Override
+    public long nextDue() {
+        return replica.state().nextDue();
+    }
+
+    @Override
+    public byte[] tick() {
+        return MessageCodec.tick();
+    }
+
+    @Override
+    public long inForce() {
+        return replica.state().inForce().value();
+    }
+
+    @Override
+    public int shutOut() {
+        return replica.state().out();
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/scale/VoterUnderTest.java
@@ -0,0 +1,22 @@
+package tallyweir.tool.scale;
+
+/** A voter of a simulated fleet: commands and questions come in as bytes and answers go out as bytes. */
+interface VoterUnderTest {
+    /** Applies an entry of the log and returns its answer. */
+    byte[] apply(long now, byte[] command);
+
+    /** Answers a question, which is no entry of the log. */
+    byte[] read(byte[] question);
+
+    /** When the clock alone changes something. */
+    long nextDue();
+
+    /** The command that only tells the time. */
+    byte[] tick();
+
+    /** The revision in force, 0 for none. */
+    long inForce();
+
+    /** Servers that the state takes for shut out. */
+    int shutOut();
+}
