--- a/consensus/src/main/java/tallyweir/fleet/ratis/MessageCodec.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/EncodedMessages.java
@@ -15,8 +15,8 @@
 import tallyweir.ids.TenantId;
 
 /** The encoded form of what servers and operators send, and of what comes back, for use without a connection. */
-public final class MessageCodec {
-    private MessageCodec() {}
+public final class EncodedMessages {
+    private EncodedMessages() {}
 
     /** The command by which a leader founds the fleet. */
     public static byte[] found(String fleet, Voter.Founding founding) {
--- a/tool/src/main/java/tallyweir/tool/scale/ChangeTracker.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ChangeTracker.java
@@ -21,7 +21,9 @@
     /** A change was taken as a revision; these servers are to act on it. */
     void opened(long revision, long asked, long now, BitSet servers, IntToLongFunction acting) {
         BitSet pending = (BitSet) servers.clone();
-        servers.stream().filter(server -> acting.applyAsLong(server) >= revision).forEach(pending::clear);
+        servers.stream()
+                .filter(server -> acting.applyAsLong(server) >= revision)
+                .forEach(pending::clear);
         open.add(new Open(revision, asked, pending));
         finish(now);
     }
@@ -46,6 +48,11 @@
         finish(now);
     }
 
+    /** A change was turned down: it is not waited for, and has to be asked for again. */
+    void turnedDown(long revision) {
+        open.removeIf(change -> change.revision == revision);
+    }
+
     private void finish(long now) {
         for (Open change : open) {
             if (change.pending.isEmpty()) {
--- a/tool/src/main/java/tallyweir/tool/scale/CountedRun.java
+++ b/tool/src/main/java/tallyweir/tool/scale/CountedRun.java
@@ -89,7 +89,12 @@
     private List<RoleUse> roles() {
         double seconds = options.seconds();
         return List.of(
-                use(Roles.LEADER, voters.ofLeading(), 1, seconds, "counted; processor of applying entries, without Ratis"),
+                use(
+                        Roles.LEADER,
+                        voters.ofLeading(),
+                        1,
+                        seconds,
+                        "counted; processor of applying entries, without Ratis"),
                 use(Roles.FOLLOWER, voters.ofFollowing(), 1, seconds, "as the leader's; acknowledgements worked out"),
                 use(Roles.SERVER, servers.meter(), options.size().servers(), seconds, "counted, mean of all"));
     }
@@ -145,6 +150,9 @@
                         outcome.fault().kind().label(), outcome.fault().at()));
             }
         }
+        if (operator.turnedDown() > 0) {
+            all.add("revisions-turned-down " + operator.turnedDown() + "; their changes were asked for again");
+        }
         if (unfinished > 0) {
             all.add("changes-unfinished " + unfinished + " when the run ended");
         }
--- a/tool/src/main/java/tallyweir/tool/scale/HollowServer.java
+++ b/tool/src/main/java/tallyweir/tool/scale/HollowServer.java
@@ -18,7 +18,7 @@
 import tallyweir.fleet.Need;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ServerId;
-import tallyweir.fleet.ratis.MessageCodec;
+import tallyweir.fleet.ratis.EncodedMessages;
 import tallyweir.ids.TenantId;
 import tallyweir.ids.WorkloadId;
 
@@ -91,7 +91,7 @@
 
     @Override
     public void join(ServerId server, String listen) {
-        network.command(MessageCodec.join(ScaleSettings.FLEET, server, listen, life));
+        network.command(EncodedMessages.join(ScaleSettings.FLEET, server, listen, life));
     }
 
     @Override
@@ -105,8 +105,8 @@
             RevisionId checked,
             String cannot,
             Map<TenantId, Need> needs) {
-        network.command(MessageCodec.report(
-                server, as, number, acting, inForce, outdated, checked, cannot, 0, 0, needs));
+        network.command(
+                EncodedMessages.report(server, as, number, acting, inForce, outdated, checked, cannot, 0, 0, needs));
     }
 
     @Override
@@ -132,12 +132,12 @@
     private void fetch(RevisionId revision, Consumer<String> then) {
         fetches.add(new Fetch(revision, then));
         if (fetches.size() == 1) {
-            network.question(MessageCodec.askBody(revision));
+            network.question(EncodedMessages.askBody(revision));
         }
     }
 
     private String read(RevisionId revision, byte[] answer) {
-        byte[] text = answer == null ? null : MessageCodec.body(answer);
+        byte[] text = answer == null ? null : EncodedMessages.body(answer);
         if (text == null) {
             return "its text could not be had";
         }
@@ -170,14 +170,14 @@
 
     @Override
     public void answered(byte[] answer) {
-        MessageCodec.answer(answer, this);
+        EncodedMessages.answer(answer, this);
     }
 
     @Override
     public void told(byte[] answer) {
         Fetch fetch = fetches.remove();
         if (!fetches.isEmpty()) {
-            network.question(MessageCodec.askBody(fetches.peek().revision));
+            network.question(EncodedMessages.askBody(fetches.peek().revision));
         }
         fetch.then.accept(read(fetch.revision, answer));
     }
--- a/tool/src/main/java/tallyweir/tool/scale/Limits.java
+++ b/tool/src/main/java/tallyweir/tool/scale/Limits.java
@@ -36,14 +36,18 @@
         return Optional.empty();
     }
 
-    /** Why a run that needs so much heap is refused, empty if it is not. */
-    static Optional<String> heapRefusal(long needed) {
+    /**
+     * Why a run that needs so much heap in all is refused, empty if it is not.
+     *
+     * @param spread over processes of its own, so that it does not have to fit into this one
+     */
+    static Optional<String> heapRefusal(long needed, boolean spread) {
         if (needed > HEAP_BYTES) {
-            return Optional.of("this size needs about " + gigabytes(needed) + " GB of heap in one process; the limit is "
+            return Optional.of("this size needs about " + gigabytes(needed) + " GB of heap in all; the limit is "
                     + gigabytes(HEAP_BYTES) + " GB");
         }
         long most = Runtime.getRuntime().maxMemory();
-        if (needed > most) {
+        if (needed > most && !spread) {
             return Optional.of("this size needs about " + gigabytes(needed) + " GB of heap and the virtual machine has "
                     + gigabytes(most) + " GB: set TALLYWEIR_JAVA=-Xmx" + (gigabytes(needed) + 1) + "g");
         }
--- a/tool/src/main/java/tallyweir/tool/scale/ReplicaVoter.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ReplicaVoter.java
@@ -1,8 +1,9 @@
 package tallyweir.tool.scale;
 
+import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.ratis.EncodedMessages;
 import tallyweir.fleet.ratis.LocalReplica;
-import tallyweir.fleet.ratis.MessageCodec;
 
 /** A voter on the present state and codec, without Ratis and without a disk. */
 final class ReplicaVoter implements VoterUnderTest {
@@ -18,7 +19,7 @@
 
     @Override
     public byte[] read(byte[] question) {
-        return replica.body(new RevisionId(MessageCodec.askedBody(question)));
+        return replica.body(new RevisionId(EncodedMessages.askedBody(question)));
     }
 
     @Override
@@ -28,7 +29,7 @@
 
     @Override
     public byte[] tick() {
-        return MessageCodec.tick();
+        return EncodedMessages.tick();
     }
 
     @Override
@@ -36,6 +37,11 @@
         return replica.state().inForce().value();
     }
 
+    @Override
+    public boolean turnedDown(long revision) {
+        return replica.state().revision(new RevisionId(revision)).fate() == Revision.Fate.TURNED_DOWN;
+    }
+
     @Override
     public int shutOut() {
         return replica.state().out();
--- a/tool/src/main/java/tallyweir/tool/scale/RevisionText.java
+++ b/tool/src/main/java/tallyweir/tool/scale/RevisionText.java
@@ -45,6 +45,7 @@
     }
 
     private static String address(int route) {
-        return "10." + route / OCTET / OCTET % OCTET + "." + route / OCTET % OCTET + "." + route % OCTET + ":" + STORE_PORT;
+        return "10." + route / OCTET / OCTET % OCTET + "." + route / OCTET % OCTET + "." + route % OCTET + ":"
+                + STORE_PORT;
     }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/RoleUse.java
+++ b/tool/src/main/java/tallyweir/tool/scale/RoleUse.java
@@ -10,7 +10,12 @@
  * @param basis whether and how the figures were measured
  */
 record RoleUse(
-        String role, double messagesPerSecond, double bytesPerSecond, double processor, long memoryBytes, String basis) {
+        String role,
+        double messagesPerSecond,
+        double bytesPerSecond,
+        double processor,
+        long memoryBytes,
+        String basis) {
     private static final double MEGABYTE = 1e6;
 
     /** The use as a line of output. */
--- a/tool/src/main/java/tallyweir/tool/scale/ScaleCommand.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ScaleCommand.java
@@ -1,10 +1,10 @@
 package tallyweir.tool.scale;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -16,8 +16,9 @@
 @Command(
         name = "scale",
         mixinStandardHelpOptions = true,
-        description = "Measures what a fleet of any size costs: how each operation grows with servers and tenants, and what"
-                + " messages, processor time and memory each role takes while caps change and machines fail.",
+        description =
+                "Measures what a fleet of any size costs: how each operation grows with servers and tenants, and what"
+                        + " messages, processor time and memory each role takes while caps change and machines fail.",
         footer = {"", "Exit codes: 0 nothing is over its budget, 1 something is, 2 wrong use or too large a run."})
 public final class ScaleCommand implements Callable<Integer> {
     private static final int WARM_UP_SERVERS = 40;
@@ -66,6 +67,19 @@
                     + " or '" + BUILT_IN + "', or '" + NO_FAULTS + "' (${DEFAULT-VALUE}).")
     private String faults;
 
+    @Option(
+            names = "--live",
+            description =
+                    "Runs three voters and the servers as processes on loopback in real time, in place of a simulated"
+                            + " clock.")
+    private boolean live;
+
+    @Option(
+            names = "--servers-each",
+            defaultValue = "500",
+            description = "Servers in each process of a live run at the most (${DEFAULT-VALUE}).")
+    private int serversEach;
+
     @Option(names = "--json", description = "One JSON document in place of the text.")
     private boolean json;
 
@@ -98,16 +112,17 @@
     private double limit;
 
     @Override
-    public Integer call() throws IOException {
-        ScaleOptions options = new ScaleOptions(
-                new FleetSize(servers, tenants, routes), changesPerDay, seed, seconds, activeTenants);
+    public Integer call() throws IOException, InterruptedException {
+        ScaleOptions options =
+                new ScaleOptions(new FleetSize(servers, tenants, routes), changesPerDay, seed, seconds, activeTenants);
         SimulationParts parts = new StateSimulationParts(options.size(), activeTenants);
         FaultPlan plan = plan(options);
+        List<FleetSize> measured = sizes();
         refuse(options, parts);
         ScaleReport report = new ScaleReport(spec.commandLine().getOut(), json);
         Budget budget = new Budget();
         if (slopes) {
-            slopes(options, report, budget);
+            slopes(options, measured, report, budget);
         }
         if (run) {
             run(options, parts, plan, report, budget);
@@ -121,7 +136,9 @@
     private void refuse(ScaleOptions options, SimulationParts parts) {
         Limits.refusal(options).ifPresent(this::refused);
         if (run) {
-            Limits.heapRefusal(parts.heapNeeded()).ifPresent(this::refused);
+            Limits.heapRefusal(parts.heapNeeded(), live).ifPresent(this::refused);
+            int processes = live ? LiveRun.processes(options.size(), serversEach) : 1;
+            Limits.processRefusal(processes).ifPresent(this::refused);
         }
     }
 
@@ -143,10 +160,10 @@
         }
     }
 
-    private void slopes(ScaleOptions options, ScaleReport report, Budget budget) {
+    private void slopes(ScaleOptions options, List<FleetSize> measured, ScaleReport report, Budget budget) {
         SlopeRunner runner = new SlopeRunner(new StateFleet(seed, activeTenants), limit, report::point);
         runner.warmUp(new FleetSize(WARM_UP_SERVERS, WARM_UP_TENANTS, WARM_UP_TENANTS));
-        sizes().forEach(runner::measure);
+        measured.forEach(runner::measure);
         runner.measured().forEach((operation, points) -> {
             if (!points.isEmpty()) {
                 report.fit(operation.label(), SlopeFit.of(points));
@@ -157,11 +174,12 @@
                 runner.microseconds(Operation.REPORT_IN_STATE, options.size()));
     }
 
-    private void run(
-            ScaleOptions options, SimulationParts parts, FaultPlan plan, ScaleReport report, Budget budget) {
+    private void run(ScaleOptions options, SimulationParts parts, FaultPlan plan, ScaleReport report, Budget budget)
+            throws IOException, InterruptedException {
         report.compression(plan.compression());
         Progress progress = Progress.onConsole();
-        RunResult result = new CountedRun(options, parts, plan, progress).run();
+        RunResult result =
+                live ? runLive(options, parts, plan, progress) : new CountedRun(options, parts, plan, progress).run();
         progress.end();
         long memory = ServerMemory.measure(new StateFleet(seed, activeTenants), options.size());
         RunResult whole = result.withServerMemory(memory);
@@ -169,6 +187,16 @@
         report.run(options, whole, budget);
     }
 
+    private RunResult runLive(ScaleOptions options, SimulationParts parts, FaultPlan plan, Progress progress)
+            throws IOException, InterruptedException {
+        Path dir = Files.createTempDirectory("fleet-scale");
+        try (LiveRun liveRun = new LiveRun(options, parts, plan, progress, serversEach, dir)) {
+            return liveRun.run();
+        } finally {
+            Directories.delete(dir);
+        }
+    }
+
     private List<FleetSize> sizes() {
         FleetSize whole = new FleetSize(servers, tenants, routes);
         if (sizes.isEmpty()) {
@@ -178,10 +206,10 @@
     }
 
     private FleetSize size(String text) {
-        String[] parts = text.split("x");
-        if (parts.length != 2) {
+        if (!text.matches("[1-9][0-9]{0,6}x[1-9][0-9]{0,6}")) {
             throw new ParameterException(spec.commandLine(), "--sizes takes SERVERSxTENANTS, not " + text);
         }
+        String[] parts = text.split("x");
         int ofTenants = Integer.parseInt(parts[1]);
         return new FleetSize(Integer.parseInt(parts[0]), ofTenants, (int) ((long) routes * ofTenants / tenants));
     }
--- a/tool/src/main/java/tallyweir/tool/scale/ServerSlot.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ServerSlot.java
@@ -9,6 +9,7 @@
     private long wakeAt = Long.MAX_VALUE;
     private long acting;
     private boolean stoodBack = true;
+    private boolean disturbed; // cut off since it came to the revision that it acts on
 
     ServerSlot(int number) {
         this.number = number;
@@ -60,6 +61,14 @@
 
     void reached(boolean is) {
         reached = is;
+        disturbed |= !is;
+    }
+
+    /** Whether it was cut off since it came to the revision that it acts on; asked once after it came to another. */
+    boolean wasDisturbed() {
+        boolean was = disturbed;
+        disturbed = !reached;
+        return was;
     }
 
     /** Whether it runs and can be reached. */
@@ -76,6 +85,11 @@
         wakeAt = at;
     }
 
+    /** The revision that it acted on when it was looked at last. */
+    long acting() {
+        return acting;
+    }
+
     /** Whether it acts on another revision than when this was asked last. */
     boolean actsAnew() {
         long is = process.acting();
--- a/tool/src/main/java/tallyweir/tool/scale/SimulatedFaults.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SimulatedFaults.java
@@ -22,8 +22,7 @@
     private final List<Watch> watches = new ArrayList<>();
     private final List<FaultOutcome> outcomes = new ArrayList<>();
 
-    SimulatedFaults(
-            EventQueue events, SimulatedServers servers, SimulatedVoters voters, Topology topology, long seed) {
+    SimulatedFaults(EventQueue events, SimulatedServers servers, SimulatedVoters voters, Topology topology, long seed) {
         this.events = events;
         this.servers = servers;
         this.voters = voters;
@@ -40,30 +39,13 @@
     }
 
     private void begin(PlannedFault fault) {
-        BitSet hit = drawn(fault.kind());
+        BitSet hit = topology.hitBy(fault.kind(), random);
         boolean cut = fault.kind() == PlannedFault.Kind.REGIONS_CUT;
         hit.stream().forEach(server -> fail(server, cut));
         long began = events.now();
         events.after((long) (fault.lasts() * TICKS), () -> end(fault, hit, began));
     }
 
-    private BitSet drawn(PlannedFault.Kind kind) {
-        BitSet one = new BitSet();
-        switch (kind) {
-            case RACK -> {
-                return topology.rack(random.nextInt(Math.max(1, topology.servers() / Topology.RACK)));
-            }
-            case ZONE -> {
-                return topology.zoneServers(random.nextInt(Topology.ZONES));
-            }
-            case REGIONS_CUT -> {
-                return topology.farRegion();
-            }
-            default -> one.set(random.nextInt(topology.servers()));
-        }
-        return one;
-    }
-
     private void fail(int server, boolean cut) {
         if (cut) {
             servers.reached(server, false);
@@ -92,8 +74,8 @@
     private void look() {
         for (Watch watch : List.copyOf(watches)) {
             boolean healed = watch.servers.stream()
-                    .allMatch(server ->
-                            holds[server] > 0 || servers.slot(server).serves(watch.revision));
+                    .allMatch(
+                            server -> holds[server] > 0 || servers.slot(server).serves(watch.revision));
             if (healed) {
                 watches.remove(watch);
                 double took = (events.now() - watch.ended) / TICKS;
--- a/tool/src/main/java/tallyweir/tool/scale/SimulatedOperator.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SimulatedOperator.java
@@ -14,6 +14,7 @@
     private final ArrayDeque<Long> asked = new ArrayDeque<>(); // when; the first is under way
     private int taken;
     private int refused;
+    private int turnedDown;
 
     SimulatedOperator(
             EventQueue events,
@@ -49,12 +50,7 @@
     private void ask(byte[] command) {
         OperatorUnderTest.Outcome outcome = operator.outcome(voters.command(command));
         switch (outcome) {
-            case TAKEN -> {
-                taken++;
-                changes.opened(
-                        operator.revision(), asked.remove(), events.now(), servers.counting(), servers::acting);
-                next();
-            }
+            case TAKEN -> taken(operator.revision(), asked.remove());
             case REFUSED -> {
                 refused++;
                 asked.remove();
@@ -64,6 +60,29 @@
         }
     }
 
+    private void taken(long revision, long askedAt) {
+        taken++;
+        changes.opened(revision, askedAt, events.now(), servers.counting(), servers::acting);
+        events.after(RETRY, () -> follow(revision, askedAt));
+        next();
+    }
+
+    /** Until a revision is in force; a change whose revision is turned down is asked for again. */
+    private void follow(long revision, long askedAt) {
+        VoterUnderTest voter = voters.leads();
+        if (voter.turnedDown(revision)) {
+            turnedDown++;
+            taken--;
+            changes.turnedDown(revision);
+            asked.add(askedAt);
+            if (asked.size() == 1) {
+                ask(operator.changeOneCap());
+            }
+        } else if (voter.inForce() < revision) {
+            events.after(RETRY, () -> follow(revision, askedAt));
+        }
+    }
+
     private void next() {
         if (!asked.isEmpty()) {
             ask(operator.changeOneCap());
@@ -93,6 +112,11 @@
         return refused;
     }
 
+    /** Revisions that were turned down after they had been proposed. */
+    int turnedDown() {
+        return turnedDown;
+    }
+
     OperatorUnderTest operator() {
         return operator;
     }
--- a/tool/src/main/java/tallyweir/tool/scale/SlopeRunner.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SlopeRunner.java
@@ -90,8 +90,7 @@
             return false;
         }
         Cost cost = fleet.found(size);
-        SlopePoint point =
-                new SlopePoint(STATE, size, cost.nanoseconds() / MICROSECONDS, fleet.stateBytes(), false);
+        SlopePoint point = new SlopePoint(STATE, size, cost.nanoseconds() / MICROSECONDS, fleet.stateBytes(), false);
         states.add(point);
         say(point);
         return true;
--- a/tool/src/main/java/tallyweir/tool/scale/StateFleet.java
+++ b/tool/src/main/java/tallyweir/tool/scale/StateFleet.java
@@ -18,8 +18,8 @@
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ServerId;
+import tallyweir.fleet.ratis.EncodedMessages;
 import tallyweir.fleet.ratis.LocalReplica;
-import tallyweir.fleet.ratis.MessageCodec;
 import tallyweir.ids.TenantId;
 import tallyweir.ids.WorkloadId;
 
@@ -59,7 +59,7 @@
         heapBefore = Heap.used();
         replica = new LocalReplica();
         long began = System.nanoTime();
-        apply(MessageCodec.found(ScaleSettings.FLEET, ScaleSettings.founding(of.servers())));
+        apply(EncodedMessages.found(ScaleSettings.FLEET, ScaleSettings.founding(of.servers())));
         publish(body(RevisionText.write(of, 0, 0)));
         for (int server = 0; server < of.servers(); server++) {
             join(server);
@@ -88,14 +88,14 @@
     }
 
     private Cost publish(Body body) {
-        byte[] command = MessageCodec.publish(
+        byte[] command = EncodedMessages.publish(
                 next(), replica.state().inForce(), Digest.of(body.bytes()), body, BY, "a cap is changed", true);
         return timed(command);
     }
 
     @Override
     public Cost join(int server) {
-        byte[] command = MessageCodec.join(ScaleSettings.FLEET, id(server), "10.0.0.1:" + server, ++lives);
+        byte[] command = EncodedMessages.join(ScaleSettings.FLEET, id(server), "10.0.0.1:" + server, ++lives);
         long began = System.nanoTime();
         byte[] answer = apply(command);
         long took = System.nanoTime() - began;
@@ -112,18 +112,8 @@
     public Cost report(int server) {
         RevisionId inForce = replica.state().inForce();
         Digest digest = replica.state().body(inForce).digests().get("");
-        return timed(MessageCodec.report(
-                id(server),
-                incarnations.get(server),
-                number(server),
-                inForce,
-                digest,
-                0,
-                inForce,
-                "",
-                0,
-                0,
-                needs()));
+        return timed(EncodedMessages.report(
+                id(server), incarnations.get(server), number(server), inForce, digest, 0, inForce, "", 0, 0, needs()));
     }
 
     private long number(int server) {
@@ -187,7 +177,7 @@
     @Override
     public Cost rollback() {
         long back = replica.state().inForce().value() - 1;
-        return timed(MessageCodec.rollback(
+        return timed(EncodedMessages.rollback(
                 next(), replica.state().inForce(), new RevisionId(back), BY, "the change is taken back", true));
     }
 
@@ -213,7 +203,7 @@
     public void prepareServer(FleetSize of) {
         size = of;
         replica = new LocalReplica();
-        apply(MessageCodec.found(ScaleSettings.FLEET, ScaleSettings.founding(of.servers())));
+        apply(EncodedMessages.found(ScaleSettings.FLEET, ScaleSettings.founding(of.servers())));
         publish(body(RevisionText.write(of, 0, 0)));
         fetched = replica.body(replica.state().inForce());
         acting = null;
@@ -224,15 +214,16 @@
 
     @Override
     public Cost serverApply() {
-        byte[] question = MessageCodec.askBody(replica.state().inForce());
+        byte[] question = EncodedMessages.askBody(replica.state().inForce());
         long began = System.nanoTime();
-        Routing routing = Routing.parse(MessageCodec.body(fetched));
+        Routing routing = Routing.parse(EncodedMessages.body(fetched));
         String reason = routing.cannot(Set.of(new WorkloadId("orders")));
         gate.caps(routing.caps);
         Digest digest = Routing.inForce(routing.stores, routing.announce, null, gate.caps(), false);
         long took = System.nanoTime() - began;
         acting = routing;
-        Digest expected = replica.state().body(replica.state().inForce()).digests().get("");
+        Digest expected =
+                replica.state().body(replica.state().inForce()).digests().get("");
         if (!reason.isEmpty() || !digest.equals(expected)) {
             throw new IllegalStateException("a server could not act on the revision: " + reason);
         }
@@ -265,7 +256,7 @@
 
         static Reply of(byte[] answer) {
             Reply reply = new Reply();
-            MessageCodec.answer(answer, reply);
+            EncodedMessages.answer(answer, reply);
             return reply;
         }
 
--- a/tool/src/main/java/tallyweir/tool/scale/StateSimulationParts.java
+++ b/tool/src/main/java/tallyweir/tool/scale/StateSimulationParts.java
@@ -23,6 +23,7 @@
 
     @Override
     public long heapNeeded() {
-        return size.servers() * (SERVER_BYTES + (long) size.tenants() * TENANT_BYTES + (long) size.routes() * ROUTE_BYTES);
+        return size.servers()
+                * (SERVER_BYTES + (long) size.tenants() * TENANT_BYTES + (long) size.routes() * ROUTE_BYTES);
     }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/TextOperator.java
+++ b/tool/src/main/java/tallyweir/tool/scale/TextOperator.java
@@ -10,7 +10,7 @@
 import tallyweir.fleet.Fault;
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ratis.MessageCodec;
+import tallyweir.fleet.ratis.EncodedMessages;
 
 /** An operator who publishes whole texts, as the present command line does. */
 final class TextOperator implements OperatorUnderTest, Answers {
@@ -33,7 +33,7 @@
 
     @Override
     public byte[] found() {
-        return MessageCodec.found(ScaleSettings.FLEET, ScaleSettings.founding(size.servers()));
+        return EncodedMessages.found(ScaleSettings.FLEET, ScaleSettings.founding(size.servers()));
     }
 
     @Override
@@ -59,12 +59,12 @@
         Routing routing = Routing.parse(text);
         Body body = new Body(text, routing.caps, routing.digests());
         OperatorCommand command = new OperatorCommand("change " + ++commands);
-        return MessageCodec.publish(command, expected, Digest.of(text), body, "operator", "a cap is changed", false);
+        return EncodedMessages.publish(command, expected, Digest.of(text), body, "operator", "a cap is changed", false);
     }
 
     @Override
     public Outcome outcome(byte[] answer) {
-        MessageCodec.answer(answer, this);
+        EncodedMessages.answer(answer, this);
         return outcome;
     }
 
--- a/tool/src/main/java/tallyweir/tool/scale/Topology.java
+++ b/tool/src/main/java/tallyweir/tool/scale/Topology.java
@@ -1,6 +1,7 @@
 package tallyweir.tool.scale;
 
 import java.util.BitSet;
+import java.util.SplittableRandom;
 
 /**
  * Where servers are: five zones of equal size in two regions, racks of forty servers. The voter that leads is in the first
@@ -46,4 +47,20 @@
         }
         return all;
     }
+
+    /** The servers that a fault hits; which of several of the kind is drawn. */
+    BitSet hitBy(PlannedFault.Kind kind, SplittableRandom random) {
+        return switch (kind) {
+            case RACK -> rack(random.nextInt(Math.max(1, servers / RACK)));
+            case ZONE -> zoneServers(random.nextInt(ZONES));
+            case REGIONS_CUT -> farRegion();
+            default -> one(random.nextInt(servers));
+        };
+    }
+
+    private static BitSet one(int server) {
+        BitSet one = new BitSet();
+        one.set(server);
+        return one;
+    }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/VoterUnderTest.java
+++ b/tool/src/main/java/tallyweir/tool/scale/VoterUnderTest.java
@@ -17,6 +17,9 @@
     /** The revision in force, 0 for none. */
     long inForce();
 
+    /** Whether a revision that was proposed has been turned down. */
+    boolean turnedDown(long revision);
+
     /** Servers that the state takes for shut out. */
     int shutOut();
 }
