--- a/daemon/src/main/java/tallyweir/cli/Serve.java
+++ b/daemon/src/main/java/tallyweir/cli/Serve.java
@@ -19,11 +19,11 @@
 import tallyweir.config.Settings;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Times;
+import tallyweir.fleet.FleetClients;
 import tallyweir.fleet.FleetException;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Seating;
 import tallyweir.net.Server;
-import tallyweir.results.DurableShelf;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Marks;
 import tallyweir.results.Settling;
 
@@ -108,16 +108,18 @@
         if (!operators.inFleet()) {
             return;
         }
-        Seating seating = ServiceLoader.load(Seating.class)
+        Set<Guard> without = off("tallyweir.drill.fleet.without", Guard.class);
+        FleetClients clients = ServiceLoader.load(FleetClients.class)
                 .findFirst()
                 .orElseThrow(() -> new BadSetting(
                         "fleet needs the program with all its libraries: start it by bin/tallyweir serve"));
         server.seat(
-                operators.openFleet(seating, config.name, config.settings.longestHard()),
+                operators.openFleet(clients, config.name, config.settings.longestHard(), without),
+                operators.fleetName(),
                 operators.linger(),
                 operators.lease() / 100,
                 operators.standsBackWhenOut(),
-                off("tallyweir.drill.fleet.without", Guard.class));
+                without);
     }
 
     /** The store, null where there is to be none. */
@@ -132,9 +134,9 @@
                 .addKeyValue("from_snapshot", store.store().openedFromSnapshot())
                 .log("the store is open");
         try {
-            store.openDesk(
-                    operators.desk(),
-                    operators.keepsResults() ? Settling.verbs(store.store(), store.committer()) : Map.of());
+            store.openAdminSocket(
+                    operators.adminSocket(),
+                    operators.keepsResults() ? Settling.commands(store.store(), store.committer()) : Map.of());
         } catch (IOException e) {
             LOG.atWarn().addKeyValue("fault", e.getMessage()).log("operators cannot ask this process about its store");
         }
@@ -164,7 +166,7 @@
         });
         return new Server(
                 config,
-                deciding -> new DurableShelf(
+                deciding -> new DurableResultStore(
                         store.store(),
                         store.committer(),
                         deciding,
--- a/daemon/src/main/java/tallyweir/config/Operators.java
+++ b/daemon/src/main/java/tallyweir/config/Operators.java
@@ -14,9 +14,11 @@
 import java.util.Set;
 import tallyweir.durable.FileStore;
 import tallyweir.durable.Namespace;
-import tallyweir.fleet.Seating;
-import tallyweir.fleet.Way;
-import tallyweir.results.DurableShelf;
+import tallyweir.fleet.FleetClient;
+import tallyweir.fleet.FleetClients;
+import tallyweir.fleet.FleetSettings;
+import tallyweir.fleet.Guard;
+import tallyweir.results.DurableResultStore;
 import tallyweir.results.Settling;
 
 /**
@@ -117,13 +119,14 @@
         return fleet.text("when_out", "serve").equals("stand_back");
     }
 
-    /** Opens the way to the fleet; longestHard is how long any query is open at the most. */
-    public Way openFleet(Seating seating, String self, long longestHard) {
-        return seating.open(
-                fleetName(),
-                voters(),
-                self,
-                fleet.text("dir", ""),
+    /** Opens this server's client of the fleet; longestHard is how long any query is open at the most. */
+    public FleetClient openFleet(FleetClients clients, String self, long longestHard, Set<Guard> without) {
+        return clients.open(fleetName(), voters(), self, fleet.text("dir", ""), fleetSettings(longestHard), without);
+    }
+
+    /** What the fleet goes by; longestHard is how long any query is open at the most. */
+    public FleetSettings fleetSettings(long longestHard) {
+        return new FleetSettings(
                 fleet.whole("settings_version", 1, 1 << 30, 1),
                 lease(),
                 longestHard + linger(),
@@ -179,26 +182,8 @@
         });
         lease();
         linger();
-        openFleet(
-                (name,
-                        voters,
-                        self,
-                        dir,
-                        version,
-                        lease,
-                        tail,
-                        floorLease,
-                        behindMost,
-                        drift,
-                        mostOut,
-                        mostCannot,
-                        serversMost,
-                        floorShare,
-                        probation,
-                        worseRatio,
-                        sickShare) -> null,
-                "",
-                0);
+        fleetSettings(0);
+        fleet.text("dir", "");
     }
 
     /** Whether there is to be a store. */
@@ -238,7 +223,7 @@
     }
 
     /** Where the process that holds the store answers operators. */
-    public Path desk() {
+    public Path adminSocket() {
         return Path.of(durable.text("dir")).resolve("desk");
     }
 
@@ -280,8 +265,8 @@
                 throw new BadSetting(at + ".name: " + e.getMessage());
             }
             if (results != null
-                    && (n.text("name").equals(DurableShelf.RESULTS)
-                            || n.text("name").equals(DurableShelf.INTENTS)
+                    && (n.text("name").equals(DurableResultStore.RESULTS)
+                            || n.text("name").equals(DurableResultStore.INTENTS)
                             || n.text("name").equals(Settling.AUDIT))) {
                 throw new BadSetting(at + ".name is '" + n.text("name") + "', which belongs to the results part");
             }
@@ -291,8 +276,9 @@
         }
         if (results != null) {
             // Nothing in its window may go to make room, so both refuse; an open intent takes under 1.2 KB.
-            all.add(new Namespace(DurableShelf.RESULTS, results.whole("bound_mb", 1, 1 << 20) * (long) MB, false));
-            all.add(new Namespace(DurableShelf.INTENTS, Long.MAX_VALUE, false));
+            all.add(new Namespace(
+                    DurableResultStore.RESULTS, results.whole("bound_mb", 1, 1 << 20) * (long) MB, false));
+            all.add(new Namespace(DurableResultStore.INTENTS, Long.MAX_VALUE, false));
             all.add(new Namespace(Settling.AUDIT, Long.MAX_VALUE, false));
         }
         if (all.size() > Namespace.MOST) {
