--- a/consensus/src/main/java/tallyweir/fleet/ratis/LocalReplica.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/LocalReplica.java
@@ -1,11 +1,7 @@
 package tallyweir.fleet.ratis;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.util.Map;
-import tallyweir.fleet.Body;
-import tallyweir.fleet.RevisionId;
+import java.nio.file.Path;
 import tallyweir.fleet.State;
 
 /**
@@ -13,7 +9,12 @@
  * handed in. Simulations and measurements use it in place of a voter.
  */
 public final class LocalReplica {
+    private final CommandCodec commands = new CommandCodec();
+    private final AnswerCodec answers = new AnswerCodec();
+    private final QuestionCodec questions = new QuestionCodec();
+    private final ReplyCodec replies = new ReplyCodec();
     private final State state;
+    private final TableReplies tables;
 
     /** A replica with an empty state. */
     public LocalReplica() {
@@ -22,25 +23,23 @@
 
     private LocalReplica(State state) {
         this.state = state;
+        tables = new TableReplies(state::table);
     }
 
-    /** A replica with the state of a snapshot that {@link #snapshot} gave. */
-    public static LocalReplica restore(byte[] snapshot) {
+    /** A replica with the state of a snapshot that {@link #save} wrote. */
+    public static LocalReplica load(Path file) throws IOException {
         State state = new State();
-        try {
-            state.load(Wire.CBOR.readValue(snapshot, Map.class));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        try (SnapshotFileReader reader = new SnapshotFileReader(file)) {
+            state.load(reader);
         }
         return new LocalReplica(state);
     }
 
-    /** The whole state in the form in which a voter writes it to its disk. */
-    public byte[] snapshot() {
-        try {
-            return Wire.CBOR.writeValueAsBytes(state.save());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+    /** Writes the whole state as a voter does. */
+    public void save(Path file) throws IOException {
+        try (SnapshotFileWriter writer = new SnapshotFileWriter(file)) {
+            state.save(writer);
+            writer.finish();
         }
     }
 
@@ -51,21 +50,14 @@
      * @param wall the wall's clock, ms since 1970
      * @return the answer as it goes over the wire
      */
-    public byte[] apply(long now, long wall, byte[] command) {
-        Wire.Writer answer = new Wire.Writer();
+    public byte[] apply(long now, long wall, byte[] command) throws IOException {
         state.clock(now, wall);
-        Wire.apply(state, Wire.node(command), answer);
-        return answer.written();
+        return answers.encode(state.apply(commands.decode(command)));
     }
 
-    /** The answer to a question for a revision's body, as it goes over the wire. */
-    public byte[] body(RevisionId revision) {
-        ObjectNode answer = Wire.CBOR.createObjectNode();
-        Body body = state.body(revision);
-        if (body != null) {
-            answer.put("body", body.bytes());
-        }
-        return Wire.bytes(answer);
+    /** The encoded reply to an encoded question about a table. */
+    public byte[] reply(byte[] question) throws IOException {
+        return replies.encode(tables.reply(questions.decode(question)));
     }
 
     /** The state that commands are applied to. */
--- a/consensus/src/main/java/tallyweir/fleet/ratis/Machine.java
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/Machine.java
@@ -24,11 +24,9 @@
 import tallyweir.fleet.Answer;
 import tallyweir.fleet.Command;
 import tallyweir.fleet.Digest;
-import tallyweir.fleet.FleetException;
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.RevisionRoot;
 import tallyweir.fleet.State;
-import tallyweir.fleet.table.Change;
 import tallyweir.fleet.table.Entry;
 import tallyweir.fleet.table.Key;
 import tallyweir.fleet.table.Table;
@@ -51,6 +49,7 @@
     private final QuestionCodec questions = new QuestionCodec();
     private final ReplyCodec replies = new ReplyCodec();
     private final Auditor auditor = new Auditor(this);
+    private final TableReplies tables = new TableReplies(this::table);
     private final LongSupplier clock; // tenths of a millisecond; only goes forward
     private final LongSupplier wall; // ms since 1970
     private SnapshotStore snapshots;
@@ -220,10 +219,7 @@
         if (question instanceof Question.Values values) {
             return values(values.keys());
         }
-        if (question instanceof Question.Difference difference) {
-            return difference(difference);
-        }
-        return piece((Question.Piece) question);
+        return tables.reply(question);
     }
 
     private synchronized State currentState() {
@@ -244,28 +240,6 @@
         return new Reply.Values(revision, entries);
     }
 
-    private Reply difference(Question.Difference question) {
-        Optional<Table> from = table(question.from());
-        Optional<Table> to = table(question.to().root());
-        if (to.isEmpty()) {
-            return new Reply.UnknownRoot();
-        }
-        Optional<List<Change>> changes = from.flatMap(table -> table.differenceTo(to.get(), question.most()));
-        return changes.<Reply>map(Reply.Difference::new).orElseGet(Reply.TooFar::new);
-    }
-
-    private Reply piece(Question.Piece question) {
-        Optional<Table> table = table(question.root());
-        if (table.isEmpty()) {
-            return new Reply.UnknownRoot();
-        }
-        try {
-            return new Reply.Piece(table.get().piece(question.path()));
-        } catch (FleetException e) { // the table has no such path
-            return new Reply.UnknownRoot();
-        }
-    }
-
     private synchronized Optional<Table> table(Digest root) {
         return state.table(root);
     }
--- a/tool/src/main/java/tallyweir/tool/scale/CountedRun.java
+++ b/tool/src/main/java/tallyweir/tool/scale/CountedRun.java
@@ -3,15 +3,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import tallyweir.fleet.ratis.EncodedMessages;
 
 /** A whole fleet in one process on a simulated clock, whose messages are all encoded and counted. */
 final class CountedRun {
-    private static final long START_SPREAD = 10 * ScaleSettings.SECOND;
-    private static final long SETTLE = 30 * ScaleSettings.SECOND;
+    private static final long START_SPREAD = 5 * ScaleSettings.SECOND;
+    private static final long SETTLE = 15 * ScaleSettings.SECOND;
     private static final long FINISH = 60 * ScaleSettings.SECOND;
     private static final int PERCENTILE_MEDIAN = 50;
     private static final int PERCENTILE_HIGH = 99;
     private static final double NANOSECONDS = 1e9;
+    private static final double MOST_PROCESSOR = 0.7; // of the one core that entries are applied on
     private static final double STORM = 2; // times the steady rate from which on a peak is a finding
 
     private final ScaleOptions options;
@@ -35,11 +37,18 @@
         random = new SplittableRandom(options.seed());
         topology = new Topology(options.size().servers());
         network = new SimulatedNetwork(random.nextLong(), topology);
-        voters = new SimulatedVoters(events, parts.voter(), parts.voter());
+        EncodedMessages messages = new EncodedMessages();
+        voters = new SimulatedVoters(events, messages, parts.voter(), parts.voter());
         servers = new SimulatedServers(
-                events, parts, voters, network, changes, options.size().servers(), random.nextLong());
-        operator = new SimulatedOperator(
-                events, parts.operator(options.size(), random.nextLong()), voters, servers, changes);
+                events,
+                messages,
+                parts,
+                voters,
+                network,
+                changes,
+                options.size().servers(),
+                random.nextLong());
+        operator = new SimulatedOperator(events, messages, parts.operator(random.nextLong()), voters, servers, changes);
         faults = new SimulatedFaults(events, servers, voters, topology, random.nextLong());
         caps = new CapWatch(servers, operator.operator(), options.size().tenants());
     }
@@ -150,6 +159,11 @@
                         outcome.fault().kind().label(), outcome.fault().at()));
             }
         }
+        if (roles.get(0).processor() > MOST_PROCESSOR) {
+            all.add(String.format(
+                    "voter-overloaded: applying entries takes the voter that leads %.0f%% of a core",
+                    100 * roles.get(0).processor()));
+        }
         if (operator.turnedDown() > 0) {
             all.add("revisions-turned-down " + operator.turnedDown() + "; their changes were asked for again");
         }
--- a/tool/src/main/java/tallyweir/tool/scale/DrawnLoad.java
+++ b/tool/src/main/java/tallyweir/tool/scale/DrawnLoad.java
@@ -33,7 +33,7 @@
         this.random = random;
         for (int i = 0; i < count; i++) {
             int of = i % 2 == 0 ? Math.min(HOT_TENANTS, tenants) : tenants;
-            active.add(new TenantId(RevisionText.tenant(random.nextInt(of))));
+            active.add(RevisionEntries.tenant(random.nextInt(of)));
         }
     }
 
--- a/tool/src/main/java/tallyweir/tool/scale/HollowProcess.java
+++ b/tool/src/main/java/tallyweir/tool/scale/HollowProcess.java
@@ -1,6 +1,7 @@
 package tallyweir.tool.scale;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.util.function.IntConsumer;
@@ -40,7 +41,7 @@
         System.exit(0); // whatever threads of clients are left
     }
 
-    private String answer(String[] words) {
+    private String answer(String[] words) throws IOException {
         return switch (words[0]) {
             case HollowProcesses.START -> each(words, servers::start);
             case HollowProcesses.END -> each(words, servers::end);
@@ -64,9 +65,9 @@
         return "0";
     }
 
-    private String status(long revision) {
+    private String status(long revision) throws IOException {
         return servers.counting() + " " + servers.serving(revision) + " " + servers.stoodBack() + " "
-                + servers.messages() + " " + servers.bytes() + " " + ProcessUse.processorNanoseconds();
+                + servers.messages() + " " + ProcessUse.transferredBytes() + " " + ProcessUse.processorNanoseconds();
     }
 
     private String acted(long revision) {
--- a/tool/src/main/java/tallyweir/tool/scale/LiveOperator.java
+++ b/tool/src/main/java/tallyweir/tool/scale/LiveOperator.java
@@ -1,12 +1,10 @@
 package tallyweir.tool.scale;
 
-import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import tallyweir.fleet.ratis.EncodedClient;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
-/** Asks the voters of a live run for a change of one cap at a steady pace, and for each again until it is taken. */
+/** Asks the voters of a live run for a change of one cap at a steady pace, and for each again until it is in a revision. */
 final class LiveOperator {
     private static final long RETRY = ScaleSettings.SECOND / 10;
 
@@ -15,20 +13,20 @@
 
     private final EventQueue events;
     private final OperatorUnderTest operator;
-    private final EncodedClient client;
-    private final ArrayDeque<Long> asked = new ArrayDeque<>(); // when; the first is under way
+    private final RatisFleetClient client;
+    private final List<Long> waiting = new ArrayList<>(); // when each was asked for that is in no revision yet
     private final List<Taken> taken = new ArrayList<>();
-    private int refused;
+    private long lastRevision;
 
-    LiveOperator(EventQueue events, OperatorUnderTest operator, EncodedClient client) {
+    LiveOperator(EventQueue events, OperatorUnderTest operator, RatisFleetClient client) {
         this.events = events;
         this.operator = operator;
         this.client = client;
     }
 
-    /** Brings the first revision into force; true once it is. */
-    boolean publishFirst() {
-        return send(operator.publishFirst()) == OperatorUnderTest.Outcome.TAKEN;
+    /** Asks for a change that brings the first revision into force; true once it is. */
+    boolean publish(OperatorUnderTest.Change first) {
+        return first.hear(client.ask(first.command())) == OperatorUnderTest.Outcome.TAKEN;
     }
 
     /** Asks for changes from now on until then. */
@@ -36,39 +34,20 @@
         if (events.now() >= end) {
             return;
         }
-        asked.add(System.currentTimeMillis());
-        if (asked.size() == 1) {
-            ask(operator.changeOneCap());
-        }
+        long askedAt = System.currentTimeMillis();
+        waiting.add(askedAt);
+        ask(operator.changeOneCap(), askedAt);
         events.after(every, () -> changeUntil(end, every));
     }
 
-    private void ask(byte[] command) {
-        switch (send(command)) {
-            case TAKEN -> {
-                taken.add(new Taken(asked.remove(), operator.revision()));
-                next();
-            }
-            case REFUSED -> {
-                refused++;
-                asked.remove();
-                next();
-            }
-            default -> events.after(RETRY, () -> ask(operator.again()));
-        }
-    }
-
-    private OperatorUnderTest.Outcome send(byte[] command) {
-        try {
-            return operator.outcome(client.command(command));
-        } catch (IOException | RuntimeException e) {
-            return OperatorUnderTest.Outcome.LOST; // whether it was applied is found out by asking again
-        }
-    }
-
-    private void next() {
-        if (!asked.isEmpty()) {
-            events.after(RETRY, () -> ask(operator.changeOneCap()));
+    /** An answer that did not come is as good as one that says to wait: the same command again tells. */
+    private void ask(OperatorUnderTest.Change change, long askedAt) {
+        if (change.hear(client.ask(change.command())) == OperatorUnderTest.Outcome.TAKEN) {
+            waiting.remove(Long.valueOf(askedAt));
+            taken.add(new Taken(askedAt, change.revision()));
+            lastRevision = Math.max(lastRevision, change.revision());
+        } else {
+            events.after(RETRY, () -> ask(change, askedAt));
         }
     }
 
@@ -78,15 +57,11 @@
 
     /** When the changes were asked for that have not been taken, ms since 1970. */
     List<Long> waiting() {
-        return List.copyOf(asked);
-    }
-
-    int refused() {
-        return refused;
+        return List.copyOf(waiting);
     }
 
     /** The last revision that a change is in, 0 for none. */
     long lastRevision() {
-        return operator.revision();
+        return lastRevision;
     }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/LiveRun.java
+++ b/tool/src/main/java/tallyweir/tool/scale/LiveRun.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
-import tallyweir.fleet.ratis.EncodedClient;
+import tallyweir.fleet.ratis.RatisFleetClient;
 
 /** A fleet of three voters in processes of their own and servers in a few more, on loopback, in real time. */
 final class LiveRun implements AutoCloseable {
@@ -33,7 +33,7 @@
     private final LiveSeries series = new LiveSeries();
     private final LiveVoters voters;
     private final HollowProcesses servers;
-    private final EncodedClient client;
+    private final RatisFleetClient client;
     private final LiveOperator operator;
     private final OperatorUnderTest asks;
     private final LiveFaults faults;
@@ -50,8 +50,8 @@
         FleetSize size = options.size();
         voters = new LiveVoters(size.servers(), dir);
         servers = new HollowProcesses(options, voters.addresses(), serversEach, dir);
-        client = new EncodedClient(ScaleSettings.FLEET, voters.addresses(), OPERATOR_GIVE_UP_MILLISECONDS);
-        asks = parts.operator(size, options.seed());
+        client = new RatisFleetClient(ScaleSettings.FLEET, voters.addresses(), OPERATOR_GIVE_UP_MILLISECONDS);
+        asks = parts.operator(options.seed());
         operator = new LiveOperator(events, asks, client);
         faults = new LiveFaults(events, servers, operator, series, new Topology(size.servers()), options.seed());
     }
@@ -76,7 +76,8 @@
 
     private void begin() throws IOException, InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
-        while (!operator.publishFirst()) {
+        OperatorUnderTest.Change first = asks.publishFirst();
+        while (!operator.publish(first)) {
             awaitBefore(deadline, "no revision came into force");
         }
         int count = options.size().servers();
@@ -175,17 +176,18 @@
                     used / NANOSECONDS / seconds,
                     votersAfter.get(voter).residentBytes(),
                     leads
-                            ? "messages of servers counted, without the log's; processor and memory of the process"
+                            ? "calls of servers and all their bytes, without the log's; processor and memory of the process"
                             : "processor and memory of the process; messages not counted"));
         }
         double each = count * seconds;
-        roles.add(new RoleUse(
-                Roles.SERVER,
-                messages / count,
-                bytes / count,
-                (after.processorNanoseconds() - before.processorNanoseconds()) / NANOSECONDS / each,
-                servers.heapBytes() / count,
-                "counted without framing; processor and heap of whole processes divided by their servers"));
+        roles.add(
+                new RoleUse(
+                        Roles.SERVER,
+                        messages / count,
+                        bytes / count,
+                        (after.processorNanoseconds() - before.processorNanoseconds()) / NANOSECONDS / each,
+                        servers.heapBytes() / count,
+                        "calls, and bytes read and written by the processes; processor and heap of whole processes, by their servers"));
         return roles;
     }
 
@@ -232,7 +234,7 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public void close() {
         client.close();
         servers.close();
         voters.close();
--- a/tool/src/main/java/tallyweir/tool/scale/LiveServers.java
+++ b/tool/src/main/java/tallyweir/tool/scale/LiveServers.java
@@ -1,23 +1,23 @@
 package tallyweir.tool.scale;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import tallyweir.fleet.ratis.EncodedClient;
+import tallyweir.fleet.FleetClient;
+import tallyweir.fleet.ratis.RatisFleetClient;
+import tallyweir.ids.TenantId;
 
 /**
- * Servers of a live fleet in one process. All decide on one thread; each has a client of its own, and a thread of its own that
- * waits for answers, as a server's has. Every method is called on the deciding thread but for those of the meters.
+ * Servers of a live fleet in one process. All decide on one thread; each has a client of its own, as a server has. Every method is called on the deciding thread but for those of the meters.
  */
 final class LiveServers {
     private static final long NANOSECONDS_PER_TICK = 100_000;
@@ -36,7 +36,6 @@
     private final List<ServerSlot> slots = new ArrayList<>();
     private final TreeMap<Long, Acted> acted = new TreeMap<>();
     private final AtomicLong messages = new AtomicLong();
-    private final AtomicLong bytes = new AtomicLong();
     private int stoodBack;
 
     LiveServers(SimulationParts parts, Map<String, String> voters, int first, int count, long seed) {
@@ -71,12 +70,19 @@
             return;
         }
         long life = slot.nextLife();
-        Connection connection = new Connection(slot, life);
-        slot.started(parts.server(number, System.currentTimeMillis(), random.nextLong(), now(), connection));
+        HollowServer.Identity identity =
+                new HollowServer.Identity(number, System.currentTimeMillis(), random.nextLong());
+        Executor ofServer = task -> deciding.execute(() -> call(slot, life, process -> task.run()));
+        slot.started(parts.server(identity, now(), life == 1, client(slot), ofServer));
         call(slot, life, process -> {});
         load(slot, life);
     }
 
+    private LiveClient client(ServerSlot slot) {
+        FleetClient client = new RatisFleetClient(ScaleSettings.FLEET, voters, GIVE_UP_MILLISECONDS);
+        return new LiveClient(client, slot::reached, deciding, GIVE_UP_MILLISECONDS, messages);
+    }
+
     /** Ends a server at once. */
     void end(int number) {
         slots.get(number - first).ended();
@@ -165,9 +171,10 @@
 
     /** Connections of a tenant at all servers here. */
     int connections(int tenant) {
+        TenantId named = RevisionEntries.tenant(tenant);
         int all = 0;
         for (ServerSlot slot : slots) {
-            all += slot.process() == null ? 0 : slot.process().connections(tenant);
+            all += slot.process() == null ? 0 : slot.process().connections(named);
         }
         return all;
     }
@@ -176,92 +183,4 @@
     long messages() {
         return messages.get();
     }
-
-    /** Bytes of all servers, both ways, without what the transport adds. */
-    long bytes() {
-        return bytes.get();
-    }
-
-    /** A server's way to the voters. */
-    private final class Connection implements ServerUnderTest.Network {
-        private final ServerSlot slot;
-        private final long life;
-        private final ExecutorService waiting = Executors.newSingleThreadExecutor(LiveServers::daemon);
-        private EncodedClient client; // opened, used and closed on the waiting thread
-
-        Connection(ServerSlot slot, long life) {
-            this.slot = slot;
-            this.life = life;
-        }
-
-        @Override
-        public void command(byte[] message) {
-            send(message, EncodedClient::command, ServerUnderTest::answered, ServerUnderTest::commandFailed);
-        }
-
-        @Override
-        public void question(byte[] message) {
-            send(message, EncodedClient::question, ServerUnderTest::told, ServerUnderTest::questionFailed);
-        }
-
-        @Override
-        public void later(Runnable action) {
-            deciding.execute(() -> call(slot, life, process -> action.run()));
-        }
-
-        private void send(byte[] message, Exchange exchange, Hearer hearer, Consumer<ServerUnderTest> failed) {
-            if (!slot.reached()) {
-                deciding.schedule(() -> call(slot, life, failed), GIVE_UP_MILLISECONDS, TimeUnit.MILLISECONDS);
-                return;
-            }
-            waiting.execute(() -> exchange(message, exchange, hearer, failed));
-        }
-
-        private void exchange(byte[] message, Exchange exchange, Hearer hearer, Consumer<ServerUnderTest> failed) {
-            try {
-                if (client == null) {
-                    client = new EncodedClient(ScaleSettings.FLEET, voters, GIVE_UP_MILLISECONDS);
-                }
-                count(message);
-                byte[] answer = exchange.send(client, message);
-                count(answer);
-                deciding.execute(() -> heard(answer, hearer, failed));
-            } catch (IOException | RuntimeException e) {
-                deciding.execute(() -> call(slot, life, failed));
-            }
-        }
-
-        private void heard(byte[] answer, Hearer hearer, Consumer<ServerUnderTest> failed) {
-            if (slot.reached()) {
-                call(slot, life, process -> hearer.hear(process, answer));
-            } else {
-                call(slot, life, failed);
-            }
-            if (!slot.runs(life)) {
-                waiting.execute(this::close);
-            }
-        }
-
-        private void close() {
-            waiting.shutdown();
-            try {
-                client.close();
-            } catch (IOException e) {
-                System.err.println("a client did not close well: " + e);
-            }
-        }
-
-        private void count(byte[] message) {
-            messages.incrementAndGet();
-            bytes.addAndGet(message.length);
-        }
-    }
-
-    private interface Exchange {
-        byte[] send(EncodedClient client, byte[] message) throws IOException;
-    }
-
-    private interface Hearer {
-        void hear(ServerUnderTest server, byte[] answer);
-    }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/Operation.java
+++ b/tool/src/main/java/tallyweir/tool/scale/Operation.java
@@ -11,6 +11,7 @@
     LOAD("snapshot-load", true, (fleet, server) -> fleet.load()),
     CHANGE("change-of-one-cap", true, (fleet, server) -> fleet.publishOneCapChange()),
     CHANGE_IN_STATE("change-in-state", true, (fleet, server) -> fleet.changeInState()),
+    REPORT_AFTER_CHANGE("report-after-change", true, Operation::changeAndReport),
     ROLLBACK("rollback", true, (fleet, server) -> fleet.rollback()),
     SERVER_APPLY("server-apply", false, (fleet, server) -> fleet.serverApply());
 
@@ -45,4 +46,10 @@
         fleet.report(server);
         return cost;
     }
+
+    /** The first report of a server that acts on a change which has just come into force. */
+    private static Cost changeAndReport(FleetUnderTest fleet, int server) {
+        fleet.publishOneCapChange();
+        return fleet.report(server);
+    }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/OperatorUnderTest.java
+++ b/tool/src/main/java/tallyweir/tool/scale/OperatorUnderTest.java
@@ -1,36 +1,40 @@
 package tallyweir.tool.scale;
 
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+
 /** An operator of a simulated fleet, who changes one cap at a time. */
 interface OperatorUnderTest {
     /** What became of a change. */
     enum Outcome {
-        /** It is proposed or in force. */
+        /** It is proposed or in force, in a revision that is known. */
         TAKEN,
-        /** It waits for the change before it; asked again, it tells what has become of it. */
+        /** It waits for the change before it; the same command again tells what has become of it. */
         WAITING,
-        /** Another change came first: it is to be made anew on top of that. */
-        LOST,
         /** It was turned down. */
         REFUSED
     }
 
-    /** The command that founds the fleet. */
-    byte[] found();
+    /** One change that is asked for, by the same command each time. */
+    interface Change {
+        /** The command to send. */
+        Command command();
 
-    /** The command that brings the first revision into force. */
-    byte[] publishFirst();
+        /** What an answer to it says. */
+        Outcome hear(Answer answer);
 
-    /** The command that changes the cap of a tenant that is drawn. */
-    byte[] changeOneCap();
+        /** The revision that it is in, 0 while that is not known. */
+        long revision();
+    }
 
-    /** The same change again, on top of what is in force now. */
-    byte[] again();
+    /** The command that founds the fleet. */
+    Command found();
 
-    /** What an answer says of the change that was asked for last. */
-    Outcome outcome(byte[] answer);
+    /** The change that brings the first revision into force. */
+    Change publishFirst();
 
-    /** The revision that the change asked for last is in, 0 while that is not known. */
-    long revision();
+    /** A change of the cap of a tenant that is drawn. */
+    Change changeOneCap();
 
     /** The highest cap that a tenant has had in any revision. */
     int highestCap(int tenant);
--- a/tool/src/main/java/tallyweir/tool/scale/ProcessUse.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ProcessUse.java
@@ -9,6 +9,8 @@
 /** What this process has used. */
 final class ProcessUse {
     private static final String RESIDENT = "VmRSS:";
+    private static final String READ = "rchar:";
+    private static final String WRITTEN = "wchar:";
     private static final long KILOBYTE = 1_024;
 
     private ProcessUse() {}
@@ -27,4 +29,15 @@
         }
         return 0;
     }
+
+    /** Bytes that the process has read and written, on connections and else. */
+    static long transferredBytes() throws IOException {
+        long all = 0;
+        for (String line : Files.readAllLines(Path.of("/proc/self/io"))) {
+            if (line.startsWith(READ) || line.startsWith(WRITTEN)) {
+                all += Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        return all;
+    }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/ReplicaVoter.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ReplicaVoter.java
@@ -1,11 +1,12 @@
 package tallyweir.tool.scale;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import tallyweir.fleet.Revision;
 import tallyweir.fleet.RevisionId;
-import tallyweir.fleet.ratis.EncodedMessages;
 import tallyweir.fleet.ratis.LocalReplica;
 
-/** A voter on the present state and codec, without Ratis and without a disk. */
+/** A voter on the real state and codec, without Ratis and without a disk. */
 final class ReplicaVoter implements VoterUnderTest {
     private static final long WALL = 1_700_000_000_000L; // any: the state only keeps it
     private static final long TICKS_PER_MILLISECOND = 10;
@@ -14,12 +15,16 @@
 
     @Override
     public byte[] apply(long now, byte[] command) {
-        return replica.apply(now, WALL + now / TICKS_PER_MILLISECOND, command);
+        try {
+            return replica.apply(now, WALL + now / TICKS_PER_MILLISECOND, command);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     @Override
-    public byte[] read(byte[] question) {
-        return replica.body(new RevisionId(EncodedMessages.askedBody(question)));
+    public byte[] read(byte[] question) throws IOException {
+        return replica.reply(question);
     }
 
     @Override
@@ -27,11 +32,6 @@
         return replica.state().nextDue();
     }
 
-    @Override
-    public byte[] tick() {
-        return EncodedMessages.tick();
-    }
-
     @Override
     public long inForce() {
         return replica.state().inForce().value();
--- a/tool/src/main/java/tallyweir/tool/scale/ScaleSettings.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ScaleSettings.java
@@ -1,6 +1,6 @@
 package tallyweir.tool.scale;
 
-import tallyweir.fleet.ratis.Voter;
+import tallyweir.fleet.FleetSettings;
 
 /** The settings of the fleets that are measured: the defaults of the operators' file, with a place for each server. */
 final class ScaleSettings {
@@ -33,9 +33,9 @@
 
     private ScaleSettings() {}
 
-    /** The founding of a fleet with so many places. */
-    static Voter.Founding founding(int places) {
-        return new Voter.Founding(
+    /** Of a fleet with so many places. */
+    static FleetSettings fleet(int places) {
+        return new FleetSettings(
                 VERSION,
                 LEASE,
                 LONGEST_QUERY + LINGER,
--- a/tool/src/main/java/tallyweir/tool/scale/ServerSlot.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ServerSlot.java
@@ -45,6 +45,9 @@
 
     /** The process has ended. */
     void ended() {
+        if (process != null) {
+            process.close();
+        }
         process = null;
         acting = 0;
     }
--- a/tool/src/main/java/tallyweir/tool/scale/ServerUnderTest.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ServerUnderTest.java
@@ -1,37 +1,15 @@
 package tallyweir.tool.scale;
 
-/** A server of a simulated fleet without sockets to callers. */
-interface ServerUnderTest {
-    /** Where a server's messages go; each is answered by one call, or has failed. */
-    interface Network {
-        /** Sends a command to the log. */
-        void command(byte[] bytes);
-
-        /** Sends a question that is no entry of the log. */
-        void question(byte[] bytes);
-
-        /** Has something done by the server at this time, but after the call that is under way. */
-        void later(Runnable action);
-    }
+import tallyweir.ids.TenantId;
 
+/** A server of a fleet without sockets to callers; it talks to the voters by the client that it was made with. */
+interface ServerUnderTest {
     /** Tells the time. */
     void clock(long now);
 
     /** When it has something to do by itself. */
     long next();
 
-    /** The answer to its last command. */
-    void answered(byte[] answer);
-
-    /** The answer to its last question. */
-    void told(byte[] answer);
-
-    /** No answer came to its last command. */
-    void commandFailed();
-
-    /** No answer came to its last question. */
-    void questionFailed();
-
     /** Lets some connections of callers come and go. */
     void drawLoad();
 
@@ -42,5 +20,8 @@
     boolean standsBack();
 
     /** Connections of a tenant that count now. */
-    int connections(int tenant);
+    int connections(TenantId tenant);
+
+    /** Lets go of what the process held beside its memory. */
+    void close();
 }
--- a/tool/src/main/java/tallyweir/tool/scale/SimulatedNetwork.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SimulatedNetwork.java
@@ -41,6 +41,16 @@
         digest.update(message);
     }
 
+    /** Notes messages of a server that are known by their number and length. */
+    void note(long now, int server, long count, long length) {
+        note(now, server, (count + " " + length).getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** The number of a voter, drawn: any may be asked for a table. */
+    int anyVoter() {
+        return random.nextInt(SimulatedVoters.VOTERS);
+    }
+
     /** Names all messages so far; called once, at the end. */
     String digest() {
         return HexFormat.of().formatHex(digest.digest());
--- a/tool/src/main/java/tallyweir/tool/scale/SimulatedOperator.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SimulatedOperator.java
@@ -1,28 +1,37 @@
 package tallyweir.tool.scale;
 
-import java.util.ArrayDeque;
-
-/** Asks for a change of one cap at a steady pace, and for each again until it is taken. */
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+import tallyweir.fleet.ratis.EncodedMessages;
+
+/** Asks for a change of one cap at a steady pace, and for each again until it is in a revision that comes into force. */
 final class SimulatedOperator {
     private static final long RETRY = ScaleSettings.SECOND / 10;
 
     private final EventQueue events;
+    private final EncodedMessages messages;
     private final OperatorUnderTest operator;
     private final SimulatedVoters voters;
     private final SimulatedServers servers;
     private final ChangeTracker changes;
-    private final ArrayDeque<Long> asked = new ArrayDeque<>(); // when; the first is under way
+    private final List<Long> waiting = new ArrayList<>(); // when each was asked for that is in no revision yet
     private int taken;
     private int refused;
     private int turnedDown;
 
     SimulatedOperator(
             EventQueue events,
+            EncodedMessages messages,
             OperatorUnderTest operator,
             SimulatedVoters voters,
             SimulatedServers servers,
             ChangeTracker changes) {
         this.events = events;
+        this.messages = messages;
         this.operator = operator;
         this.voters = voters;
         this.servers = servers;
@@ -31,8 +40,19 @@
 
     /** Founds the fleet and brings its first revision into force. */
     void found() {
-        voters.command(operator.found());
-        operator.outcome(voters.command(operator.publishFirst()));
+        send(operator.found());
+        OperatorUnderTest.Change first = operator.publishFirst();
+        if (first.hear(send(first.command())) != OperatorUnderTest.Outcome.TAKEN) {
+            throw new IllegalStateException("the first revision was turned down");
+        }
+    }
+
+    private Answer send(Command command) {
+        try {
+            return messages.decodeAnswer(voters.command(messages.encode(command)));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     /** Asks for changes from now on until then. */
@@ -40,33 +60,31 @@
         if (events.now() >= end) {
             return;
         }
-        asked.add(events.now());
-        if (asked.size() == 1) {
-            ask(operator.changeOneCap());
-        }
+        begin(events.now());
         events.after(every, () -> changeUntil(end, every));
     }
 
-    private void ask(byte[] command) {
-        OperatorUnderTest.Outcome outcome = operator.outcome(voters.command(command));
-        switch (outcome) {
-            case TAKEN -> taken(operator.revision(), asked.remove());
-            case REFUSED -> {
+    private void begin(long askedAt) {
+        waiting.add(askedAt);
+        ask(operator.changeOneCap(), askedAt);
+    }
+
+    private void ask(OperatorUnderTest.Change change, long askedAt) {
+        switch (change.hear(send(change.command()))) {
+            case TAKEN -> {
+                waiting.remove(Long.valueOf(askedAt));
+                taken++;
+                changes.opened(change.revision(), askedAt, events.now(), servers.counting(), servers::acting);
+                events.after(RETRY, () -> follow(change.revision(), askedAt));
+            }
+            case WAITING -> events.after(RETRY, () -> ask(change, askedAt));
+            default -> {
                 refused++;
-                asked.remove();
-                next();
+                events.after(RETRY, () -> ask(operator.changeOneCap(), askedAt));
             }
-            default -> events.after(RETRY, () -> ask(operator.again()));
         }
     }
 
-    private void taken(long revision, long askedAt) {
-        taken++;
-        changes.opened(revision, askedAt, events.now(), servers.counting(), servers::acting);
-        events.after(RETRY, () -> follow(revision, askedAt));
-        next();
-    }
-
     /** Until a revision is in force; a change whose revision is turned down is asked for again. */
     private void follow(long revision, long askedAt) {
         VoterUnderTest voter = voters.leads();
@@ -74,45 +92,34 @@
             turnedDown++;
             taken--;
             changes.turnedDown(revision);
-            asked.add(askedAt);
-            if (asked.size() == 1) {
-                ask(operator.changeOneCap());
-            }
+            begin(askedAt);
         } else if (voter.inForce() < revision) {
             events.after(RETRY, () -> follow(revision, askedAt));
         }
     }
 
-    private void next() {
-        if (!asked.isEmpty()) {
-            ask(operator.changeOneCap());
-        }
-    }
-
     /** Takes the changes that still wait for as long as they have waited, and returns how many these are. */
     int close() {
-        int left = asked.size();
-        asked.forEach(at -> changes.neverTaken(at, events.now()));
-        asked.clear();
-        return left;
+        waiting.forEach(askedAt -> changes.neverTaken(askedAt, events.now()));
+        return waiting.size();
     }
 
     /** Whether no change waits to be taken. */
     boolean idle() {
-        return asked.isEmpty();
+        return waiting.isEmpty();
     }
 
-    /** Changes that were taken. */
+    /** Changes that are in a revision. */
     int taken() {
         return taken;
     }
 
-    /** Changes that were turned down. */
+    /** Changes that were turned down at once, and asked for again. */
     int refused() {
         return refused;
     }
 
-    /** Revisions that were turned down after they had been proposed. */
+    /** Changes whose revision was turned down after it had been proposed. */
     int turnedDown() {
         return turnedDown;
     }
--- a/tool/src/main/java/tallyweir/tool/scale/SimulatedServers.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SimulatedServers.java
@@ -5,12 +5,15 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import tallyweir.fleet.ratis.EncodedMessages;
+import tallyweir.ids.TenantId;
 
-/** The servers of a simulated fleet: their processes, which are started, ended and cut off, and their messages. */
+/** The servers of a simulated fleet: their processes, which are started, ended and cut off. */
 final class SimulatedServers {
     private static final int LOAD_STEPS_PER_SECOND = 4;
 
     private final EventQueue events;
+    private final EncodedMessages messages;
     private final SimulationParts parts;
     private final SimulatedVoters voters;
     private final SimulatedNetwork network;
@@ -22,6 +25,7 @@
 
     SimulatedServers(
             EventQueue events,
+            EncodedMessages messages,
             SimulationParts parts,
             SimulatedVoters voters,
             SimulatedNetwork network,
@@ -29,6 +33,7 @@
             int count,
             long seed) {
         this.events = events;
+        this.messages = messages;
         this.parts = parts;
         this.voters = voters;
         this.network = network;
@@ -39,14 +44,21 @@
         }
     }
 
-    /** Starts a process where there is none. */
+    /** Starts a process where there is none; the first at each place has the first revision's table already. */
     void start(int number) {
         ServerSlot slot = slots.get(number);
         if (slot.process() != null) {
             return;
         }
         long life = slot.nextLife();
-        slot.started(parts.server(number, life, random.nextLong(), events.now(), new Connection(slot, life)));
+        SimulatedClient client = new SimulatedClient(events, messages, voters, network, meter, slot);
+        HollowServer.Identity identity = new HollowServer.Identity(number, life, random.nextLong());
+        slot.started(parts.server(
+                identity,
+                events.now(),
+                life == 1,
+                client,
+                task -> events.at(events.now(), () -> run(slot, life, task))));
         wake(slot, life);
         events.after(random.nextLong(ScaleSettings.SECOND), () -> load(slot, life));
     }
@@ -84,9 +96,10 @@
 
     /** Connections of a tenant over the whole fleet. */
     int connections(int tenant) {
+        TenantId named = RevisionEntries.tenant(tenant);
         int all = 0;
         for (ServerSlot slot : slots) {
-            all += slot.process() == null ? 0 : slot.process().connections(tenant);
+            all += slot.process() == null ? 0 : slot.process().connections(named);
         }
         return all;
     }
@@ -114,6 +127,10 @@
         }
     }
 
+    private void run(ServerSlot slot, long life, Runnable task) {
+        call(slot, life, process -> task.run());
+    }
+
     /** Has a server do something at this moment, if the process still runs, and looks at what has become of it. */
     private void call(ServerSlot slot, long life, Consumer<ServerUnderTest> action) {
         if (!slot.runs(life)) {
@@ -147,67 +164,4 @@
             });
         }
     }
-
-    /** A process's way to the voter that leads. */
-    private final class Connection implements ServerUnderTest.Network {
-        private final ServerSlot slot;
-        private final long life;
-
-        Connection(ServerSlot slot, long life) {
-            this.slot = slot;
-            this.life = life;
-        }
-
-        @Override
-        public void command(byte[] bytes) {
-            send(bytes, voters::command, ServerUnderTest::answered, ServerUnderTest::commandFailed);
-        }
-
-        @Override
-        public void question(byte[] bytes) {
-            send(bytes, voters::question, ServerUnderTest::told, ServerUnderTest::questionFailed);
-        }
-
-        @Override
-        public void later(Runnable action) {
-            events.at(events.now(), () -> call(slot, life, process -> action.run()));
-        }
-
-        private void send(byte[] bytes, Handler handler, Hearer hearer, Consumer<ServerUnderTest> failed) {
-            meter.message(events.now(), bytes.length);
-            network.note(events.now(), slot.number(), bytes);
-            long sent = events.now();
-            events.after(network.latency(slot.number()), () -> {
-                if (slot.reached()) {
-                    answer(handler.handle(bytes), sent, hearer, failed);
-                } else {
-                    giveUp(sent, failed);
-                }
-            });
-        }
-
-        private void answer(byte[] answer, long sent, Hearer hearer, Consumer<ServerUnderTest> failed) {
-            events.after(network.latency(slot.number()), () -> {
-                if (!slot.reached()) {
-                    giveUp(sent, failed);
-                } else if (slot.runs(life)) {
-                    meter.message(events.now(), answer.length);
-                    network.note(events.now(), slot.number(), answer);
-                    call(slot, life, process -> hearer.hear(process, answer));
-                }
-            });
-        }
-
-        private void giveUp(long sent, Consumer<ServerUnderTest> failed) {
-            events.at(sent + SimulatedNetwork.GIVE_UP, () -> call(slot, life, failed));
-        }
-    }
-
-    private interface Handler {
-        byte[] handle(byte[] message);
-    }
-
-    private interface Hearer {
-        void hear(ServerUnderTest server, byte[] answer);
-    }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/SimulatedVoters.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SimulatedVoters.java
@@ -1,5 +1,10 @@
 package tallyweir.tool.scale;
 
+import tallyweir.fleet.Command;
+import tallyweir.fleet.RevisionRoot;
+import tallyweir.fleet.ratis.EncodedMessages;
+import tallyweir.fleet.table.Table;
+
 /** The voters of a simulated fleet: one that leads, and one of those that follow it, which applies the same entries. */
 final class SimulatedVoters {
     /** Voters in all. */
@@ -9,24 +14,29 @@
     private static final int ACKNOWLEDGEMENT = 32; // bytes; worked out, as are its messages
 
     private final EventQueue events;
+    private final EncodedMessages messages;
     private final VoterUnderTest leads;
     private final VoterUnderTest follows;
+    private final SimulatedFetches fetches;
     private final TrafficMeter ofLeading = new TrafficMeter();
     private final TrafficMeter ofFollowing = new TrafficMeter();
+    private final TrafficMeter ofOthers = new TrafficMeter();
     private long tickAt = Long.MAX_VALUE;
 
-    SimulatedVoters(EventQueue events, VoterUnderTest leads, VoterUnderTest follows) {
+    SimulatedVoters(EventQueue events, EncodedMessages messages, VoterUnderTest leads, VoterUnderTest follows) {
         this.events = events;
+        this.messages = messages;
         this.leads = leads;
         this.follows = follows;
+        fetches = new SimulatedFetches(messages, leads);
     }
 
     /** A command arrives: it becomes an entry of the log, and its answer goes out. */
     byte[] command(byte[] command) {
         long now = events.now();
-        ofLeading.message(now, command.length);
+        ofLeading.messages(now, 1, command.length);
         byte[] answer = entry(command);
-        ofLeading.message(now, answer.length);
+        ofLeading.messages(now, 1, answer.length);
         return answer;
     }
 
@@ -34,11 +44,9 @@
         long now = events.now();
         long entryBytes = command.length + STAMP;
         for (int follower = 1; follower < VOTERS; follower++) {
-            ofLeading.message(now, entryBytes);
-            ofLeading.message(now, ACKNOWLEDGEMENT);
+            ofLeading.messages(now, 2, entryBytes + ACKNOWLEDGEMENT);
         }
-        ofFollowing.message(now, entryBytes);
-        ofFollowing.message(now, ACKNOWLEDGEMENT);
+        ofFollowing.messages(now, 2, entryBytes + ACKNOWLEDGEMENT);
         byte[] answer = worked(ofLeading, leads, command);
         worked(ofFollowing, follows, command);
         tickWhenDue();
@@ -66,21 +74,19 @@
         }
         tickAt = Long.MAX_VALUE;
         if (leads.nextDue() <= events.now()) {
-            entry(leads.tick());
+            entry(messages.encode(new Command.Tick()));
         } else {
             tickWhenDue();
         }
     }
 
-    /** A question arrives, and its answer goes out. */
-    byte[] question(byte[] question) {
-        long now = events.now();
-        ofLeading.message(now, question.length);
-        long began = System.nanoTime();
-        byte[] answer = leads.read(question);
-        ofLeading.worked(now, System.nanoTime() - began);
-        ofLeading.message(now, answer.length);
-        return answer;
+    /** A server fetches a table from one of the voters. */
+    SimulatedFetches.Fetched fetch(Table have, RevisionRoot wanted, int fromVoter) {
+        SimulatedFetches.Fetched fetched = fetches.fetch(have, wanted);
+        TrafficMeter meter = fromVoter == 0 ? ofLeading : fromVoter == 1 ? ofFollowing : ofOthers;
+        meter.messages(events.now(), fetched.messages(), fetched.bytes());
+        meter.worked(events.now(), fetched.voterNanoseconds());
+        return fetched;
     }
 
     VoterUnderTest leads() {
--- a/tool/src/main/java/tallyweir/tool/scale/StateFleet.java
+++ b/tool/src/main/java/tallyweir/tool/scale/StateFleet.java
@@ -1,47 +1,53 @@
 package tallyweir.tool.scale;
 
-import java.util.ArrayList;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import tallyweir.config.Routing;
-import tallyweir.fleet.Answers;
-import tallyweir.fleet.Body;
-import tallyweir.fleet.Digest;
-import tallyweir.fleet.Fault;
+import tallyweir.backend.Routes;
+import tallyweir.backend.TableCaps;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
 import tallyweir.fleet.Gate;
-import tallyweir.fleet.Grant;
 import tallyweir.fleet.Incarnation;
 import tallyweir.fleet.Need;
 import tallyweir.fleet.OperatorCommand;
 import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.RevisionRoot;
 import tallyweir.fleet.ServerId;
+import tallyweir.fleet.State;
 import tallyweir.fleet.ratis.EncodedMessages;
 import tallyweir.fleet.ratis.LocalReplica;
+import tallyweir.fleet.table.Change;
+import tallyweir.fleet.table.Table;
 import tallyweir.ids.TenantId;
 import tallyweir.ids.WorkloadId;
 
-/** The measured operations on the present state and codec. */
+/** The measured operations on the state and codec of the fleet and consensus modules. */
 final class StateFleet implements FleetUnderTest {
     private static final long WALL = 1_700_000_000_000L;
     private static final String BY = "scale";
+    private static final Set<WorkloadId> WORKLOADS = Set.of(new WorkloadId("orders"));
 
+    private final EncodedMessages messages = new EncodedMessages();
     private final SplittableRandom random;
     private final int activeTenants;
     private final Map<Integer, Long> numbers = new HashMap<>();
     private final Map<Integer, Incarnation> incarnations = new HashMap<>();
+    private final Map<Integer, Integer> caps = new HashMap<>(); // where they differ from the first revision's
     private FleetSize size;
     private LocalReplica replica;
-    private byte[] snapshot;
-    private long now;
+    private Path snapshot;
     private long lives;
     private int commands;
     private long heapBefore;
-    private byte[] fetched;
     private Gate gate;
-    private Routing acting;
+    private Routes acting;
 
     /** @param activeTenants of each server, for which it has open connections and reports a need */
     StateFleet(long seed, int activeTenants) {
@@ -49,18 +55,16 @@
         this.activeTenants = activeTenants;
     }
 
+    private State state() {
+        return replica.state();
+    }
+
     @Override
     public Cost found(FleetSize of) {
-        size = of;
-        numbers.clear();
-        incarnations.clear();
-        replica = null;
-        snapshot = null;
+        begin(of);
         heapBefore = Heap.used();
-        replica = new LocalReplica();
         long began = System.nanoTime();
-        apply(EncodedMessages.found(ScaleSettings.FLEET, ScaleSettings.founding(of.servers())));
-        publish(body(RevisionText.write(of, 0, 0)));
+        foundWithFirstRevision();
         for (int server = 0; server < of.servers(); server++) {
             join(server);
             report(server);
@@ -68,166 +72,217 @@
         return new Cost(System.nanoTime() - began, 0);
     }
 
-    private static Body body(byte[] text) {
-        Routing routing = Routing.parse(text);
-        return new Body(text, routing.caps, routing.digests());
+    private void begin(FleetSize of) {
+        size = of;
+        numbers.clear();
+        incarnations.clear();
+        caps.clear();
+        replica = new LocalReplica();
+        acting = null;
+        gate = null;
+    }
+
+    private void foundWithFirstRevision() {
+        apply(new Command.Found(ScaleSettings.FLEET, ScaleSettings.fleet(size.servers())));
+        List<Change> first = RevisionEntries.first(size);
+        done(apply(new Command.Publish(next(), RevisionId.NONE, first, BY, "the first revision", true)));
     }
 
-    private byte[] apply(byte[] command) {
-        return replica.apply(now, WALL, command);
+    private Answer apply(Command command) {
+        try {
+            return messages.decodeAnswer(replica.apply(0, WALL, messages.encode(command)));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void done(Answer answer) {
+        if (!(answer instanceof Answer.Done)) {
+            throw new IllegalStateException("a change was not made: " + answer);
+        }
     }
 
-    private Cost timed(byte[] command) {
+    /** Applies an encoded command, as a voter does with an entry of the log. */
+    private Timed timed(Command command) {
+        byte[] bytes = messages.encode(command);
+        try {
+            long began = System.nanoTime();
+            byte[] answer = replica.apply(0, WALL, bytes);
+            long took = System.nanoTime() - began;
+            return new Timed(new Cost(took, bytes.length + answer.length), messages.decodeAnswer(answer));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private record Timed(Cost cost, Answer answer) {}
+
+    /** Applies a command in the state alone. */
+    private Timed timedInState(Command command) {
         long began = System.nanoTime();
-        byte[] answer = apply(command);
-        return new Cost(System.nanoTime() - began, command.length + answer.length);
+        Answer answer = state().apply(command);
+        return new Timed(new Cost(System.nanoTime() - began, 0), answer);
     }
 
     private OperatorCommand next() {
         return new OperatorCommand("command " + ++commands);
     }
 
-    private Cost publish(Body body) {
-        byte[] command = EncodedMessages.publish(
-                next(), replica.state().inForce(), Digest.of(body.bytes()), body, BY, "a cap is changed", true);
-        return timed(command);
-    }
-
     @Override
     public Cost join(int server) {
-        byte[] command = EncodedMessages.join(ScaleSettings.FLEET, id(server), "10.0.0.1:" + server, ++lives);
-        long began = System.nanoTime();
-        byte[] answer = apply(command);
-        long took = System.nanoTime() - began;
-        Reply reply = Reply.of(answer);
-        if (reply.incarnation == null) {
-            throw new IllegalStateException("a server could not join: " + reply.refusal);
+        Timed timed = timed(new Command.Join(ScaleSettings.FLEET, id(server), "10.0.0.1:" + server, ++lives));
+        if (!(timed.answer instanceof Answer.Joined joined)) {
+            throw new IllegalStateException("a server could not join: " + timed.answer);
         }
-        incarnations.put(server, reply.incarnation);
+        incarnations.put(server, joined.as());
         numbers.put(server, 0L);
-        return new Cost(took, command.length + answer.length);
+        return timed.cost;
     }
 
     @Override
     public Cost report(int server) {
-        RevisionId inForce = replica.state().inForce();
-        Digest digest = replica.state().body(inForce).digests().get("");
-        return timed(EncodedMessages.report(
-                id(server), incarnations.get(server), number(server), inForce, digest, 0, inForce, "", 0, 0, needs()));
+        return told(timed(reportOf(server)));
     }
 
-    private long number(int server) {
-        return numbers.merge(server, 1L, Long::sum);
+    @Override
+    public Cost reportInState(int server) {
+        return told(timedInState(reportOf(server)));
+    }
+
+    private static Cost told(Timed timed) {
+        if (!(timed.answer instanceof Answer.Told)) {
+            throw new IllegalStateException("a report was turned down: " + timed.answer);
+        }
+        return timed.cost;
+    }
+
+    private Command.Report reportOf(int server) {
+        RevisionId inForce = state().inForce();
+        return new Command.Report(
+                id(server),
+                incarnations.get(server),
+                numbers.merge(server, 1L, Long::sum),
+                inForce,
+                state().table(inForce).root(),
+                0,
+                inForce,
+                "",
+                0,
+                0,
+                needs());
     }
 
     private Map<TenantId, Need> needs() {
         Map<TenantId, Need> needs = new HashMap<>();
         for (int i = 0; i < activeTenants; i++) {
-            needs.put(new TenantId(RevisionText.tenant(random.nextInt(size.tenants()))), new Need(0, 2));
+            needs.put(RevisionEntries.tenant(random.nextInt(size.tenants())), new Need(0, 2));
         }
         return needs;
     }
 
-    @Override
-    public Cost reportInState(int server) {
-        RevisionId inForce = replica.state().inForce();
-        Digest digest = replica.state().body(inForce).digests().get("");
-        Map<TenantId, Need> needs = needs();
-        long number = number(server);
-        Reply reply = new Reply();
-        long began = System.nanoTime();
-        replica.state()
-                .report(
-                        id(server),
-                        incarnations.get(server),
-                        number,
-                        inForce,
-                        digest,
-                        0,
-                        inForce,
-                        "",
-                        0,
-                        0,
-                        needs,
-                        reply);
-        return new Cost(System.nanoTime() - began, 0);
-    }
-
     @Override
     public Cost publishOneCapChange() {
-        return publish(changed());
-    }
-
-    private Body changed() {
-        return body(RevisionText.write(size, random.nextInt(size.tenants()), commands + 1));
+        Timed timed = timed(capChange());
+        done(timed.answer);
+        return timed.cost;
     }
 
     @Override
     public Cost changeInState() {
-        Body body = changed();
-        Digest digest = Digest.of(body.bytes());
-        RevisionId expected = replica.state().inForce();
-        OperatorCommand command = next();
-        Reply reply = new Reply();
-        long began = System.nanoTime();
-        replica.state().publish(command, expected, digest, body, BY, "a cap is changed", true, reply);
-        return new Cost(System.nanoTime() - began, 0);
+        Timed timed = timedInState(capChange());
+        done(timed.answer);
+        return timed.cost;
+    }
+
+    private Command capChange() {
+        int tenant = random.nextInt(size.tenants());
+        int before = caps.getOrDefault(tenant, RevisionEntries.cap(size, tenant));
+        caps.put(tenant, before + 1);
+        Change change = RevisionEntries.capChange(tenant, before, before + 1);
+        return new Command.ChangeEntries(next(), List.of(change), BY, "a cap is raised", true);
     }
 
     @Override
     public Cost rollback() {
-        long back = replica.state().inForce().value() - 1;
-        return timed(EncodedMessages.rollback(
-                next(), replica.state().inForce(), new RevisionId(back), BY, "the change is taken back", true));
+        RevisionId inForce = state().inForce();
+        Timed timed = timed(new Command.Rollback(
+                next(), inForce, new RevisionId(inForce.value() - 1), BY, "the change is taken back", true));
+        done(timed.answer);
+        caps.clear(); // from here on only rollbacks follow at this size
+        return timed.cost;
     }
 
     @Override
     public Cost save() {
-        long began = System.nanoTime();
-        snapshot = replica.snapshot();
-        return new Cost(System.nanoTime() - began, snapshot.length);
+        try {
+            deleteSnapshot();
+            snapshot = Files.createTempFile("fleet-scale", ".snapshot");
+            long began = System.nanoTime();
+            replica.save(snapshot);
+            return new Cost(System.nanoTime() - began, Files.size(snapshot));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void deleteSnapshot() throws IOException {
+        if (snapshot != null) {
+            Files.deleteIfExists(snapshot);
+        }
     }
 
     @Override
     public Cost load() {
-        long began = System.nanoTime();
-        LocalReplica restored = LocalReplica.restore(snapshot);
-        long took = System.nanoTime() - began;
-        if (!restored.state().inForce().equals(replica.state().inForce())) {
-            throw new IllegalStateException("a snapshot came back with another revision in force");
+        try {
+            long began = System.nanoTime();
+            LocalReplica restored = LocalReplica.load(snapshot);
+            long took = System.nanoTime() - began;
+            if (!restored.state().inForce().equals(state().inForce())) {
+                throw new IllegalStateException("a snapshot came back with another revision in force");
+            }
+            return new Cost(took, Files.size(snapshot));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
-        return new Cost(took, snapshot.length);
     }
 
     @Override
     public void prepareServer(FleetSize of) {
-        size = of;
-        replica = new LocalReplica();
-        apply(EncodedMessages.found(ScaleSettings.FLEET, ScaleSettings.founding(of.servers())));
-        publish(body(RevisionText.write(of, 0, 0)));
-        fetched = replica.body(replica.state().inForce());
-        acting = null;
-        gate = null;
+        begin(of);
+        foundWithFirstRevision();
         heapBefore = Heap.used();
         gate = new Gate(ScaleSettings.LINGER);
+        Table table = messages.fetch(Table.EMPTY, inForce(), replica::reply);
+        acting = Routes.of(table, WORKLOADS);
+        gate.caps(new TableCaps(table));
+    }
+
+    private RevisionRoot inForce() {
+        RevisionId inForce = state().inForce();
+        return new RevisionRoot(inForce, state().table(inForce).root());
     }
 
     @Override
     public Cost serverApply() {
-        byte[] question = EncodedMessages.askBody(replica.state().inForce());
+        done(apply(capChange()));
+        RevisionRoot wanted = inForce();
+        long[] bytes = new long[1];
+        long[] voterNanoseconds = new long[1];
         long began = System.nanoTime();
-        Routing routing = Routing.parse(EncodedMessages.body(fetched));
-        String reason = routing.cannot(Set.of(new WorkloadId("orders")));
-        gate.caps(routing.caps);
-        Digest digest = Routing.inForce(routing.stores, routing.announce, null, gate.caps(), false);
-        long took = System.nanoTime() - began;
-        acting = routing;
-        Digest expected =
-                replica.state().body(replica.state().inForce()).digests().get("");
-        if (!reason.isEmpty() || !digest.equals(expected)) {
-            throw new IllegalStateException("a server could not act on the revision: " + reason);
+        Table table = messages.fetch(acting.table(), wanted, question -> {
+            long asked = System.nanoTime();
+            byte[] reply = replica.reply(question);
+            voterNanoseconds[0] += System.nanoTime() - asked;
+            bytes[0] += question.length + reply.length;
+            return reply;
+        });
+        acting = acting.with(table, acting.table().differenceTo(table));
+        gate.caps(new TableCaps(table));
+        long took = System.nanoTime() - began - voterNanoseconds[0];
+        if (!acting.cannot().isEmpty()) {
+            throw new IllegalStateException("a server could not act on a revision: " + acting.cannot());
         }
-        return new Cost(took, question.length + fetched.length);
+        return new Cost(took, bytes[0]);
     }
 
     @Override
@@ -238,7 +293,7 @@
     @Override
     public long serverBytes() {
         long used = Heap.used() - heapBefore;
-        if (acting == null) {
+        if (acting == null || gate == null) {
             throw new IllegalStateException("the server acts on nothing yet");
         }
         return used;
@@ -247,46 +302,4 @@
     private static ServerId id(int server) {
         return new ServerId("server-" + server);
     }
-
-    /** An answer, kept. */
-    private static final class Reply implements Answers {
-        private Incarnation incarnation;
-        private Fault refusal;
-        private final List<RevisionId> done = new ArrayList<>();
-
-        static Reply of(byte[] answer) {
-            Reply reply = new Reply();
-            EncodedMessages.answer(answer, reply);
-            return reply;
-        }
-
-        @Override
-        public void joined(Incarnation as, int places, double floorShare, long next) {
-            incarnation = as;
-        }
-
-        @Override
-        public void told(
-                long number,
-                long lease,
-                long floorLease,
-                boolean floorsFree,
-                RevisionId inForce,
-                long age,
-                RevisionId toCheck,
-                Map<TenantId, Grant> shares,
-                long next) {
-            done.add(inForce);
-        }
-
-        @Override
-        public void done(RevisionId revision) {
-            done.add(revision);
-        }
-
-        @Override
-        public void refused(Fault why) {
-            refusal = why;
-        }
-    }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/StateSimulationParts.java
+++ b/tool/src/main/java/tallyweir/tool/scale/StateSimulationParts.java
@@ -1,10 +1,23 @@
 package tallyweir.tool.scale;
 
-/** The parts on the present state and codec. */
-record StateSimulationParts(FleetSize size, int activeTenants) implements SimulationParts {
-    private static final long SERVER_BYTES = 20_000;
-    private static final long TENANT_BYTES = 320; // of one server; 312 were measured
-    private static final long ROUTE_BYTES = 240; // of one server
+import java.util.concurrent.Executor;
+import tallyweir.fleet.FleetClient;
+import tallyweir.fleet.table.Table;
+
+/** The parts on the state and codec of the fleet and consensus modules. */
+final class StateSimulationParts implements SimulationParts {
+    private static final long SERVER_BYTES = 100_000;
+    private static final long ENTRY_BYTES = 3_000; // of two replicas, and of what is between them
+    private static final long LEAST_BYTES = 64_000_000;
+
+    private final FleetSize size;
+    private final int activeTenants;
+    private Table first; // made when it is needed first
+
+    StateSimulationParts(FleetSize size, int activeTenants) {
+        this.size = size;
+        this.activeTenants = activeTenants;
+    }
 
     @Override
     public VoterUnderTest voter() {
@@ -12,18 +25,27 @@
     }
 
     @Override
-    public OperatorUnderTest operator(FleetSize of, long seed) {
-        return new TextOperator(of, seed);
+    public OperatorUnderTest operator(long seed) {
+        return new EntryOperator(size, seed);
     }
 
     @Override
-    public ServerUnderTest server(int number, long life, long seed, long now, ServerUnderTest.Network network) {
-        return new HollowServer(number, life, seed, now, size.tenants(), activeTenants, network);
+    public ServerUnderTest server(
+            HollowServer.Identity identity, long now, boolean hasTable, FleetClient client, Executor deciding) {
+        Table table = hasTable ? first() : Table.EMPTY;
+        return new HollowServer(identity, now, table, size.tenants(), activeTenants, client, deciding);
+    }
+
+    private Table first() {
+        if (first == null) {
+            first = Table.EMPTY.apply(RevisionEntries.first(size));
+            first.root(); // so that no server is charged with hashing what it would have hashed before
+        }
+        return first;
     }
 
     @Override
     public long heapNeeded() {
-        return size.servers()
-                * (SERVER_BYTES + (long) size.tenants() * TENANT_BYTES + (long) size.routes() * ROUTE_BYTES);
+        return LEAST_BYTES + size.servers() * SERVER_BYTES + (size.tenants() + (long) size.routes()) * ENTRY_BYTES;
     }
 }
--- a/tool/src/main/java/tallyweir/tool/scale/TrafficMeter.java
+++ b/tool/src/main/java/tallyweir/tool/scale/TrafficMeter.java
@@ -10,11 +10,11 @@
     private long bytes;
     private long nanoseconds;
 
-    /** A message came in or went out. */
-    void message(long now, long length) {
-        messages++;
+    /** Messages of so many bytes in all came in or went out. */
+    void messages(long now, long count, long length) {
+        messages += count;
         bytes += length;
-        messagesBySecond = counted(messagesBySecond, second(now), 1);
+        messagesBySecond = counted(messagesBySecond, second(now), count);
     }
 
     /** Something was worked out for so long. */
--- a/tool/src/main/java/tallyweir/tool/scale/VoterProcess.java
+++ b/tool/src/main/java/tallyweir/tool/scale/VoterProcess.java
@@ -24,7 +24,7 @@
                         VoterAddresses.read(arguments[2]),
                         arguments[0],
                         Path.of(arguments[1]),
-                        ScaleSettings.founding(places),
+                        ScaleSettings.fleet(places),
                         () -> System.nanoTime() / NANOSECONDS_PER_TICK,
                         System::currentTimeMillis);
                 BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
--- a/tool/src/test/java/tallyweir/tool/scale/ScaleCommandTest.java
+++ b/tool/src/test/java/tallyweir/tool/scale/ScaleCommandTest.java
@@ -40,8 +40,8 @@
     }
 
     private static Run small(String seconds, String... more) {
-        List<String> all = new ArrayList<>(List.of(
-                "--servers", "20", "--tenants", "100", "--routes", "5", "--no-slopes", "--seconds", seconds));
+        List<String> all = new ArrayList<>(
+                List.of("--servers", "20", "--tenants", "100", "--routes", "5", "--no-slopes", "--seconds", seconds));
         all.addAll(List.of(more));
         return scale(all.toArray(new String[0]));
     }
