--- a/tool/src/main/java/tallyweir/tool/scale/ChildProcess.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ChildProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -37,6 +38,13 @@
                 new ProcessBuilder(command).redirectError(log.toFile()).start());
     }
 
+    /** In a process that was started here: where its answers go. All else that is printed goes into its log. */
+    static PrintStream answers() {
+        PrintStream answers = System.out;
+        System.setOut(System.err);
+        return answers;
+    }
+
     /** Sends a line and waits for the line that answers it. */
     String ask(String line) throws IOException {
         to.println(line);
--- a/tool/src/main/java/tallyweir/tool/scale/HollowProcess.java
+++ b/tool/src/main/java/tallyweir/tool/scale/HollowProcess.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.function.IntConsumer;
 
@@ -24,6 +25,7 @@
 
     /** Runs it until its input ends. */
     public static void main(String[] arguments) throws Exception {
+        PrintStream answers = ChildProcess.answers();
         int first = Integer.parseInt(arguments[0]);
         int count = Integer.parseInt(arguments[1]);
         FleetSize size = new FleetSize(
@@ -35,7 +37,7 @@
         try (BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 String[] words = line.split(" ");
-                System.out.println(servers.decide(() -> process.answer(words)));
+                answers.println(servers.decide(() -> process.answer(words)));
             }
         }
         System.exit(0); // whatever threads of clients are left
--- a/tool/src/main/java/tallyweir/tool/scale/ScaleCommand.java
+++ b/tool/src/main/java/tallyweir/tool/scale/ScaleCommand.java
@@ -111,6 +111,13 @@
             description = "A size of an operation that would take longer is skipped, seconds (${DEFAULT-VALUE}).")
     private double limit;
 
+    @Option(
+            names = "--warm-up-s",
+            defaultValue = "6",
+            description =
+                    "How long all operations are run at a small size before they are measured, seconds (${DEFAULT-VALUE}).")
+    private double warmUp;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         ScaleOptions options =
@@ -161,17 +168,21 @@
     }
 
     private void slopes(ScaleOptions options, List<FleetSize> measured, ScaleReport report, Budget budget) {
-        SlopeRunner runner = new SlopeRunner(new StateFleet(seed, activeTenants), limit, report::point);
-        runner.warmUp(new FleetSize(WARM_UP_SERVERS, WARM_UP_TENANTS, WARM_UP_TENANTS));
-        measured.forEach(runner::measure);
-        runner.measured().forEach((operation, points) -> {
-            if (!points.isEmpty()) {
-                report.fit(operation.label(), SlopeFit.of(points));
-            }
-        });
-        budget.state(
-                runner.microseconds(Operation.CHANGE_IN_STATE, options.size()),
-                runner.microseconds(Operation.REPORT_IN_STATE, options.size()));
+        try (FleetUnderTest fleet = new StateFleet(seed, activeTenants)) {
+            SlopeRunner runner = new SlopeRunner(fleet, limit, report::point);
+            runner.warmUp(new FleetSize(WARM_UP_SERVERS, WARM_UP_TENANTS, WARM_UP_TENANTS), warmUp);
+            measured.forEach(runner::measure);
+            runner.measured().forEach((operation, points) -> fit(report, operation, points));
+            budget.state(
+                    runner.microseconds(Operation.CHANGE_IN_STATE, options.size()),
+                    runner.microseconds(Operation.REPORT_IN_STATE, options.size()));
+        }
+    }
+
+    private static void fit(ScaleReport report, Operation operation, List<SlopePoint> points) {
+        if (!points.isEmpty()) {
+            report.fit(operation.label(), SlopeFit.of(points));
+        }
     }
 
     private void run(ScaleOptions options, SimulationParts parts, FaultPlan plan, ScaleReport report, Budget budget)
@@ -181,12 +192,17 @@
         RunResult result =
                 live ? runLive(options, parts, plan, progress) : new CountedRun(options, parts, plan, progress).run();
         progress.end();
-        long memory = ServerMemory.measure(new StateFleet(seed, activeTenants), options.size());
-        RunResult whole = result.withServerMemory(memory);
+        RunResult whole = result.withServerMemory(serverMemory(options));
         budget.run(whole);
         report.run(options, whole, budget);
     }
 
+    private long serverMemory(ScaleOptions options) {
+        try (FleetUnderTest fleet = new StateFleet(seed, activeTenants)) {
+            return ServerMemory.measure(fleet, options.size());
+        }
+    }
+
     private RunResult runLive(ScaleOptions options, SimulationParts parts, FaultPlan plan, Progress progress)
             throws IOException, InterruptedException {
         Path dir = Files.createTempDirectory("fleet-scale");
--- a/tool/src/main/java/tallyweir/tool/scale/SlopeRunner.java
+++ b/tool/src/main/java/tallyweir/tool/scale/SlopeRunner.java
@@ -21,9 +21,9 @@
     private static final int WARM_UPS = 20;
     private static final double WARM_UP_MICROSECONDS = 1e6; // what takes longer is long enough to be warm
     private static final long WARM_UP_NANOSECONDS = 300_000_000L;
-    private static final long COMPILE_NANOSECONDS = 6_000_000_000L;
     private static final long SAMPLING_NANOSECONDS = 2_000_000_000L;
     private static final double MICROSECONDS = 1_000.0;
+    private static final double NANOSECONDS = 1e9;
 
     private final FleetUnderTest fleet;
     private final double limitMicroseconds;
@@ -66,10 +66,10 @@
     }
 
     /** Runs every operation at a small size, unmeasured, so that its code is compiled when the first size is measured. */
-    void warmUp(FleetSize size) {
+    void warmUp(FleetSize size, double seconds) {
         quiet = true;
         long began = System.nanoTime();
-        while (System.nanoTime() - began < COMPILE_NANOSECONDS) {
+        while (System.nanoTime() - began < seconds * NANOSECONDS) {
             measure(size);
         }
         measured.values().forEach(List::clear);
--- a/tool/src/main/java/tallyweir/tool/scale/StateFleet.java
+++ b/tool/src/main/java/tallyweir/tool/scale/StateFleet.java
@@ -299,6 +299,15 @@
         return used;
     }
 
+    @Override
+    public void close() {
+        try {
+            deleteSnapshot();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static ServerId id(int server) {
         return new ServerId("server-" + server);
     }
--- a/tool/src/main/java/tallyweir/tool/scale/VoterProcess.java
+++ b/tool/src/main/java/tallyweir/tool/scale/VoterProcess.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import tallyweir.fleet.ratis.Voter;
@@ -18,6 +19,7 @@
 
     /** Runs it until its input ends. */
     public static void main(String[] arguments) throws IOException {
+        PrintStream answers = ChildProcess.answers();
         int places = Integer.parseInt(arguments[3]);
         try (Voter voter = Voter.start(
                         ScaleSettings.FLEET,
@@ -29,7 +31,7 @@
                         System::currentTimeMillis);
                 BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
             while (in.readLine() != null) {
-                System.out.println((voter.leads() ? 1 : 0) + " " + ProcessUse.processorNanoseconds() + " "
+                answers.println((voter.leads() ? 1 : 0) + " " + ProcessUse.processorNanoseconds() + " "
                         + ProcessUse.residentBytes());
             }
         }
