--- /dev/null
+++ b/consensus/src/main/java/tallyweir/fleet/ratis/EncodedMessages.java
@@ -0,0 +1,44 @@
+package tallyweir.fleet.ratis;
+
+import java.io.IOException;
+import java.util.List;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
+import tallyweir.fleet.RevisionRoot;
+import tallyweir.fleet.table.Table;
+
+/** Messages between servers and voters in their encoded form, for simulations and measurements without a connection. */
+public final class EncodedMessages {
+    private static final String SOURCE = "a simulated voter";
+
+    private final CommandCodec commands = new CommandCodec();
+    private final AnswerCodec answers = new AnswerCodec();
+    private final QuestionCodec questions = new QuestionCodec();
+    private final ReplyCodec replies = new ReplyCodec();
+
+    /** Something that replies to encoded questions. */
+    public interface Source {
+        /** The encoded reply to an encoded question. */
+        byte[] ask(byte[] question) throws IOException;
+    }
+
+    /** Encodes a command. */
+    public byte[] encode(Command command) {
+        return commands.encode(command);
+    }
+
+    /** Decodes an answer. */
+    public Answer decodeAnswer(byte[] answer) throws IOException {
+        return answers.decode(answer);
+    }
+
+    /**
+     * Fetches a table as a server does, by a difference or in pieces, and checks it.
+     *
+     * @param have a table that is there, EMPTY for none
+     */
+    public Table fetch(Table have, RevisionRoot wanted, Source source) {
+        TableSource encoded = question -> replies.decode(source.ask(questions.encode(question)));
+        return new TableFetch(List.of(encoded), SOURCE, 0).fetch(have, wanted);
+    }
+}
--- a/daemon/src/main/java/tallyweir/backend/Routes.java
+++ b/daemon/src/main/java/tallyweir/backend/Routes.java
@@ -14,7 +14,7 @@
  * Where queries call, under one revision: an index of its stores by the workloads of this server. It is immutable and is
  * built beside the deciding thread; a query keeps the store that it was given at read until its end.
  */
-final class Routes {
+public final class Routes {
     private final Table table;
     private final Set<WorkloadId> own;
     private final int size; // stores in all
@@ -39,26 +39,26 @@
     }
 
     /** Under no revision: each server calls where it was configured to. */
-    static Routes none(Set<WorkloadId> own) {
+    public static Routes none(Set<WorkloadId> own) {
         return new Routes(Table.EMPTY, Set.copyOf(own), 0, StoreGroup.EMPTY, Map.of(), Map.of());
     }
 
     /** Those of a whole table, for a server with these workloads; this walks the table. */
-    static Routes of(Table table, Set<WorkloadId> own) {
+    public static Routes of(Table table, Set<WorkloadId> own) {
         RoutesBuilder builder = new RoutesBuilder(none(own));
         table.forEach(entry -> builder.add(entry.key(), entry.value()));
         return builder.build(table);
     }
 
     /** Those of the next table; of what is not in the difference nothing is looked at, and groups that are equal are shared. */
-    Routes with(Table next, Collection<Change> difference) {
+    public Routes with(Table next, Collection<Change> difference) {
         RoutesBuilder builder = new RoutesBuilder(this);
         difference.forEach(builder::change);
         return builder.build(next);
     }
 
     /** The table that they are of. */
-    Table table() {
+    public Table table() {
         return table;
     }
 
@@ -94,7 +94,7 @@
     }
 
     /** Why this server could not act on them, empty if it could. */
-    String cannot() {
+    public String cannot() {
         if (!unknown.isEmpty()) {
             String first = unknown.keySet().stream()
                     .map(WorkloadId::value)
--- a/daemon/src/main/java/tallyweir/backend/TableCaps.java
+++ b/daemon/src/main/java/tallyweir/backend/TableCaps.java
@@ -9,7 +9,7 @@
 import tallyweir.ids.TenantId;
 
 /** The caps that a revision's table has, found by their keys. */
-record TableCaps(Table table) implements Caps {
+public record TableCaps(Table table) implements Caps {
     private static final int UNCAPPED = -1;
 
     @Override
--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -4,6 +4,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
+import tallyweir.tool.scale.ScaleCommand;
 
 /** Registers the commands about fleets. */
 @CommandLine.Command(
@@ -17,7 +18,8 @@
             FleetAuditCommand.class,
             FleetCapsCommand.class,
             FleetExploreCommand.class,
-            FleetDrill.class
+            FleetDrill.class,
+            ScaleCommand.class
         })
 final class FleetCommand implements Runnable {
     @Spec
