--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -633,7 +633,8 @@
     }
 
     /** This server is in a fleet; to be called before it runs. */
-    public void joinFleet(FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
+    public void joinFleet(
+            FleetClient client, String fleet, long linger, long again, boolean backWhole, Set<Guard> without) {
         backend.joinFleet(
                 client,
                 fleet,
