Entries are encoded without a synchronized stream, hashes compared without a switch

EntryWriter keeps its own buffer, Hash256 compares its words one by one; nothing of the encoding changes.

--- a/fleet/src/main/java/tallyweir/fleet/table/EntryWriter.java
+++ b/fleet/src/main/java/tallyweir/fleet/table/EntryWriter.java
@@ -1,7 +1,7 @@
 package tallyweir.fleet.table;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /** Writes keys, values, entries and changes in their compact encoding, which {@link EntryReader} reads. */
@@ -14,18 +14,21 @@
     private static final int VARINT_BITS = 7;
     private static final int VARINT_MORE = 1 << VARINT_BITS;
 
-    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private static final int CAPACITY_AT_FIRST = 32;
+
+    private byte[] bytes = new byte[CAPACITY_AT_FIRST];
+    private int length;
 
     byte[] toByteArray() {
-        return bytes.toByteArray();
+        return Arrays.copyOf(bytes, length);
     }
 
     int length() {
-        return bytes.size();
+        return length;
     }
 
     EntryWriter key(Key key) {
-        bytes.write(key.kind().code());
+        put(key.kind().code());
         return text(key.name());
     }
 
@@ -48,7 +51,7 @@
 
     EntryWriter change(Change change) {
         key(change.key());
-        bytes.write(presence(change));
+        put(presence(change));
         change.before().ifPresent(this::value);
         change.after().ifPresent(this::value);
         return this;
@@ -58,20 +61,34 @@
     EntryWriter varint(int number) {
         int rest = number;
         while (rest >= VARINT_MORE) {
-            bytes.write(rest | VARINT_MORE);
+            put(rest | VARINT_MORE);
             rest >>>= VARINT_BITS;
         }
-        bytes.write(rest);
+        put(rest);
         return this;
     }
 
     private EntryWriter text(String text) {
         byte[] encoded = text.getBytes(StandardCharsets.UTF_8);
         varint(encoded.length);
-        bytes.writeBytes(encoded);
+        reserve(encoded.length);
+        System.arraycopy(encoded, 0, bytes, length, encoded.length);
+        length += encoded.length;
         return this;
     }
 
+    private void put(int value) {
+        reserve(1);
+        bytes[length] = (byte) value;
+        length++;
+    }
+
+    private void reserve(int more) {
+        if (length + more > bytes.length) {
+            bytes = Arrays.copyOf(bytes, Math.max(2 * bytes.length, length + more));
+        }
+    }
+
     private static int presence(Change change) {
         return bit(change.before(), HAS_BEFORE) | bit(change.after(), HAS_AFTER);
     }
--- a/fleet/src/main/java/tallyweir/fleet/table/Hash256.java
+++ b/fleet/src/main/java/tallyweir/fleet/table/Hash256.java
@@ -51,13 +51,16 @@
 
     @Override
     public int compareTo(Hash256 other) {
-        for (int i = 0; i < BYTES / Long.BYTES; i++) {
-            int order = Long.compareUnsigned(word(i), other.word(i));
-            if (order != 0) {
-                return order;
-            }
+        if (first != other.first) {
+            return Long.compareUnsigned(first, other.first);
         }
-        return 0;
+        if (second != other.second) {
+            return Long.compareUnsigned(second, other.second);
+        }
+        if (third != other.third) {
+            return Long.compareUnsigned(third, other.third);
+        }
+        return Long.compareUnsigned(fourth, other.fourth);
     }
 
     private long word(int index) {
