--- a/daemon/src/main/java/tallyweir/backend/FleetSeat.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetSeat.java
@@ -1,56 +1,55 @@
 package tallyweir.backend;
 
-import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import tallyweir.config.BadSetting;
-import tallyweir.config.Routing;
-import tallyweir.fleet.Acts;
-import tallyweir.fleet.Answers;
-import tallyweir.fleet.Digest;
+import tallyweir.fleet.Answer;
+import tallyweir.fleet.Command;
 import tallyweir.fleet.Fault;
+import tallyweir.fleet.FleetClient;
 import tallyweir.fleet.Gate;
-import tallyweir.fleet.Grant;
 import tallyweir.fleet.Guard;
-import tallyweir.fleet.Incarnation;
 import tallyweir.fleet.Member;
-import tallyweir.fleet.Need;
+import tallyweir.fleet.MemberActions;
 import tallyweir.fleet.RevisionId;
+import tallyweir.fleet.RevisionRoot;
 import tallyweir.fleet.ServerId;
-import tallyweir.fleet.Way;
 import tallyweir.ids.ConnectionId;
 import tallyweir.ids.TenantId;
 import tallyweir.ring.Ring;
 
-/** This server in its fleet: carries words between its own side, the way to the fleet and the parts that are routed by it. */
-final class FleetSeat implements Acts, Answers {
+/**
+ * This server in its fleet: connects its own side of the fleet with the client and with the parts that go by a revision. All of
+ * it is called on the deciding thread and nothing in it grows with a revision's table.
+ */
+final class FleetSeat implements MemberActions {
     private static final Logger LOG = LoggerFactory.getLogger(FleetSeat.class);
     private static final long PRESSED = 500; // a tenant that was turned away is reported within so long
     private static final long BACK_OFF = 2_500; // and told to come back after it has had an answer
     private static final long BEGUN_SPAN = 600_000;
     private static final int BEGUN_BUCKETS = 600;
+    private static final int FETCHES_MOST = 5; // of a proposed revision, before this server says that it cannot take it
+    private static final long FETCH_AGAIN = 2_000;
 
     private final Queries queries;
-    private final Links links;
     private final Deadlines deadlines;
-    private final Way way;
+    private final FleetClient client;
+    private final String fleet; // its name
     private final Executor deciding;
     private final Gate gate;
     private final Member member;
     private final String name;
-    private final Map<RevisionId, Routing> read = new HashMap<>(); // the one in force here and what may follow
+    private final RevisionPreparer preparer;
+    private final RevisionParts parts;
     private final Ring begun = new Ring(BEGUN_SPAN, BEGUN_BUCKETS);
-    private InetSocketAddress kernel; // by the revision in force, null for as configured
-    private InetSocketAddress announce;
     private final long life; // of this process, by the wall's clock at its start
-    private boolean backByRevision;
+    private final boolean whole;
+    private RevisionId checking = RevisionId.NONE; // the proposed revision that is looked at
+    private PreparedRevision checked; // the one looked at last, null once it is in use
     private boolean backByFleet;
     private boolean leaving;
-    private final boolean whole;
     private long newerSince; // by this server's clock: the revision that is wanted came into force
     private Deadlines.Deadline next;
 
@@ -58,7 +57,8 @@
             Queries queries,
             Links links,
             Deadlines deadlines,
-            Way way,
+            FleetClient client,
+            String fleet,
             Executor deciding,
             String name,
             String listen,
@@ -71,13 +71,15 @@
             Set<Guard> without) {
         this.life = life;
         this.queries = queries;
-        this.links = links;
         this.deadlines = deadlines;
-        this.way = way;
+        this.client = client;
+        this.fleet = fleet;
         this.deciding = deciding;
         this.name = name;
         whole = !without.contains(Guard.WHOLE);
         gate = new Gate(linger);
+        parts = new RevisionParts(queries, links, gate);
+        preparer = new RevisionPreparer(client, this::decide, name, queries.workloads());
         member = new Member(this, gate, new ServerId(name), listen, again, backWhole, seed, now, without);
     }
 
@@ -93,6 +95,15 @@
         next = at == Long.MAX_VALUE ? null : deadlines.set(at, () -> clock(queries.now()));
     }
 
+    private void decide(Runnable news) {
+        deciding.execute(() -> {
+            if (!leaving) {
+                news.run();
+                rearm();
+            }
+        });
+    }
+
     // ---- queries
 
     /** Whether a query of this tenant may go on to the decisions. */
@@ -132,7 +143,7 @@
 
     /** Whether new queries are to be turned away and this server is announced no more. */
     boolean standsBack() {
-        return backByRevision || backByFleet;
+        return parts.standsBack() || backByFleet;
     }
 
     Map<String, Long> counts() {
@@ -142,126 +153,102 @@
     void leave() {
         leaving = true;
         if (member.as() != null) {
-            way.leave(new ServerId(name), member.as());
+            client.leave(new ServerId(name), member.as());
         }
-        way.close();
+        client.close();
     }
 
     // ---- what its own side asks for
 
+    @Override
+    public Ended ended() {
+        return new Ended(queries.ended(), queries.bad());
+    }
+
     @Override
     public void join(ServerId server, String listen) {
-        way.join(server, listen, life, this::decide, this, member::failed);
+        send(new Command.Join(fleet, server, listen, life));
     }
 
     @Override
-    public void report(
-            ServerId server,
-            Incarnation as,
-            long number,
-            RevisionId acting,
-            Digest inForce,
-            long outdated,
-            RevisionId checked,
-            String cannot,
-            Map<TenantId, Need> needs) {
-        way.report(
-                server,
-                as,
-                number,
-                acting,
-                inForce,
-                outdated,
-                checked,
-                cannot,
-                queries.ended(),
-                queries.bad(),
-                needs,
-                this::decide,
-                this,
-                member::failed);
+    public void report(Command.Report report) {
+        send(report);
     }
 
-    private void decide(Runnable news) {
-        deciding.execute(() -> {
-            if (!leaving) {
-                news.run();
-                rearm();
-            }
-        });
+    private void send(Command command) {
+        client.send(command, this::decide, this::hear, member::failed);
     }
 
     @Override
-    public void check(RevisionId revision) {
-        way.body(revision, this::decide, text -> {
-            String why = text == null ? "its text could not be had" : read(revision, text);
-            member.checked(revision, why);
-        });
+    public void check(RevisionRoot revision) {
+        checking = revision.id();
+        checked = null;
+        check(revision, FETCHES_MOST);
     }
 
-    /** Why a revision cannot be acted on, empty if it can; what it says is kept. */
-    private String read(RevisionId revision, byte[] text) {
-        try {
-            Routing r = Routing.parse(text);
-            String why = r.cannot(queries.workloads());
-            if (why.isEmpty()) {
-                read.put(revision, r);
-            }
-            return why;
-        } catch (BadSetting e) {
-            return e.getMessage();
+    private void check(RevisionRoot revision, int tries) {
+        preparer.prepare(
+                queries.routes(),
+                revision,
+                prepared -> {
+                    if (checking.equals(revision.id())) {
+                        checked = prepared;
+                        member.checked(revision.id(), prepared.routes().cannot());
+                    }
+                },
+                why -> checkFailed(revision, tries - 1, why));
+    }
+
+    private void checkFailed(RevisionRoot revision, int tries, String why) {
+        if (!checking.equals(revision.id())) {
+            return; // another one is looked at by now
+        }
+        LOG.atWarn()
+                .addKeyValue("revision", revision.id().value())
+                .addKeyValue("why", why)
+                .log("a proposed revision could not be had");
+        if (tries > 0) {
+            deadlines.set(queries.now() + FETCH_AGAIN, () -> check(revision, tries));
+        } else {
+            member.checked(revision.id(), "it could not be had: " + why);
         }
     }
 
     @Override
-    public void act(RevisionId revision) {
-        if (read.containsKey(revision)) {
-            take(revision);
-            return;
+    public void act(RevisionRoot revision) {
+        if (checked != null && checked.revision().equals(revision)) {
+            use(checked);
+        } else {
+            preparer.prepare(queries.routes(), revision, this::use, why -> cannotAct(revision, why));
         }
-        way.body(revision, this::decide, text -> {
-            String why = text == null ? "its text could not be had" : read(revision, text);
-            if (why.isEmpty()) {
-                take(revision);
-            } else {
-                LOG.atWarn()
-                        .addKeyValue("revision", revision.value())
-                        .addKeyValue("why", why)
-                        .log("cannot act on a revision");
-                member.cannotAct(revision);
-            }
-        });
     }
 
-    private void take(RevisionId revision) {
-        Routing r = read.get(revision);
-        read.keySet().removeIf(id -> id.before(revision));
+    private void cannotAct(RevisionRoot revision, String why) {
+        LOG.atWarn()
+                .addKeyValue("revision", revision.id().value())
+                .addKeyValue("why", why)
+                .log("cannot act on a revision");
+        member.cannotAct(revision.id());
+    }
+
+    private void use(PreparedRevision next) {
+        String cannot = next.routes().cannot();
+        if (!cannot.isEmpty()) {
+            cannotAct(next.revision(), cannot);
+            return;
+        }
+        checked = null;
+        RevisionId revision = next.revision().id();
         long outdated = newerSince == 0 ? 0 : begun.countSince(queries.now(), newerSince);
         newerSince = 0;
-        queries.route(new Routes(revision, r.stores));
-        gate.caps(r.caps);
-        if (!same(kernel, r.kernels.get(name)) || !same(announce, r.announce)) {
-            kernel = r.kernels.get(name);
-            announce = r.announce;
-            links.route(kernel, announce);
-        }
-        backByRevision = r.standBack.contains(name);
+        parts.use(next);
         queries.standsBack();
         LOG.atInfo()
                 .addKeyValue("revision", revision.value())
                 .addKeyValue("outdated", outdated)
                 .log("acts on a revision");
         // Later, as this is asked for by the side that hears of it.
-        decide(() -> member.acting(revision, inForce(), outdated));
-    }
-
-    private static boolean same(InetSocketAddress a, InetSocketAddress b) {
-        return a == null ? b == null : a.equals(b);
-    }
-
-    /** Of the parts in use. */
-    private Digest inForce() {
-        return Routing.inForce(queries.routes().stores, announce, kernel, gate.caps(), backByRevision);
+        decide(() -> member.acting(revision, parts.digest(), outdated));
     }
 
     @Override
@@ -273,40 +260,30 @@
 
     // ---- what the fleet answers
 
-    @Override
-    public void joined(Incarnation as, int places, double floorShare, long next) {
-        LOG.atInfo().addKeyValue("incarnation", as.value()).log("has a place in the fleet");
-        member.joined(as, places, floorShare);
-    }
-
-    @Override
-    public void told(
-            long number,
-            long lease,
-            long floorLease,
-            boolean floorsFree,
-            RevisionId inForce,
-            long age,
-            RevisionId toCheck,
-            Map<TenantId, Grant> shares,
-            long next) {
-        if (member.acting().before(inForce) && newerSince == 0) {
-            newerSince = Math.max(1, queries.now() - age);
+    private void hear(Answer answer) {
+        if (answer instanceof Answer.Joined joined) {
+            LOG.atInfo().addKeyValue("incarnation", joined.as().value()).log("has a place in the fleet");
+        } else if (answer instanceof Answer.Told told) {
+            noteAge(told);
+        } else if (answer instanceof Answer.Refused refused) {
+            warn(refused.why());
+        } else {
+            member.failed(); // no answer to what this server asks
+            return;
         }
-        member.told(number, lease, floorLease, floorsFree, inForce, toCheck, shares, next);
+        member.hear(answer);
     }
 
-    @Override
-    public void done(RevisionId revision) {
-        member.failed(); // no answer to what this server asks
+    private void noteAge(Answer.Told told) {
+        if (member.acting().before(told.inForce().id()) && newerSince == 0) {
+            newerSince = Math.max(1, queries.now() - told.age());
+        }
     }
 
-    @Override
-    public void refused(Fault why) {
+    private static void warn(Fault why) {
         LOG.atWarn()
                 .addKeyValue("why", why.what())
                 .addKeyValue("advice", why.advice())
                 .log("the fleet turned this server down");
-        member.refused(why);
     }
 }
--- a/tool/src/main/java/tallyweir/tool/bench/BenchFleet.java
+++ b/tool/src/main/java/tallyweir/tool/bench/BenchFleet.java
@@ -52,7 +52,7 @@
 
     private void publish() throws IOException, InterruptedException {
         Path revision = directory.resolve("revision.json");
-        RevisionFile.write(revision, member.storeAddress(), size.routes(), size.tenants());
+        RevisionFile.write(revision, member.storeAddresses(), size.routes(), size.tenants());
         Path log = directory.resolve("publish.log");
         List<String> arguments =
                 List.of("fleet", "publish", revision.toString(), "--operators", operators.toString(), "--why", "bench");
--- a/tool/src/main/java/tallyweir/tool/bench/BenchReport.java
+++ b/tool/src/main/java/tallyweir/tool/bench/BenchReport.java
@@ -102,7 +102,7 @@
         return text(
                 "%d routes, %d tenants, %s: p50 %.2f ms p99 %.2f ms p99.9 %.2f ms, added %.2f %.2f %.2f ms (budget %.1f"
                         + " at p99), handled %.1f/s, refused %d, failed %d, disconnected %d, unanswered %d, CPU %.0f ms/s"
-                        + " %.0f us/query, resident %.0f MB",
+                        + " %.0f us/query, resident %.0f MB, machine %.1f cores busy %.2f stolen",
                 result.size().routes(),
                 result.size().tenants(),
                 of.label(),
@@ -120,7 +120,9 @@
                 load.unanswered(),
                 figures.cpuMillisPerSecond(),
                 figures.cpuMicrosPerQuery(),
-                figures.residentKb() / KB_PER_MB);
+                figures.residentKb() / KB_PER_MB,
+                figures.busyCores(),
+                figures.stolenCores());
     }
 
     private static String ratioLine(SizeResult result) {
@@ -154,6 +156,8 @@
         line.put("cpu_ms_per_s", figures.cpuMillisPerSecond());
         line.put("cpu_us_per_query", figures.cpuMicrosPerQuery());
         line.put("resident_kb", figures.residentKb());
+        line.put("machine_busy_cores", figures.busyCores());
+        line.put("machine_stolen_cores", figures.stolenCores());
         return write(line);
     }
 
--- a/tool/src/main/java/tallyweir/tool/bench/ServerConfig.java
+++ b/tool/src/main/java/tallyweir/tool/bench/ServerConfig.java
@@ -38,7 +38,7 @@
         ObjectNode config = JSON.createObjectNode();
         config.put("name", name);
         config.put("kernel", peers.kernelAddress());
-        config.put("store", peers.storeAddress());
+        config.put("store", peers.storeAddresses().get(0));
         config.put("announce", peers.announceAddress());
         config.put("seed", "1");
         config.put("stop_ms", 500);
--- a/tool/src/main/java/tallyweir/tool/bench/ServerProcess.java
+++ b/tool/src/main/java/tallyweir/tool/bench/ServerProcess.java
@@ -93,8 +93,8 @@
         return process.port();
     }
 
-    String storeAddress() {
-        return peers.storeAddress();
+    List<String> storeAddresses() {
+        return peers.storeAddresses();
     }
 
     JavaProcess process() {
--- a/tool/src/main/java/tallyweir/tool/bench/SizeBench.java
+++ b/tool/src/main/java/tallyweir/tool/bench/SizeBench.java
@@ -66,7 +66,7 @@
         Map<ServerCase, CaseResult> results = new EnumMap<>(ServerCase.class);
         for (ServerCase of : ServerCase.values()) {
             play(of, rate, WARMUP_SECONDS, 0, seed * SEED_STRIDE);
-            results.put(of, new CaseResult(LoadResult.empty(), 0, 0, 0));
+            results.put(of, new CaseResult(LoadResult.empty(), 0, 0, 0, MachineUsage.NONE));
         }
         for (int round = 1; round <= ROUNDS; round++) {
             for (ServerCase of : ServerCase.values()) {
@@ -80,11 +80,13 @@
     private CaseResult measureRound(ServerCase of, int rate, double seconds, long seed)
             throws IOException, InterruptedException {
         ProcessUsage before = process(of).usage();
+        MachineUsage machineBefore = MachineUsage.now();
         long began = System.nanoTime();
         LoadResult load = play(of, rate, seconds + SETTLE_SECONDS, SETTLE_SECONDS, seed);
         double loadedSeconds = (System.nanoTime() - began) / 1e9;
         ProcessUsage after = process(of).usage();
-        return new CaseResult(load, after.cpuMillis() - before.cpuMillis(), loadedSeconds, after.residentKb());
+        MachineUsage machine = MachineUsage.now().minus(machineBefore);
+        return new CaseResult(load, after.cpuMillis() - before.cpuMillis(), loadedSeconds, after.residentKb(), machine);
     }
 
     private LoadResult play(ServerCase of, int rate, double seconds, double settleSeconds, long seed)
@@ -108,7 +110,8 @@
                 first.load().plus(second.load()),
                 first.cpuMillis() + second.cpuMillis(),
                 first.loadedSeconds() + second.loadedSeconds(),
-                Math.max(first.residentKb(), second.residentKb()));
+                Math.max(first.residentKb(), second.residentKb()),
+                first.machine().plus(second.machine()));
     }
 
     @Override
--- a/tool/src/test/java/tallyweir/tool/bench/BenchReportTest.java
+++ b/tool/src/test/java/tallyweir/tool/bench/BenchReportTest.java
@@ -23,7 +23,7 @@
         Histogram latency = new Histogram(3);
         latency.recordValueWithCount((long) (millis * 1e6), handled);
         LoadResult load = new LoadResult(latency, Map.of(QueryOutcome.HANDLED, handled), 0, 10);
-        return new CaseResult(load, 500, 10, 70 * 1_024);
+        return new CaseResult(load, 500, 10, 70 * 1_024, new MachineUsage(15_000, 1_000));
     }
 
     private static SizeResult size(double offMillis, double onMillis, long handledOn) {
@@ -90,6 +90,8 @@
         assertEquals(0, baseline.get("added_p99_ms").doubleValue(), 1e-9);
         assertEquals(1.1, fleet.get("added_p99_ms").doubleValue(), 0.01);
         assertEquals(50, fleet.get("cpu_ms_per_s").doubleValue(), 1e-9);
+        assertEquals(1.5, fleet.get("machine_busy_cores").doubleValue(), 1e-9);
+        assertEquals(0.1, fleet.get("machine_stolen_cores").doubleValue(), 1e-9);
         assertEquals(500, fleet.get("cpu_us_per_query").doubleValue(), 1e-9);
     }
 }
--- a/tool/src/test/java/tallyweir/tool/bench/ProcessUsageTest.java
+++ b/tool/src/test/java/tallyweir/tool/bench/ProcessUsageTest.java
@@ -13,4 +13,10 @@
         assertTrue(usage.cpuMillis() < 3_600_000);
         assertTrue(usage.residentKb() > 10_000);
     }
+
+    @Test
+    void theMachineHasBeenAtLeastAsBusyAsThisProcess() throws Exception {
+        long own = ProcessUsage.of(ProcessHandle.current().pid()).cpuMillis();
+        assertTrue(MachineUsage.now().busyMillis() >= own);
+    }
 }
