The gate's test of what is lent to a tenant that nobody is connected for

Need: of the changes tried on the gate one was missed: that a tenant with a grant is in use.

Change: a test of it. With the condition taken out on a trial copy it fails; 8 tests of GatePlainTest pass with it.

--- a/fleet/src/test/java/tallyweir/fleet/GatePlainTest.java
+++ b/fleet/src/test/java/tallyweir/fleet/GatePlainTest.java
@@ -237,6 +237,16 @@
         assertEquals(0, gate.tenantsInUse());
     }
 
+    @Test
+    void whatWasLentIsKeptThoughNobodyIsConnected() {
+        Gate gate = new Gate(0);
+        gate.caps(Caps.NONE);
+        gate.lent(Map.of(tenant(1), new Grant(3, 3)), 100, 100, false);
+        gate.needs();
+        gate.caps(tenant -> 40);
+        assertEquals(3, gate.most(tenant(1)));
+    }
+
     @Test
     void aTenantThatWasTurnedAwayIsReportedOnce() {
         Gate gate = withFloor(0);
