--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -33,6 +33,7 @@
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ratis.Link;
 import tallyweir.search.Search;
+import tallyweir.tool.bench.FleetBench;
 
 @Command(
         name = "fleet",
@@ -44,7 +45,8 @@
             FleetCommand.Audit.class,
             FleetCommand.Caps.class,
             FleetCommand.Explore.class,
-            FleetDrill.class
+            FleetDrill.class,
+            FleetBench.class
         })
 final class FleetCommand implements Runnable {
     @Spec
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/bench/StandInPeers.java
@@ -0,0 +1,63 @@
+package tallyweir.tool.bench;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import tallyweir.stand.StandKernel;
+import tallyweir.stand.StandStore;
+
+/** What a server connects to, played on loopback: a kernel with fixed run times, a store and an announce service. */
+final class StandInPeers implements AutoCloseable {
+    /** Calls to the store that each run makes. */
+    static final int CALLS_PER_RUN = 1;
+
+    /** Microseconds of a run before, between and after its calls. */
+    static final int RUN_PART_MICROS = 2_000;
+
+    private static final int DATAGRAM_BYTES = 512;
+
+    private final StandKernel kernel;
+    private final StandStore store;
+    private final DatagramSocket announce;
+
+    StandInPeers(long seed) throws IOException {
+        kernel = new StandKernel(null, ServerConfig.CORES, seed, random -> RUN_PART_MICROS);
+        kernel.runsCall(CALLS_PER_RUN);
+        store = new StandStore();
+        announce = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        Thread reader = new Thread(this::readReports, "stand-in announce service");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void readReports() {
+        DatagramPacket report = new DatagramPacket(new byte[DATAGRAM_BYTES], DATAGRAM_BYTES);
+        try {
+            while (true) {
+                announce.receive(report);
+            }
+        } catch (IOException e) {
+            return; // closed
+        }
+    }
+
+    String kernelAddress() {
+        return "127.0.0.1:" + kernel.port();
+    }
+
+    String storeAddress() {
+        return store.address();
+    }
+
+    String announceAddress() {
+        return "127.0.0.1:" + announce.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        kernel.close();
+        store.close();
+        announce.close();
+    }
+}
