--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -33,6 +33,7 @@
 import tallyweir.fleet.RevisionId;
 import tallyweir.fleet.ratis.Link;
 import tallyweir.search.Search;
+import tallyweir.tool.bench.ConnectionBench;
 import tallyweir.tool.bench.FleetBench;
 
 @Command(
@@ -46,7 +47,8 @@
             FleetCommand.Caps.class,
             FleetCommand.Explore.class,
             FleetDrill.class,
-            FleetBench.class
+            FleetBench.class,
+            ConnectionBench.class
         })
 final class FleetCommand implements Runnable {
     @Spec
--- a/tool/src/main/java/tallyweir/tool/bench/BenchFleet.java
+++ b/tool/src/main/java/tallyweir/tool/bench/BenchFleet.java
@@ -34,14 +34,17 @@
         ServerConfig.writeOperators(operators, VOTER, JavaProcess.freePort(), directory.resolve("log"));
         int heapMb = size.heapMb(HEAP_MB);
         ServerProcess voter = ServerProcess.start(directory.resolve(VOTER), size.tenants(), SOCKETS, heapMb, operators);
+        ServerProcess member = null;
         try {
-            ServerProcess member =
-                    ServerProcess.start(directory.resolve(MEMBER), size.tenants(), SOCKETS, heapMb, operators);
+            member = ServerProcess.start(directory.resolve(MEMBER), size.tenants(), SOCKETS, heapMb, operators);
             BenchFleet fleet = new BenchFleet(directory, size, operators, voter, member);
             fleet.publish();
             member.awaitReady();
             return fleet;
         } catch (IOException | InterruptedException e) {
+            if (member != null) {
+                member.close();
+            }
             voter.close();
             throw e;
         }
