--- a/tool/src/main/java/tallyweir/tool/FleetCommand.java
+++ b/tool/src/main/java/tallyweir/tool/FleetCommand.java
@@ -4,6 +4,8 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
+import tallyweir.tool.bench.ConnectionBench;
+import tallyweir.tool.bench.FleetBench;
 import tallyweir.tool.scale.ScaleCommand;
 
 /** Registers the commands about fleets. */
@@ -19,6 +21,8 @@
             FleetCapsCommand.class,
             FleetExploreCommand.class,
             FleetDrill.class,
+            FleetBench.class,
+            ConnectionBench.class,
             ScaleCommand.class
         })
 final class FleetCommand implements Runnable {
