A failing reproduction: requests lost at the stop when system calls on sockets fail

Change: a library loaded into the process makes its system calls fail in the ways that Linux documents; callers that go on until the kill record what became of each request. LostAtTheStopTest plays seven cases on whole processes.

--- a/tool/src/main/java/tallyweir/tool/Program.java
+++ b/tool/src/main/java/tallyweir/tool/Program.java
@@ -23,6 +23,7 @@
     private final List<String> flags;
     private final boolean operators;
     private final int port;
+    private final Map<String, String> environment = new LinkedHashMap<>();
     private int heapMb = 48;
     private volatile boolean listening;
     private volatile int turn;
@@ -49,6 +50,11 @@
         heapMb = mb;
     }
 
+    /** What its environment holds beside the usual. */
+    void environment(Map<String, String> more) {
+        environment.putAll(more);
+    }
+
     int port() {
         return port;
     }
@@ -132,6 +138,7 @@
         if (operators) {
             of.environment().put("EDGE_OPERATORS", dir.resolve("operators.json").toString());
         }
+        of.environment().putAll(environment);
         long began = System.nanoTime();
         process = of.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
@@ -169,6 +176,13 @@
         return gone;
     }
 
+    /** Gives it notice to leave and returns at once. */
+    void terminate() throws IOException {
+        measure();
+        turn++;
+        process.destroy();
+    }
+
     /** Has it read its configuration again. */
     void reload() throws IOException, InterruptedException {
         signal("HUP");
--- /dev/null
+++ b/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
@@ -0,0 +1,122 @@
+package tallyweir.tool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import tallyweir.stand.FailingCalls.Call;
+import tallyweir.stand.FailingCalls.Errno;
+import tallyweir.stand.PipelinedCaller;
+import tallyweir.stand.SteadyCaller;
+
+/** Requests that were with a stopping server must have an answer before its process is killed, whatever system calls fail. */
+@Timeout(60)
+class LostAtTheStopTest {
+    private static final SteadyCaller.Manner NEW_CONNECTIONS =
+            new SteadyCaller.Manner("new connections", true, 1, 0, 5);
+    private static final SteadyCaller.Manner KEPT_CONNECTIONS =
+            new SteadyCaller.Manner("kept connections", false, 1, 0, 20);
+    private static final SteadyCaller.Manner IN_PIECES = new SteadyCaller.Manner("in pieces", false, 4, 5, 20);
+    private static final int RUN_MS = 1_500;
+
+    @TempDir
+    private Path directory;
+
+    private StoppingServer server(int seed, int sockets) throws Exception {
+        return new StoppingServer(directory, seed, StoppingServer.EARLIEST_STOP_MS, sockets);
+    }
+
+    private static void stopAndCheck(StoppingServer server, Call failing) throws Exception {
+        TimeUnit.MILLISECONDS.sleep(RUN_MS);
+        server.stopAndKill();
+        assertEquals(List.of(), server.lost(), server::report);
+        assertTrue(failing == null || server.calls().failures(failing) > 0, "a run without a failure shows nothing");
+    }
+
+    /** One failed accept left everybody who connected in the next second unanswered. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void acceptFailsWhileAServerStops(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.calls().fail(Call.ACCEPT, 100, seed, Errno.ECONNABORTED, Errno.ENFILE, Errno.ENOBUFS);
+            server.callers(40, NEW_CONNECTIONS);
+            stopAndCheck(server, Call.ACCEPT);
+        }
+    }
+
+    /** A failed wait for sockets stopped the thread that reads, or the one that accepts, for a second. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void waitingForSocketsFailsWhileAServerStops(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.calls().fail(Call.EPOLL_WAIT, 200, seed, Errno.ENOMEM);
+            server.callers(20, NEW_CONNECTIONS);
+            server.callers(20, KEPT_CONNECTIONS);
+            stopAndCheck(server, Call.EPOLL_WAIT);
+        }
+    }
+
+    /** A connection whose registration failed was never read. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void registrationOfASocketFailsWhileAServerStops(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.calls().fail(Call.EPOLL_CTL, 50, seed, Errno.ENOMEM, Errno.ENOSPC);
+            server.callers(20, NEW_CONNECTIONS);
+            server.callers(20, KEPT_CONNECTIONS);
+            stopAndCheck(server, Call.EPOLL_CTL);
+        }
+    }
+
+    /** A failed read ended the connection with the request that lay in its socket. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void readFailsWhileAServerStops(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.calls().fail(Call.READ, 100, seed, Errno.ENOMEM, Errno.ENOBUFS, Errno.EINTR);
+            server.callers(20, KEPT_CONNECTIONS);
+            server.callers(10, IN_PIECES);
+            stopAndCheck(server, Call.READ);
+        }
+    }
+
+    /** A failed write ended the connection with the answer. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void writeFailsWhileAServerStops(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.calls().fail(Call.WRITE, 100, seed, Errno.ENOMEM, Errno.ENOBUFS, Errno.EINTR);
+            server.callers(30, KEPT_CONNECTIONS);
+            stopAndCheck(server, Call.WRITE);
+        }
+    }
+
+    /** A connection just accepted gave way to the next one before its request was read, and so did its resend's. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void silentClientsFillTheTable(int seed) throws Exception {
+        try (StoppingServer server = server(seed, 128)) {
+            server.silentClients(60);
+            server.silentClients(60);
+            server.callers(40, NEW_CONNECTIONS);
+            stopAndCheck(server, null);
+        }
+    }
+
+    /** A connection that is never at rest has to end in order all the same. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void connectionsAreNeverAtRestWhileAServerStops(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.pipelinedCallers(10, new PipelinedCaller.Manner("pipelined", 8, 2, 0));
+            server.callers(10, KEPT_CONNECTIONS);
+            stopAndCheck(server, null);
+        }
+    }
+}
