Leaving says when, in which state connections are, and which system calls failed

Need: the saved logs of the incident have no times on the lines of a leaving process, no states of connections and no failures of system calls, so the candidates could not be told apart from them. Change: the lines at the notice, once the listener is closed and at the stop carry the time, connections by state (unused, half read, owed, resting, ending, lingering), bytes unread and unwritten on callers' sockets, and failures by call and errno; each kind of failure is logged, one line a second. Queries that end without an answer are named with their reason, one a second; bytes that come after the end of our side are counted. MINA's processors are made by us, so that their reads, writes and waits can be counted. Nothing that is decided changes.

--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import tallyweir.Effect;
 import tallyweir.backend.Counters.Count;
 import tallyweir.config.Settings;
@@ -40,6 +41,7 @@
     private final Counters counters;
     private final Queries queries;
     private final RateLimitedLog warnings;
+    private final RateLimitedLog endings;
     private final Slots<Connection> slots = new Slots<>();
     private final ConnectionLimits limits;
     private final long halfFor;
@@ -69,6 +71,7 @@
         this.queries = queries;
         this.limits = limits;
         warnings = new RateLimitedLog(Connections.class, queries::now);
+        endings = new RateLimitedLog(Connections.class, queries::now);
         longestHard = settings.longestHard();
         halfFor = Math.min(HALF_MOST, Math.max(HALF_MOST / 2, longestHard));
         idleMost = Math.max(10_000, settings.idleMost());
@@ -132,7 +135,12 @@
 
     void read(ConnectionId slot, ByteBuffer bytes) {
         Connection c = slots.get(slot.value());
-        if (c != null && !c.closing && !c.ending) {
+        if (c == null) {
+            return;
+        }
+        if (c.closing || c.ending) {
+            c.passOver(bytes);
+        } else {
             c.read(bytes);
         }
     }
@@ -177,6 +185,13 @@
         return slots.size();
     }
 
+    /** How many connections are in each state now. */
+    Map<String, Long> states() {
+        Map<String, Long> byState = new TreeMap<>();
+        slots.all().forEach(c -> byState.merge(c.state(), 1L, Long::sum));
+        return byState;
+    }
+
     private int lingersMost() {
         return limits.usual() / LINGERS_APART;
     }
@@ -224,9 +239,23 @@
         private boolean asked; // a whole request came
         private boolean ending; // it is read no more, what is owed is answered, then it is closed
         private boolean closing; // we have ended our side
+        private boolean passedOver; // something came after that
         private Deadlines.Deadline lingers;
         private ConnectionId slot;
 
+        private String state() {
+            if (closing) {
+                return "lingering";
+            } else if (ending) {
+                return "ending";
+            } else if (!owed.isEmpty()) {
+                return "owed";
+            } else if (reader.open() > 0 || !reader.betweenRecords()) {
+                return "half_read";
+            }
+            return used ? "resting" : "unused";
+        }
+
         private boolean owesNothing() {
             return !closing && !ending && owed.isEmpty();
         }
@@ -320,6 +349,13 @@
             }
         }
 
+        /** What comes after the end of our side is led nowhere; its sender sees the end. */
+        private void passOver(ByteBuffer bytes) {
+            counters.add(Count.CONNECTIONS_WRITTEN_TO_AFTER_END, passedOver ? 0 : 1);
+            counters.add(Count.BYTES_READ_AFTER_END, bytes.remaining());
+            passedOver = true;
+        }
+
         private void read(ByteBuffer bytes) {
             used = true;
             stir();
@@ -338,17 +374,18 @@
             half.clear();
             List<Responder> nobodyThere = List.copyOf(owed.values());
             owed.clear();
-            nobodyThere.forEach(this::gone);
+            nobodyThere.forEach(way -> gone(way, "its connection has ended"));
             if (queries.fleet() != null) {
                 queries.fleet().closed(slot);
             }
         }
 
         /** Whatever becomes of the query, nothing of it goes this way any more: the id may be another's by then. */
-        private void gone(Responder way) {
+        private void gone(Responder way, String reason) {
             way.over = true;
             way.counted();
             if (way.taken != null) {
+                endings.query(way.taken.job, reason, "a query ends without an answer");
                 queries.gone(way.taken);
             }
         }
@@ -514,7 +551,8 @@
             whole(id);
             Responder way = owed.remove(id);
             if (way != null) {
-                gone(way);
+                counters.add(Count.QUERIES_ABORTED);
+                gone(way, "its caller has given it up");
             }
             write(id, Records.ended(id), true);
         }
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -95,6 +95,7 @@
         }
         counters.also("watch_", () -> choice == null ? Map.of() : choice.counts());
         counters.now("connections", connections::size);
+        counters.also("connections_now_", connections::states);
         counters.now("queries", slots::size);
         counters.now("entries", repeats::size);
         counters.now("deadlines", deadlines::size);
--- a/daemon/src/main/java/tallyweir/backend/RateLimitedLog.java
+++ b/daemon/src/main/java/tallyweir/backend/RateLimitedLog.java
@@ -3,8 +3,10 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+import tallyweir.ids.JobId;
 
-/** Warnings, one a second at the most: whoever sends bad input in a flood must not fill the log or slow us down. */
+/** Warnings and news, one a second at the most: whoever sends bad input in a flood must not fill the log or slow us down. */
 final class RateLimitedLog {
     private static final long EVERY = 10_000;
 
@@ -19,16 +21,24 @@
     }
 
     void warn(String text) {
+        write(log.atWarn(), text);
+    }
+
+    /** Tells of a query by its name, and why it is told of. */
+    void query(JobId job, String reason, String text) {
+        write(log.atInfo().addKeyValue("request", job.value()).addKeyValue("reason", reason), text);
+    }
+
+    private void write(LoggingEventBuilder event, String text) {
         if (now.getAsLong() < next) {
             leftOut++;
             return;
         }
         next = now.getAsLong() + EVERY;
         if (leftOut > 0) {
-            log.atWarn().addKeyValue("left_out", leftOut).log(text);
-        } else {
-            log.warn(text);
+            event = event.addKeyValue("left_out", leftOut);
         }
+        event.log(text);
         leftOut = 0;
     }
 }
--- a/daemon/src/main/java/tallyweir/cli/Leaving.java
+++ b/daemon/src/main/java/tallyweir/cli/Leaving.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.time.LocalTime;
+import java.time.format.DateTimeFormatter;
 import java.util.concurrent.TimeUnit;
 import tallyweir.durable.FileStore;
 import tallyweir.net.Server;
@@ -15,6 +17,8 @@
     private static final long LAST_WORDS_MS = 100; // before the stop: the counters are out by then
     private static final long PAST_STOP_MS = 2_000; // for whoever sends the notice and never kills
 
+    private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("HH:mm:ss.SSS");
+
     private final long stopMs;
     private final PrintStream err;
     private boolean told;
@@ -49,20 +53,24 @@
         if (leaves == null) {
             return;
         }
+        leaves.whenListenerCloses(() -> say("listens no more; " + leaves.counters()));
         leaves.drain();
-        err.println("tallyweir: told to leave; " + leaves.counters());
+        say("told to leave; " + leaves.counters());
         long words = Math.max(0, stopMs - LAST_WORDS_MS);
         pause(words);
-        err.println("tallyweir: at the stop; " + leaves.counters());
+        say("at the stop; " + leaves.counters());
         leaves.leaveFleet();
         if (store != null) {
             store.close();
-            err.println(
-                    "tallyweir: the store is closed; " + store.store().figures().all());
+            say("the store is closed; " + store.store().figures().all());
         }
         pause(stopMs - words + PAST_STOP_MS);
     }
 
+    private void say(String what) {
+        err.println(LocalTime.now().format(TIME) + " tallyweir: " + what);
+    }
+
     private static void pause(long milliseconds) {
         try {
             TimeUnit.MILLISECONDS.sleep(milliseconds);
--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -1,5 +1,6 @@
 package tallyweir.net;
 
+import java.io.IOException;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
@@ -16,14 +17,26 @@
 final class GatedAcceptor extends NioSocketAcceptor {
     private final int most;
     private final Runnable shut;
+    private final SocketFailures failures;
     private final AtomicInteger open = new AtomicInteger();
     private volatile SelectionKey waits; // the listener's, while nobody is let in
 
     /** @param shut told each time that nobody more is let in */
-    GatedAcceptor(IoProcessor<NioSession> processor, int most, Runnable shut) {
+    GatedAcceptor(IoProcessor<NioSession> processor, int most, Runnable shut, SocketFailures failures) {
         super(processor);
         this.most = most;
         this.shut = shut;
+        this.failures = failures;
+    }
+
+    @Override
+    protected int select() throws Exception {
+        try {
+            return super.select();
+        } catch (IOException e) {
+            failures.add(SocketFailures.Call.SELECT, e);
+            throw e;
+        }
     }
 
     @Override
@@ -38,7 +51,13 @@
             }
             return null;
         }
-        NioSession session = super.accept(processor, listener);
+        NioSession session;
+        try {
+            session = super.accept(processor, listener);
+        } catch (Exception e) {
+            failures.add(SocketFailures.Call.ACCEPT, e);
+            throw e;
+        }
         if (session != null) {
             open.incrementAndGet();
             session.getCloseFuture().addListener(closed -> {
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -27,12 +28,10 @@
 import org.apache.mina.core.service.IoHandler;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramConnector;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.slf4j.Logger;
@@ -80,8 +79,10 @@
     private final Set<IoSession> toEnd = new LinkedHashSet<>();
     private final Set<IoSession> standing = new LinkedHashSet<>(); // callers with answers that do not go out
     // Peers have a thread of their own, so that no flood of callers stands before them.
-    private final IoProcessor<NioSession> callersProcessor = new SimpleIoProcessorPool<>(CallersProcessor.class, 1);
+    private final SocketFailures failures = new SocketFailures();
+    private final Executor processorThreads = Executors.newCachedThreadPool();
     private IoProcessor<NioSession> peersProcessor;
+    private final CompletableFuture<Void> listenerClosed = new CompletableFuture<>();
     private final GatedAcceptor acceptor;
     private NioSocketConnector connector;
     private NioDatagramConnector datagrams;
@@ -110,8 +111,11 @@
         this.config = config;
         try {
             backend = new Backend(this, config, now(), startWall, shelves.make(this::tell));
-            acceptor =
-                    new GatedAcceptor(callersProcessor, Backend.callersMost(config.sockets), () -> tell(backend::full));
+            acceptor = new GatedAcceptor(
+                    new CallersProcessor(processorThreads, failures),
+                    Backend.callersMost(config.sockets),
+                    () -> tell(backend::full),
+                    failures);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -125,12 +129,14 @@
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.setHandler(callerHandler());
+        counts("failed_", failures::counts);
+        counts("callers_", this::pendingBytes);
         openPeers();
         acceptor.bind(config.listen);
     }
 
     private void openPeers() {
-        peersProcessor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+        peersProcessor = new SocketProcessor(processorThreads, failures);
         connector = new NioSocketConnector(peersProcessor);
         datagrams = new NioDatagramConnector(peersProcessor);
         set(connector.getSessionConfig());
@@ -223,7 +229,7 @@
         }
     }
 
-    private static Arrivals.Inbox inbox(IoSession session) {
+    static Arrivals.Inbox inbox(IoSession session) {
         return (Arrivals.Inbox) session.getAttribute(INBOX);
     }
 
@@ -307,12 +313,12 @@
         return (SocketChannel) ((NioSession) session).getChannel();
     }
 
-    /** Whether bytes lie in the socket. Where that cannot be told, none are said to. */
-    private static boolean unread(IoSession session) {
+    /** How many bytes lie in the socket. Where that cannot be told, none are said to. */
+    private static int unreadBytes(IoSession session) {
         try {
-            return channel(session).socket().getInputStream().available() > 0;
+            return channel(session).socket().getInputStream().available();
         } catch (IOException e) {
-            return false;
+            return 0;
         }
     }
 
@@ -326,23 +332,6 @@
         }
     }
 
-    /** Tells of bytes between the socket and their place here, where else nobody would see them. */
-    public static final class CallersProcessor extends NioProcessor {
-        public CallersProcessor(Executor executor) {
-            super(executor);
-        }
-
-        @Override
-        protected int read(NioSession session, IoBuffer into) throws Exception {
-            Arrivals.reading(inbox(session), true);
-            int read = super.read(session, into);
-            if (read <= 0 && into.position() == 0) {
-                Arrivals.reading(inbox(session), false);
-            }
-            return read;
-        }
-    }
-
     private IoHandler callerHandler() {
         return new Handler() {
             @Override
@@ -471,7 +460,7 @@
         return session == null
                 || !toWrite.containsKey(session)
                         && session.getScheduledWriteBytes() == 0
-                        && !unread(session)
+                        && unreadBytes(session) == 0
                         && Arrivals.isEmpty(inbox(session))
                         && endOutput(session);
     }
@@ -502,7 +491,12 @@
     /** MINA waits until that is done, so another thread does it. */
     @Override
     public void stopListening() {
-        Thread t = new Thread(acceptor::unbind, "unbind");
+        Thread t = new Thread(
+                () -> {
+                    acceptor.unbind();
+                    listenerClosed.complete(null);
+                },
+                "unbind");
         t.setDaemon(true);
         t.start();
     }
@@ -663,6 +657,23 @@
         tell(() -> backend.watch(watched));
     }
 
+    /** Has this done once nobody can connect any more. */
+    public void whenListenerCloses(Runnable then) {
+        listenerClosed.thenRun(then);
+    }
+
+    /** What lies between the callers' sockets and the decisions, either way. */
+    private Map<String, Long> pendingBytes() {
+        Map<String, Long> bytes = new LinkedHashMap<>();
+        for (IoSession caller : callers.values()) {
+            long unread = unreadBytes(caller);
+            bytes.merge("with_bytes_unread", unread > 0 ? 1L : 0, Long::sum);
+            bytes.merge("bytes_unread", unread, Long::sum);
+            bytes.merge("bytes_unwritten", caller.getScheduledWriteBytes(), Long::sum);
+        }
+        return bytes;
+    }
+
     /** Figures of something else that are to be printed with the counters; to be called before it runs. */
     public void counts(String prefix, Supplier<Map<String, Long>> figures) {
         backend.counters().also(prefix, figures);
