A failed accept is tried again within a millisecond; it stopped all accepting for a second

Callers saw no answer to what they had written on new connections, up to a second before the kill. Cause: MINA's acceptor answers any exception of accept by a sleep of one second, its thread being the only one that accepts and that closes the listener. Callers go on to connect meanwhile, as the system completes connections by itself; at the kill they stand in the listener's queue, and nothing in the process's counters shows them. Evidence: with accept failing one time in 100 the lines of a leaving process balance, all accepted connections have ended, and 'listens no more' never comes, since the close of the listener waits behind the sleep; 40 of about 300 requests are left, written 0.2 to 1.5 s before the end. Change: accept is ours (MINA's has no place for its errors), with sessions of our own; a failure is counted by errno and tried again, at once where it is of one connection, after a millisecond where something is short; after 20 in a row connections are made to give way. What failing needs is loaded beforehand: out of descriptors a class cannot be loaded, and the error of that ends the thread.

--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -4,6 +4,7 @@
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -12,18 +13,23 @@
 /**
  * Accepts while there is a descriptor for one caller more; who comes then waits in the listener's queue with all it
  * has written. A close there would lose a request that the machine has accepted, and a descriptor more would be
- * missing at the peers' links.
+ * missing at the peers' links. A failed accept is tried again within a millisecond.
  */
 final class GatedAcceptor extends NioSocketAcceptor {
+    private static final int FAILED_TO_MAKE_ROOM = 20; // in a row: something has to give way
+
+    private final IoProcessor<NioSession> processor;
     private final int most;
     private final Runnable shut;
     private final SocketFailures failures;
     private final AtomicInteger open = new AtomicInteger();
+    private int failedInARow; // of the accepting thread
     private volatile SelectionKey waits; // the listener's, while nobody is let in
 
     /** @param shut told each time that nobody more is let in */
     GatedAcceptor(IoProcessor<NioSession> processor, int most, Runnable shut, SocketFailures failures) {
         super(processor);
+        this.processor = processor;
         this.most = most;
         this.shut = shut;
         this.failures = failures;
@@ -40,7 +46,10 @@
     }
 
     @Override
-    protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listener) throws Exception {
+    protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listener) {
+        if (listener == null) {
+            return null; // it has been closed meanwhile
+        }
         if (open.get() >= most) {
             SelectionKey key = listener.keyFor(selector);
             key.interestOps(0);
@@ -51,23 +60,53 @@
             }
             return null;
         }
-        NioSession session;
+        return accept(listener);
+    }
+
+    /** Null where nobody is there, or where the system says that it cannot: the listener stays ready, so it is asked again. */
+    private NioSession accept(ServerSocketChannel listener) {
+        SocketChannel channel = null;
         try {
-            session = super.accept(processor, listener);
-        } catch (Exception e) {
+            channel = listener.accept();
+            failedInARow = 0;
+            return channel == null ? null : counted(new SocketSession(processor, this, channel));
+        } catch (IOException | RuntimeException | Error e) {
             failures.add(SocketFailures.Call.ACCEPT, e);
-            throw e;
+            closeQuietly(channel);
+            recover(SocketError.of(e));
+            return null;
+        }
+    }
+
+    private void recover(SocketError error) {
+        failedInARow++;
+        if (!error.isOfOneConnection()) {
+            SocketFailures.pause();
         }
-        if (session != null) {
-            open.incrementAndGet();
-            session.getCloseFuture().addListener(closed -> {
-                open.decrementAndGet();
-                letIn();
-            });
+        if (failedInARow % FAILED_TO_MAKE_ROOM == 0) {
+            shut.run();
         }
+    }
+
+    private NioSession counted(NioSession session) {
+        open.incrementAndGet();
+        session.getCloseFuture().addListener(closed -> {
+            open.decrementAndGet();
+            letIn();
+        });
         return session;
     }
 
+    private static void closeQuietly(SocketChannel channel) {
+        if (channel != null) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                return; // it has gone all the same
+            }
+        }
+    }
+
     private void letIn() {
         SelectionKey key = waits;
         if (key == null) {
--- a/daemon/src/main/java/tallyweir/net/SocketFailures.java
+++ b/daemon/src/main/java/tallyweir/net/SocketFailures.java
@@ -3,12 +3,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Failures of system calls on sockets, counted by call and error and logged at a bounded rate. Any thread may tell of one. */
+/**
+ * Failures of system calls on sockets, counted by call and error and logged at a bounded rate. Any thread may tell of one.
+ * All that counting needs is loaded beforehand, since without descriptors no class can be.
+ */
 final class SocketFailures {
     /** The calls that are counted. */
     enum Call {
@@ -17,25 +20,38 @@
         REGISTER,
         READ,
         WRITE,
+        SOCKET,
         CONNECT
     }
 
-    private record Kind(Call call, SocketError error) {}
+    /** For so long a socket whose calls fail in a row, for want of something, is kept. */
+    static final long PATIENCE_NANOS = 1_000_000_000;
+
+    /** Short next to any caller's patience, long enough that a shortage does not take a core. */
+    private static final long PAUSE_NANOS = 1_000_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(SocketFailures.class);
     private static final long LOG_EVERY_NANOS = 1_000_000_000;
+    private static final Call[] CALLS = Call.values();
+    private static final SocketError[] ERRORS = SocketError.values();
 
-    private final Map<Kind, LongAdder> counts = new ConcurrentHashMap<>();
+    private final AtomicLongArray counts = new AtomicLongArray(CALLS.length * ERRORS.length);
     private long logNext = System.nanoTime();
     private long notLogged;
 
+    private static int place(Call call, SocketError error) {
+        return call.ordinal() * ERRORS.length + error.ordinal();
+    }
+
     void add(Call call, Throwable cause) {
-        Kind kind = new Kind(call, SocketError.of(cause));
-        counts.computeIfAbsent(kind, k -> new LongAdder()).increment();
-        log(kind, cause);
+        SocketError error = SocketError.of(cause);
+        counts.incrementAndGet(place(call, error));
+        if (!error.isEndOfConnection()) {
+            log(call, error, cause);
+        }
     }
 
-    private synchronized void log(Kind kind, Throwable cause) {
+    private synchronized void log(Call call, SocketError error, Throwable cause) {
         long now = System.nanoTime();
         if (now - logNext < 0) {
             notLogged++;
@@ -43,19 +59,30 @@
         }
         logNext = now + LOG_EVERY_NANOS;
         LOG.atWarn()
-                .addKeyValue("call", kind.call)
-                .addKeyValue("error", kind.error)
+                .addKeyValue("call", call)
+                .addKeyValue("error", error)
                 .addKeyValue("cause", cause)
                 .addKeyValue("left_out", notLogged)
                 .log("a system call on a socket failed");
         notLogged = 0;
     }
 
-    /** By call and error, such as {@code accept_enfile}. */
+    /** Waits before a call is made again. */
+    static void pause() {
+        LockSupport.parkNanos(PAUSE_NANOS);
+    }
+
+    /** By call and error, such as {@code accept_enfile}; without those that never failed. */
     Map<String, Long> counts() {
         Map<String, Long> byName = new TreeMap<>();
-        counts.forEach(
-                (kind, count) -> byName.put((kind.call + "_" + kind.error).toLowerCase(Locale.ROOT), count.sum()));
+        for (Call call : CALLS) {
+            for (SocketError error : ERRORS) {
+                long count = counts.get(place(call, error));
+                if (count > 0) {
+                    byName.put((call + "_" + error).toLowerCase(Locale.ROOT), count);
+                }
+            }
+        }
         return byName;
     }
 }
