A failed wait for sockets is made again at once; reading, accepting or connecting stood for a second

Callers were answered up to a second late, or not at all where the process was killed meanwhile. Cause: MINA's processor, acceptor and connector each answer an exception of select by a sleep of one second; one thread reads all callers, another all peers. Change: select is repeated after a millisecond until it has worked, in the processors and the acceptor; a connector of our own does the same for kernel and store, since MINA's is final. Failures of socket and connect are counted too.

--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -13,7 +13,7 @@
 /**
  * Accepts while there is a descriptor for one caller more; who comes then waits in the listener's queue with all it
  * has written. A close there would lose a request that the machine has accepted, and a descriptor more would be
- * missing at the peers' links. A failed accept is tried again within a millisecond.
+ * missing at the peers' links. A failed accept or wait is tried again within a millisecond.
  */
 final class GatedAcceptor extends NioSocketAcceptor {
     private static final int FAILED_TO_MAKE_ROOM = 20; // in a row: something has to give way
@@ -37,11 +37,13 @@
 
     @Override
     protected int select() throws Exception {
-        try {
-            return super.select();
-        } catch (IOException e) {
-            failures.add(SocketFailures.Call.SELECT, e);
-            throw e;
+        while (true) {
+            try {
+                return super.select();
+            } catch (IOException e) {
+                failures.add(SocketFailures.Call.SELECT, e);
+                SocketFailures.pause();
+            }
         }
     }
 
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -33,7 +33,6 @@
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramConnector;
 import org.apache.mina.transport.socket.nio.NioSession;
-import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import tallyweir.backend.Backend;
@@ -84,7 +83,7 @@
     private IoProcessor<NioSession> peersProcessor;
     private final CompletableFuture<Void> listenerClosed = new CompletableFuture<>();
     private final GatedAcceptor acceptor;
-    private NioSocketConnector connector;
+    private PeerConnector connector;
     private NioDatagramConnector datagrams;
     private final long startNanos = System.nanoTime();
     private final long startWall = wall();
@@ -137,7 +136,7 @@
 
     private void openPeers() {
         peersProcessor = new SocketProcessor(processorThreads, failures);
-        connector = new NioSocketConnector(peersProcessor);
+        connector = new PeerConnector(peersProcessor, failures);
         datagrams = new NioDatagramConnector(peersProcessor);
         set(connector.getSessionConfig());
         connector.getSessionConfig().setTcpNoDelay(true);
@@ -313,15 +312,6 @@
         return (SocketChannel) ((NioSession) session).getChannel();
     }
 
-    /** How many bytes lie in the socket. Where that cannot be told, none are said to. */
-    private static int unreadBytes(IoSession session) {
-        try {
-            return channel(session).socket().getInputStream().available();
-        } catch (IOException e) {
-            return 0;
-        }
-    }
-
     // ---- what MINA's threads tell
 
     private abstract class Handler extends IoHandlerAdapter {
@@ -460,7 +450,7 @@
         return session == null
                 || !toWrite.containsKey(session)
                         && session.getScheduledWriteBytes() == 0
-                        && unreadBytes(session) == 0
+                        && SocketProcessor.unreadBytes((NioSession) session) == 0
                         && Arrivals.isEmpty(inbox(session))
                         && endOutput(session);
     }
@@ -666,7 +656,7 @@
     private Map<String, Long> pendingBytes() {
         Map<String, Long> bytes = new LinkedHashMap<>();
         for (IoSession caller : callers.values()) {
-            long unread = unreadBytes(caller);
+            long unread = SocketProcessor.unreadBytes((NioSession) caller);
             bytes.merge("with_bytes_unread", unread > 0 ? 1L : 0, Long::sum);
             bytes.merge("bytes_unread", unread, Long::sum);
             bytes.merge("bytes_unwritten", caller.getScheduledWriteBytes(), Long::sum);
