A socket whose registration failed is registered again; it was never read

Callers saw no answer at all on a connection that stayed open. Cause: the virtual machine passes over what epoll_ctl returns, so a socket that the system did not register looks registered and is never told of; the same for the listener, which then accepts nobody. Evidence: with epoll_ctl failing one time in 50 a few connections lie with bytes unread until the kill, others are well. Change: a socket that has just been registered, or whose interest has just changed, is looked at each tenth of a second until something has been read from it; where bytes lie there and nothing has moved between two looks, it is taken off and registered anew. The listener likewise, until somebody has been accepted since. Sockets that have proven themselves cost nothing.

--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -16,6 +16,8 @@
  * missing at the peers' links. A failed accept or wait is tried again within a millisecond.
  */
 final class GatedAcceptor extends NioSocketAcceptor {
+    private static final long LOOK_MILLIS = 100;
+    private static final long FOR_EVER = 0;
     private static final int FAILED_TO_MAKE_ROOM = 20; // in a row: something has to give way
 
     private final IoProcessor<NioSession> processor;
@@ -23,6 +25,7 @@
     private final Runnable shut;
     private final SocketFailures failures;
     private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean proven; // somebody has come since the listener was registered with the system
     private int failedInARow; // of the accepting thread
     private volatile SelectionKey waits; // the listener's, while nobody is let in
 
@@ -36,10 +39,14 @@
     }
 
     @Override
-    protected int select() throws Exception {
+    protected int select() {
         while (true) {
             try {
-                return super.select();
+                int selected = selector.select(proven ? FOR_EVER : LOOK_MILLIS);
+                if (selected == 0 && !proven) {
+                    registerAgain();
+                }
+                return selector.selectedKeys().size();
             } catch (IOException e) {
                 failures.add(SocketFailures.Call.SELECT, e);
                 SocketFailures.pause();
@@ -47,6 +54,20 @@
         }
     }
 
+    /** The virtual machine does not tell that a registration with the system failed. */
+    private void registerAgain() throws IOException {
+        for (SelectionKey key : selector.keys()) {
+            if (key.isValid() && waits == null) {
+                key.interestOps(0);
+                try {
+                    selector.selectNow();
+                } finally {
+                    key.interestOps(SelectionKey.OP_ACCEPT);
+                }
+            }
+        }
+    }
+
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel listener) {
         if (listener == null) {
@@ -71,6 +92,7 @@
         try {
             channel = listener.accept();
             failedInARow = 0;
+            proven = proven || channel != null;
             return channel == null ? null : counted(new SocketSession(processor, this, channel));
         } catch (IOException | RuntimeException | Error e) {
             failures.add(SocketFailures.Call.ACCEPT, e);
@@ -115,6 +137,7 @@
             return;
         }
         waits = null;
+        proven = false;
         try {
             key.interestOps(SelectionKey.OP_ACCEPT);
             wakeup();
--- a/daemon/src/main/java/tallyweir/net/SocketProcessor.java
+++ b/daemon/src/main/java/tallyweir/net/SocketProcessor.java
@@ -1,8 +1,13 @@
 package tallyweir.net;
 
 import java.io.IOException;
+import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
@@ -11,7 +16,21 @@
  * Reads and writes sockets. A wait that fails is tried again: MINA itself would stand for a second after it.
  */
 class SocketProcessor extends NioProcessor {
+    private static final long LOOK_EVERY_MILLIS = 100;
+
+    /** What a session had read and written, and what lay in its socket, at the last look. */
+    private record Seen(long read, long written, int unread) {
+        /** Spelled out, since a record's own comparison is linked at its first use, which may be when no descriptor is left. */
+        boolean isAs(Seen other) {
+            return read == other.read && written == other.written && unread == other.unread;
+        }
+    }
+
+    private static final Seen NOTHING_SEEN = new Seen(-1, -1, 0);
+
     private final SocketFailures failures;
+    private final Map<NioSession, Seen> unproven = new HashMap<>(); // nothing has come since they were registered
+    private long nextLook = System.nanoTime();
 
     SocketProcessor(Executor executor, SocketFailures failures) {
         super(executor);
@@ -23,7 +42,9 @@
     protected int select(long timeout) throws Exception {
         while (true) {
             try {
-                return super.select(timeout);
+                super.select(unproven.isEmpty() ? timeout : Math.min(timeout, LOOK_EVERY_MILLIS));
+                lookForUnregistered();
+                return selector.selectedKeys().size();
             } catch (IOException e) {
                 failures.add(SocketFailures.Call.SELECT, e);
                 SocketFailures.pause();
@@ -35,6 +56,7 @@
     protected void init(NioSession session) throws Exception {
         try {
             super.init(session);
+            unproven.put(session, NOTHING_SEEN);
         } catch (Exception e) {
             failures.add(SocketFailures.Call.REGISTER, e);
             session.getCloseFuture().setClosed();
@@ -62,6 +84,72 @@
         }
     }
 
+    @Override
+    protected void setInterestedInRead(NioSession session, boolean interested) throws Exception {
+        super.setInterestedInRead(session, interested);
+        unproven.put(session, NOTHING_SEEN);
+    }
+
+    @Override
+    protected void setInterestedInWrite(NioSession session, boolean interested) throws Exception {
+        super.setInterestedInWrite(session, interested);
+        unproven.put(session, NOTHING_SEEN);
+    }
+
+    /**
+     * The virtual machine does not tell that a registration with the system failed. Where bytes lie in a socket, or wait for it, and
+     * nothing has moved between two looks, the registration is made anew.
+     */
+    private void lookForUnregistered() throws IOException {
+        if (System.nanoTime() - nextLook < 0) {
+            return;
+        }
+        nextLook = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LOOK_EVERY_MILLIS);
+        for (NioSession session : List.copyOf(unproven.keySet())) {
+            SelectionKey key =
+                    session instanceof SocketSession of ? of.getChannel().keyFor(selector) : null;
+            if (key == null || !key.isValid()) {
+                unproven.remove(session);
+            } else {
+                lookAt(session, key);
+            }
+        }
+    }
+
+    private void lookAt(NioSession session, SelectionKey key) throws IOException {
+        int unread = isInterested(key, SelectionKey.OP_READ) ? unreadBytes(session) : 0;
+        boolean unwritten = isInterested(key, SelectionKey.OP_WRITE);
+        Seen now = new Seen(session.getReadBytes(), session.getWrittenBytes(), unread);
+        Seen before = unproven.put(session, now);
+        if (before == NOTHING_SEEN) {
+            return;
+        }
+        if (before.read != now.read && !unwritten) {
+            unproven.remove(session);
+        } else if (now.isAs(before) && (unread > 0 || unwritten)) {
+            if (unread > 0) { // else the other side may be slow to read
+                failures.add(SocketFailures.Call.REGISTER, new IOException("no word of a socket with bytes to read"));
+            }
+            registerAgain(key);
+        }
+    }
+
+    private static boolean isInterested(SelectionKey key, int operation) {
+        return (key.interestOps() & operation) != 0;
+    }
+
+    private void registerAgain(SelectionKey key) throws IOException {
+        int wanted = key.interestOps();
+        key.interestOps(0);
+        try {
+            selector.selectNow(); // takes the registration back, if there is one
+        } finally {
+            if (key.isValid()) {
+                key.interestOps(wanted);
+            }
+        }
+    }
+
     /** How many bytes lie in the socket. Where that cannot be told, none are said to. */
     static int unreadBytes(NioSession session) {
         try {
