A read or write that fails for want of something is made again; it cost the connection

Callers saw the end of a connection on which they had a request or were owed an answer. Cause: MINA closes a session on any exception of read or write, also where the socket is as good as before (ENOMEM, ENOBUFS, EINTR, EIO and the like).

--- a/daemon/src/main/java/tallyweir/net/SocketProcessor.java
+++ b/daemon/src/main/java/tallyweir/net/SocketProcessor.java
@@ -9,13 +9,16 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * Reads and writes sockets. A wait that fails is tried again: MINA itself would stand for a second after it.
+ * Reads and writes sockets. A system call that fails for no lasting reason is tried again: MINA itself would stand for a second
+ * after a failed wait, and close the connection after a failed read or write.
  */
 class SocketProcessor extends NioProcessor {
+    private static final AttributeKey FAILS_SINCE = new AttributeKey(SocketProcessor.class, "fails since");
     private static final long LOOK_EVERY_MILLIS = 100;
 
     /** What a session had read and written, and what lay in its socket, at the last look. */
@@ -67,21 +70,40 @@
     @Override
     protected int read(NioSession session, IoBuffer into) throws Exception {
         try {
-            return super.read(session, into);
+            int read = super.read(session, into);
+            session.removeAttribute(FAILS_SINCE);
+            return read;
         } catch (IOException e) {
-            failures.add(SocketFailures.Call.READ, e);
-            throw e;
+            failed(SocketFailures.Call.READ, session, e);
+            return 0;
         }
     }
 
     @Override
     protected int write(NioSession session, IoBuffer from, int length) throws IOException {
         try {
-            return super.write(session, from, length);
+            int written = super.write(session, from, length);
+            session.removeAttribute(FAILS_SINCE);
+            return written;
         } catch (IOException e) {
-            failures.add(SocketFailures.Call.WRITE, e);
-            throw e;
+            failed(SocketFailures.Call.WRITE, session, e);
+            return 0;
+        }
+    }
+
+    /** Returns where the call is to be made again. */
+    private void failed(SocketFailures.Call call, NioSession session, IOException cause) throws IOException {
+        if (session.getTransportMetadata().isConnectionless()) {
+            throw cause; // nobody takes the reports just now
+        }
+        failures.add(call, cause);
+        long now = System.nanoTime();
+        Object since = session.setAttributeIfAbsent(FAILS_SINCE, now);
+        boolean lasting = since instanceof Long first && now - first > SocketFailures.PATIENCE_NANOS;
+        if (lasting || !SocketError.of(cause).mayPass()) {
+            throw cause;
         }
+        SocketFailures.pause();
     }
 
     @Override
