The listener closes half a second before the stop, after its queue, and ends nobody's connection

Callers in the listener's queue were reset by its close; callers owed an answer at that moment lost it. Causes: the close of a listening socket resets whoever stands in its queue, and MINA takes in one connection a turn and closes without a look; MINA's acceptor closes every session when its last address is unbound (closeOnDeactivation); and both came only 100 to 120 ms before the kill, so that a thread that stood for a moment met the kill. Change: before the close the queue is taken in, for a second at the most while accept fails; sessions stay; the listener closes, and connections at rest end, half a second before the stop (or at half of what is left, where the whole notice is shorter); a connection accepted meanwhile has a tenth of a second for its request. BackendTest.nearTheStop... looks at the new moment. The judge of pipelined callers is stricter: only where no older request is open is an end one of a connection at rest.

--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -32,6 +32,7 @@
     private static final long HALF_MOST = 20_000; // a silent or half sent thing is told so within three seconds
     private static final int HALVES_MOST = 1_024;
     private static final long END_AGAIN = 100; // what lies unread or unwritten on one that is to end goes first
+    private static final long NEWCOMER = 1_000; // a tenth of a second, in which its first request is on its way
     private static final long LINGER = 10_000; // a second: the other side sees the end sooner, or never
     private static final int LINGERS_APART = 8; // of the table, one in so many may linger
     private static final byte[] NONE = {};
@@ -91,7 +92,7 @@
         c.idleSince = queries.now();
         c.rest(halfFor); // one that has sent nothing yet is about to
         if (leaving) {
-            deadlines.set(queries.now() + END_AGAIN, c::leave); // its request is on its way
+            deadlines.set(queries.now() + NEWCOMER, c::leave);
         }
         return c.slot;
     }
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -31,6 +31,7 @@
     private static final int SLOT_BITS = 20;
     private static final QueryId BEFORE = new QueryId(0); // of no query here: known from before
     private static final long ROUTING = 0x726f757465L; // chance of its own, so that the decisions' is as without
+    private static final long LEAVE_BEFORE_STOP = 5_000; // half a second: callers see the end and go elsewhere
     private static final long DAY = 24 * 3_600 * 10_000L;
 
     private final Deadlines deadlines;
@@ -720,8 +721,9 @@
         if (draining()) {
             return;
         }
-        stopAt = now + Math.max(0, stopAfter - 2 * settings.answerSlack());
-        deadlines.set(stopAt, connections::leave);
+        long left = Math.max(0, stopAfter - 2 * settings.answerSlack());
+        stopAt = now + left;
+        deadlines.set(stopAt - Math.min(LEAVE_BEFORE_STOP, left / 2), connections::leave);
         if (choice != null) {
             choice.drain(stopAt - now);
         }
--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -13,12 +13,14 @@
 /**
  * Accepts while there is a descriptor for one caller more; who comes then waits in the listener's queue with all it
  * has written. A close there would lose a request that the machine has accepted, and a descriptor more would be
- * missing at the peers' links. A failed accept or wait is tried again within a millisecond.
+ * missing at the peers' links. A failed accept or wait is tried again within a millisecond, and before the listener is
+ * closed whoever stands in its queue is let in.
  */
 final class GatedAcceptor extends NioSocketAcceptor {
     private static final long LOOK_MILLIS = 100;
     private static final long FOR_EVER = 0;
     private static final int FAILED_TO_MAKE_ROOM = 20; // in a row: something has to give way
+    private static final int NOBODY_IN_A_ROW = 2; // an interrupted accept looks as if nobody were there
 
     private final IoProcessor<NioSession> processor;
     private final int most;
@@ -131,6 +133,27 @@
         }
     }
 
+    /** What stands in the listener's queue would be reset by its close. */
+    @Override
+    protected void close(ServerSocketChannel listener) throws Exception {
+        takeIn(listener);
+        super.close(listener);
+    }
+
+    private void takeIn(ServerSocketChannel listener) {
+        long end = System.nanoTime() + SocketFailures.PATIENCE_NANOS;
+        int nobody = 0;
+        while (nobody < NOBODY_IN_A_ROW && open.get() < most && System.nanoTime() - end < 0) {
+            failedInARow = 0;
+            NioSession session = accept(listener);
+            if (session != null) {
+                initSession(session, null, null);
+                session.getProcessor().add(session);
+            }
+            nobody = session == null && failedInARow == 0 ? nobody + 1 : 0;
+        }
+    }
+
     private void letIn() {
         SelectionKey key = waits;
         if (key == null) {
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -127,6 +127,7 @@
         acceptor.getSessionConfig().setTcpNoDelay(true);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
+        acceptor.setCloseOnDeactivation(false); // or the close of the listener would reset every caller
         acceptor.setHandler(callerHandler());
         counts("failed_", failures::counts);
         counts("callers_", this::pendingBytes);
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -856,7 +856,7 @@
         r.unread.add(crossing);
         r.backend.drain();
         r.backend.drain();
-        r.pass(30_700);
+        r.pass(25_700);
         assertEquals(0, logged("close "));
         r.pass(200);
         assertEquals(
--- a/daemon/src/test/java/tallyweir/ProcessTest.java
+++ b/daemon/src/test/java/tallyweir/ProcessTest.java
@@ -268,4 +268,31 @@
             }
         }
     }
+
+    /** The close of the listener ended every connection, also those that were owed an answer. */
+    @Test
+    void aQueryInHandIsAnsweredAfterTheListenerIsClosed() throws Exception {
+        try (ServerSocket kernelAt = listener();
+                ServerSocket storeAt = listener()) {
+            Path file = Files.writeString(dir.resolve("config.json"), config(kernelAt, storeAt, 2));
+            Process backend = program(file, dir.resolve("none"));
+            try (BufferedReader log = backend.inputReader(UTF_8);
+                    Socket kernel = kernelAt.accept()) {
+                KernelEnd end = new KernelEnd(kernel);
+                InetSocketAddress at = listens(log);
+                logged(log, "the kernel is up");
+                try (Socket caller = dial(at)) {
+                    caller.getOutputStream().write(query(1, "00000000000000aa", "u"));
+                    end.await("SCHED");
+                    signal("TERM", backend);
+                    logged(log, "listens no more");
+                    end.tell("REAP", 1, "00000000000000aa", "bWFkZQ==");
+                    assertEquals(200, answer(caller.getInputStream()).status());
+                    assertEquals(-1, caller.getInputStream().read(), "and then its connection ends");
+                }
+            } finally {
+                backend.destroyForcibly();
+            }
+        }
+    }
 }
--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -143,6 +143,10 @@
     }
 
     static byte[] query(int id, String job) {
+        return query(id, job, "c");
+    }
+
+    static byte[] query(int id, String job, String workload) {
         return Model.request(
                 id,
                 "asked".getBytes(UTF_8),
@@ -151,7 +155,7 @@
                 "REQUEST_METHOD",
                 "POST",
                 "SCRIPT_NAME",
-                "/do/c",
+                "/do/" + workload,
                 "HTTP_REQUEST_ID",
                 job,
                 "HTTP_RECEIVED_AT",
--- a/stand/src/main/java/tallyweir/stand/PipelinedCaller.java
+++ b/stand/src/main/java/tallyweir/stand/PipelinedCaller.java
@@ -159,9 +159,10 @@
             List<Open> left = new ArrayList<>(open.values());
             open.clear();
             long now = System.nanoTime();
+            boolean wasAtRest = left.stream()
+                    .allMatch(request -> now - request.written < TimeUnit.MILLISECONDS.toNanos(CROSSING_MS));
             for (Open request : left) {
-                boolean crossed = now - request.written < TimeUnit.MILLISECONDS.toNanos(CROSSING_MS);
-                add(request, crossed ? RequestFate.End.CROSSED : RequestFate.End.CONNECTION_ENDED, 0);
+                add(request, wasAtRest ? RequestFate.End.CROSSED : RequestFate.End.CONNECTION_ENDED, 0);
             }
         }
 
--- a/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
+++ b/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
@@ -24,6 +24,7 @@
             new SteadyCaller.Manner("kept connections", false, 1, 0, 20);
     private static final SteadyCaller.Manner IN_PIECES = new SteadyCaller.Manner("in pieces", false, 4, 5, 20);
     private static final int RUN_MS = 1_500;
+    private static final int LISTENER_CLOSES_MS = StoppingServer.EARLIEST_STOP_MS - 2 * 60 - 500; // after the notice
 
     @TempDir
     private Path directory;
@@ -50,6 +51,24 @@
         }
     }
 
+    /** Who stood in the listener's queue when it was closed was reset. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void acceptFailsWhileTheListenerIsClosed(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.callers(40, NEW_CONNECTIONS);
+            TimeUnit.MILLISECONDS.sleep(RUN_MS);
+            server.notice();
+            server.awaitSinceNotice(LISTENER_CLOSES_MS - 60);
+            server.calls().fail(Call.ACCEPT, 1, seed, Errno.ENFILE);
+            server.awaitSinceNotice(LISTENER_CLOSES_MS + 100);
+            server.calls().mend(Call.ACCEPT);
+            server.killAtTheStop();
+            assertEquals(List.of(), server.lost(), server::report);
+            assertTrue(server.calls().failures(Call.ACCEPT) > 0, "a run without a failure shows nothing");
+        }
+    }
+
     /** A failed wait for sockets stopped the thread that reads, or the one that accepts, for a second. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3})
--- a/tool/src/test/java/tallyweir/tool/StoppingServer.java
+++ b/tool/src/test/java/tallyweir/tool/StoppingServer.java
@@ -25,7 +25,6 @@
     static final int SOCKETS = 256;
     private static final int CORES = 4;
     private static final int PATIENCE_MS = 1_400;
-    private static final int SETTLE_MS = 2_000; // callers end what they have sent
     private static final LoadSettings READS = new LoadSettings("look", false, PATIENCE_MS);
 
     private final Path directory;
@@ -35,6 +34,7 @@
     private final RequestLog log;
     private final List<AutoCloseable> callers = new ArrayList<>();
     private final int stopMs;
+    private long noticed;
     private long killed;
 
     StoppingServer(Path directory, long seed, int stopMs, int sockets) throws IOException, InterruptedException {
@@ -81,11 +81,24 @@
 
     /** Gives notice, waits as long as the server has, kills it, and waits until all callers know what became of their requests. */
     void stopAndKill() throws Exception {
+        notice();
+        killAtTheStop();
+    }
+
+    void notice() throws IOException {
+        noticed = System.nanoTime();
         program.terminate();
-        TimeUnit.MILLISECONDS.sleep(stopMs);
+    }
+
+    /** Waits until so many milliseconds after the notice. */
+    void awaitSinceNotice(long milliseconds) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(noticed + TimeUnit.MILLISECONDS.toNanos(milliseconds) - System.nanoTime());
+    }
+
+    void killAtTheStop() throws Exception {
+        awaitSinceNotice(stopMs);
         killed = System.nanoTime();
         program.kill();
-        TimeUnit.MILLISECONDS.sleep(100);
         for (AutoCloseable caller : callers) {
             caller.close();
         }
