A connection just accepted keeps its place until its first request may have come

Callers whose connection was made while many silent clients filled the table saw it end before their request was read, and the one resend of it as well. Cause: making room ends the connection that has never asked and is silent longest; once all silent clients linger, that is the one accepted a moment ago. Change: for a tenth of a second after it was accepted a connection does not give way, nor does one that has asked before while there are such newcomers; whoever connects waits in the listener's queue meanwhile.

--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -89,6 +89,7 @@
         counters.add(Count.CONNECTIONS_ACCEPTED);
         Connection c = new Connection();
         c.slot = new ConnectionId(slots.add(c));
+        c.accepted = queries.now();
         c.idleSince = queries.now();
         c.rest(halfFor); // one that has sent nothing yet is about to
         if (leaving) {
@@ -207,7 +208,8 @@
     /**
      * Makes room for a new connection by closing one that owes and awaits no answer: of those that never sent a
      * whole request the one silent longest, else the one idle longest, else the one whose last request was begun
-     * longest ago and is not whole yet. A table full of halves once turned everybody back until their time was
+     * longest ago and is not whole yet. A newcomer keeps its place for as long as its first request may be on its way, and
+     * while there are any nobody who has asked before gives way. A table full of halves once turned everybody back until their time was
      * over, and silent connections by hundreds would have closed the idle ones of callers in use.
      */
     private boolean makeRoom() {
@@ -219,8 +221,13 @@
                 .filter(Connection::owesNothing)
                 .sorted((a, b) -> a.before(b) ? -1 : b.before(a) ? 1 : 0)
                 .toList();
+        boolean newcomers = false;
         for (Connection c : quiet) {
-            if (c.closeIdle()) {
+            if (c.isNewcomer()) {
+                newcomers = true; // silent or not, it will be known in a moment
+            } else if (newcomers && c.asked) {
+                break;
+            } else if (c.closeIdle()) {
                 return true;
             }
         }
@@ -235,6 +242,7 @@
         private final Map<RequestId, Responder> owed = new HashMap<>();
         private final Map<RequestId, Deadlines.Deadline> half = new HashMap<>();
         private Deadlines.Deadline idle;
+        private long accepted;
         private long idleSince;
         private boolean used; // something came
         private boolean asked; // a whole request came
@@ -261,6 +269,10 @@
             return !closing && !ending && owed.isEmpty();
         }
 
+        private boolean isNewcomer() {
+            return !asked && queries.now() - accepted < NEWCOMER;
+        }
+
         private boolean before(Connection o) {
             return asked != o.asked
                     ? !asked
