An interrupted read or write is no end of the stream

Callers lost requests and answers with connections that nobody had ended. Cause: a read or write on a non-blocking channel that EINTR interrupts returns a number below that of the end of the stream, and MINA takes any negative one for the end. Change: less than the end counts as nothing read or written.

--- a/daemon/src/main/java/tallyweir/net/SocketProcessor.java
+++ b/daemon/src/main/java/tallyweir/net/SocketProcessor.java
@@ -19,6 +19,7 @@
  */
 class SocketProcessor extends NioProcessor {
     private static final AttributeKey FAILS_SINCE = new AttributeKey(SocketProcessor.class, "fails since");
+    private static final int END_OF_STREAM = -1; // the channel says less than that of an interrupted call
     private static final long LOOK_EVERY_MILLIS = 100;
 
     /** What a session had read and written, and what lay in its socket, at the last look. */
@@ -72,7 +73,7 @@
         try {
             int read = super.read(session, into);
             session.removeAttribute(FAILS_SINCE);
-            return read;
+            return read < END_OF_STREAM ? 0 : read;
         } catch (IOException e) {
             failed(SocketFailures.Call.READ, session, e);
             return 0;
@@ -84,7 +85,7 @@
         try {
             int written = super.write(session, from, length);
             session.removeAttribute(FAILS_SINCE);
-            return written;
+            return Math.max(0, written);
         } catch (IOException e) {
             failed(SocketFailures.Call.WRITE, session, e);
             return 0;
--- a/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
+++ b/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
@@ -105,6 +105,19 @@
         }
     }
 
+    /** An interrupted read or write passed for the end of the stream. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void readsAndWritesAreInterrupted(int seed) throws Exception {
+        try (StoppingServer server = server(seed, StoppingServer.SOCKETS)) {
+            server.calls().fail(Call.READ, 20, seed, Errno.EINTR);
+            server.calls().fail(Call.WRITE, 20, seed, Errno.EINTR);
+            server.callers(20, KEPT_CONNECTIONS);
+            server.pipelinedCallers(5, new PipelinedCaller.Manner("pipelined", 8, 5, 0));
+            stopAndCheck(server, Call.READ);
+        }
+    }
+
     /** A failed write ended the connection with the answer. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3})
