tallyweir soak: faults at the edges of whole processes, drawn from a seed and judged

Tests measure by how late this machine wakes threads and do not charge that to the server. Not there yet: faults of the store's replies, folders of results, calls that nobody answers.

--- a/stand/src/main/java/tallyweir/stand/History.java
+++ b/stand/src/main/java/tallyweir/stand/History.java
@@ -68,4 +68,15 @@
                 handled.size(),
                 (int) handled.values().stream().filter(n -> n > 1).count());
     }
+
+    /** How often each job was run. */
+    public synchronized Map<String, Integer> runsByJob() {
+        Map<String, Integer> runs = new HashMap<>();
+        for (Event e : events) {
+            if (e.what == What.RUN) {
+                runs.merge(e.job, 1, Integer::sum);
+            }
+        }
+        return runs;
+    }
 }
--- a/stand/src/main/java/tallyweir/stand/PipelinedCaller.java
+++ b/stand/src/main/java/tallyweir/stand/PipelinedCaller.java
@@ -150,7 +150,7 @@
 
         private RequestFate.End answerEnd(Open request) {
             long most = settings.patienceMs() + SLACK_MS + (long) manner.open * manner.readMs;
-            boolean late = System.nanoTime() - request.written > TimeUnit.MILLISECONDS.toNanos(most);
+            boolean late = log.isOver(request.written, TimeUnit.MILLISECONDS.toNanos(most));
             return late ? RequestFate.End.ANSWERED_LATE : RequestFate.End.ANSWERED;
         }
 
@@ -158,9 +158,8 @@
             ended = true;
             List<Open> left = new ArrayList<>(open.values());
             open.clear();
-            long now = System.nanoTime();
             boolean wasAtRest = left.stream()
-                    .allMatch(request -> now - request.written < TimeUnit.MILLISECONDS.toNanos(CROSSING_MS));
+                    .noneMatch(request -> log.isOver(request.written, TimeUnit.MILLISECONDS.toNanos(CROSSING_MS)));
             for (Open request : left) {
                 add(request, wasAtRest ? RequestFate.End.CROSSED : RequestFate.End.CONNECTION_ENDED, 0);
             }
--- a/stand/src/main/java/tallyweir/stand/RequestLog.java
+++ b/stand/src/main/java/tallyweir/stand/RequestLog.java
@@ -8,9 +8,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** What all callers of a run have seen; any thread may add to it. */
-public final class RequestLog {
+public final class RequestLog implements AutoCloseable {
     private static final double MILLION = 1e6;
 
+    private final RigLag lag = new RigLag();
     private final SplittableRandom chance;
     private final List<RequestFate> fates = new ArrayList<>();
     private final Map<String, Integer> answersById = new ConcurrentHashMap<>();
@@ -29,6 +30,12 @@
         return chance.split();
     }
 
+    /** Whether so long a span, which ends now, is longer than allowed even without what this machine was late by in it. */
+    boolean isOver(long began, long allowedNanos) {
+        long span = System.nanoTime() - began;
+        return span > allowedNanos && span - lag.worstSince(began) > allowedNanos;
+    }
+
     synchronized void add(RequestFate fate) {
         fates.add(fate);
     }
@@ -81,4 +88,9 @@
         }
         return text.toString();
     }
+
+    @Override
+    public void close() {
+        lag.close();
+    }
 }
--- a/stand/src/main/java/tallyweir/stand/SteadyCaller.java
+++ b/stand/src/main/java/tallyweir/stand/SteadyCaller.java
@@ -119,7 +119,7 @@
             int status = answer(written);
             log.answered(id);
             long now = System.nanoTime();
-            boolean late = now - written > TimeUnit.MILLISECONDS.toNanos(settings.patienceMs() + SLACK_MS);
+            boolean late = log.isOver(written, TimeUnit.MILLISECONDS.toNanos(settings.patienceMs() + SLACK_MS));
             if (manner.newConnectionEach) {
                 disconnect();
             }
@@ -131,7 +131,7 @@
         } catch (IOException e) {
             disconnect();
             long now = System.nanoTime();
-            boolean crossed = !resent && now - written < TimeUnit.MILLISECONDS.toNanos(CROSSING_MS);
+            boolean crossed = !resent && !log.isOver(written, TimeUnit.MILLISECONDS.toNanos(CROSSING_MS));
             return fate(
                     id, written, now, crossed ? RequestFate.End.CROSSED : RequestFate.End.CONNECTION_ENDED, 0, resent);
         }
--- a/tool/src/main/java/tallyweir/tool/Main.java
+++ b/tool/src/main/java/tallyweir/tool/Main.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import picocli.CommandLine.ParameterException;
+import tallyweir.tool.soak.SoakCommand;
 
 /** The command line: {@code bin/tallyweir SUBCOMMAND}. */
 @Command(
@@ -22,6 +23,7 @@
             DurableCommand.class,
             ResultsCommand.class,
             FleetCommand.class,
+            SoakCommand.class,
             CommandLine.HelpCommand.class
         })
 public final class Main implements Runnable {
--- a/tool/src/main/java/tallyweir/tool/Program.java
+++ b/tool/src/main/java/tallyweir/tool/Program.java
@@ -15,9 +15,9 @@
 import java.util.stream.Stream;
 
 /** The real program in a process of its own, on loopback, for drills and benches: started, asked to leave, killed, measured. */
-final class Program implements AutoCloseable {
+public final class Program implements AutoCloseable {
     /** What memory its configuration allows, MB. */
-    static final int MEMORY_MB = 192;
+    public static final int MEMORY_MB = 192;
 
     private final Path dir;
     private final List<String> flags;
@@ -35,7 +35,7 @@
      * @param operators whether it gets the operators' file
      * @param flags of its virtual machine, beside the usual ones
      */
-    Program(Path dir, boolean operators, List<String> flags) throws IOException {
+    public Program(Path dir, boolean operators, List<String> flags) throws IOException {
         this.dir = dir;
         this.flags = flags;
         this.operators = operators;
@@ -51,11 +51,11 @@
     }
 
     /** What its environment holds beside the usual. */
-    void environment(Map<String, String> more) {
+    public void environment(Map<String, String> more) {
         environment.putAll(more);
     }
 
-    int port() {
+    public int port() {
         return port;
     }
 
@@ -76,12 +76,12 @@
     }
 
     /** The most memory any of its processes has held, MB. */
-    long memoryMost() {
+    public long memoryMost() {
         return memoryMost;
     }
 
     /** What a backend is told: one workload with an effect and one without, patience and times as given. */
-    static String config(int kernel, long seed, int cpus, long windowUs, int sockets, int stopMs) {
+    public static String config(int kernel, long seed, int cpus, long windowUs, int sockets, int stopMs) {
         return "{\"name\":\"drill\",\"kernel\":\"127.0.0.1:" + kernel
                 + "\",\"announce\":\"127.0.0.1:9\",\"store\":\"127.0.0.1:9\",\"seed\":\"" + Long.toHexString(seed)
                 + "\",\"stop_ms\":" + stopMs + ",\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":"
@@ -124,7 +124,7 @@
     }
 
     /** Starts it and returns once it listens; how long that took, milliseconds. */
-    long start() throws IOException, InterruptedException {
+    public long start() throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
@@ -159,7 +159,7 @@
     }
 
     /** Ends it outright. */
-    void kill() throws IOException, InterruptedException {
+    public void kill() throws IOException, InterruptedException {
         measure();
         turn++;
         listening = false;
@@ -177,26 +177,26 @@
     }
 
     /** Gives it notice to leave and returns at once. */
-    void terminate() throws IOException {
+    public void terminate() throws IOException {
         measure();
         turn++;
         process.destroy();
     }
 
     /** Has it read its configuration again. */
-    void reload() throws IOException, InterruptedException {
+    public void reload() throws IOException, InterruptedException {
         signal("HUP");
     }
 
     /** Stops it where it stands; it does not hear of it. */
-    void pause() throws IOException, InterruptedException {
+    public void pause() throws IOException, InterruptedException {
         turn++;
         listening = false;
         signal("STOP");
     }
 
     /** Lets it go on. */
-    void resume() throws IOException, InterruptedException {
+    public void resume() throws IOException, InterruptedException {
         signal("CONT");
     }
 
@@ -212,7 +212,7 @@
     }
 
     /** Memory that it holds now, KB, 0 where it has gone. */
-    long memoryNow() throws IOException {
+    public long memoryNow() throws IOException {
         return status("VmRSS:");
     }
 
@@ -228,7 +228,7 @@
         return 0;
     }
 
-    void measure() throws IOException {
+    public void measure() throws IOException {
         memoryMost = Math.max(memoryMost, status("VmHWM:") / 1_024);
     }
 
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/soak/BackendLife.java
@@ -0,0 +1,52 @@
+package tallyweir.tool.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** When one backend was told to leave, killed, and stood still, as the one who did it knows. Any thread may ask. */
+final class BackendLife {
+    /** @param noticed when it was told to leave, 0 where it was killed without notice */
+    record Death(long noticed, long killed) {}
+
+    private record Pause(long began, long ended) {}
+
+    private final List<Death> deaths = new ArrayList<>();
+    private final List<Pause> pauses = new ArrayList<>();
+
+    synchronized void died(long noticed, long killed) {
+        deaths.add(new Death(noticed, killed));
+    }
+
+    synchronized void stood(long began, long ended) {
+        pauses.add(new Pause(began, ended));
+    }
+
+    /** The death that came while a request was with the backend, null for none. */
+    synchronized Death during(long written, long ended) {
+        return deaths.stream()
+                .filter(death -> written <= death.killed && death.killed <= ended)
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** The notice under which the backend stood at a moment, 0 for none. */
+    synchronized long noticeAt(long moment) {
+        return deaths.stream()
+                .filter(death -> death.noticed != 0 && death.noticed <= moment && moment <= death.killed)
+                .mapToLong(Death::noticed)
+                .findFirst()
+                .orElse(0);
+    }
+
+    synchronized boolean stoodDuring(long from, long to) {
+        return pauses.stream().anyMatch(pause -> pause.began <= to && from <= pause.ended);
+    }
+
+    synchronized long drains() {
+        return deaths.stream().filter(death -> death.noticed != 0).count();
+    }
+
+    synchronized long kills() {
+        return deaths.stream().filter(death -> death.noticed == 0).count();
+    }
+}
--- /dev/null
+++ b/tool/src/main/java/tallyweir/tool/soak/SoakJudge.java
@@ -0,0 +1,69 @@
+package tallyweir.tool.soak;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import tallyweir.stand.History;
+import tallyweir.stand.RequestFate;
+import tallyweir.stand.RequestLog;
+
+/** Holds the rules by what callers and the kernel saw; knows nothing of how the program works. */
+final class SoakJudge {
+    private static final int SLACK_MS = 50; // by the protocol
+
+    private final RequestLog log;
+    private final History kernel;
+    private final BackendLife life;
+    private final int graceMs;
+
+    SoakJudge(RequestLog log, History kernel, BackendLife life, int graceMs) {
+        this.log = log;
+        this.kernel = kernel;
+        this.life = life;
+        this.graceMs = graceMs;
+    }
+
+    SoakVerdict verdict(long failedCalls, long otherFaults) {
+        List<RequestFate> all = log.all();
+        Map<String, Integer> runs = kernel.runsByJob();
+        return new SoakVerdict(
+                all.size(),
+                all.stream().filter(SoakJudge::isAnswered).count(),
+                life.kills(),
+                life.drains(),
+                failedCalls,
+                otherFaults,
+                all.stream().filter(this::isLost).toList(),
+                log.answeredTwice() + runs.values().stream().filter(n -> n > 1).count(),
+                all.stream().filter(this::isLate).toList(),
+                all.stream().filter(fate -> ranAfterGrace(fate, runs)).count());
+    }
+
+    private static boolean isAnswered(RequestFate fate) {
+        return fate.end() == RequestFate.End.ANSWERED || fate.end() == RequestFate.End.ANSWERED_LATE;
+    }
+
+    /** A kill without notice frees what was with the backend; the end at a kill after one is no end of a connection at rest. */
+    private boolean isLost(RequestFate fate) {
+        if (isAnswered(fate)) {
+            return false;
+        }
+        BackendLife.Death death = life.during(fate.written(), fate.ended());
+        if (death != null) {
+            return death.noticed() != 0;
+        }
+        return fate.isLost();
+    }
+
+    private boolean isLate(RequestFate fate) {
+        return fate.end() == RequestFate.End.ANSWERED_LATE && !life.stoodDuring(fate.written(), fate.ended());
+    }
+
+    private boolean ranAfterGrace(RequestFate fate, Map<String, Integer> runs) {
+        long notice = life.noticeAt(fate.written());
+        return notice != 0
+                && runs.containsKey(fate.id())
+                && fate.written() - notice > TimeUnit.MILLISECONDS.toNanos(graceMs + SLACK_MS)
+                && !life.stoodDuring(notice, fate.written());
+    }
+}
--- a/tool/src/test/java/tallyweir/tool/StoppingServer.java
+++ b/tool/src/test/java/tallyweir/tool/StoppingServer.java
@@ -132,5 +132,6 @@
         }
         program.close();
         kernel.close();
+        log.close();
     }
 }
