Sessions are registered and resumed under one lock; a race stopped all reading

Evidence: NullPointerException of List.copyOf in the log of the backend, once a second. Change: the map is a concurrent one; each change of interest, and each new registration, is one step under the session's lock, since MINA's own read-and-set could lose one of two; a clear of the interest in writing that comes late leaves it while part of a write is left; a key that is cancelled meanwhile is passed over.

--- a/daemon/src/main/java/tallyweir/net/SocketProcessor.java
+++ b/daemon/src/main/java/tallyweir/net/SocketProcessor.java
@@ -1,11 +1,12 @@
 package tallyweir.net;
 
 import java.io.IOException;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -33,7 +34,8 @@
     private static final Seen NOTHING_SEEN = new Seen(-1, -1, 0);
 
     private final SocketFailures failures;
-    private final Map<NioSession, Seen> unproven = new HashMap<>(); // nothing has come since they were registered
+    // Nothing has come since they were registered. Whoever suspends or resumes a session adds to it, on any thread.
+    private final Map<NioSession, Seen> unproven = new ConcurrentHashMap<>();
     private long nextLook = System.nanoTime();
 
     SocketProcessor(Executor executor, SocketFailures failures) {
@@ -107,15 +109,21 @@
         SocketFailures.pause();
     }
 
+    /** Whoever suspends or resumes a session does so on its own thread, so each change is made as a whole. */
     @Override
     protected void setInterestedInRead(NioSession session, boolean interested) throws Exception {
-        super.setInterestedInRead(session, interested);
+        synchronized (session) {
+            super.setInterestedInRead(session, interested);
+        }
         unproven.put(session, NOTHING_SEEN);
     }
 
+    /** Another thread may have seen an empty queue just before part of a write was left over. */
     @Override
     protected void setInterestedInWrite(NioSession session, boolean interested) throws Exception {
-        super.setInterestedInWrite(session, interested);
+        synchronized (session) {
+            super.setInterestedInWrite(session, interested || session.getCurrentWriteRequest() != null);
+        }
         unproven.put(session, NOTHING_SEEN);
     }
 
@@ -131,10 +139,14 @@
         for (NioSession session : List.copyOf(unproven.keySet())) {
             SelectionKey key =
                     session instanceof SocketSession of ? of.getChannel().keyFor(selector) : null;
-            if (key == null || !key.isValid()) {
-                unproven.remove(session);
-            } else {
-                lookAt(session, key);
+            try {
+                if (key != null && key.isValid()) {
+                    lookAt(session, key);
+                } else {
+                    unproven.remove(session);
+                }
+            } catch (CancelledKeyException e) {
+                unproven.remove(session); // it has ended meanwhile
             }
         }
     }
@@ -153,7 +165,7 @@
             if (unread > 0) { // else the other side may be slow to read
                 failures.add(SocketFailures.Call.REGISTER, new IOException("no word of a socket with bytes to read"));
             }
-            registerAgain(key);
+            registerAgain(session, key);
         }
     }
 
@@ -161,14 +173,16 @@
         return (key.interestOps() & operation) != 0;
     }
 
-    private void registerAgain(SelectionKey key) throws IOException {
-        int wanted = key.interestOps();
-        key.interestOps(0);
-        try {
-            selector.selectNow(); // takes the registration back, if there is one
-        } finally {
-            if (key.isValid()) {
-                key.interestOps(wanted);
+    private void registerAgain(NioSession session, SelectionKey key) throws IOException {
+        synchronized (session) {
+            int wanted = key.interestOps();
+            key.interestOps(0);
+            try {
+                selector.selectNow(); // takes the registration back, if there is one
+            } finally {
+                if (key.isValid()) {
+                    key.interestOps(wanted);
+                }
             }
         }
     }
