soak: folders of results that refuse writes; a kill takes a moment

Every second backend keeps results in a folder, whose writes and syncs fail for a while in some steps.

--- a/tool/src/main/java/tallyweir/tool/soak/BackendLife.java
+++ b/tool/src/main/java/tallyweir/tool/soak/BackendLife.java
@@ -5,16 +5,20 @@
 
 /** When one backend was told to leave, killed, and stood still, as the one who did it knows. Any thread may ask. */
 final class BackendLife {
-    /** @param noticed when it was told to leave, 0 where it was killed without notice */
-    record Death(long noticed, long killed) {}
+    /**
+     * @param noticed when it was told to leave, 0 where it was killed without notice
+     * @param killed when the kill was begun
+     * @param gone when the process was known to be gone
+     */
+    record Death(long noticed, long killed, long gone) {}
 
     private record Pause(long began, long ended) {}
 
     private final List<Death> deaths = new ArrayList<>();
     private final List<Pause> pauses = new ArrayList<>();
 
-    synchronized void died(long noticed, long killed) {
-        deaths.add(new Death(noticed, killed));
+    synchronized void died(long noticed, long killed, long gone) {
+        deaths.add(new Death(noticed, killed, gone));
     }
 
     synchronized void stood(long began, long ended) {
@@ -24,7 +28,7 @@
     /** The death that came while a request was with the backend, null for none. */
     synchronized Death during(long written, long ended) {
         return deaths.stream()
-                .filter(death -> written <= death.killed && death.killed <= ended)
+                .filter(death -> written <= death.gone && death.killed <= ended)
                 .findFirst()
                 .orElse(null);
     }
--- a/tool/src/main/java/tallyweir/tool/soak/SoakBackend.java
+++ b/tool/src/main/java/tallyweir/tool/soak/SoakBackend.java
@@ -32,6 +32,7 @@
     private static final int SOCKETS = 192;
     private static final int PATIENCE_MS = 1_400;
     private static final int RUN_MOST_MS = 40;
+    private static final int FORCE_EVERY_MS = 2;
     private static final long WINDOW_US = 3_600_000_000L;
     private static final LoadSettings READS = new LoadSettings("look", false, PATIENCE_MS);
     private static final LoadSettings KEYED = new LoadSettings("reset", true, PATIENCE_MS);
@@ -51,7 +52,8 @@
     private int failingSeed;
     private long otherFaults;
 
-    SoakBackend(Path directory, long seed) throws IOException, InterruptedException {
+    /** @param keepsResults whether it keeps results over restarts in a folder */
+    SoakBackend(Path directory, long seed, boolean keepsResults) throws IOException, InterruptedException {
         this.directory = Files.createDirectories(directory);
         this.seed = seed;
         log = new RequestLog(seed);
@@ -63,7 +65,11 @@
         }
         calls = FailingCalls.in(directory);
         writeConfig();
-        program = new Program(directory, false, List.of());
+        Files.writeString(
+                directory.resolve("operators.json"),
+                "{\"results\":{\"bound_mb\":8},\"durable\":{\"dir\":\"" + directory.resolve("store")
+                        + "\",\"segment_mb\":1,\"force_every_ms\":" + FORCE_EVERY_MS + "}}");
+        program = new Program(directory, keepsResults, List.of());
         program.environment(calls.environment());
         program.start();
     }
@@ -115,6 +121,7 @@
             case KERNEL_BREAK -> breakLink();
             case KERNEL_HOLD -> holdLink(step.amount());
             case WALL_STEP -> calls.stepWall(step.amount());
+            case FOLDER_REFUSES -> refuseFolder(step.amount());
         }
     }
 
@@ -135,7 +142,7 @@
         sleepUntil(noticed, STOP_MS);
         long killed = System.nanoTime();
         program.kill();
-        life.died(noticed, killed);
+        life.died(noticed, killed, System.nanoTime());
         startAgain();
     }
 
@@ -146,7 +153,7 @@
     private void kill() throws IOException, InterruptedException {
         long killed = System.nanoTime();
         program.kill();
-        life.died(0, killed);
+        life.died(0, killed, System.nanoTime());
         startAgain();
     }
 
@@ -181,6 +188,14 @@
         relays.forEach(StandRelay::mend);
     }
 
+    private void refuseFolder(int milliseconds) throws InterruptedException {
+        begin(Call.FILE_WRITE, 1);
+        begin(Call.FILE_SYNC, 1);
+        TimeUnit.MILLISECONDS.sleep(milliseconds);
+        calls.mend(Call.FILE_WRITE);
+        calls.mend(Call.FILE_SYNC);
+    }
+
     /** Callers stop, and what they have sent has ended. */
     SoakVerdict verdict() throws Exception {
         calls.mendAll();
--- a/tool/src/main/java/tallyweir/tool/soak/SoakCommand.java
+++ b/tool/src/main/java/tallyweir/tool/soak/SoakCommand.java
@@ -34,7 +34,10 @@
     @Option(names = "--seconds", defaultValue = "20", description = "For how long (${DEFAULT-VALUE}).")
     private int seconds;
 
-    @Option(names = "--backends", defaultValue = "2", description = "How many processes (${DEFAULT-VALUE}).")
+    @Option(
+            names = "--backends",
+            defaultValue = "2",
+            description = "How many processes; every second one keeps results in a folder (${DEFAULT-VALUE}).")
     private int backends;
 
     @Option(names = "--dir", required = true, description = "A directory for the soak's own files; made if not there.")
@@ -72,7 +75,7 @@
         SoakPlan plan = SoakPlan.of(own, seconds, SoakBackend.STOP_MS);
         StringBuilder timeline = new StringBuilder("backend " + own + ":");
         plan.steps().forEach(step -> timeline.append("\n  ").append(step));
-        try (SoakBackend backend = new SoakBackend(directory.resolve("backend-" + own), own)) {
+        try (SoakBackend backend = new SoakBackend(directory.resolve("backend-" + own), own, number % 2 == 1)) {
             backend.beginCallers();
             for (SoakStep step : plan.steps()) {
                 backend.play(step);
--- a/tool/src/main/java/tallyweir/tool/soak/SoakPlan.java
+++ b/tool/src/main/java/tallyweir/tool/soak/SoakPlan.java
@@ -40,7 +40,7 @@
         return switch (step.kind()) {
             case STOP -> stopMs + RESTART_MS;
             case KILL -> RESTART_MS;
-            case PAUSE, KERNEL_HOLD -> step.amount();
+            case PAUSE, KERNEL_HOLD, FOLDER_REFUSES -> step.amount();
             default -> 0;
         };
     }
@@ -63,8 +63,10 @@
             return plain(chance, SoakStep.Kind.RELOAD, 0);
         } else if (drawn < 88) {
             return plain(chance, SoakStep.Kind.KERNEL_BREAK, 0);
-        } else if (drawn < 95) {
+        } else if (drawn < 92) {
             return plain(chance, SoakStep.Kind.KERNEL_HOLD, chance.nextInt(50, HOLD_MOST_MS));
+        } else if (drawn < 97) {
+            return plain(chance, SoakStep.Kind.FOLDER_REFUSES, chance.nextInt(50, HOLD_MOST_MS));
         }
         return plain(chance, SoakStep.Kind.WALL_STEP, chance.nextInt(-WALL_STEP_MOST_MS, WALL_STEP_MOST_MS));
     }
--- a/tool/src/main/java/tallyweir/tool/soak/SoakStep.java
+++ b/tool/src/main/java/tallyweir/tool/soak/SoakStep.java
@@ -29,7 +29,9 @@
         /** Nothing passes on the kernel's link for a while. */
         KERNEL_HOLD,
         /** The wall clock of the process is set. */
-        WALL_STEP
+        WALL_STEP,
+        /** The folder of the results refuses writes and syncs for a while. */
+        FOLDER_REFUSES
     }
 
     @Override
