Connections end only once nobody can connect; the close follows the last look into the queue

Cause: connections were ended and the listener was closed at the same moment, so who saw the end came back into a queue that was about to be reset; and the virtual machine puts the close of a registered listener off until the next select. Change: connections end when the close of the listener is told (at the stop at the latest); the listener is taken off its selector first, then its queue is taken in, and the close comes right after the last look. BackendTest, CrossingsTest, ProcessTest, LeavingTest pass.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -113,6 +113,11 @@
         guard(() -> queries.connections().full());
     }
 
+    /** Nobody can connect any more. */
+    public void listenerClosed() {
+        guard(() -> queries.connections().leave());
+    }
+
     /** The other side has reset a connection, or nothing can be read from it or written to it any more. */
     public void reset() {
         counters.add(Count.CONNECTIONS_RESET);
--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -125,14 +125,20 @@
         }
     }
 
+    /** The stop is near: nobody more is let in. Until the listener is closed, who sees an end would come right back to it. */
+    void stopListening() {
+        links.stopListening();
+    }
+
     /**
-     * The stop is near: each connection ends once nothing is owed on it. What would come later would lie unread when the
-     * process is killed; who reads the end before has it sent elsewhere.
+     * Nobody can connect any more: each connection ends once nothing is owed on it. What would come later would lie unread when
+     * the process is killed; who reads the end before has it sent elsewhere.
      */
     void leave() {
-        leaving = true;
-        links.stopListening();
-        slots.all().forEach(Connection::leave);
+        if (!leaving) {
+            leaving = true;
+            slots.all().forEach(Connection::leave);
+        }
     }
 
     void read(ConnectionId slot, ByteBuffer bytes) {
--- a/daemon/src/main/java/tallyweir/backend/Links.java
+++ b/daemon/src/main/java/tallyweir/backend/Links.java
@@ -23,7 +23,7 @@
     /** Closes the connection of the caller that has taken nothing of its answers for longest, if it is long. */
     boolean dropStuck();
 
-    /** Nobody connects any more: who tries is refused, which proves that nothing of it ran. */
+    /** Nobody is to connect any more: who tries is refused, which proves that nothing of it ran. Told once that is so. */
     void stopListening();
 
     /** Whether callers may be waiting to be let in, as there is no descriptor for one more. */
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -723,7 +723,8 @@
         }
         long left = Math.max(0, stopAfter - 2 * settings.answerSlack());
         stopAt = now + left;
-        deadlines.set(stopAt - Math.min(LEAVE_BEFORE_STOP, left / 2), connections::leave);
+        deadlines.set(stopAt - Math.min(LEAVE_BEFORE_STOP, left / 2), connections::stopListening);
+        deadlines.set(stopAt, connections::leave);
         if (choice != null) {
             choice.drain(stopAt - now);
         }
--- a/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
+++ b/daemon/src/main/java/tallyweir/net/GatedAcceptor.java
@@ -133,11 +133,27 @@
         }
     }
 
-    /** What stands in the listener's queue would be reset by its close. */
+    /**
+     * What stands in the listener's queue is reset by its close, so that comes right after the last look into it. While it is
+     * registered, the virtual machine would put the close off.
+     */
     @Override
     protected void close(ServerSocketChannel listener) throws Exception {
+        SelectionKey key = listener.keyFor(selector);
+        if (key != null) {
+            key.cancel();
+            deregister();
+        }
         takeIn(listener);
-        super.close(listener);
+        listener.close();
+    }
+
+    private void deregister() {
+        try {
+            selector.selectNow();
+        } catch (IOException e) {
+            failures.add(SocketFailures.Call.SELECT, e); // cancelled keys were taken off before it failed
+        }
     }
 
     private void takeIn(ServerSocketChannel listener) {
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -485,6 +485,7 @@
         Thread t = new Thread(
                 () -> {
                     acceptor.unbind();
+                    tell(backend::listenerClosed);
                     listenerClosed.complete(null);
                 },
                 "unbind");
