An interrupted connect of the reports' socket is tried again with the next report

A server would come off the list though it ran. Cause: an EINTR in the connect of a datagram channel is an Error to the virtual machine; the opening stayed noted, so nothing more was reported until the sockets to the peers were taken for stuck, after four seconds; the list forgets a server after three. Change: such a failure is counted, and the next report opens the socket anew.

--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -569,23 +569,34 @@
         if (reports != null) {
             reports.write(IoBuffer.wrap(datagram));
         } else if (reportsOpening == 0) {
+            openReports(datagram);
+        }
+    }
+
+    private void openReports(byte[] first) {
+        SocketAddress to = announceAt();
+        try {
+            ConnectFuture opening = datagrams.connect(to);
             reportsOpening = now();
-            SocketAddress to = announceAt();
-            datagrams
-                    .connect(to)
-                    .addListener(future -> tell(() -> {
-                        reportsOpening = 0;
-                        IoSession opened =
-                                ((ConnectFuture) future).isConnected() ? ((ConnectFuture) future).getSession() : null;
-                        if (opened != null && !to.equals(announceAt())) {
-                            opened.closeNow(); // the service has moved meanwhile
-                            report(datagram);
-                        } else if (opened != null) {
-                            reports = opened;
-                            reports.write(IoBuffer.wrap(datagram));
-                        }
-                    }));
+            opening.addListener(future -> tell(() -> reportsOpened(opening, to, first)));
+        } catch (RuntimeException | Error e) {
+            failures.add(
+                    SocketFailures.Call.CONNECT, e); // the virtual machine throws an Error where connect is interrupted
+        }
+    }
+
+    private void reportsOpened(ConnectFuture opening, SocketAddress to, byte[] first) {
+        reportsOpening = 0;
+        if (!opening.isConnected()) {
+            return;
+        }
+        if (!to.equals(announceAt())) {
+            opening.getSession().closeNow(); // the service has moved meanwhile
+            report(first);
+            return;
         }
+        reports = opening.getSession();
+        reports.write(IoBuffer.wrap(first));
     }
 
     // ---- from other threads
