soak: a kill without notice frees whatever was written on its connections

Soak lost 1: a pipelined request written on a connection 6 ms before its caller's reading thread saw the end that a kill without notice had brought. It was written after the process was known to be gone, so the judge did not count it to the kill; nobody had it. Change: what frees it is that its connection was open at the kill. A kill after a notice is held as strictly as before.

--- a/tool/src/main/java/tallyweir/tool/soak/BackendLife.java
+++ b/tool/src/main/java/tallyweir/tool/soak/BackendLife.java
@@ -25,12 +25,15 @@
         pauses.add(new Pause(began, ended));
     }
 
-    /** The death that came while a request was with the backend, null for none. */
-    synchronized Death during(long written, long ended) {
+    /** Whether the backend was killed without notice while a connection to it was open: that frees what was written on it. */
+    synchronized boolean wasKilledWithoutNotice(long connected, long ended) {
         return deaths.stream()
-                .filter(death -> written <= death.gone && death.killed <= ended)
-                .findFirst()
-                .orElse(null);
+                .anyMatch(death -> death.noticed == 0 && connected <= death.gone && death.killed <= ended);
+    }
+
+    /** Whether a request was with the backend when it was killed after a notice. */
+    synchronized boolean wasKilledAfterNotice(long written, long ended) {
+        return deaths.stream().anyMatch(death -> death.noticed != 0 && written <= death.gone && death.killed <= ended);
     }
 
     /** The notice under which the backend stood at a moment, 0 for none. */
--- a/tool/src/main/java/tallyweir/tool/soak/SoakJudge.java
+++ b/tool/src/main/java/tallyweir/tool/soak/SoakJudge.java
@@ -48,11 +48,10 @@
         if (isAnswered(fate)) {
             return false;
         }
-        BackendLife.Death death = life.during(fate.written(), fate.ended());
-        if (death != null) {
-            return death.noticed() != 0;
+        if (life.wasKilledWithoutNotice(fate.connected(), fate.ended())) {
+            return false;
         }
-        return fate.isLost();
+        return fate.isLost() || life.wasKilledAfterNotice(fate.written(), fate.ended());
     }
 
     private boolean isLate(RequestFate fate) {
