--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the moves out.
+cd "$(dirname "$0")" || exit 2
+files=$(mktemp -d) || exit 2
+java -Xmx256m -cp ../classes review.KernelMoves ../.. "$files" record.txt "${TROUBLE:-1}" 95 &
+check=$!
+trap 'kill $check 2>/dev/null' INT TERM
+wait $check
+code=$?
+rm -rf "$files"
+exit $code
