--- a/review/lib/src/review/Kernel.java
+++ b/review/lib/src/review/Kernel.java
@@ -73,8 +73,24 @@
 
     /** A further address that leads to this kernel; returns its port. */
     int listen() throws IOException {
+        return listen(0);
+    }
+
+    /** The same at a given port. */
+    int listen(int port) throws IOException {
         ServerSocket s = new ServerSocket();
-        s.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 100);
+        s.setReuseAddress(true);
+        for (int tries = 0; ; tries++) { // the listener before it may need a moment to end
+            try {
+                s.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 100);
+                break;
+            } catch (java.net.BindException e) {
+                if (tries == 20) {
+                    throw e;
+                }
+                java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+            }
+        }
         listeners.add(s);
         daemon(() -> {
                     while (true) {
