--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Exit code 1: the rule was broken, 0: it held, 2: the case could not run. With TROUBLE=0 the kernels are up from the start.
+cd "$(dirname "$0")" || exit 2
+files=$(mktemp -d) || exit 2
+java -Xmx256m -cp ../classes review.LateKernel ../.. "$files" record.txt "${TROUBLE:-1}" &
+check=$!
+trap 'kill $check 2>/dev/null' INT TERM
+wait $check
+code=$?
+rm -rf "$files"
+exit $code
--- a/review/lib/src/review/Kernel.java
+++ b/review/lib/src/review/Kernel.java
@@ -49,7 +49,9 @@
     private final Map<String, Run> runs = new HashMap<>();
     private final ArrayDeque<Run> waiting = new ArrayDeque<>();
     private final LinkedHashMap<Long, String> notices = new LinkedHashMap<>();
-    private final long startedAt = System.nanoTime();
+    private long startedAt = System.nanoTime();
+    private boolean up = true;
+    private Socket opened; // a link that waits for the kernel to be up
     private final boolean fresh;
     private long lastNotice;
     private int busy;
@@ -127,6 +129,13 @@
 
     private void command(Socket socket, Map<String, String> f) throws IOException {
         String job = f.get("job");
+        if (!up) {
+            if (f.get("type").equals("OPEN")) {
+                opened = socket;
+                world.note(name + " is not up: the link waits for BOOTED");
+            }
+            return;
+        }
         switch (f.get("type")) {
             case "OPEN" -> open(socket, Long.parseLong(f.get("n")));
             case "SCHED" -> schedule(socket, job, f.get("kind"), Base64.getDecoder().decode(f.get("data")));
@@ -141,6 +150,21 @@
         }
     }
 
+    /** From here on links are accepted and BOOTED waits until {@link #boot}. */
+    synchronized void holdBack() {
+        up = false;
+    }
+
+    /** The kernel comes up. */
+    synchronized void boot() throws IOException {
+        up = true;
+        startedAt = System.nanoTime();
+        world.note(name + " comes up");
+        if (opened != null) {
+            open(opened, 0);
+        }
+    }
+
     private void open(Socket socket, long n) throws IOException {
         if (link != null && link != socket) {
             link.close();
