--- a/review/lib/src/review/LateKernel.java
+++ b/review/lib/src/review/LateKernel.java
@@ -109,7 +109,7 @@
         if (trouble) {
             kernel.boot();
         }
-        Thread.sleep(100);
+        Thread.sleep(1_000); // sidecars learn of a backend a second or two after its kernel has come up
         List<Sidecar> sidecars = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             sidecars.add(new Sidecar(world, i, backend.port, r -> {}));
--- a/review/lib/src/review/LateRepeats.java
+++ b/review/lib/src/review/LateRepeats.java
@@ -38,7 +38,8 @@
     private static final int KEYS_PER_SECOND = 8;
     private static final int FIRST_TRIES_MS = 6_000;
     private static final int STILL_MS = 350;
-    private static final int STILL_EVERY_MS = 2_000;
+    private static final int STILL_EVERY_MS = 3_000;
+    private static final int KILLS_APART_MS = 3_700; // all six would be replaced in 22 s, one at a time
     // Whether nothing is written to a backend that stands still: what comes meanwhile is written once it goes on.
     private static final boolean HOLD = Boolean.getBoolean("hold");
 
@@ -118,8 +119,10 @@
                 }));
             }
             threads.forEach(Thread::start);
-            Thread.sleep(FIRST_TRIES_MS + 500);
+            long startedAt = System.currentTimeMillis();
             for (Node n : nodes.subList(0, trouble ? TROUBLED : 0)) {
+                long at = startedAt + (long) n.index * KILLS_APART_MS + FIRST_TRIES_MS + 500;
+                Thread.sleep(Math.max(0, at - System.currentTimeMillis()));
                 world.note("n" + n.index + " and its kernel are killed and started again");
                 n.backend.close();
                 n.kernel.close();
@@ -173,6 +176,7 @@
 
     private static void callers(World world, Node n) throws Exception {
         SplittableRandom random = new SplittableRandom(n.index + 1);
+        Thread.sleep((long) (n.index % TROUBLED) * KILLS_APART_MS);
         try (Sidecar sidecar = new Sidecar(world, n.index, n.backend.port, r -> {})) {
             for (int i = 0; i < FIRST_TRIES_MS * KEYS_PER_SECOND / 1_000; i++) {
                 Mark mark = new Mark(String.format("%04x%08x%04x", n.index, i, 0));
