--- a/daemon/src/test/java/tallyweir/ProcessTest.java
+++ b/daemon/src/test/java/tallyweir/ProcessTest.java
@@ -47,20 +47,19 @@
     private Path dir;
 
     private static String config(ServerSocket kernel, ServerSocket store, int announce) {
-        return BackendTest.CONFIG
+        return Simulation.CONFIG
                 .replace("127.0.0.1:1\"", "127.0.0.1:" + kernel.getLocalPort() + "\"")
                 .replace("127.0.0.1:3\"", "127.0.0.1:" + store.getLocalPort() + "\"")
                 .replace("127.0.0.1:2\"", "127.0.0.1:" + announce + "\"");
     }
 
-    /** The kernel's end of a link. Answers requests for gauges by itself; the test sends everything else. */
+    /** The kernel's end of a link. Answers OPEN and requests for gauges by itself; the test sends everything else. */
     private static final class KernelEnd {
         private final Socket link;
         private final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
 
         KernelEnd(Socket link) throws IOException {
             this.link = link;
-            send("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":100000}");
             Thread t = new Thread(this::read);
             t.setDaemon(true);
             t.start();
@@ -77,6 +76,9 @@
                         send("{\"type\":\"INFO\",\"ref\":" + line.replaceAll(".*\"ref\":(\"\\w+\").*", "$1")
                                 + ",\"gauges\":[0.1,1]}");
                     } else {
+                        if (line.contains("OPEN")) {
+                            send("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":100000}");
+                        }
                         commands.add(line);
                     }
                 }
@@ -191,7 +193,7 @@
         try {
             for (int i = 0; i < serverCount; i++) {
                 Process first =
-                        startProgram(Files.writeString(dir.resolve("c" + i), BackendTest.CONFIG), dir.resolve("none"));
+                        startProgram(Files.writeString(dir.resolve("c" + i), Simulation.CONFIG), dir.resolve("none"));
                 backends.add(first);
             }
             for (int i = 0; i < serverCount; i++) {
@@ -201,7 +203,7 @@
                 }
                 files.add(Files.writeString(
                         dir.resolve("c" + i),
-                        BackendTest.CONFIG.replace("127.0.0.1:0\"", "127.0.0.1:" + at.getPort() + "\"")));
+                        Simulation.CONFIG.replace("127.0.0.1:0\"", "127.0.0.1:" + at.getPort() + "\"")));
                 backends.get(i).destroyForcibly().waitFor();
             }
             long from = System.nanoTime();
--- a/daemon/src/test/java/tallyweir/ServerTest.java
+++ b/daemon/src/test/java/tallyweir/ServerTest.java
@@ -55,8 +55,8 @@
     }
 
     private static void assertFaulty(String from, String to, String key) {
-        String text = BackendTest.CONFIG.replace(from, to);
-        assertTrue(!text.equals(BackendTest.CONFIG), from);
+        String text = Simulation.CONFIG.replace(from, to);
+        assertTrue(!text.equals(Simulation.CONFIG), from);
         InvalidSettingException e =
                 assertThrows(InvalidSettingException.class, () -> Config.parse(text.getBytes(UTF_8), Map.of()));
         assertTrue(e.getMessage().contains(key), e.getMessage());
@@ -90,11 +90,11 @@
     }
 
     public static Config config() {
-        return Config.parse(BackendTest.CONFIG.getBytes(UTF_8), Map.of());
+        return Config.parse(Simulation.CONFIG.getBytes(UTF_8), Map.of());
     }
 
     private Server startServer(int kernelPort, int announcePort) throws Exception {
-        return startServer(BackendTest.CONFIG
+        return startServer(Simulation.CONFIG
                 .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelPort + "\"")
                 .replace("127.0.0.1:2\"", "127.0.0.1:" + announcePort + "\""));
     }
@@ -227,7 +227,7 @@
     @Test
     void theServerAcceptsAgainOnceDescriptorsAreFree(@TempDir Path dir) throws Exception {
         Path config = Files.writeString(
-                dir.resolve("config.json"), BackendTest.CONFIG.replace("\"sockets\":64", "\"sockets\":1024"));
+                dir.resolve("config.json"), Simulation.CONFIG.replace("\"sockets\":64", "\"sockets\":1024"));
         Process backend = startProgram("ulimit -n 100; ", config, dir.resolve("none"));
         try (BufferedReader log = backend.inputReader(UTF_8)) {
             InetSocketAddress at = awaitAddress(log);
@@ -255,7 +255,7 @@
                 ServerSocket second = listener();
                 DatagramSocket announce = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
             Files.writeString(
-                    file, BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + first.getLocalPort() + "\""));
+                    file, Simulation.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + first.getLocalPort() + "\""));
             Process backend = startProgram(file, dir.resolve("none"));
             try (BufferedReader log = backend.inputReader(UTF_8);
                     Socket old = first.accept()) {
@@ -269,7 +269,7 @@
                 assertTrue(awaitLine(log, "the old one stays in force").contains("listen is"));
                 Files.writeString(
                         file,
-                        BackendTest.CONFIG
+                        Simulation.CONFIG
                                 .replace("127.0.0.1:1\"", "127.0.0.1:" + second.getLocalPort() + "\"")
                                 .replace("127.0.0.1:2\"", "127.0.0.1:" + announce.getLocalPort() + "\""));
                 sendHangup(backend);
@@ -381,7 +381,7 @@
     }
 
     private static String configWithKernel(ServerSocket to) {
-        return BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + to.getLocalPort() + "\"");
+        return Simulation.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + to.getLocalPort() + "\"");
     }
 
     /** Shadow settings are checked at the start. On the signal a faulty key is logged and the old settings stay. */
@@ -392,7 +392,7 @@
         try (ServerSocket kernelListener = listener()) {
             Path file = Files.writeString(
                     dir.resolve("config.json"),
-                    BackendTest.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelListener.getLocalPort() + "\""));
+                    Simulation.CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + kernelListener.getLocalPort() + "\""));
             Files.writeString(operators, watch.formatted("0.5"));
             Process refused = startProgram(file, operators);
             assertTrue(new String(refused.getInputStream().readAllBytes(), UTF_8)
--- a/daemon/src/test/java/tallyweir/ShadowSettingsTest.java
+++ b/daemon/src/test/java/tallyweir/ShadowSettingsTest.java
@@ -17,7 +17,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import tallyweir.BackendTest.Simulation;
 import tallyweir.config.Config;
 import tallyweir.config.InvalidSettingException;
 import tallyweir.config.OperatorSettings;
@@ -34,7 +33,7 @@
         return OperatorSettings.parse(
                         (shadowSettings == null ? "{}" : "{\"watch\":{\"settings\":" + shadowSettings + "}}")
                                 .getBytes(UTF_8))
-                .shadowSettings(Config.parse(BackendTest.CONFIG.getBytes(UTF_8), Map.of()).settings);
+                .shadowSettings(Config.parse(Simulation.CONFIG.getBytes(UTF_8), Map.of()).settings);
     }
 
     private static Simulation runDay(String shadowSettings, long seed) {
@@ -75,7 +74,7 @@
 
     @Property(tries = 60, seed = "20261204", shrinking = ShrinkingMode.OFF)
     void shadowEqualToTheSettingsInForceCountsNoDifference(@ForAll long seed) {
-        String all = BackendTest.CONFIG.substring(BackendTest.CONFIG.indexOf("\"settings\":") + 11);
+        String all = Simulation.CONFIG.substring(Simulation.CONFIG.indexOf("\"settings\":") + 11);
         for (String same : List.of("{}", all.substring(0, all.length() - 1))) {
             Map<String, Long> counts = counts(runDay(same, seed));
             assertEquals(12, counts.size());
--- a/daemon/src/test/java/tallyweir/SocketRaceTest.java
+++ b/daemon/src/test/java/tallyweir/SocketRaceTest.java
@@ -70,7 +70,7 @@
 
     /** @param changes replacements in the configuration's text, alternately the old and the new text */
     private void start(int sockets, String... changes) throws Exception {
-        String text = BackendTest.CONFIG
+        String text = Simulation.CONFIG
                 .replace("127.0.0.1:1\"", "127.0.0.1:" + kernelListener.getLocalPort() + "\"")
                 .replace("127.0.0.1:3\"", "127.0.0.1:" + storeListener.getLocalPort() + "\"")
                 .replace("\"sockets\":64", "\"sockets\":" + sockets);
