Never send a reply to a call twice; replace a kernel link once it has been read

Cause: IODONE names only the job. After each new link the backend sent all replies of the last 0.2 s before the old link's end again, whether they had arrived or not; a run that had gone on took the copy for the reply to its next call. The copies made up for commands that a move lost, since the old link was closed with commands unwritten or unread. The same happened after a break, and to a reply that had waited for a link if that link ended before the kernel reported its boot.

Change: the kernel reads a link in order, so each answer to a request for the gauges shows that it has read what was sent before; the backend keeps account of that for each command in place of a time window. A working link is replaced once the kernel has answered a last request on it; commands wait meanwhile, for a second at most. A reply is never sent again. If it may be lost with a broken link, a harmless run without progress for half a second is stopped and runs again; a run with an effect is left, and its caller gets an error by its due time. This works since no copy exists that could cross the next call.

BackendTest.replyThatMayBeLostWithTheKernelLinkIsSentAgain demanded the copy, which is the fault. In its place, as strict on what it guarded (a caller that waits on a lost reply): harmlessRunWithALostReplyIsStoppedAndRunsAgain, harmlessRunThatGotItsReplyIsNotStopped, oneShotRunWithALostReplyIsErroredByItsDueTime.

--- a/daemon/src/main/java/tallyweir/backend/InFlight.java
+++ b/daemon/src/main/java/tallyweir/backend/InFlight.java
@@ -22,13 +22,10 @@
     boolean answered; // answered here, or its caller has disconnected
     boolean running; // handed to the kernel, or waiting for its intent to be written first
     boolean released;
-    int runLinkGeneration; // generation of the kernel link on which its run was requested
+    Delivery runDelivery; // of the command that started its run, null for none
     byte[] pendingCall; // body of the call to the store that its run is blocked on
-    byte[] lastReply; // reply to its last call, until the kernel shows that it has received it
-    int replyLinkGeneration; // generation of the kernel link on which the reply was sent
-    long replySentAt; // when the reply was sent
-    int stopLinkGeneration; // generation of the kernel link on which its stop was sent, 0 for none
-    long stopSentAt; // when the stop was sent
+    Delivery replyDelivery; // of the reply to its last call, null once the run has made another call
+    Delivery stopDelivery; // of the command that stops its run, null for none
     final List<LinkId> callLinks = new ArrayList<>(0); // store links that have carried its calls
     Deadlines.Deadline deadline;
     long expectedDeadline; // end of its expected time; counted as late after that. Set only in a fleet
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -1,7 +1,6 @@
 package tallyweir.backend;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -12,38 +11,40 @@
 import tallyweir.kernel.NoticeReader;
 
 /**
- * The link to the kernel. Checks the numbers of notices, holds commands until a link is up and reconnects after a
- * break. Runs on the backend's thread; times are in tenths of a millisecond.
+ * The link to the kernel. Checks the numbers of notices, reconnects after a break and recovers what may be lost with a
+ * link. Runs on the backend's thread; times are in tenths of a millisecond.
  */
 final class Kernel implements NoticeReader.Sink {
     private static final Logger LOG = LoggerFactory.getLogger(Kernel.class);
-    private static final int MAX_WAITING_COMMANDS = 4_000;
     private static final long RECONNECT_DELAY_TENTHS_MS = 1_000; // a tenth of a second
     // Requests in a row; a time would also run down while this process is paused.
     private static final int MAX_UNANSWERED_GAUGE_REQUESTS = 20;
-    // Commands sent within this time before a break may not have arrived.
-    private static final long MAYBE_LOST_WINDOW_TENTHS_MS = 2_000;
+    // Half a second. A run whose reply was not lost usually makes its next call or ends within this time.
+    private static final long PROGRESS_TIMEOUT_TENTHS_MS = 5_000;
     // A second: reports of the same start differ by less than this.
     private static final long START_TOLERANCE_TENTHS_MS = 10_000;
-    private static final String RESUMED_REF = "resumed";
+    private static final String RESUMED_TAG = "resumed";
+    private static final String GAUGES_TAG_PREFIX = "g";
+    private static final String HANDOVER_TAG_PREFIX = "h";
 
     private final Links links;
     private final LongSupplier linkNumbers;
     private final Deadlines deadlines;
     private final Counters counters;
     private final Queries queries;
-    private final ArrayDeque<byte[]> waitingCommands = new ArrayDeque<>();
+    private final KernelCommands commands;
     private final RateLimitedLog warnings;
     private final PeerMonitor monitor;
     private NoticeReader notices;
-    private LinkId link; // the link that is up, or null
+    private LinkId link; // the link that is in use, or null
     private LinkId openingLink; // the link that is to replace it, or null
-    private boolean booted; // whether the kernel has reported its boot on the link that is up
-    private int linkGeneration; // number of links that have been up so far
-    private long lastUpAt; // when the previous link was last seen up
+    private LinkHandover handover; // to a link that is open and is about to replace it, or null
+    private boolean booted; // whether the kernel has reported its boot on the link that is in use
+    private int linkGeneration; // number of links that have been in use so far
     private long kernelStartedAt = Long.MAX_VALUE / 2; // start time reported by the kernel
     private long lastNoticeNumber;
     private long lastGaugesTag;
+    private long lastHandoverTag;
     private int unansweredGaugeRequests;
 
     Kernel(Links links, LongSupplier numbers, Deadlines deadlines, Counters counters, Queries queries) {
@@ -53,11 +54,18 @@
         this.counters = counters;
         this.queries = queries;
         warnings = new RateLimitedLog(Kernel.class, queries::now);
+        commands = new KernelCommands(links, warnings);
         monitor = new PeerMonitor(links, deadlines, counters, Peer.KERNEL);
     }
 
+    KernelCommands commands() {
+        return commands;
+    }
+
+    // ---- the links
+
     void connect() {
-        if (openingLink == null) {
+        if (openingLink == null && handover == null) {
             openingLink = new LinkId(linkNumbers.getAsLong());
             links.connect(openingLink, Peer.KERNEL, null);
         }
@@ -69,6 +77,10 @@
             links.closeLink(openingLink);
             openingLink = null;
         }
+        if (handover != null) {
+            links.closeLink(handover.replacement());
+            cancelHandover();
+        }
         connect();
     }
 
@@ -77,27 +89,67 @@
         if (!id.equals(openingLink)) {
             return false;
         }
+        openingLink = null;
+        monitor.reachable(queries.now());
+        counters.add(Count.KERNEL_LINKS);
+        if (booted) {
+            startHandover(id);
+        } else {
+            switchTo(id);
+        }
+        return true;
+    }
+
+    /**
+     * Starts to replace a working link. If it were closed at once, commands on their way would be lost, and nobody
+     * could tell which.
+     */
+    private void startHandover(LinkId replacement) {
+        counters.add(Count.KERNEL_HANDOVERS);
+        String tag = HANDOVER_TAG_PREFIX + ++lastHandoverTag;
+        commands.requestGauges(tag);
+        commands.hold();
+        handover = new LinkHandover(replacement, tag, deadlines, queries::now, this::handoverTimedOut);
+    }
+
+    private void handoverTimedOut() {
+        counters.add(Count.KERNEL_HANDOVERS_UNCONFIRMED);
+        warnings.warn("the kernel does not answer on the present link; it is replaced all the same");
+        switchTo(handover.replacement());
+    }
+
+    /** The new link is not to be used: the present one stays in use. */
+    private void cancelHandover() {
+        handover.cancel();
+        handover = null;
+        commands.sendOn(link);
+    }
+
+    /** Uses a link that is up in place of the present one, if there is one. */
+    private void switchTo(LinkId replacement) {
+        if (handover != null) {
+            handover.cancel();
+            handover = null;
+        }
         if (link != null) {
             links.closeLink(link);
-            lastUpAt = queries.now();
         }
-        link = openingLink;
-        openingLink = null;
+        commands.linkEnded();
+        link = replacement;
         linkGeneration++;
         unansweredGaugeRequests = 0;
         booted = false;
         notices = new NoticeReader(this);
-        monitor.reachable(queries.now());
-        counters.add(Count.KERNEL_LINKS);
         links.sendToPeer(link, Commands.open(lastNoticeNumber));
-        return true;
     }
 
     boolean down(LinkId id) {
         if (id.equals(openingLink)) {
             openingLink = null;
-            monitor.unreachable(queries.now());
-            deadlines.set(queries.now() + RECONNECT_DELAY_TENTHS_MS, this::connect);
+            reconnectLater();
+        } else if (handover != null && id.equals(handover.replacement())) {
+            cancelHandover();
+            reconnectLater();
         } else if (id.equals(link)) {
             linkLost();
         } else {
@@ -106,13 +158,20 @@
         return true;
     }
 
+    private void reconnectLater() {
+        monitor.unreachable(queries.now());
+        deadlines.set(queries.now() + RECONNECT_DELAY_TENTHS_MS, this::connect);
+    }
+
     /** Reconnects, at once if the link was in use: a broken link doesn't mean that the kernel or its runs have ended. */
     private void linkLost() {
         boolean reconnectNow = booted;
         link = null;
         booted = false;
-        lastUpAt = queries.now();
-        if (reconnectNow) {
+        commands.linkEnded();
+        if (handover != null) {
+            switchTo(handover.replacement());
+        } else if (reconnectNow) {
             connect();
         } else {
             deadlines.set(queries.now() + RECONNECT_DELAY_TENTHS_MS, this::connect);
@@ -125,53 +184,19 @@
         }
         unansweredGaugeRequests = 0;
         notices.read(bytes);
+        if (handover != null && handover.isConfirmed()) {
+            switchTo(handover.replacement());
+        }
         return true;
     }
 
-    // ---- commands
-
-    void run(InFlight inFlight) {
-        inFlight.runLinkGeneration = nextLinkGeneration();
-        send(Commands.run(inFlight.job, inFlight.workload.value(), inFlight.body));
-    }
-
-    void stop(InFlight inFlight) {
-        inFlight.stopSentAt = queries.now();
-        inFlight.stopLinkGeneration = nextLinkGeneration();
-        send(Commands.stop(inFlight.job));
-    }
-
-    void reply(InFlight inFlight, byte[] body) {
-        inFlight.lastReply = body;
-        inFlight.replySentAt = queries.now();
-        inFlight.replyLinkGeneration = nextLinkGeneration();
-        send(Commands.reply(inFlight.job, body));
-    }
-
-    /** Generation of the link on which the next command is sent. */
-    private int nextLinkGeneration() {
-        return booted ? linkGeneration : linkGeneration + 1;
-    }
-
     /** Requests the gauges if a link is up. */
     void requestGauges() {
         // Detects a link whose other end has silently gone. No notice is lost: the kernel repeats them on the new link.
         if (link != null && ++unansweredGaugeRequests > MAX_UNANSWERED_GAUGE_REQUESTS) {
             onInvalidStream("nothing received after " + MAX_UNANSWERED_GAUGE_REQUESTS + " gauge requests");
         }
-        if (booted) {
-            links.sendToPeer(link, Commands.gauges("g" + ++lastGaugesTag));
-        }
-    }
-
-    private void send(byte[] command) {
-        if (booted) {
-            links.sendToPeer(link, command);
-        } else if (waitingCommands.size() < MAX_WAITING_COMMANDS) {
-            waitingCommands.add(command);
-        } else {
-            warnings.warn("no link to the kernel and too many commands are waiting; one was dropped");
-        }
+        commands.requestGauges(GAUGES_TAG_PREFIX + ++lastGaugesTag);
     }
 
     // ---- notices
@@ -186,44 +211,51 @@
         if (queries.now() - before > kernelStartedAt + START_TOLERANCE_TENTHS_MS) {
             // The kernel has restarted: its notice numbers start again and none of the earlier runs is left.
             lastNoticeNumber = 0;
-            waitingCommands.clear();
+            commands.discardWaiting();
             queries.kernelLost();
         }
         kernelStartedAt = queries.now() - before;
+        commands.sendOn(link);
         if (linkGeneration > 1) {
-            links.sendToPeer(link, Commands.gauges(RESUMED_REF)); // its reply comes after all repeated notices
-        }
-        while (!waitingCommands.isEmpty()) {
-            links.sendToPeer(link, waitingCommands.poll());
+            commands.requestGauges(RESUMED_TAG); // its reply comes after all repeated notices
         }
         queries.kernelBooted(fresh, before);
     }
 
     /**
-     * Sends again what may have been lost because it was sent shortly before the link broke: runs of harmless queries,
-     * which has no effect on one that already runs; and stops and replies to calls, without which a run would stay
-     * blocked for ever.
+     * Recovers the commands that may be lost, once all notices of the time without a link have been read. Runs of harmless
+     * queries and stops are sent again, which has no effect on a run that has already got them.
      */
-    private void resendAfterReconnect() {
+    private void recoverUncertainCommands() {
         for (InFlight inFlight : queries.runningQueries()) {
-            if (inFlight.pendingCall == null
-                    && inFlight.runLinkGeneration < linkGeneration
+            if (Delivery.isUncertain(inFlight.runDelivery)
+                    && inFlight.pendingCall == null
                     && queries.isHarmless(inFlight)) {
-                run(inFlight);
+                commands.run(inFlight);
             }
-            if (inFlight.lastReply != null
-                    && inFlight.replyLinkGeneration < linkGeneration
-                    && inFlight.replySentAt >= lastUpAt - MAYBE_LOST_WINDOW_TENTHS_MS) {
-                reply(inFlight, inFlight.lastReply);
+            if (Delivery.isUncertain(inFlight.replyDelivery)) {
+                awaitProgress(inFlight);
             }
-            if (inFlight.stopLinkGeneration > 0
-                    && inFlight.stopLinkGeneration < linkGeneration
-                    && inFlight.stopSentAt >= lastUpAt - MAYBE_LOST_WINDOW_TENTHS_MS) {
-                stop(inFlight);
+            if (Delivery.isUncertain(inFlight.stopDelivery)) {
+                commands.stop(inFlight);
             }
         }
     }
 
+    /**
+     * Gives a run time to show that it got the reply to its call. The reply is never sent again: it names only the job, so
+     * a run that did get it would take a copy for the reply to its next call.
+     */
+    private void awaitProgress(InFlight inFlight) {
+        counters.add(Count.KERNEL_REPLIES_UNCERTAIN);
+        Delivery reply = inFlight.replyDelivery;
+        deadlines.set(queries.now() + PROGRESS_TIMEOUT_TENTHS_MS, () -> {
+            if (inFlight.running && inFlight.replyDelivery == reply) {
+                queries.stopStuckRun(inFlight);
+            }
+        });
+    }
+
     /** Counts a notice; returns false if it has been received before. */
     private boolean countNotice(long n) {
         if (n <= lastNoticeNumber) {
@@ -254,9 +286,13 @@
 
     @Override
     public void onGauges(String ref, double[] values) {
-        if (ref.equals(RESUMED_REF)) {
-            resendAfterReconnect();
-        } else if (ref.equals("g" + lastGaugesTag)) {
+        commands.gaugesAnswered(ref);
+        if (handover != null) {
+            handover.answered(ref);
+        }
+        if (ref.equals(RESUMED_TAG)) {
+            recoverUncertainCommands();
+        } else if (ref.equals(GAUGES_TAG_PREFIX + lastGaugesTag)) {
             counters.add(Count.GAUGES_READ);
             queries.gaugesReceived(values);
         }
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -48,6 +48,7 @@
     private final Connections connections;
     private final RetainedResults retainedResults; // null if results are not retained over restarts
     private final long seed;
+    private final boolean canCancelRuns;
     private final int coreUseGaugeIndex;
     private final int runQueueGaugeIndex;
     private final RateLimitedLog warnings = new RateLimitedLog(Queries.class, this::now);
@@ -88,6 +89,7 @@
         workloads = settings.effects();
         expectedTimes = settings.expectedTimes();
         routingRandom = new SplittableRandom(seed ^ ROUTING_SEED_MASK);
+        canCancelRuns = settings.canCancelRuns();
         coreUseGaugeIndex = settings.gaugeIndex("core_use");
         runQueueGaugeIndex = settings.gaugeIndex("on_cores");
         repeats = new Repeats(deadlines, settings.resultCacheDuration());
@@ -350,6 +352,13 @@
         }
     }
 
+    /** Stops a run that makes no progress, so that its query runs again; only if the query is harmless. */
+    void stopStuckRun(InFlight inFlight) {
+        if (inFlight.stopDelivery == null && canCancelRuns && isHarmless(inFlight)) {
+            cancel(inFlight.id);
+        }
+    }
+
     List<InFlight> runningQueries() {
         return slots.all().stream().filter(inFlight -> inFlight.running).toList();
     }
@@ -436,7 +445,7 @@
     void intentWritten(QueryId query) {
         InFlight inFlight = find(query);
         if (inFlight != null && inFlight.running) {
-            kernel.run(inFlight);
+            kernel.commands().run(inFlight);
         }
     }
 
@@ -505,7 +514,10 @@
         InFlight inFlight = queriesByJob.get(job);
         if (inFlight != null && inFlight.running) {
             inFlight.pendingCall = body;
-            inFlight.lastReply = null;
+            inFlight.replyDelivery = null;
+            if (inFlight.runDelivery != null) {
+                inFlight.runDelivery.markRead();
+            }
             choice.onBlockedOnCall(inFlight.id);
         }
     }
@@ -526,7 +538,7 @@
     void callEnded(InFlight inFlight, Outcome outcome, long duration, byte[] reply) {
         if (outcome == Outcome.COMPLETED) {
             inFlight.pendingCall = null;
-            kernel.reply(inFlight, reply);
+            kernel.commands().reply(inFlight, reply);
         }
         choice.onCallEnded(inFlight.id, outcome, duration);
     }
@@ -593,11 +605,11 @@
         if (inFlight != null) {
             counters.add(Count.RUNS_ASKED);
             inFlight.running = true;
-            inFlight.lastReply = null;
-            inFlight.stopLinkGeneration = 0;
+            inFlight.replyDelivery = null;
+            inFlight.stopDelivery = null;
             repeats.runStarted(inFlight);
             if (inFlight.resultKey == null) {
-                kernel.run(inFlight);
+                kernel.commands().run(inFlight);
             } else {
                 retainedResults.admit(inFlight, wall + settings.maxHardLimit());
                 retainedResults.requestRun(inFlight);
@@ -634,7 +646,7 @@
         InFlight inFlight = find(query);
         if (inFlight != null && inFlight.running) {
             counters.add(Count.RUNS_STOPPED);
-            kernel.stop(inFlight);
+            kernel.commands().stop(inFlight);
         }
     }
 
--- a/daemon/src/main/java/tallyweir/config/Settings.java
+++ b/daemon/src/main/java/tallyweir/config/Settings.java
@@ -282,6 +282,11 @@
         };
     }
 
+    /** Whether the kernel can end a run before it completes, so that its query may run again. */
+    public boolean canCancelRuns() {
+        return cancellationMode() == CancellationMode.ABORT;
+    }
+
     private CancellationMode cancellationMode() {
         return switch (info.string("Halt", "off")) {
             case "abort" -> CancellationMode.ABORT;
