Count the grace of a leaving server from the notice, not from later events

Cause: the decisions begin with the kernel's first BOOTED and were told only then of the drain, which took that moment for its beginning. The time of the stop was kept, that of the notice was not. The same cause in a second place: the notice was timed when the deciding thread handled it, so that a busy or paused process moved its grace and its stop back.

Change: the thread that gets the notice takes its time, which is kept and given to the decisions with the drain. Grace and stop count from it, whatever comes late.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -514,13 +514,19 @@
         applyRules();
     }
 
+    /** The notice to shut down comes now; see {@link #drain(long, long)}. */
+    public final void drain(long timeLeft) {
+        drain(now, timeLeft);
+    }
+
     /**
      * The server is to stop: health checks fail from now on.
      *
-     * @param timeLeft after which the process ends
+     * @param noticeAt when the notice to shut down came; the grace in which arriving queries still run begins then
+     * @param timeLeft after which the process ends, from now
      */
-    public void drain(long timeLeft) {
-        drainStartedAt = now;
+    public void drain(long noticeAt, long timeLeft) {
+        drainStartedAt = noticeAt;
         stopDeadline = now + timeLeft;
         for (Query q : liveQueries.values().stream()
                 .sorted(Comparator.comparingLong(q -> q.sequence))
--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -246,9 +246,13 @@
         runGuarded(() -> queries.setShadowSettings(watched));
     }
 
-    /** Starts the shutdown: pending queries are answered, callers disconnected and the listener closed. */
-    public void drain() {
-        runGuarded(() -> queries.drain(stopTimeout));
+    /**
+     * Starts the shutdown: pending queries are answered, callers disconnected and the listener closed.
+     *
+     * @param noticeAt monotonic time at which the notice to shut down came, in tenths of a millisecond
+     */
+    public void drain(long noticeAt) {
+        runGuarded(() -> queries.drain(noticeAt, stopTimeout));
     }
 
     private void sendReport() {
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -61,6 +61,7 @@
     private long lastSerial;
     private long now;
     private long wall;
+    private long noticeAt; // when the notice to shut down came, if it has
     private long stopAt = Long.MAX_VALUE;
     private Deadlines.Deadline gaugesDeadline;
     private long gaugesRequestedAt;
@@ -335,7 +336,7 @@
             deadlines.set(now + settings.maxHardLimit(), retainedResults::settleRemainingAsUnknown);
         }
         if (isDraining()) {
-            choice.drain(stopAt - now);
+            choice.drain(noticeAt, stopAt - now);
         }
     }
 
@@ -762,17 +763,21 @@
     /**
      * Starts the shutdown: all pending queries are answered within the timeout, less twice the slack that the rules
      * allow, which is left for the answers' transport.
+     *
+     * @param notice when the notice to shut down came
+     * @param stopTimeout time from the notice to the end of the process
      */
-    void drain(long stopTimeout) {
+    void drain(long notice, long stopTimeout) {
         if (isDraining()) {
             return;
         }
         long left = Math.max(0, stopTimeout - 2 * settings.answerSlack());
-        stopAt = now + left;
+        noticeAt = notice;
+        stopAt = notice + left;
         deadlines.set(stopAt - Math.min(LISTENER_CLOSE_LEAD_TENTHS_MS, left / 2), connections::stopListening);
         deadlines.set(stopAt, connections::closeAllForShutdown);
         if (choice != null) {
-            choice.drain(stopAt - now);
+            choice.drain(noticeAt, stopAt - now);
         }
     }
 }
--- a/daemon/src/main/java/tallyweir/backend/ShadowedChoice.java
+++ b/daemon/src/main/java/tallyweir/backend/ShadowedChoice.java
@@ -260,8 +260,8 @@
     }
 
     @Override
-    public void drain(long left) {
-        dispatch(() -> super.drain(left), () -> shadow.drain(left));
+    public void drain(long noticeAt, long left) {
+        dispatch(() -> super.drain(noticeAt, left), () -> shadow.drain(noticeAt, left));
     }
 
     @Override
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -667,7 +667,8 @@
      * Begins to drain on the notice to shut down. The server accepts and answers until the end. Any thread may call it.
      */
     public void drain() {
-        enqueue(backend::drain);
+        long noticeAt = now();
+        enqueue(() -> backend.drain(noticeAt));
     }
 
     /**
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -460,8 +460,8 @@
         sim.send(idle, Model.request(1, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
         int unread = sim.openCaller();
         sim.unread.add(unread);
-        sim.backend.drain();
-        sim.backend.drain();
+        sim.backend.drain(sim.now);
+        sim.backend.drain(sim.now);
         sim.advance(25_700);
         assertEquals(0, logged("listens no more"));
         sim.advance(200);
@@ -866,7 +866,7 @@
     @Test
     void drainAnswersAllAndDefersLateQueries() {
         Request a = running("c");
-        sim.backend.drain();
+        sim.backend.drain(sim.now);
         sim.advance(11_000);
         Request late = sim.request(a.conn, "c", "b", 20_000, null);
         assertEquals(503, onlyAnswer(late).status());
