Tell shadow settings that are set during a drain of the drain

Operators saw, after a reload during the notice to leave, the counters watch_* grow with identical settings: the new shadow went on as if the server were not leaving and took what came after the grace. No caller was affected, as a shadow only counts.

Cause: the notice was handed to the shadow that existed at that moment; one made later never heard of it.

Change: the decisions keep the time of the notice and the stop, and tell a new shadow of them.

--- a/daemon/src/main/java/tallyweir/backend/ShadowedChoice.java
+++ b/daemon/src/main/java/tallyweir/backend/ShadowedChoice.java
@@ -109,6 +109,9 @@
     private Settings shadowSettings;
     private double lastDraw;
     private long now;
+    private boolean draining;
+    private long drainNoticeAt; // while draining
+    private long stopAt; // while draining
     private int depth;
 
     ShadowedChoice(Outgoing out, long seed, long now) {
@@ -138,6 +141,9 @@
             ShadowChoice started = new ShadowChoice(shadowRecorder, seed, startedAt);
             started.setTime(now);
             newSettings.startShadow(started, cold);
+            if (draining) {
+                started.drain(drainNoticeAt, stopAt - now);
+            }
             shadow = started;
         }
         inForceRecorder.recording = shadow != null;
@@ -261,6 +267,9 @@
 
     @Override
     public void drain(long noticeAt, long left) {
+        draining = true;
+        drainNoticeAt = noticeAt;
+        stopAt = now + left;
         dispatch(() -> super.drain(noticeAt, left), () -> shadow.drain(noticeAt, left));
     }
 
--- a/daemon/src/test/java/tallyweir/ShadowSettingsTest.java
+++ b/daemon/src/test/java/tallyweir/ShadowSettingsTest.java
@@ -141,6 +141,19 @@
         assertEquals(1, counts(r).get("told"), "" + counts(r));
     }
 
+    /** Guards against a shadow that a reload sets during the notice to shut down and that runs queries past the grace. */
+    @Test
+    void shadowSetDuringADrainDrainsToo() {
+        Simulation r = new Simulation();
+        r.boot();
+        r.backend.drain(r.now);
+        r.advance(5_000);
+        r.backend.setShadowSettings(parseShadow("{}"));
+        r.advance(6_000);
+        r.request(r.openCaller(), "c", "b", 15_000, null);
+        assertTrue(counts(r).values().stream().allMatch(n -> n == 0), "" + counts(r));
+    }
+
     @Test
     void shadowSettingsCanBeSetAndRemovedAtAnyTime() {
         Simulation r = new Simulation();
