Don't stop a run for want of progress without a link; show a start that is lost

A harmless run whose reply may be lost gets half a second to show progress. If the link was down again at the end of it, the run was stopped although its notices could not be read. It now gets that time anew on the next link (KernelLinkTest.harmlessRunIsNotStoppedWhileThereIsNoLink).

--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -250,7 +250,9 @@
         counters.add(Count.KERNEL_REPLIES_UNCERTAIN);
         Delivery reply = inFlight.replyDelivery;
         deadlines.set(queries.now() + PROGRESS_TIMEOUT_TENTHS_MS, () -> {
-            if (inFlight.running && inFlight.replyDelivery == reply) {
+            // Without a link, what the run has done since may not have been read yet; the next link is followed by
+            // another wait.
+            if (booted && inFlight.running && inFlight.replyDelivery == reply) {
                 queries.stopStuckRun(inFlight);
             }
         });
--- a/daemon/src/test/java/tallyweir/KernelLinkTest.java
+++ b/daemon/src/test/java/tallyweir/KernelLinkTest.java
@@ -55,6 +55,13 @@
         return sim.log.stream().filter(l -> l.startsWith(start)).count();
     }
 
+    private void advanceWithGauges(long duration) {
+        for (long left = duration; left > 0; left -= 1_000) {
+            sim.advance(1_000);
+            sim.sendGauges();
+        }
+    }
+
     private int status(Request query) {
         sim.check();
         assertEquals(List.of(), sim.violations);
@@ -221,6 +228,36 @@
         assertEquals(0, logged("KERNEL {\"type\":\"PREEMPT\""), sim.log.toString());
     }
 
+    /** Guards against a run that is stopped although it went on, as its notices could not be read without a link. */
+    @Test
+    void harmlessRunIsNotStoppedWhileThereIsNoLink() {
+        Request a = running("c");
+        makeCall(a, "call 1");
+        sim.breakLink(Peer.KERNEL);
+        sim.connectKernel();
+        sim.advance(4_000);
+        sim.breakLink(Peer.KERNEL);
+        sim.advance(2_000);
+        sim.connectKernel();
+        makeCall(a, "call 2");
+        sim.sendGauges();
+        sim.advance(6_000);
+        assertEquals(0, logged("KERNEL {\"type\":\"PREEMPT\""), sim.log.toString());
+    }
+
+    /** Guards against a one-shot query whose start was lost with the link and that keeps its place among the runs for ever. */
+    @Test
+    void oneShotRunWhoseStartWasLostIsReleasedAfterItsDueTime() {
+        sim.boot();
+        sim.kernelReadsLate = true;
+        Request a = nextRunning(sim.openCaller(), "u");
+        sim.breakLink(Peer.KERNEL);
+        sim.connectKernel();
+        advanceWithGauges(3 * CALLER_TIMEOUT_TENTHS_MS);
+        assertEquals(List.of(500, 0), List.of(status(a), a.runCount));
+        assertEquals(0, sim.counter("now_queries"));
+    }
+
     /** Guards against a one-shot run that waits for a lost reply and whose caller gets no answer. */
     @Test
     void oneShotRunWithALostReplyIsErroredByItsDueTime() {
