--- a/review/lib-2/src/rig/Kernel.java
+++ b/review/lib-2/src/rig/Kernel.java
@@ -37,6 +37,7 @@
         public final int number; // of this request's runs
         boolean onCore;
         boolean ended;
+        boolean atCall;
         int callsLeft;
         long beganAt;
 
@@ -76,6 +77,16 @@
         this.cores = cores;
         this.durationMs = durationMs;
         listen();
+        timer.scheduleAtFixedRate(this::endWaitingRunsThatAreOver, 20, 20, TimeUnit.MILLISECONDS);
+    }
+
+    /** A run that stands at a call is ended there once its request is over. */
+    private synchronized void endWaitingRunsThatAreOver() {
+        for (Run r : List.copyOf(runs.values())) {
+            if (r.atCall && !r.onCore && requests.get(r.job).over) {
+                end(r, "cut", new byte[0]);
+            }
+        }
     }
 
     /** Listens on a further address and returns it. */
@@ -198,7 +209,8 @@
             }
             case "IODONE" -> {
                 Run r = runs.get(job);
-                if (r != null && !r.onCore) {
+                if (r != null && r.atCall) {
+                    r.atCall = false;
                     toCore(r);
                 }
             }
@@ -263,6 +275,7 @@
                 return;
             }
             run.callsLeft--;
+            run.atCall = true;
             notice("IOREQ", run.job, ",\"data\":\""
                     + Base64.getEncoder().encodeToString(("call " + run.job).getBytes(StandardCharsets.US_ASCII)) + "\"");
             return;
