--- a/review/lib-2/src/rig/Kernel.java
+++ b/review/lib-2/src/rig/Kernel.java
@@ -56,7 +56,7 @@
     private final Map<String, Run> runs = new HashMap<>(); // begun and not ended
     private final Map<String, Integer> runCounts = new HashMap<>();
     private final ArrayDeque<Run> waiting = new ArrayDeque<>();
-    private final List<String> notices = new ArrayList<>();
+    private final List<String> notices = new ArrayList<>(); // with N for their number
     private final int cores;
     private final ToIntFunction<Run> durationMs;
     public volatile int commandDelayMs;
@@ -184,10 +184,13 @@
         linkNumber++;
         link = s;
         log.line("kernel: OPEN " + n);
+        if (n == 0) {
+            firstNotice = 1; // a start of the backend: notices are numbered from 1
+        }
         write("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":" + (System.nanoTime() - startedAt) / 1_000_000 + "}");
         for (int i = 0; i < notices.size(); i++) {
             if (firstNotice + i > n) {
-                write(notices.get(i));
+                write(notices.get(i).replace("\"n\":N,", "\"n\":" + (firstNotice + i) + ","));
             }
         }
     }
@@ -307,14 +310,13 @@
     }
 
     private void notice(String type, String job, String rest) {
-        long n = firstNotice + notices.size();
-        String line = "{\"type\":\"" + type + "\",\"n\":" + n + ",\"job\":\"" + job + "\"" + rest + "}";
+        String line = "{\"type\":\"" + type + "\",\"n\":N,\"job\":\"" + job + "\"" + rest + "}";
         notices.add(line);
         if (notices.size() > KEPT) {
             notices.remove(0);
             firstNotice++;
         }
-        write(line);
+        write(line.replace("\"n\":N,", "\"n\":" + (firstNotice + notices.size() - 1) + ","));
     }
 
     private void write(String line) {
