--- a/review/lib-2/src/rig/SlowWriter.java
+++ b/review/lib-2/src/rig/SlowWriter.java
@@ -13,8 +13,9 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A backend is told to leave. Some clients write slowly: the first bytes of their request come well before the stop, and the last byte
- * still some tenths of a second before it. Do they get any answer? TROUBLE=0: the same clients write each request at once.
+ * A backend is told to leave. Some clients, whose connections have been in use before, write slowly: the first bytes of their request
+ * come well before the stop, and the last byte still some tenths of a second before it. Do they get any answer? TROUBLE=0: the same
+ * clients write each request at once.
  */
 public final class SlowWriter extends Case {
     private static final int STOP_MS = 3_200;
@@ -42,22 +43,33 @@
         String file = write("config.json", config("n0", kernel.address(), store.address(), STOP_MS, SETTINGS)).toString();
         Backend backend = new Backend(log, "n0", root, Backend.runLine(root), Map.of("EDGE_CONFIG", file));
         backend.awaitReady(40);
-        Thread.sleep(500);
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            Socket s = new Socket();
+            s.connect(backend.address(), 1_000);
+            s.setTcpNoDelay(true);
+            sockets.add(s);
+            Request r = new Request("order-status", "earlier " + i, 4600);
+            r.receivedAt = System.currentTimeMillis();
+            kernel.know(r);
+            s.getOutputStream().write(Sidecar.encode(1, r.params(), r.body));
+            End end = read(s, System.nanoTime());
+            if (!end.answered || !end.what.contains("200")) {
+                throw new Backend.CannotRun("an ordinary request was not served: " + end);
+            }
+        }
         long notice = System.nanoTime();
         backend.signal("TERM");
         List<CompletableFuture<End>> ends = new ArrayList<>();
         List<Long> written = new ArrayList<>();
-        List<Socket> sockets = new ArrayList<>();
         List<byte[]> all = new ArrayList<>();
         sleepUntil(notice, FIRST_BYTE_MS);
         for (int i = 0; i < CLIENTS; i++) {
-            Socket s = new Socket();
-            s.connect(backend.address(), 1_000);
-            s.setTcpNoDelay(true);
+            Socket s = sockets.get(i);
             Request r = new Request("order-status", "bakery " + i, 4600);
             r.receivedAt = System.currentTimeMillis();
             kernel.know(r);
-            byte[] bytes = Sidecar.encode(1, r.params(), r.body);
+            byte[] bytes = Sidecar.encode(2, r.params(), r.body);
             int first = trouble ? bytes.length / 2 : bytes.length;
             s.getOutputStream().write(bytes, 0, first);
             s.getOutputStream().flush();
@@ -65,7 +77,6 @@
             CompletableFuture<End> end = new CompletableFuture<>();
             Kernel.thread(() -> end.complete(read(s, notice)));
             ends.add(end);
-            sockets.add(s);
             all.add(Arrays.copyOfRange(bytes, first, bytes.length));
         }
         if (trouble) {
