--- a/review/lib-2/src/rig/LostRun.java
+++ b/review/lib-2/src/rig/LostRun.java
@@ -58,6 +58,7 @@
                 r.key("order-" + i);
             }
             kernel.know(r);
+            log.line("sent " + r.id + " " + r.workload + " " + r.key);
             sidecar.send(r);
             all.add(new Sent(at, r));
             r.answer.thenAccept(x -> log.line("answer " + r.id + " " + r.workload + " " + x.status() + " "
