--- a/review/lib-2/src/rig/Request.java
+++ b/review/lib-2/src/rig/Request.java
@@ -53,7 +53,7 @@
         p.put("HTTP_RECEIVED_AT", Long.toString(receivedAt));
         p.put("HTTP_SENT_BY", Integer.toString(callerNumber));
         p.put("HTTP_BUDGET_MS", Integer.toString(budgetMs));
-        p.put("HTTP_FOOTPRINT_KB", String.format("%.3f", footprintKb));
+        p.put("HTTP_FOOTPRINT_KB", String.format(java.util.Locale.ROOT, "%.3f", footprintKb));
         p.put("HTTP_PRIORITY_RANK", "0.5000");
         if (tenant != null) {
             p.put("HTTP_ACCOUNT", tenant);
