A request that is still being written near the stop is answered

Cause: near the stop each connection without a pending answer was half-closed, and an answer is pending only for a request that has been read to its end. The rest of one that had begun was read and discarded.

Change: such a connection stays open until its request is whole and answered. With the last answers, before the kill, what is not whole is refused with 503. The same cause on related paths: a connection that gives way to a new one, or is closed as another request on it asked, refuses what it has read in part first, and does not give way while bytes lie unread.

--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -56,11 +56,13 @@
     private final long maxHardLimit;
     private final Set<String> tenants;
     private final boolean callersPassTimeout;
+    private final long maxRetryAfter;
     private long requestedIdleTimeout;
     private int halfReadCount;
     private boolean healthy = true;
     private boolean withdrawn; // the server is withdrawn: new queries are deferred
     private boolean shuttingDown; // the server shuts down soon: idle connections are closed
+    private boolean refusingIncomplete; // the process is about to end: a request that is read in part is refused
     private Deadlines.Deadline makeRoomRetry; // null while no retry is scheduled
     private final ArrayDeque<Connection> drainingConnections =
             new ArrayDeque<>(); // half-closed by us and not yet closed by the peer, oldest first
@@ -85,6 +87,7 @@
         requestedIdleTimeout = maxIdleTimeout;
         tenants = settings.tenants();
         callersPassTimeout = settings.passesTimeout();
+        maxRetryAfter = settings.maxRetryAfter();
     }
 
     /** Registers an accepted connection and returns its slot. Above the soft limit, another one is closed to make room. */
@@ -99,7 +102,7 @@
         c.idleStartedAt = queries.now();
         c.setIdleDeadline(halfReadTimeout); // the first request is expected within this timeout
         if (shuttingDown) {
-            deadlines.set(queries.now() + FIRST_REQUEST_WINDOW_TENTHS_MS, c::closeForShutdown);
+            c.scheduleCloseForShutdown(FIRST_REQUEST_WINDOW_TENTHS_MS);
         }
         return c.slot;
     }
@@ -142,8 +145,9 @@
     }
 
     /**
-     * Closes each connection as soon as no answer is pending on it; called once the listener is closed. A request that arrives
-     * later would be left unread when the process is killed, while a caller that sees the close before sends it elsewhere.
+     * Closes each connection as soon as no request is open on it, also none that is only read in part; called once the
+     * listener is closed. A request that arrives later would be left unread when the process is killed, while a caller
+     * that sees the close before sends it elsewhere.
      */
     void closeAllForShutdown() {
         if (!shuttingDown) {
@@ -152,6 +156,16 @@
         }
     }
 
+    /**
+     * Refuses the requests that are read in part, now and from now on: their last byte may come too late to be read before
+     * the process is killed.
+     */
+    void refuseIncompleteForShutdown() {
+        refusingIncomplete = true;
+        slots.all().forEach(Connection::refuseIncompleteRequests);
+        closeAllForShutdown();
+    }
+
     /** Handles bytes of a caller; those after our half-close are discarded. */
     void read(ConnectionId slot, ByteBuffer bytes) {
         Connection c = slots.get(slot.value());
@@ -215,6 +229,11 @@
         return byState;
     }
 
+    /** The header line that tells a caller to wait before it retries; empty for less than a millisecond. */
+    private static String retryAfterHeader(long tenthsMs) {
+        return tenthsMs >= 10 ? "Back-Off-Ms: " + tenthsMs / 10 + "\r\n" : "";
+    }
+
     private int maxDraining() {
         return limits.softLimit() / DRAINING_DIVISOR;
     }
@@ -271,6 +290,7 @@
         private boolean draining; // our side is half-closed
         private boolean discardedBytes; // bytes arrived after the half-close
         private Deadlines.Deadline drainDeadline;
+        private Deadlines.Deadline shutdownCloseRetry; // null while none is scheduled
         private ConnectionId slot;
 
         private String state() {
@@ -290,6 +310,11 @@
             return !draining && !closingWhenAnswered && pendingAnswers.isEmpty();
         }
 
+        /** Whether a request has begun, or may be about to, that is not read to its end. */
+        private boolean hasIncompleteRequest() {
+            return !halfReadDeadlines.isEmpty() || reader.mayBeginRequest();
+        }
+
         private boolean isNew() {
             return !receivedRequest && queries.now() - acceptedAt < FIRST_REQUEST_WINDOW_TENTHS_MS;
         }
@@ -334,9 +359,16 @@
             }
         }
 
-        /** Returns false without closing where bytes are unread or unwritten, which a close now would lose. */
+        /**
+         * Returns false without closing where bytes are unread or unwritten, which a close now would lose. A request that
+         * is read in part is refused first, as the rest of it is not read any more.
+         */
         private boolean tryCloseIdle() {
-            boolean closed = links.halfCloseIfQuiet(slot);
+            if (!halfReadDeadlines.isEmpty() && links.isQuiet(slot)) {
+                closeWhenAnswered(Count.CONNECTIONS_CLOSED_IDLE);
+                return true;
+            }
+            boolean closed = halfReadDeadlines.isEmpty() && links.halfCloseIfQuiet(slot);
             if (closed) {
                 counters.add(Count.CONNECTIONS_CLOSED_IDLE);
                 startDraining();
@@ -344,9 +376,20 @@
             return closed;
         }
 
+        /** Refuses the requests that are read in part; nothing of them has run. The rest of each is skipped. */
+        private void refuseIncompleteRequests() {
+            for (RequestId id : List.copyOf(halfReadDeadlines.keySet())) {
+                cancelHalfReadDeadline(id);
+                reader.release(id);
+                counters.add(Count.QUERIES_HALF_REFUSED);
+                links.sendToCaller(slot, Records.answer(id, 503, retryAfterHeader(maxRetryAfter), EMPTY_BODY));
+            }
+        }
+
         /** Stops reading, and closes the connection once all pending answers are written. */
         private void closeWhenAnswered(Count reason) {
             if (!closingWhenAnswered && !draining) {
+                refuseIncompleteRequests();
                 closingWhenAnswered = true;
                 reader.stop();
                 counters.add(reason);
@@ -376,16 +419,26 @@
             links.closeCaller(slot);
         }
 
-        /** Closes an idle connection now; one with a pending answer is closed after that answer. */
+        /** Closes the connection once no request on it is open; one with a pending answer is closed after that answer. */
         private void closeForShutdown() {
-            if (!draining && !closingWhenAnswered && pendingAnswers.isEmpty() && !links.halfCloseIfQuiet(slot)) {
-                deadlines.set(queries.now() + CLOSE_RETRY_INTERVAL_TENTHS_MS, this::closeForShutdown);
-            } else if (!draining && !closingWhenAnswered && pendingAnswers.isEmpty()) {
+            deadlines.cancel(shutdownCloseRetry);
+            shutdownCloseRetry = null;
+            if (draining || closingWhenAnswered || !pendingAnswers.isEmpty()) {
+                return;
+            }
+            if (!hasIncompleteRequest() && links.halfCloseIfQuiet(slot)) {
                 counters.add(Count.CONNECTIONS_CLOSED_LEAVING);
                 startDraining();
+            } else {
+                scheduleCloseForShutdown(CLOSE_RETRY_INTERVAL_TENTHS_MS);
             }
         }
 
+        private void scheduleCloseForShutdown(long delay) {
+            deadlines.cancel(shutdownCloseRetry);
+            shutdownCloseRetry = deadlines.set(queries.now() + delay, this::closeForShutdown);
+        }
+
         /** Discards bytes that arrive after the half-close; their sender sees the end of the stream. */
         private void discard(ByteBuffer bytes) {
             counters.add(Count.CONNECTIONS_WRITTEN_TO_AFTER_END, discardedBytes ? 0 : 1);
@@ -397,6 +450,9 @@
             receivedBytes = true;
             cancelIdleDeadline();
             reader.read(bytes);
+            if (refusingIncomplete) {
+                refuseIncompleteRequests();
+            }
             startIdlingIfNoRequestOpen();
         }
 
@@ -406,6 +462,7 @@
             cancelIdleDeadline();
             drainingConnections.remove(this);
             deadlines.cancel(drainDeadline);
+            deadlines.cancel(shutdownCloseRetry);
             halfReadDeadlines.values().forEach(deadlines::cancel);
             halfReadCount -= halfReadDeadlines.size();
             halfReadDeadlines.clear();
@@ -440,7 +497,7 @@
             } else if (closingWhenAnswered) {
                 closeIfAnswered();
             } else if (shuttingDown && pendingAnswers.isEmpty()) {
-                deadlines.set(queries.now(), this::closeForShutdown);
+                scheduleCloseForShutdown(0);
             } else {
                 startIdlingIfNoRequestOpen();
             }
@@ -635,11 +692,7 @@
 
         @Override
         public void deferred(long backOff, boolean isFinal) {
-            send(
-                    503,
-                    (backOff >= 10 ? "Back-Off-Ms: " + backOff / 10 + "\r\n" : "")
-                            + (isFinal ? "Final-Refusal: 1\r\n" : ""),
-                    EMPTY_BODY);
+            send(503, retryAfterHeader(backOff) + (isFinal ? "Final-Refusal: 1\r\n" : ""), EMPTY_BODY);
         }
 
         @Override
--- a/daemon/src/main/java/tallyweir/backend/Counters.java
+++ b/daemon/src/main/java/tallyweir/backend/Counters.java
@@ -30,6 +30,7 @@
         QUERIES_READ,
         QUERIES_MALFORMED,
         QUERIES_HALF,
+        QUERIES_HALF_REFUSED,
         QUERIES_GONE,
         QUERIES_ABORTED,
         QUERIES_ON_LAST_CONNECTION,
--- a/daemon/src/main/java/tallyweir/backend/Links.java
+++ b/daemon/src/main/java/tallyweir/backend/Links.java
@@ -18,10 +18,10 @@
      */
     void halfCloseCaller(ConnectionId caller);
 
-    /**
-     * Half-closes a caller's connection at once, but only if no bytes of the caller are unread, here or in the socket,
-     * and none for it are unwritten. Returns whether it did.
-     */
+    /** Whether no bytes of the caller are unread, here or in the socket, and none for it are unwritten. */
+    boolean isQuiet(ConnectionId caller);
+
+    /** Half-closes a caller's connection at once, but only if it is quiet. Returns whether it did. */
     boolean halfCloseIfQuiet(ConnectionId caller);
 
     /** Closes a caller's connection at once. */
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -775,7 +775,7 @@
         noticeAt = notice;
         stopAt = notice + left;
         deadlines.set(stopAt - Math.min(LISTENER_CLOSE_LEAD_TENTHS_MS, left / 2), connections::stopListening);
-        deadlines.set(stopAt, connections::closeAllForShutdown);
+        deadlines.set(stopAt, connections::refuseIncompleteForShutdown);
         if (choice != null) {
             choice.drain(noticeAt, stopAt - now);
         }
--- a/daemon/src/main/java/tallyweir/backend/WarmUp.java
+++ b/daemon/src/main/java/tallyweir/backend/WarmUp.java
@@ -103,6 +103,11 @@
     @Override
     public void halfCloseCaller(ConnectionId caller) {}
 
+    @Override
+    public boolean isQuiet(ConnectionId caller) {
+        return true;
+    }
+
     @Override
     public boolean halfCloseIfQuiet(ConnectionId caller) {
         return true;
--- a/daemon/src/main/java/tallyweir/fastcgi/FastCgiReader.java
+++ b/daemon/src/main/java/tallyweir/fastcgi/FastCgiReader.java
@@ -92,6 +92,11 @@
         return headerRead == 0;
     }
 
+    /** Whether the record that is read in part begins a request, or may do so as its type is not known yet. */
+    public boolean mayBeginRequest() {
+        return headerRead > 0 && (headerRead < Records.HEADER_BYTES || type() == Records.BEGIN);
+    }
+
     /** Releases the id of an answered request for another one. */
     public void release(RequestId id) {
         openRequests.remove(id);
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -472,6 +472,16 @@
         }
     }
 
+    @Override
+    public boolean isQuiet(ConnectionId caller) {
+        IoSession session = callers.get(caller);
+        return session == null
+                || !pendingOutput.containsKey(session)
+                        && session.getScheduledWriteBytes() == 0
+                        && SocketProcessor.unreadBytes((NioSession) session) == 0
+                        && EventQueue.isEmpty(inbox(session));
+    }
+
     /**
      * A request that arrives between the check and the half-close is not answered; that window is much shorter than a
      * batch.
@@ -479,12 +489,7 @@
     @Override
     public boolean halfCloseIfQuiet(ConnectionId caller) {
         IoSession session = callers.get(caller);
-        return session == null
-                || !pendingOutput.containsKey(session)
-                        && session.getScheduledWriteBytes() == 0
-                        && SocketProcessor.unreadBytes((NioSession) session) == 0
-                        && EventQueue.isEmpty(inbox(session))
-                        && shutdownOutput(session);
+        return session == null || isQuiet(caller) && shutdownOutput(session);
     }
 
     @Override
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -863,6 +863,39 @@
                 List.of(sim.counter("connections_waited"), logged("close "), logged("close " + a.conn)));
     }
 
+    /** Guards against a request that gets no answer since its connection gave way to a new one while it was written. */
+    @Test
+    void requestThatIsReadInPartIsRefusedBeforeItsConnectionGivesWay() {
+        sim.boot();
+        int half = sim.openCaller();
+        sim.send(half, Model.record(1, 7, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
+        sim.advance(NEW_CONNECTION_GRACE_TENTHS_MS);
+        for (int i = 1; i < Simulation.MAX_CALLERS; i++) {
+            sim.request(sim.openCaller(), "c", "b", 20_000, null);
+        }
+        sim.unread.add(half);
+        sim.openCaller();
+        assertEquals(0, logged("close " + half), "the rest of the request has arrived");
+        sim.unread.clear();
+        sim.openCaller();
+        assertEquals(List.of(1L, 1L), List.of(logged("answered 7 503"), logged("close " + half)));
+    }
+
+    /** Guards against a request that gets no answer since another one has its connection closed. */
+    @Test
+    void requestThatIsReadInPartIsRefusedBeforeItsConnectionIsClosedAsAsked() {
+        sim.boot();
+        int conn = sim.openCaller();
+        sim.send(conn, Model.record(1, 7, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
+        byte[] last = Model.request(8, new byte[0], false, 0, "SCRIPT_NAME", "/check");
+        int flags = 10; // of its begin record
+        last[flags] = 0;
+        sim.send(conn, last);
+        assertEquals(
+                List.of(1L, 1L, 1L),
+                List.of(logged("answered 7 503"), logged("answered 8 200"), logged("close " + conn)));
+    }
+
     @Test
     void drainAnswersAllAndDefersLateQueries() {
         Request a = running("c");
--- a/daemon/src/test/java/tallyweir/Simulation.java
+++ b/daemon/src/test/java/tallyweir/Simulation.java
@@ -391,6 +391,11 @@
         closing.add(caller.value());
     }
 
+    @Override
+    public boolean isQuiet(ConnectionId caller) {
+        return !unread.contains(caller.value());
+    }
+
     @Override
     public boolean halfCloseIfQuiet(ConnectionId caller) {
         if (!unread.contains(caller.value())) {
--- a/daemon/src/test/java/tallyweir/backend/RecordingLinks.java
+++ b/daemon/src/test/java/tallyweir/backend/RecordingLinks.java
@@ -16,6 +16,11 @@
     @Override
     public void halfCloseCaller(ConnectionId caller) {}
 
+    @Override
+    public boolean isQuiet(ConnectionId caller) {
+        return false;
+    }
+
     @Override
     public boolean halfCloseIfQuiet(ConnectionId caller) {
         return false;
--- a/stand/src/main/java/tallyweir/stand/StandInSidecar.java
+++ b/stand/src/main/java/tallyweir/stand/StandInSidecar.java
@@ -10,6 +10,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** A sidecar's FastCGI 1.0 connection with one request at a time. Not thread-safe. */
 public final class StandInSidecar implements AutoCloseable {
@@ -35,7 +36,7 @@
         socket.setTcpNoDelay(true);
     }
 
-    private static void writeRecord(ByteArrayOutputStream out, int type, int id, byte[] content) {
+    static void writeRecord(ByteArrayOutputStream out, int type, int id, byte[] content) {
         out.write(1);
         out.write(type);
         out.write(id >> 8);
@@ -104,12 +105,31 @@
 
     /** Sends a request and waits for its answer. */
     public Answer exchange(Map<String, String> parameters, String body, int timeoutMs) {
+        return exchangeSlowly(parameters, body, 1, 0, timeoutMs);
+    }
+
+    /**
+     * Sends a request in equal chunks and waits for its answer.
+     *
+     * @param chunkDelayMs the delay between two chunks
+     * @param timeoutMs how long it waits after the last chunk
+     */
+    public Answer exchangeSlowly(
+            Map<String, String> parameters, String body, int chunks, int chunkDelayMs, int timeoutMs) {
         lastId = lastId % 30_000 + 1;
+        byte[] request = encodeRequest(lastId, parameters, body);
         try {
             OutputStream out = socket.getOutputStream();
-            out.write(encodeRequest(lastId, parameters, body));
-            out.flush();
+            for (int chunk = 0; chunk < chunks; chunk++) {
+                TimeUnit.MILLISECONDS.sleep(chunk == 0 ? 0 : chunkDelayMs);
+                int from = request.length * chunk / chunks;
+                out.write(request, from, request.length * (chunk + 1) / chunks - from);
+                out.flush();
+            }
             return answer(timeoutMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return new Answer(0, "");
         } catch (SocketTimeoutException e) {
             return new Answer(-1, "");
         } catch (IOException e) {
--- a/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
+++ b/tool/src/test/java/tallyweir/tool/LostAtTheStopTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -14,6 +17,7 @@
 import tallyweir.stand.FailingCalls.Errno;
 import tallyweir.stand.PipelinedCaller;
 import tallyweir.stand.SequentialCaller;
+import tallyweir.stand.StandInSidecar;
 
 /** Requests that were with a stopping server must have an answer before its process is killed, whatever system calls fail. */
 @Timeout(60)
@@ -25,6 +29,9 @@
     private static final SequentialCaller.Profile IN_PIECES =
             new SequentialCaller.Profile("in pieces", false, 4, 5, 20);
     private static final int RUN_MS = 1_500;
+    private static final int SLOW_CLIENTS = 30;
+    private static final int SLOW_CHUNKS = 10;
+    private static final int PATIENCE_MS = 1_400;
     private static final int LISTENER_CLOSES_MS = StoppingServer.EARLIEST_STOP_MS - 2 * 60 - 500; // after the notice
 
     @TempDir
@@ -153,4 +160,39 @@
             stopAndCheck(server, null);
         }
     }
+
+    /** Connections on which a slow client was still writing a request were ended, and the request got no answer. */
+    @ParameterizedTest
+    @ValueSource(ints = {400, 520, 640}) // of the last, the end comes after the server's last answers
+    void requestsAreBeingWrittenWhileAServerStops(int writeMs) throws Exception {
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+        try (StoppingServer server = server(1, StoppingServer.SOCKETS)) {
+            server.callers(10, KEPT_CONNECTIONS);
+            List<StandInSidecar> slow = new ArrayList<>();
+            for (int i = 0; i < SLOW_CLIENTS; i++) {
+                slow.add(new StandInSidecar(server.program().port()));
+                assertTrue(slow.get(i).exchange(read(i), "", PATIENCE_MS).status() > 0);
+            }
+            server.notice();
+            server.awaitSinceNotice(LISTENER_CLOSES_MS - 80);
+            for (StandInSidecar client : slow) {
+                Map<String, String> parameters = read(SLOW_CLIENTS + statuses.size());
+                statuses.add(CompletableFuture.supplyAsync(
+                        () -> client.exchangeSlowly(parameters, "", SLOW_CHUNKS, writeMs / SLOW_CHUNKS, PATIENCE_MS)
+                                .status(),
+                        task -> new Thread(task, "slow client").start()));
+            }
+            server.killAtTheStop();
+            assertEquals(List.of(), server.lost(), server::report);
+        }
+        for (CompletableFuture<Integer> status : statuses) {
+            assertTrue(status.get() > 0, "no answer to a request that was written before the kill");
+        }
+    }
+
+    private static Map<String, String> read(int number) {
+        Map<String, String> parameters = Program.parameters("none", String.format("%016x", number + 1), PATIENCE_MS);
+        parameters.put("SCRIPT_NAME", "/do/look");
+        return parameters;
+    }
 }
