Callers of ever new names no longer fill the memory

Cause: the choice of the idle timeout remembers the last query of each caller for the longest timeout, 30 s, with no limit on their number.

Change: of more than 16,384 callers the one away for longest is forgotten; it then counts as never seen, as one that has been away for longer than the timeout always did.

--- a/core/src/main/java/tallyweir/IdleTimeoutChooser.java
+++ b/core/src/main/java/tallyweir/IdleTimeoutChooser.java
@@ -11,6 +11,9 @@
  * connections would have stayed open idle. Times are tenths of a millisecond.
  */
 final class IdleTimeoutChooser {
+    /** More callers than a server has connections for; above it, the one away for longest is forgotten. */
+    static final int MAX_REMEMBERED_CALLERS = 16_384;
+
     private final Map<CallerId, Long> lastReadAt = new LinkedHashMap<>(); // time of the last query; least recent first
     private final long startedAt;
     private final long[] timeouts;
@@ -38,17 +41,24 @@
     void onRead(long now, CallerId caller, double idleCost) {
         Long before = lastReadAt.remove(caller);
         lastReadAt.put(caller, now);
-        // A caller away for longer than the longest timeout is forgotten and counts as never seen. Otherwise callers
-        // that always come with new ids would fill the memory.
-        for (Iterator<Long> oldest = lastReadAt.values().iterator(); now - oldest.next() > timeouts[0]; ) {
-            oldest.remove();
-        }
+        forgetAbsentCallers(now);
         long gap = now - (before == null ? startedAt : before);
         for (int i = 0; i < timeouts.length; i++) {
             gains[i].add(now, (before != null && gap <= timeouts[i] ? 1 : 0) - idleCost * Math.min(gap, timeouts[i]));
         }
     }
 
+    /**
+     * Forgets callers that have been away for longer than the longest timeout, and those that are too many. They count
+     * as never seen. Otherwise callers that always come with new ids would fill the memory.
+     */
+    private void forgetAbsentCallers(long now) {
+        Iterator<Long> oldest = lastReadAt.values().iterator();
+        while (now - oldest.next() > timeouts[0] || lastReadAt.size() > MAX_REMEMBERED_CALLERS) {
+            oldest.remove();
+        }
+    }
+
     /** Number of callers remembered. */
     int rememberedCallers() {
         return lastReadAt.size();
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -230,6 +230,15 @@
         assertEquals(200, timeouts.bestTimeout(13_000), "decided by the caller that returns after 100");
     }
 
+    /** Queries of ever new callers, sent at full speed within the longest idle timeout, filled the memory. */
+    @Test
+    void callersAreForgottenWhenTheyAreTooMany() {
+        long[] timeouts = {100_000, 200, 40};
+        IdleTimeoutChooser chooser = new IdleTimeoutChooser(0, timeouts, 4_000, 12);
+        readFromManyCallers(chooser, 2 * IdleTimeoutChooser.MAX_REMEMBERED_CALLERS, 0);
+        assertEquals(IdleTimeoutChooser.MAX_REMEMBERED_CALLERS, chooser.rememberedCallers());
+    }
+
     private static void readFromManyCallers(IdleTimeoutChooser of, int reads, long from) {
         for (int i = 0; i < reads; i++) {
             of.onRead(from + i, new tallyweir.ids.CallerId(from + i), 0);
