Repeats that are aborted while their run goes on leave nothing behind

Cause: an aborted repeat stayed in the list of those that wait for the result until the run ended. In the decisions it stayed with the query that it repeats, and its deadline stayed in the queue as long as an earlier one of a pending query stood before it.

Change: a query leaves all three when it ends. Deadlines are in a sorted set, one for each query; the order in which they are handled is as before. Gauge now_repeats_waiting.

BackendTest.abortedRepeatsAreNotKeptWhileTheRunGoesOn (100 instead of 0 kept) and FailuresTest.endedRepeatsLeaveNothingBehind (101 instead of 1 deadline) fail with it taken out.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -97,7 +97,7 @@
     private final PriorityQueue<Query> callQueue = new PriorityQueue<>(BY_REVENUE_THEN_ORDER);
     private final ArrayDeque<Query> callRetries = new ArrayDeque<>();
     private final ArrayDeque<Query> replayQueue = new ArrayDeque<>();
-    private final PriorityQueue<QueryDeadline> deadlines = new PriorityQueue<>();
+    private final TreeSet<QueryDeadline> deadlines = new TreeSet<>();
     // 1 for each run past its expected time, else 0.
     private final SlidingWindow lateRuns = new SlidingWindow(MEASUREMENT_WINDOW_TENTHS_MS, WINDOW_BUCKETS);
     // The same, of runs that called the store.
@@ -192,7 +192,7 @@
                 () -> !waitingQueue.isEmpty() && maySuspend() && suspensionCandidate() != null,
                 () -> suspend(suspensionCandidate()));
         rules.add(() -> gaugesPending, this::evaluateGauges);
-        rules.add(() -> !deadlines.isEmpty() && deadlines.peek().dueAt() < deadlineTimerAt, this::setDeadlineTimer);
+        rules.add(() -> !deadlines.isEmpty() && deadlines.first().dueAt() < deadlineTimerAt, this::setDeadlineTimer);
     }
 
     private void applyRules() {
@@ -534,7 +534,7 @@
             q.answerDeadline = Math.min(q.answerDeadline, stopDeadline - pollInterval);
             q.anyRevenueUntil = Math.min(q.anyRevenueUntil, q.answerDeadline);
             q.fullRevenueUntil = Math.min(q.fullRevenueUntil, q.answerDeadline);
-            addDeadline(q, q.anyRevenueUntil);
+            setDeadline(q, q.anyRevenueUntil);
         }
         out.setHealth(false, true);
         applyRules();
@@ -741,7 +741,7 @@
         incoming = null;
         memoryUse.heldKb += q.sizeKb;
         q.state = state;
-        addDeadline(q, q.anyRevenueUntil);
+        setDeadline(q, q.anyRevenueUntil);
         if (state == FOLLOWING) {
             return;
         }
@@ -812,17 +812,33 @@
 
     // ---- answers
 
-    private void addDeadline(Query q, long time) {
-        deadlines.add(new QueryDeadline(time, nextSequence++, q));
+    private void setDeadline(Query q, long time) {
+        clearDeadline(q);
+        q.deadline = new QueryDeadline(time, nextSequence++, q);
+        deadlines.add(q.deadline);
+    }
+
+    private void clearDeadline(Query q) {
+        if (q.deadline != null) {
+            deadlines.remove(q.deadline);
+            q.deadline = null;
+        }
+    }
+
+    /** How many queries have a deadline; none that has ended does. */
+    int deadlineCount() {
+        return deadlines.size();
     }
 
     private boolean isDeadlineDue() {
         return !deadlines.isEmpty()
-                && (deadlines.peek().dueAt() <= now || !deadlines.peek().query().isPending());
+                && (deadlines.first().dueAt() <= now
+                        || !deadlines.first().query().isPending());
     }
 
     private void handleDeadline() {
-        Query q = deadlines.poll().query();
+        Query q = deadlines.first().query();
+        clearDeadline(q);
         if (!q.isPending()) {
             return;
         }
@@ -832,7 +848,7 @@
         if (finalDeadline || canCancel || !q.hasRun) {
             giveUp(q);
         } else {
-            addDeadline(q, q.answerDeadline);
+            setDeadline(q, q.answerDeadline);
         }
     }
 
@@ -868,6 +884,10 @@
         }
         q.state = ENDED;
         liveQueries.remove(q.id);
+        clearDeadline(q);
+        if (q.leader != null) {
+            q.leader.followers.remove(q);
+        }
         if (q.retained && !q.hasRun) {
             out.discardRetained(q.id);
         }
@@ -994,7 +1014,7 @@
         }
         memoryUse.heldKb += q.sizeKb;
         enqueue(q);
-        addDeadline(q, q.anyRevenueUntil);
+        setDeadline(q, q.anyRevenueUntil);
     }
 
     // ---- calls to the store
@@ -1005,7 +1025,7 @@
     private void blockOnCall(Query q) {
         q.state = BLOCKED_ON_CALL;
         if (q.anyRevenueUntil <= now) {
-            addDeadline(q, now);
+            setDeadline(q, now);
         }
     }
 
@@ -1093,7 +1113,7 @@
     // ---- timers
 
     private void setDeadlineTimer() {
-        deadlineTimerAt = Math.max(now + 1, deadlines.peek().dueAt());
+        deadlineTimerAt = Math.max(now + 1, deadlines.first().dueAt());
         out.setTimer(deadlineTimerAt, DEADLINE_TIMER);
     }
 }
--- a/core/src/main/java/tallyweir/Query.java
+++ b/core/src/main/java/tallyweir/Query.java
@@ -1,7 +1,7 @@
 package tallyweir;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.SubjectId;
 
@@ -49,7 +49,8 @@
     long callDeadline;
     int callAttempts;
     Query leader; // the query that this one repeats; null if none
-    final List<Query> followers = new ArrayList<>(0);
+    final Set<Query> followers = new LinkedHashSet<>(0); // repeats that wait until this query starts or ends
+    QueryDeadline deadline; // when it is checked next, null if never
 
     boolean isHarmless() {
         return workload.effect == Effect.HARMLESS;
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -239,6 +239,17 @@
         assertEquals(IdleTimeoutChooser.MAX_REMEMBERED_CALLERS, chooser.rememberedCallers());
     }
 
+    /** Repeats that were aborted at full speed stayed with the first query and among the deadlines, and filled the memory. */
+    @Test
+    void endedRepeatsLeaveNothingBehind() {
+        ModelQuery running = model.read(2, 0, 30_000, 10, false, null);
+        int before = model.choice.deadlineCount();
+        for (int i = 0; i < 100; i++) {
+            model.disconnect(model.read(2, 0, 40_000, 10, false, running));
+        }
+        assertEquals(before, model.choice.deadlineCount());
+    }
+
     private static void readFromManyCallers(IdleTimeoutChooser of, int reads, long from) {
         for (int i = 0; i < reads; i++) {
             of.onRead(from + i, new tallyweir.ids.CallerId(from + i), 0);
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -108,6 +108,7 @@
         counters.addSource("connections_now_", connections::countsByState);
         counters.addGauge("queries", slots::size);
         counters.addGauge("entries", repeats::size);
+        counters.addGauge("repeats_waiting", repeats::waitingCount);
         counters.addGauge("deadlines", deadlines::size);
         counters.addGauge("store_links", store::linkCount);
     }
@@ -587,6 +588,7 @@
         if (inFlight.answered && !inFlight.running && !inFlight.released) {
             inFlight.released = true;
             deadlines.cancel(inFlight.deadline);
+            repeats.stopWaiting(inFlight);
             queriesByJob.remove(inFlight.job);
             slots.free(inFlight.slot);
         }
--- a/daemon/src/main/java/tallyweir/backend/Repeats.java
+++ b/daemon/src/main/java/tallyweir/backend/Repeats.java
@@ -1,9 +1,10 @@
 package tallyweir.backend;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import tallyweir.ids.QueryId;
 import tallyweir.ids.SubjectId;
 import tallyweir.ids.WorkloadId;
@@ -24,7 +25,7 @@
         private long windowEndsAt; // a query that arrives later isn't a repeat
         private byte[] result; // null unless the owner's run was good
         private Deadlines.Deadline expiry;
-        private final List<InFlight> waiting = new ArrayList<>(0);
+        private final Set<InFlight> waiting = new LinkedHashSet<>(0);
 
         private long bodyDigest; // digest of the owner's body
 
@@ -36,6 +37,7 @@
     private final Deadlines deadlines;
     private final long shareDuration;
     private final Map<Key, Entry> entries = new HashMap<>();
+    private int waitingCount; // of all entries
 
     Repeats(Deadlines deadlines, long shareFor) {
         this.deadlines = deadlines;
@@ -129,18 +131,31 @@
         }
         List<InFlight> served = List.copyOf(e.waiting);
         e.waiting.clear();
+        waitingCount -= served.size();
         return served;
     }
 
     /** Whether the earlier query's run has ended; if not, enqueues this query to wait for it. */
     boolean endedOrEnqueue(InFlight inFlight) {
         if (inFlight.repeatEntry != null && !inFlight.repeatEntry.ownerEnded && inFlight.repeatEntry.owner != null) {
-            inFlight.repeatEntry.waiting.add(inFlight);
+            waitingCount += inFlight.repeatEntry.waiting.add(inFlight) ? 1 : 0;
             return false;
         }
         return true;
     }
 
+    /** The query has ended and waits no longer: repeats that come and go while a run lasts must not pile up. */
+    void stopWaiting(InFlight inFlight) {
+        if (inFlight.repeatEntry != null && inFlight.repeatEntry.waiting.remove(inFlight)) {
+            waitingCount--;
+        }
+    }
+
+    /** How many queries wait for the run that they repeat. */
+    int waitingCount() {
+        return waitingCount;
+    }
+
     /** The result retained for the query, null if there is none. */
     byte[] result(InFlight inFlight) {
         return inFlight.repeatEntry == null ? null : inFlight.repeatEntry.result;
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -896,6 +896,20 @@
                 List.of(logged("answered 7 503"), logged("answered 8 200"), logged("close " + conn)));
     }
 
+    /** Repeats that were aborted at full speed were kept until the run that they repeat ended, and filled the memory. */
+    @Test
+    void abortedRepeatsAreNotKeptWhileTheRunGoesOn() {
+        sim.boot();
+        Request first = sim.request(sim.openCaller(), "k", "b", 20_000, "m");
+        for (int i = 0; i < 100; i++) {
+            Request repeat = sim.request(first.conn, "k", "b", 20_000, "m");
+            sim.send(repeat.conn, Model.record(2, repeat.id, 0, new byte[0]));
+        }
+        assertEquals(List.of(0L, 1L), List.of(sim.counter("now_repeats_waiting"), sim.counter("now_queries")));
+        sim.endRun(first.job, "good", "made");
+        assertEquals("made", onlyAnswer(first).body());
+    }
+
     @Test
     void drainAnswersAllAndDefersLateQueries() {
         Request a = running("c");
