Fields of a request's head that nobody uses are skipped without a copy

Cause: each field's name and value was copied and kept in a map until the head was parsed, 278 KB for a head of 8 KB, so that the only thread that decides spent its time on them.

Change: a pair is compared with the names in use where it stands, and skipped if it is none of them.

ParsersTest.unusedFieldsAreSkippedWithoutACopy fails with the change taken out (277,760 bytes).

--- a/daemon/src/main/java/tallyweir/fastcgi/FastCgiReader.java
+++ b/daemon/src/main/java/tallyweir/fastcgi/FastCgiReader.java
@@ -215,8 +215,7 @@
         try {
             sink.onManagementReply(
                     type() == Records.GET_VALUES
-                            ? Records.getValuesResult(RequestFields.parsePairs(recordContent.copy())
-                                    .keySet())
+                            ? Records.getValuesResult(RequestFields.parseNames(recordContent.copy()))
                             : Records.unknownType(type()));
         } catch (IllegalArgumentException e) {
             invalidStream("a management record: " + e.getMessage());
--- a/daemon/src/main/java/tallyweir/fastcgi/RequestFields.java
+++ b/daemon/src/main/java/tallyweir/fastcgi/RequestFields.java
@@ -2,10 +2,12 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import java.util.Arrays;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** The FastCGI parameters of a request that the server uses; all others are ignored. */
 public final class RequestFields {
@@ -36,20 +38,60 @@
 
     private final Map<String, String> values = new HashMap<>();
 
+    /** The names in use, by their length and as they are sent. */
+    private static final Map<Integer, Map<String, byte[]>> USED_NAMES_BY_LENGTH = USED_NAMES.stream()
+            .collect(Collectors.groupingBy(
+                    String::length, Collectors.toMap(name -> name, name -> name.getBytes(ISO_8859_1))));
+
+    /** Receives the position of each name-value pair. */
+    private interface PairConsumer {
+        void accept(int nameFrom, int valueFrom, int end);
+    }
+
+    /**
+     * Pairs with other names are skipped without a copy: a head may hold thousands of them.
+     *
+     * @throws IllegalArgumentException if the pairs cannot be parsed, or a value is too long
+     */
     RequestFields(byte[] params) {
-        parsePairs(params).forEach((name, value) -> {
-            if (USED_NAMES.contains(name)) {
-                if (value.length() > MAX_VALUE_LENGTH) {
-                    throw new IllegalArgumentException(name + " is too long");
-                }
-                values.put(name, value);
+        forEachPair(params, (nameFrom, valueFrom, end) -> {
+            String name = usedName(params, nameFrom, valueFrom);
+            if (name != null) {
+                values.put(name, new String(params, valueFrom, end - valueFrom, ISO_8859_1));
+            }
+        });
+        values.forEach((name, value) -> {
+            if (value.length() > MAX_VALUE_LENGTH) {
+                throw new IllegalArgumentException(name + " is too long");
             }
         });
     }
 
+    /** The name that stands there, null if it is none of those in use. */
+    private static String usedName(byte[] params, int from, int to) {
+        Map<String, byte[]> candidates = USED_NAMES_BY_LENGTH.get(to - from);
+        if (candidates != null) {
+            for (Map.Entry<String, byte[]> candidate : candidates.entrySet()) {
+                if (Arrays.equals(params, from, to, candidate.getValue(), 0, to - from)) {
+                    return candidate.getKey();
+                }
+            }
+        }
+        return null;
+    }
+
+    /** The names of name-value pairs. */
+    static Set<String> parseNames(byte[] params) {
+        Set<String> names = new HashSet<>();
+        forEachPair(
+                params,
+                (nameFrom, valueFrom, end) ->
+                        names.add(new String(params, nameFrom, valueFrom - nameFrom, ISO_8859_1)));
+        return names;
+    }
+
     /** Parses name-value pairs, each with two lengths of one byte or four. */
-    static Map<String, String> parsePairs(byte[] params) {
-        Map<String, String> pairs = new LinkedHashMap<>();
+    private static void forEachPair(byte[] params, PairConsumer consumer) {
         int[] position = {0};
         while (position[0] < params.length) {
             int nameLength = parseLength(params, position);
@@ -57,12 +99,10 @@
             if (nameLength > params.length - position[0] || valueLength > params.length - position[0] - nameLength) {
                 throw new IllegalArgumentException("a name-value pair exceeds the parameters");
             }
-            pairs.put(
-                    new String(params, position[0], nameLength, ISO_8859_1),
-                    new String(params, position[0] + nameLength, valueLength, ISO_8859_1));
-            position[0] += nameLength + valueLength;
+            int valueFrom = position[0] + nameLength;
+            consumer.accept(position[0], valueFrom, valueFrom + valueLength);
+            position[0] = valueFrom + valueLength;
         }
-        return pairs;
     }
 
     private static int parseLength(byte[] params, int[] position) {
--- a/daemon/src/test/java/tallyweir/ParsersTest.java
+++ b/daemon/src/test/java/tallyweir/ParsersTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -123,6 +125,28 @@
         assertTrue(reader.betweenRecords());
     }
 
+    /**
+     * Each field of a head was copied and kept in a map, so that hundreds of clients with heads of thousands of short
+     * fields delayed the answers of all others by seconds.
+     */
+    @Test
+    void unusedFieldsAreSkippedWithoutACopy() {
+        String[] fields = new String[2 * 2_000];
+        for (int i = 0; i < fields.length; i += 2) {
+            fields[i] = Character.toString(i % 128) + (char) (i / 128);
+            fields[i + 1] = "";
+        }
+        byte[] request = Model.request(1, new byte[0], false, 0, fields);
+        FastCgiReader reader = reader(true);
+        reader.read(ByteBuffer.wrap(request)); // loads the classes
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        reader.read(ByteBuffer.wrap(request));
+        long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+        assertTrue(allocated < 8L * request.length, allocated + " bytes for a request of " + request.length);
+        assertEquals(2, out.size());
+    }
+
     @Property(tries = 300, seed = "11", shrinking = ShrinkingMode.OFF)
     void corruptStreamsThrowNothingAndStayWithinLimits(@ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
