Requests that are left half written no longer have those of other clients refused

Cause: above 1,024 requests read in part, every further request of every connection was refused. And each of hundreds of connections could queue two chunks of 8 KB, beside what they had half written.

Change: the first request on a connection is always read; the limit, now 512, holds for further ones. While 256 chunks are queued in all, each connection may queue one.

BackendTest.requestsReadInPartDoNotHaveThoseOfOtherConnectionsRefused and EventQueueTest.eachCallerMayQueueOneChunkWhileAllTogetherHaveTheirMaximum fail with it taken out.

--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -34,7 +34,8 @@
     private static final double MAX_SIZE_KB = 2_000; // limit of the protocol
     private static final long MAX_HALF_READ_TENTHS_MS =
             20_000; // a silent connection or incomplete request is ended within three seconds
-    private static final int MAX_HALF_READ_REQUESTS = 1_024;
+    private static final int MAX_FURTHER_HALF_READ_REQUESTS =
+            512; // of all connections, beyond the first on each; all of them can be as large as a request may be
     private static final long CLOSE_RETRY_INTERVAL_TENTHS_MS =
             100; // pending input and output are handled before the close
     private static final long FIRST_REQUEST_WINDOW_TENTHS_MS =
@@ -516,7 +517,7 @@
             halfReadDeadlines.put(id, deadlines.set(queries.now() + halfReadTimeout, () -> onHalfReadTimeout(id)));
             halfReadCount++;
             idleStartedAt = queries.now();
-            return halfReadCount <= MAX_HALF_READ_REQUESTS;
+            return halfReadDeadlines.size() == 1 || halfReadCount <= MAX_FURTHER_HALF_READ_REQUESTS;
         }
 
         private void onHalfReadTimeout(RequestId id) {
--- a/daemon/src/main/java/tallyweir/net/EventQueue.java
+++ b/daemon/src/main/java/tallyweir/net/EventQueue.java
@@ -13,6 +13,8 @@
  */
 final class EventQueue {
     static final int MAX_CALLER_CHUNKS = 2;
+    static final int MAX_CHUNKS_OF_ALL_CALLERS =
+            256; // from here on one for each, as hundreds of callers may write large requests at once
     static final int MAX_PEER_CHUNKS = 64; // bounds the memory of an endless reply that is processed too slowly
     static final int MAX_CALLERS_PER_BATCH = 64; // so that events of the peers do not wait for all callers
 
@@ -43,6 +45,7 @@
     private final ArrayDeque<Runnable> priorityEvents = new ArrayDeque<>();
     private final ArrayDeque<Inbox> callersInTurn = new ArrayDeque<>();
     private int pendingPeerChunks; // of all peers, not processed yet
+    private int queuedCallerChunks; // of all callers, not taken yet
 
     /** Queues an event that belongs to no inbox, before those of callers. */
     void put(Runnable event) {
@@ -103,7 +106,8 @@
             if (from.chunks.size() == 1) {
                 callersInTurn.add(from);
             }
-            updateSuspension(from, MAX_CALLER_CHUNKS);
+            queuedCallerChunks++;
+            updateSuspension(from, maxCallerChunks());
             notEmpty.signal();
         } finally {
             lock.unlock();
@@ -125,12 +129,16 @@
         lock.lock();
         try {
             inbox.outputBacklogged = backlogged;
-            updateSuspension(inbox, MAX_CALLER_CHUNKS);
+            updateSuspension(inbox, maxCallerChunks());
         } finally {
             lock.unlock();
         }
     }
 
+    private int maxCallerChunks() {
+        return queuedCallerChunks < MAX_CHUNKS_OF_ALL_CALLERS ? MAX_CALLER_CHUNKS : 1;
+    }
+
     private static void updateSuspension(Inbox inbox, int maxChunks) {
         boolean suspend = inbox.outputBacklogged || inbox.queuedChunks >= maxChunks;
         if (suspend != inbox.suspended) {
@@ -156,10 +164,11 @@
                     chunk.run();
                 });
                 inbox.queuedChunks--;
+                queuedCallerChunks--;
                 if (!inbox.chunks.isEmpty()) {
                     callersInTurn.add(inbox);
                 }
-                updateSuspension(inbox, MAX_CALLER_CHUNKS);
+                updateSuspension(inbox, maxCallerChunks());
             }
         } finally {
             lock.unlock();
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -22,6 +22,7 @@
 import tallyweir.backend.Peer;
 import tallyweir.backend.WarmUp;
 import tallyweir.config.Config;
+import tallyweir.fastcgi.FastCgiReader;
 import tallyweir.ids.LinkId;
 
 /** The backend between a simulated kernel, store and sidecars, which record every violation of the rules. */
@@ -896,6 +897,23 @@
                 List.of(logged("answered 7 503"), logged("answered 8 200"), logged("close " + conn)));
     }
 
+    /** A few clients that leave all their requests half written had every request of every other client refused. */
+    @Test
+    void requestsReadInPartDoNotHaveThoseOfOtherConnectionsRefused() {
+        sim.boot();
+        for (int i = 0; i < Simulation.MAX_CALLERS - 4; i++) {
+            int conn = sim.openCaller();
+            for (int id = 1; id <= FastCgiReader.MAX_OPEN_REQUESTS; id++) {
+                sim.send(conn, Model.record(1, id, 0, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
+            }
+        }
+        sim.check();
+        assertTrue(logged("answered ") > 0, "requests beyond the limit are refused");
+        Request sound = sim.request(sim.openCaller(), "c", "b", 20_000, null);
+        sim.endRun(sound.job, "good", "made");
+        assertEquals("made", onlyAnswer(sound).body());
+    }
+
     /** Repeats that were aborted at full speed were kept until the run that they repeat ended, and filled the memory. */
     @Test
     void abortedRepeatsAreNotKeptWhileTheRunGoesOn() {
--- a/daemon/src/test/java/tallyweir/net/EventQueueTest.java
+++ b/daemon/src/test/java/tallyweir/net/EventQueueTest.java
@@ -59,6 +59,23 @@
         assertEquals(0, queue.pendingPeerChunks());
     }
 
+    /** Hundreds of callers that write large requests at once must not fill the memory with two chunks each. */
+    @Test
+    void eachCallerMayQueueOneChunkWhileAllTogetherHaveTheirMaximum() throws InterruptedException {
+        for (int i = 0; i < EventQueue.MAX_CHUNKS_OF_ALL_CALLERS - 1; i++) {
+            put(inbox("x"), "chunk");
+        }
+        assertEquals(List.of(), log);
+        EventQueue.Inbox last = inbox("last");
+        put(last, "chunk");
+        assertEquals(List.of("last suspended"), log);
+        List<String> all = new ArrayList<>();
+        for (int i = 0; i <= EventQueue.MAX_CHUNKS_OF_ALL_CALLERS / EventQueue.MAX_CALLERS_PER_BATCH; i++) {
+            all.addAll(taken());
+        }
+        assertTrue(all.contains("last resumed"));
+    }
+
     /** A caller is not read while chunks of it are queued, nor while its output cannot be sent. */
     @Test
     void aCallerIsReadAgainOnceItsChunksAreTakenAndItsOutputIsSent() throws InterruptedException {
