A one-shot query whose id comes again after its caller has left does not run twice

Cause: an id was known only while its query was in flight. Once the run had ended without a caller it was forgotten, and nothing else marks a one-shot query where no results are retained.

Change: the ids of one-shot queries that were handed to the kernel are kept for the longest hard limit after the run's end (twice that at most, as numbers). A query with such an id is errored.

Evidence: BackendTest.oneShotQueryWhoseIdComesAgainAfterItsCallerLeftDoesNotRunTwice fails with the check taken out.

--- a/daemon/src/main/java/tallyweir/backend/Counters.java
+++ b/daemon/src/main/java/tallyweir/backend/Counters.java
@@ -33,6 +33,7 @@
         QUERIES_HALF_REFUSED,
         QUERIES_GONE,
         QUERIES_ABORTED,
+        QUERIES_RUN_BEFORE,
         QUERIES_ON_LAST_CONNECTION,
         ANSWERED_HANDLED,
         ANSWERED_DEFERRED,
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -53,6 +53,7 @@
     private final int runQueueGaugeIndex;
     private final RateLimitedLog warnings = new RateLimitedLog(Queries.class, this::now);
     private final Slots<InFlight> slots = new Slots<>();
+    private final RecentRuns recentOneShotRuns;
     private final Map<JobId, InFlight> queriesByJob = new HashMap<>();
     // Null until the kernel first reports that it has booted.
     private ShadowedChoice choice;
@@ -94,6 +95,7 @@
         coreUseGaugeIndex = settings.gaugeIndex("core_use");
         runQueueGaugeIndex = settings.gaugeIndex("on_cores");
         repeats = new Repeats(deadlines, settings.resultCacheDuration());
+        recentOneShotRuns = new RecentRuns(settings.maxHardLimit());
         LongSupplier linkNumbers = new AtomicLong()::incrementAndGet;
         kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
@@ -109,6 +111,7 @@
         counters.addGauge("queries", slots::size);
         counters.addGauge("entries", repeats::size);
         counters.addGauge("repeats_waiting", repeats::waitingCount);
+        counters.addGauge("recent_one_shot_runs", recentOneShotRuns::size);
         counters.addGauge("deadlines", deadlines::size);
         counters.addGauge("store_links", store::linkCount);
     }
@@ -191,6 +194,11 @@
         return workloads.get(inFlight.workload) == Effect.HARMLESS;
     }
 
+    /** Whether queries of the workload are known only by their ids once they have run. */
+    private boolean isRetainedByIdOnly(WorkloadId workload) {
+        return effect(workload) == Effect.ONE_SHOT && retainedResults == null;
+    }
+
     boolean isDraining() {
         return stopAt != Long.MAX_VALUE;
     }
@@ -244,6 +252,12 @@
             responder.errored();
             return null;
         }
+        if (isRetainedByIdOnly(workload) && recentOneShotRuns.contains(job, now)) {
+            // Its result is not kept, and it must not run again.
+            counters.add(Count.QUERIES_RUN_BEFORE);
+            responder.errored();
+            return null;
+        }
         InFlight inFlight = new InFlight(job, workload, body, responder);
         inFlight.slot = slots.add(inFlight);
         inFlight.id = new QueryId(++lastSerial << SLOT_BITS | inFlight.slot);
@@ -502,6 +516,7 @@
     /** Ends the run: closes its call, tells the decisions, and answers queries that waited for its result. */
     private void finishRun(InFlight inFlight, Outcome outcome, byte[] result) {
         store.cancel(inFlight);
+        noteOneShotRun(inFlight);
         inFlight.pendingCall = null;
         inFlight.running = false;
         boolean runsAgain = outcome == Outcome.RECALLED && !inFlight.answered && isHarmless(inFlight);
@@ -611,6 +626,7 @@
             inFlight.replyDelivery = null;
             inFlight.stopDelivery = null;
             repeats.runStarted(inFlight);
+            noteOneShotRun(inFlight);
             if (inFlight.resultKey == null) {
                 kernel.commands().run(inFlight);
             } else {
@@ -620,6 +636,12 @@
         }
     }
 
+    private void noteOneShotRun(InFlight inFlight) {
+        if (isRetainedByIdOnly(inFlight.workload)) {
+            recentOneShotRuns.add(inFlight.job, now);
+        }
+    }
+
     @Override
     public void defer(QueryId query, long retryAfter, boolean nowhereElse) {
         InFlight inFlight = find(query);
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -914,6 +914,25 @@
         assertEquals("made", onlyAnswer(sound).body());
     }
 
+    /** A one-shot query ran a second time when its id came again after its caller had left. */
+    @Test
+    void oneShotQueryWhoseIdComesAgainAfterItsCallerLeftDoesNotRunTwice() {
+        Request first = running("u");
+        sim.disconnectCaller(first.conn);
+        Request whileItRuns = sim.request(sim.openCaller(), "u", "b", 20_000, null, "HTTP_REQUEST_ID", first.job);
+        sim.endRun(first.job, "good", "made");
+        Request later = sim.request(sim.openCaller(), "u", "b", 20_000, null, "HTTP_REQUEST_ID", first.job);
+        sim.advance(40_000);
+        Request latest = sim.request(sim.openCaller(), "u", "b", 20_000, null, "HTTP_REQUEST_ID", first.job);
+        assertEquals(
+                List.of(500, 500, 500),
+                List.of(
+                        onlyAnswer(whileItRuns).status(),
+                        onlyAnswer(later).status(),
+                        onlyAnswer(latest).status()));
+        assertEquals(List.of(1, List.of()), List.of(first.runCount, sim.violations));
+    }
+
     /** Repeats that were aborted at full speed were kept until the run that they repeat ended, and filled the memory. */
     @Test
     void abortedRepeatsAreNotKeptWhileTheRunGoesOn() {
