What a caller sent before it left is not run while the rest is still read

Cause: the end of a connection is read behind all that was written before it, and each request was decided as soon as it had been read. A chunk that was queued when the end was known was used too.

Change: a query that comes with a chunk that filled its buffer, so that more is likely to be unread, is held until the next chunk is read, for 50 ms at most (the lateness that the protocol allows). The end of the connection discards what is held and what is queued before it. Counter queries_gone_undecided.

BackendTest.requestsWhoseCallerLeavesWithMoreUnreadDoNotRun and requestsAreHeldOnlyForAShortTimeWhileMoreIsUnread fail with the holding taken out.

--- a/daemon/src/main/java/tallyweir/backend/Backend.java
+++ b/daemon/src/main/java/tallyweir/backend/Backend.java
@@ -142,9 +142,18 @@
         counters.add(Count.CONNECTIONS_CLOSED_UNREAD);
     }
 
-    /** Handles bytes from a caller. */
+    /** Handles bytes from a caller after which none are unread. */
     public void read(ConnectionId caller, ByteBuffer bytes) {
-        runGuarded(() -> queries.connections().read(caller, bytes));
+        read(caller, bytes, false);
+    }
+
+    /**
+     * Handles bytes from a caller.
+     *
+     * @param moreExpected whether further bytes of it are likely to be unread
+     */
+    public void read(ConnectionId caller, ByteBuffer bytes, boolean moreExpected) {
+        runGuarded(() -> queries.connections().read(caller, bytes, moreExpected));
     }
 
     /** A caller's connection is closed. */
--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -41,6 +41,8 @@
     private static final long FIRST_REQUEST_WINDOW_TENTHS_MS =
             1_000; // 0.1 s, in which the first request may be on its way
     private static final long MAX_DRAIN_TENTHS_MS = 10_000; // 1 s: a peer that heeds the half-close does so sooner
+    private static final long MAX_HOLD_TENTHS_MS =
+            500; // for a caller that goes on writing; within the lateness that the protocol allows
     private static final int DRAINING_DIVISOR = 8; // one in so many connections may be draining
     private static final byte[] EMPTY_BODY = {};
 
@@ -163,12 +165,17 @@
      */
     void refuseIncompleteForShutdown() {
         refusingIncomplete = true;
+        slots.all().forEach(Connection::handleHeldRequests);
         slots.all().forEach(Connection::refuseIncompleteRequests);
         closeAllForShutdown();
     }
 
-    /** Handles bytes of a caller; those after our half-close are discarded. */
-    void read(ConnectionId slot, ByteBuffer bytes) {
+    /**
+     * Handles bytes of a caller; those after our half-close are discarded.
+     *
+     * @param moreExpected whether further bytes of the caller are likely to be unread
+     */
+    void read(ConnectionId slot, ByteBuffer bytes, boolean moreExpected) {
         Connection c = slots.get(slot.value());
         if (c == null) {
             return;
@@ -176,7 +183,7 @@
         if (c.draining || c.closingWhenAnswered) {
             c.discard(bytes);
         } else {
-            c.read(bytes);
+            c.read(bytes, moreExpected && !refusingIncomplete);
         }
     }
 
@@ -243,7 +250,7 @@
     private boolean isLastWithoutPendingAnswer(Connection c) {
         return slots.size() >= limits.max()
                 && c.pendingAnswers.isEmpty()
-                && slots.all().stream().allMatch(other -> other == c || !other.pendingAnswers.isEmpty());
+                && slots.all().stream().allMatch(other -> other == c || other.owesAnswer());
     }
 
     /**
@@ -278,10 +285,16 @@
         return dropped;
     }
 
+    /** A complete request for a query that is not decided yet. */
+    private record HeldRequest(RequestId id, RequestFields fields, String path, byte[] body, boolean keep) {}
+
     private final class Connection implements FastCgiReader.Sink {
         private final FastCgiReader reader = new FastCgiReader(this);
         private final Map<RequestId, Responder> pendingAnswers = new HashMap<>();
         private final Map<RequestId, Deadlines.Deadline> halfReadDeadlines = new HashMap<>();
+        private final ArrayDeque<HeldRequest> heldRequests = new ArrayDeque<>(0);
+        private boolean holdingRequests; // further bytes of the caller are likely to be unread
+        private Deadlines.Deadline holdDeadline; // null while no request is held
         private Deadlines.Deadline idleDeadline;
         private long acceptedAt;
         private long idleStartedAt;
@@ -299,7 +312,7 @@
                 return "lingering";
             } else if (closingWhenAnswered) {
                 return "ending";
-            } else if (!pendingAnswers.isEmpty()) {
+            } else if (owesAnswer()) {
                 return "owed";
             } else if (reader.openCount() > 0 || !reader.betweenRecords()) {
                 return "half_read";
@@ -308,7 +321,11 @@
         }
 
         private boolean isOpenWithoutPendingAnswer() {
-            return !draining && !closingWhenAnswered && pendingAnswers.isEmpty();
+            return !draining && !closingWhenAnswered && !owesAnswer();
+        }
+
+        private boolean owesAnswer() {
+            return !pendingAnswers.isEmpty() || !heldRequests.isEmpty();
         }
 
         /** Whether a request has begun, or may be about to, that is not read to its end. */
@@ -399,7 +416,7 @@
         }
 
         private void closeIfAnswered() {
-            if (closingWhenAnswered && !draining && pendingAnswers.isEmpty()) {
+            if (closingWhenAnswered && !draining && !owesAnswer()) {
                 startDraining();
                 links.halfCloseCaller(slot);
             }
@@ -424,7 +441,7 @@
         private void closeForShutdown() {
             deadlines.cancel(shutdownCloseRetry);
             shutdownCloseRetry = null;
-            if (draining || closingWhenAnswered || !pendingAnswers.isEmpty()) {
+            if (draining || closingWhenAnswered || owesAnswer()) {
                 return;
             }
             if (!hasIncompleteRequest() && links.halfCloseIfQuiet(slot)) {
@@ -447,9 +464,13 @@
             discardedBytes = true;
         }
 
-        private void read(ByteBuffer bytes) {
+        private void read(ByteBuffer bytes, boolean moreExpected) {
             receivedBytes = true;
             cancelIdleDeadline();
+            holdingRequests = moreExpected;
+            if (!moreExpected) {
+                handleHeldRequests();
+            }
             reader.read(bytes);
             if (refusingIncomplete) {
                 refuseIncompleteRequests();
@@ -457,6 +478,25 @@
             startIdlingIfNoRequestOpen();
         }
 
+        /**
+         * Holds a query while further bytes of its caller are unread: the last of them may be the end of the connection,
+         * and what a caller has sent before it left is not to run.
+         */
+        private void hold(HeldRequest request) {
+            heldRequests.add(request);
+            if (holdDeadline == null) {
+                holdDeadline = deadlines.set(queries.now() + MAX_HOLD_TENTHS_MS, this::handleHeldRequests);
+            }
+        }
+
+        private void handleHeldRequests() {
+            deadlines.cancel(holdDeadline);
+            holdDeadline = null;
+            for (HeldRequest held = heldRequests.poll(); held != null; held = heldRequests.poll()) {
+                handleQuery(held.id, held.fields, held.path, held.body, held.keep);
+            }
+        }
+
         /** Cancels everything that waits for this connection: its answers can no longer be delivered. */
         private void onClosed() {
             draining = true;
@@ -464,6 +504,9 @@
             drainingConnections.remove(this);
             deadlines.cancel(drainDeadline);
             deadlines.cancel(shutdownCloseRetry);
+            deadlines.cancel(holdDeadline);
+            counters.add(Count.QUERIES_GONE_UNDECIDED, heldRequests.size());
+            heldRequests.clear();
             halfReadDeadlines.values().forEach(deadlines::cancel);
             halfReadCount -= halfReadDeadlines.size();
             halfReadDeadlines.clear();
@@ -497,7 +540,7 @@
                 closeWhenAnswered(Count.CONNECTIONS_CLOSED_ASKED);
             } else if (closingWhenAnswered) {
                 closeIfAnswered();
-            } else if (shuttingDown && pendingAnswers.isEmpty()) {
+            } else if (shuttingDown && !owesAnswer()) {
                 scheduleCloseForShutdown(0);
             } else {
                 startIdlingIfNoRequestOpen();
@@ -540,6 +583,8 @@
             } else if (COUNTERS_PATH.equals(path)) {
                 byte[] text = counters.text().getBytes(UTF_8);
                 write(id, Records.answer(id, 200, "Content-Type: text/plain\r\n", text), keep);
+            } else if (holdingRequests) {
+                hold(new HeldRequest(id, fields, path == null ? "" : path, body, keep));
             } else {
                 handleQuery(id, fields, path == null ? "" : path, body, keep);
             }
@@ -650,6 +695,7 @@
         public void onAbort(RequestId id) {
             cancelHalfReadDeadline(id);
             Responder responder = pendingAnswers.remove(id);
+            counters.add(Count.QUERIES_ABORTED, heldRequests.removeIf(held -> held.id.equals(id)) ? 1 : 0);
             if (responder != null) {
                 counters.add(Count.QUERIES_ABORTED);
                 onCallerDisconnected(responder, "the caller aborted the request");
--- a/daemon/src/main/java/tallyweir/backend/Counters.java
+++ b/daemon/src/main/java/tallyweir/backend/Counters.java
@@ -32,6 +32,7 @@
         QUERIES_HALF,
         QUERIES_HALF_REFUSED,
         QUERIES_GONE,
+        QUERIES_GONE_UNDECIDED,
         QUERIES_ABORTED,
         QUERIES_RUN_BEFORE,
         QUERIES_ON_LAST_CONNECTION,
--- a/daemon/src/main/java/tallyweir/net/EventQueue.java
+++ b/daemon/src/main/java/tallyweir/net/EventQueue.java
@@ -27,6 +27,7 @@
         private final AtomicInteger unprocessedChunks =
                 new AtomicInteger(); // of a caller: queued, or taken and not processed
         private volatile boolean readInProgress; // bytes may have left the socket and are not queued yet
+        private volatile boolean inputEnded; // the peer has ended its side, after all that is queued
         private boolean outputBacklogged; // too much of its output has not been sent
         private boolean suspended;
 
@@ -119,6 +120,16 @@
         inbox.readInProgress = readInProgress;
     }
 
+    /** Notes that a caller has ended its side of the connection. */
+    static void setInputEnded(Inbox inbox) {
+        inbox.inputEnded = true;
+    }
+
+    /** Whether a caller is known to have ended its side of the connection; bytes before the end may still be queued. */
+    static boolean hasInputEnded(Inbox inbox) {
+        return inbox.inputEnded;
+    }
+
     /** Whether all bytes that were read from a caller's socket have been processed. */
     static boolean isEmpty(Inbox inbox) {
         return !inbox.readInProgress && inbox.unprocessedChunks.get() == 0;
--- a/daemon/src/main/java/tallyweir/net/Server.java
+++ b/daemon/src/main/java/tallyweir/net/Server.java
@@ -350,6 +350,11 @@
         }
     }
 
+    /** Whether the caller is known to have ended its connection, so that what it sent before is not to run any more. */
+    private static boolean hasLeft(IoSession caller) {
+        return caller.isClosing() || EventQueue.hasInputEnded(inbox(caller));
+    }
+
     private IoHandler callerHandler() {
         return new Handler() {
             @Override
@@ -385,9 +390,10 @@
             @Override
             public void messageReceived(IoSession session, Object message) {
                 ByteBuffer bytes = ((IoBuffer) message).buf();
+                boolean moreExpected = bytes.limit() == bytes.capacity(); // the chunk has filled its buffer
                 enqueue(session, () -> {
-                    if (session.getAttribute(CONNECTION) instanceof ConnectionId slot) {
-                        backend.read(slot, bytes);
+                    if (session.getAttribute(CONNECTION) instanceof ConnectionId slot && !hasLeft(session)) {
+                        backend.read(slot, bytes, moreExpected);
                     }
                 });
                 EventQueue.setReadInProgress(inbox(session), false);
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -933,6 +933,39 @@
         assertEquals(List.of(1, List.of()), List.of(first.runCount, sim.violations));
     }
 
+    /** Requests that a caller had sent before it left were run while the rest of them was still being read. */
+    @Test
+    void requestsWhoseCallerLeavesWithMoreUnreadDoNotRun() {
+        sim.boot();
+        int leaving = sim.openCaller();
+        sim.moreExpected = true;
+        sim.request(leaving, "u", "b", 20_000, null);
+        sim.request(leaving, "c", "b", 20_000, null);
+        sim.disconnectCaller(leaving);
+        sim.advance(1_000);
+        assertEquals(
+                List.of(0L, 2L), List.of(logged("KERNEL {\"type\":\"SCHED\""), sim.counter("queries_gone_undecided")));
+    }
+
+    /** A caller that goes on writing must be answered all the same. */
+    @Test
+    void requestsAreHeldOnlyForAShortTimeWhileMoreIsUnread() {
+        sim.boot();
+        sim.moreExpected = true;
+        Request a = sim.request(sim.openCaller(), "c", "b", 20_000, null);
+        Request aborted = sim.request(a.conn, "c", "b", 20_000, null);
+        sim.send(a.conn, Model.record(2, aborted.id, 0, new byte[0]));
+        sim.advance(490);
+        assertEquals(0, a.runCount);
+        sim.advance(20);
+        assertEquals(1, a.runCount);
+        Request next = sim.request(a.conn, "c", "b", 20_000, null);
+        assertEquals(0, next.runCount);
+        sim.moreExpected = false;
+        sim.send(a.conn, Model.request(30, new byte[0], false, 0, "SCRIPT_NAME", "/check"));
+        assertEquals(List.of(1, 0), List.of(next.runCount, aborted.runCount));
+    }
+
     /** Repeats that were aborted at full speed were kept until the run that they repeat ended, and filled the memory. */
     @Test
     void abortedRepeatsAreNotKeptWhileTheRunGoesOn() {
--- a/daemon/src/test/java/tallyweir/Simulation.java
+++ b/daemon/src/test/java/tallyweir/Simulation.java
@@ -93,6 +93,7 @@
     boolean kernelConnected;
     final List<Integer> closing = new ArrayList<>();
     final Set<Integer> unread = new HashSet<>(); // connections with bytes that have not been read yet
+    boolean moreExpected; // whether what callers send is followed by more that is unread
     boolean callersWaiting; // whether callers are waiting to be accepted
     String gaugesTag;
     LinkId gaugesLink; // the link on which the gauges were last requested
@@ -302,7 +303,7 @@
 
     void send(int conn, byte[] bytes) {
         updateClock();
-        backend.read(new ConnectionId(conn), ByteBuffer.wrap(bytes));
+        backend.read(new ConnectionId(conn), ByteBuffer.wrap(bytes), moreExpected);
     }
 
     void disconnectCaller(int conn) {
