--- a/stand/src/main/java/tallyweir/stand/StandInKernel.java
+++ b/stand/src/main/java/tallyweir/stand/StandInKernel.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 
 /**
@@ -45,6 +46,7 @@
     private long startedAt = System.nanoTime();
     private int maxExtraResultBytes;
     private volatile int callsPerRun;
+    private volatile Consumer<String> scheduleListener = job -> {};
     private final Map<String, Run> blockedRuns = new HashMap<>();
     private int incarnation;
     private final int coreCount;
@@ -203,7 +205,13 @@
         }
     }
 
+    /** Passes the id of each query that it is told to run to a listener, also of one that it is told again. */
+    public void setScheduleListener(Consumer<String> listener) {
+        scheduleListener = listener;
+    }
+
     private void onSchedule(String job, String body) {
+        scheduleListener.accept(job);
         if (!jobs.add(job)) {
             return;
         }
