--- a/tool/src/test/java/tallyweir/tool/HostileClientsTest.java
+++ b/tool/src/test/java/tallyweir/tool/HostileClientsTest.java
@@ -35,7 +35,9 @@
     private static final int ATTACK_MS = 3_000;
     private static final int FLOOD_MS = 800; // of each kind
     private static final int RECOVERY_MS = 500;
-    private static final int CONNECTIONS = 500;
+    private static final int LONG_FLOOD_MS = 20_000; // of a kind that filled the memory within half of that
+    private static final int LONG_RUN_US = 5_000_000; // longer than any caller waits
+    private static final int CONNECTIONS = 800;
     private static final int DRIP_BYTES = 7;
     private static final int DRIP_INTERVAL_MS = 50;
     private static final int WHOLE = 1 << 20; // more than any stream of a slow client
@@ -56,8 +58,12 @@
         TimeUnit.MILLISECONDS.sleep(RECOVERY_MS);
         long after = System.nanoTime();
         TimeUnit.MILLISECONDS.sleep(RECOVERY_MS);
-        server.stopSoundCallers();
         assertTrue(server.servedSince(after) > 0, server::report);
+        assertInTimeAndWithinMemory(server);
+    }
+
+    private static void assertInTimeAndWithinMemory(ServerUnderAttack server) throws Exception {
+        server.stopSoundCallers();
         assertEquals(List.of(), server.lostOrLate(), server::report);
         assertTrue(server.server().peakMemoryMb() < ServerUnderAttack.MEMORY_LIMIT_MB, server::report);
         assertFalse(server.server().log().contains("OutOfMemoryError"), server::report);
@@ -100,7 +106,8 @@
             server.attackWith(way.attack(server));
             long began = System.nanoTime();
             play(server, ATTACK_MS);
-            assertTrue(server.servedSince(began) > 0, server::report);
+            long served = server.servedSince(began);
+            assertTrue(2 * served > server.answeredSince(began), () -> served + " served; " + server.report());
             assertSound(server);
         }
     }
@@ -123,6 +130,32 @@
         }
     }
 
+    /** The caller of each query was remembered for 30 s, also of those that were refused at once. */
+    @Test
+    void oneClientSendsQueriesOfEverNewCallersForLong() throws Exception {
+        try (ServerUnderAttack server = new ServerUnderAttack(directory, SEED)) {
+            server.startSoundCallers();
+            TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
+            server.attackWith(
+                    new FloodingClient(server.address(), new HostileRequests(SEED), Kind.EXPIRED_OF_NEW_CALLERS, true));
+            play(server, LONG_FLOOD_MS);
+            assertSound(server);
+        }
+    }
+
+    /** Aborted repeats were kept until the run that they repeat ended. */
+    @Test
+    void oneClientAbortsRepeatsWhileTheirRunGoesOn() throws Exception {
+        try (ServerUnderAttack server = new ServerUnderAttack(directory, SEED, LONG_RUN_US)) {
+            server.startSoundCallers();
+            TimeUnit.MILLISECONDS.sleep(WARM_UP_MS);
+            server.attackWith(
+                    new FloodingClient(server.address(), new HostileRequests(SEED), Kind.ABORTED_REPEATS, true));
+            play(server, LONG_FLOOD_MS);
+            assertInTimeAndWithinMemory(server);
+        }
+    }
+
     /** What a client had sent before it ended its connection was run while the rest of it was still being read. */
     @Test
     void aClientLeavesWithMuchUnread() throws Exception {
--- a/tool/src/test/java/tallyweir/tool/ServerUnderAttack.java
+++ b/tool/src/test/java/tallyweir/tool/ServerUnderAttack.java
@@ -48,8 +48,13 @@
     private final List<AutoCloseable> soundCallers = new ArrayList<>();
 
     ServerUnderAttack(Path directory, long seed) throws IOException, InterruptedException {
+        this(directory, seed, RUN_US);
+    }
+
+    /** @param runUs how long each run takes, in microseconds */
+    ServerUnderAttack(Path directory, long seed, int runUs) throws IOException, InterruptedException {
         log = new RequestLog(seed);
-        kernel = new StandInKernel(null, CORES, seed, random -> RUN_US);
+        kernel = new StandInKernel(null, CORES, seed, random -> runUs);
         Files.writeString(directory.resolve("config.json"), String.format(SETTINGS, kernel.port()));
         server = new DeployedServer(directory);
     }
@@ -107,6 +112,13 @@
                 .count();
     }
 
+    /** How many requests of sound callers have been answered since then, served or not. */
+    long answeredSince(long time) {
+        return log.allOutcomes().stream()
+                .filter(outcome -> outcome.writtenAt() - time >= 0 && outcome.status() > 0)
+                .count();
+    }
+
     /** For a failed check. */
     String report() {
         try {
