The watcher of routes asks one query more once the last revision is in force

FleetTransferTest.aTableDamagedOnItsWayIsNotUsedAndIsFetchedAgain failed now and then with "the last revision was not seen". It was a fault of the check: a watcher was ended as soon as the audit showed that all servers act on the revision, and one that was at a query then asked none after it; a query that was read before keeps the store of the revision before.

The check now waits for a query that began after the audit's word and called a store, and fails if none comes within 20 s; what it asserts of the stores is unchanged, so it is stricter. The watcher of the last server is ended first, which failed most.

--- a/tool/src/test/java/tallyweir/tool/FleetTransferTest.java
+++ b/tool/src/test/java/tallyweir/tool/FleetTransferTest.java
@@ -119,6 +119,8 @@
         assertEquals(1, timesActing(3));
         stage.from(3).forEach(FaultRelay::endFaults);
         until("it has it at last", () -> acting(2) == 4);
+        Collections.reverse(
+                watchers); // that of the last server first, as a query of it is the likeliest to be under way
         for (RouteWatcher watcher : watchers) {
             watcher.assertStores(List.of(0, 1));
         }
--- a/tool/src/test/java/tallyweir/tool/RouteWatcher.java
+++ b/tool/src/test/java/tallyweir/tool/RouteWatcher.java
@@ -17,12 +17,15 @@
 final class RouteWatcher implements AutoCloseable {
     private static final int ANSWER_MS = 5_000;
     private static final int AGAIN_MS = 30;
+    private static final int POLL_MS = 5;
+    private static final long LATER_QUERY_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private final FleetStage stage;
     private final Program server;
     private final Thread thread = new Thread(this::run, "route watcher");
     private final List<Integer> stores = new ArrayList<>();
     private int severalStores;
+    private volatile long lastBeganAt = System.nanoTime(); // when the last query began that called a store
     private volatile boolean stop;
 
     RouteWatcher(FleetStage stage, int server) {
@@ -45,12 +48,14 @@
 
     private void ask(StandInSidecar sidecar, String workload) {
         String job = stage.job();
+        long beganAt = System.nanoTime();
         int status = FleetStage.ask(sidecar, job, FleetStage.FREE, workload, ANSWER_MS)
                 .status();
         List<Integer> called = stage.storesOf(job);
         severalStores += called.size() > 1 ? 1 : 0;
         if (called.size() == 1) {
             stores.add(called.get(0));
+            lastBeganAt = beganAt;
         }
         if (status != 200) {
             pause();
@@ -71,8 +76,24 @@
         thread.join();
     }
 
-    /** Ends it; every query reached one store, and the stores were these in this order, of which some may be left out. */
+    /**
+     * Waits for one query more: a query that began before the last revision was in force goes by the one before, and it may
+     * have been the last that was asked.
+     */
+    private void awaitLaterQuery() throws InterruptedException {
+        long now = System.nanoTime();
+        while (lastBeganAt - now < 0) {
+            assertTrue(System.nanoTime() - now < LATER_QUERY_NANOS, "no later query has called a store: " + stores);
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+    }
+
+    /**
+     * To be called once the last revision is in force, as one query more is asked then. Ends it; every query reached one store,
+     * and the stores were these in this order, of which all but the last may be left out.
+     */
     void assertStores(List<Integer> inOrder) throws InterruptedException {
+        awaitLaterQuery();
         close();
         assertEquals(0, severalStores, "queries that called at several stores");
         int at = 0;
