Test of hostile clients: at most half of the heap's old generation in use after an attack

The heap of the deploy file's line is committed from the start, so that the memory of the process does not show how full it is. The test collects and asks the virtual machine.

--- a/tool/src/test/java/tallyweir/tool/DeployedServer.java
+++ b/tool/src/test/java/tallyweir/tool/DeployedServer.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
@@ -19,6 +20,7 @@
 final class DeployedServer implements AutoCloseable {
     private static final String ARCHIVE = "daemon/target/tallyweir.jar";
     private static final Pattern RUN_LINE = Pattern.compile("(?m)^run = \"([^\"]*)\"");
+    private static final Pattern OLD_GENERATION = Pattern.compile("tenured generation +total (\\d+)K, used (\\d+)K");
     private static final Pattern LAST_ALLOWED_CORE = Pattern.compile("(?m)^Cpus_allowed_list:.*?(\\d+)$");
     private static final long START_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
     private static final int CONNECT_TIMEOUT_MS = 200;
@@ -136,6 +138,26 @@
                 .orElse(0);
     }
 
+    /** The share of the heap's old generation that is in use after a collection. */
+    double usedHeapShare() throws IOException, InterruptedException {
+        jcmd("GC.run");
+        Matcher usage = OLD_GENERATION.matcher(jcmd("GC.heap_info"));
+        if (!usage.find()) {
+            throw new IOException("the virtual machine does not tell how much of its heap is in use");
+        }
+        return Double.parseDouble(usage.group(2)) / Double.parseDouble(usage.group(1));
+    }
+
+    private String jcmd(String command) throws IOException, InterruptedException {
+        Path program = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        Process jcmd = new ProcessBuilder(program.toString(), Long.toString(process.pid()), command)
+                .redirectErrorStream(true)
+                .start();
+        String output = new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        jcmd.waitFor();
+        return output;
+    }
+
     String log() throws IOException {
         return Files.readString(log);
     }
--- a/tool/src/test/java/tallyweir/tool/HostileClientsTest.java
+++ b/tool/src/test/java/tallyweir/tool/HostileClientsTest.java
@@ -37,6 +37,7 @@
     private static final int RECOVERY_MS = 500;
     private static final int LONG_FLOOD_MS = 20_000; // of a kind that filled the memory
     private static final int LONG_RUN_US = 60_000_000; // longer than the attack
+    private static final double MAX_USED_HEAP_SHARE = 0.5; // after the attack; an idle server uses a tenth
     private static final int CONNECTIONS = 800;
     private static final int DRIP_BYTES = 7;
     private static final int DRIP_INTERVAL_MS = 50;
@@ -63,6 +64,8 @@
         assertEquals(List.of(), server.lostOrLate(), server::report);
         assertTrue(server.server().peakMemoryMb() < ServerUnderAttack.MEMORY_LIMIT_MB, server::report);
         assertFalse(server.server().log().contains("OutOfMemoryError"), server::report);
+        double usedHeapShare = server.server().usedHeapShare();
+        assertTrue(usedHeapShare < MAX_USED_HEAP_SHARE, () -> usedHeapShare + " of the heap; " + server.report());
     }
 
     private enum SlowWay {
