Near the stop the close of a busy connection is no longer put off by each answer

Change: a scheduled attempt is kept, and is made each millisecond while the connection is busy.

Evidence: DrainTest.connectionThatIsQuietOnlyBetweenItsRequestsIsClosedNearTheStop fails without the change (the connection is never closed).

--- a/daemon/src/main/java/tallyweir/backend/Connections.java
+++ b/daemon/src/main/java/tallyweir/backend/Connections.java
@@ -38,6 +38,8 @@
             512; // of all connections, beyond the first on each; all of them can be as large as a request may be
     private static final long CLOSE_RETRY_INTERVAL_TENTHS_MS =
             100; // pending input and output are handled before the close
+    private static final long BUSY_CLOSE_RETRY_INTERVAL_TENTHS_MS =
+            10; // near the stop: a busy connection is quiet only for a moment between two requests
     private static final long FIRST_REQUEST_WINDOW_TENTHS_MS =
             1_000; // 0.1 s, in which the first request may be on its way
     private static final long MAX_DRAIN_TENTHS_MS = 10_000; // 1 s: a peer that heeds the half-close does so sooner
@@ -444,17 +446,21 @@
             if (draining || closingWhenAnswered || owesAnswer()) {
                 return;
             }
-            if (!hasIncompleteRequest() && links.halfCloseIfQuiet(slot)) {
+            if (hasIncompleteRequest()) {
+                scheduleCloseForShutdown(CLOSE_RETRY_INTERVAL_TENTHS_MS);
+            } else if (links.halfCloseIfQuiet(slot)) {
                 counters.add(Count.CONNECTIONS_CLOSED_LEAVING);
                 startDraining();
             } else {
-                scheduleCloseForShutdown(CLOSE_RETRY_INTERVAL_TENTHS_MS);
+                scheduleCloseForShutdown(BUSY_CLOSE_RETRY_INTERVAL_TENTHS_MS);
             }
         }
 
+        /** Keeps an attempt that is scheduled: on a connection with many requests it would be put off for ever. */
         private void scheduleCloseForShutdown(long delay) {
-            deadlines.cancel(shutdownCloseRetry);
-            shutdownCloseRetry = deadlines.set(queries.now() + delay, this::closeForShutdown);
+            if (shutdownCloseRetry == null) {
+                shutdownCloseRetry = deadlines.set(queries.now() + delay, this::closeForShutdown);
+            }
         }
 
         /** Discards bytes that arrive after the half-close; their sender sees the end of the stream. */
--- a/daemon/src/test/java/tallyweir/DrainTest.java
+++ b/daemon/src/test/java/tallyweir/DrainTest.java
@@ -153,4 +153,26 @@
         sim.advance(100);
         assertEquals(1, closed(headerOnly));
     }
+
+    /** Guards against a busy connection that stays open until the kill, as each answer puts its close off. */
+    @Test
+    void connectionThatIsQuietOnlyBetweenItsRequestsIsClosedNearTheStop() {
+        sim.boot();
+        long notice = sim.now;
+        sim.backend.drain(notice);
+        advanceTo(notice + FIRST_BYTE_TENTHS_MS);
+        int conn = sim.openCaller();
+        sim.send(conn, health(1));
+        advanceTo(notice + LISTENER_CLOSES_TENTHS_MS + 10);
+        sim.unread.add(conn);
+        sim.backend.listenerClosed();
+        for (int id = 2; id < 40 && closed(conn) == 0; id++) {
+            sim.unread.add(conn);
+            sim.send(conn, health(id));
+            sim.advance(20);
+            sim.unread.clear();
+            sim.advance(30);
+        }
+        assertEquals(1, closed(conn));
+    }
 }
