A run whose start is lost with the kernel's link is released once its query is over

Some seconds later every request of every class is refused, with an idle kernel, until the process is restarted.

Cause: only a notice of the kernel ended a run, and for a run that never began none comes. Its query kept its place among the runs for ever. Starts of harmless queries are sent again after a break; that of a run with an effect can't be, as a run that did begin could end just before and would run twice.

After gone the key is free, also with results kept, and repeats that waited are refused with a time to come back; if notices were missed in between, the run may have ended among them and the key stays taken.

BackendTest.noRepeatRunsBesideARunThatOutlastsTheWindow counted commands where it means runs, and the run that outlasts its query is now requested again under its own id. It asks that the first has run once and the repeats never, and that no command names a repeat.

--- a/daemon/src/main/java/tallyweir/backend/Counters.java
+++ b/daemon/src/main/java/tallyweir/backend/Counters.java
@@ -47,6 +47,7 @@
         RUNS_BAD,
         RUNS_CUT,
         RUNS_GONE,
+        RUNS_OVERDUE,
         RUNS_NOT_DONE,
         CALLS_ASKED,
         CALLS_SENT,
--- a/daemon/src/main/java/tallyweir/backend/Delivery.java
+++ b/daemon/src/main/java/tallyweir/backend/Delivery.java
@@ -28,6 +28,11 @@
         }
     }
 
+    /** Whether the command has not been written to any link yet. */
+    boolean isWaiting() {
+        return state == State.WAITING;
+    }
+
     /** Whether the kernel is known to have read the command. */
     boolean isRead() {
         return state == State.READ;
--- a/daemon/src/main/java/tallyweir/backend/InFlight.java
+++ b/daemon/src/main/java/tallyweir/backend/InFlight.java
@@ -22,7 +22,8 @@
     boolean answered; // answered here, or its caller has disconnected
     boolean running; // handed to the kernel, or waiting for its intent to be written first
     boolean released;
-    Delivery runDelivery; // of the command that started its run, null for none
+    Delivery runDelivery; // of the last command that started its run, null for none
+    boolean endMayBeMissed; // notices were missed while it ran, so that its end may be among them
     byte[] pendingCall; // body of the call to the store that its run is blocked on
     Delivery replyDelivery; // of the reply to its last call, null once the run has made another call
     Delivery stopDelivery; // of the command that stops its run, null for none
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -224,7 +224,8 @@
 
     /**
      * Recovers the commands that may be lost, once all notices of the time without a link have been read. Runs of harmless
-     * queries and stops are sent again, which has no effect on a run that has already got them.
+     * queries and stops are sent again, which has no effect on a run that has already got them. A run with an effect could
+     * end just before it is requested again, and would run twice: it is left to {@link OverdueRuns}.
      */
     private void recoverUncertainCommands() {
         for (InFlight inFlight : queries.runningQueries()) {
@@ -266,6 +267,7 @@
         }
         if (n > lastNoticeNumber + 1) {
             counters.add(Count.KERNEL_NOTICES_MISSED);
+            queries.noticesMissed();
         }
         lastNoticeNumber = n;
         counters.add(Count.KERNEL_NOTICES);
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -54,6 +54,7 @@
     private final RateLimitedLog warnings = new RateLimitedLog(Queries.class, this::now);
     private final Slots<InFlight> slots = new Slots<>();
     private final RecentRuns recentOneShotRuns;
+    private final OverdueRuns overdueRuns;
     private final Map<JobId, InFlight> queriesByJob = new HashMap<>();
     // Null until the kernel first reports that it has booted.
     private ShadowedChoice choice;
@@ -98,6 +99,7 @@
         recentOneShotRuns = new RecentRuns(settings.maxHardLimit());
         LongSupplier linkNumbers = new AtomicLong()::incrementAndGet;
         kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
+        overdueRuns = new OverdueRuns(deadlines, counters, kernel.commands(), this::now);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
         connections = new Connections(links, deadlines, counters, this, settings, connectionLimits);
         retainedResults = resultStore == null ? null : new RetainedResults(this, resultStore);
@@ -323,8 +325,16 @@
         releaseIfDone(inFlight);
     }
 
-    /** Guards against a fault in the decisions: a query still unanswered at its deadline is failed. */
+    /** The query is over: nobody waits for its answer any more, but its run may go on. */
     private void deadlinePassed(InFlight inFlight) {
+        failIfUnanswered(inFlight);
+        if (inFlight.running) {
+            overdueRuns.add(inFlight);
+        }
+    }
+
+    /** Guards against a fault in the decisions: a query still unanswered at its deadline is failed. */
+    private void failIfUnanswered(InFlight inFlight) {
         if (!inFlight.answered && inFlight.recordingResult) {
             answerErrored(inFlight); // the disk is too slow: the query has run, and a retry will get its outcome
             retainedResults.detach(inFlight);
@@ -375,6 +385,11 @@
         }
     }
 
+    /** Notices of the kernel are lost for good: any of the runs may have ended. */
+    void noticesMissed() {
+        runningQueries().forEach(inFlight -> inFlight.endMayBeMissed = true);
+    }
+
     List<InFlight> runningQueries() {
         return slots.all().stream().filter(inFlight -> inFlight.running).toList();
     }
@@ -388,6 +403,11 @@
             }
             return;
         }
+        if (state.equals("gone") && !inFlight.endMayBeMissed) {
+            counters.add(Count.RUNS_GONE);
+            runNeverBegan(inFlight);
+            return;
+        }
         if (inFlight.resultKey != null) {
             recordedRunEnded(inFlight, state, result);
             return;
@@ -437,6 +457,29 @@
         retainedResults.runEnded(inFlight, good ? Known.GOOD : Known.BAD, result);
     }
 
+    /**
+     * The query is over and the kernel has not begun its run, nor will it. Its key is free again, and queries that waited for
+     * its result may come again.
+     */
+    private void runNeverBegan(InFlight inFlight) {
+        warnings.warn("a run had not begun when its query was over; it is released");
+        answerErrored(inFlight);
+        List<InFlight> repeatsWaiting = repeats.takeWaiting(inFlight);
+        repeats.forget(inFlight);
+        finishRun(inFlight, Outcome.SUPERSEDED, null);
+        if (inFlight.resultKey != null) {
+            retainedResults.runNeverBegan(inFlight);
+        }
+        repeatsWaiting.forEach(this::deferRepeat);
+    }
+
+    private void deferRepeat(InFlight inFlight) {
+        if (markAnswered(inFlight, Count.ANSWERED_DEFERRED)) {
+            inFlight.responder.deferred(settings.maxRetryAfter(), false);
+            choice.onRunEnded(inFlight.id, Outcome.ERRORED);
+        }
+    }
+
     /** The kernel rejected the run command: the query did not run, and would not if sent again. */
     void runRejected(JobId job) {
         InFlight inFlight = queriesByJob.get(job);
@@ -623,6 +666,7 @@
         if (inFlight != null) {
             counters.add(Count.RUNS_ASKED);
             inFlight.running = true;
+            inFlight.endMayBeMissed = false;
             inFlight.replyDelivery = null;
             inFlight.stopDelivery = null;
             repeats.runStarted(inFlight);
--- a/daemon/src/main/java/tallyweir/backend/Repeats.java
+++ b/daemon/src/main/java/tallyweir/backend/Repeats.java
@@ -117,6 +117,18 @@
         }
     }
 
+    /** Removes and returns the queries that wait for the result of this query's run. */
+    List<InFlight> takeWaiting(InFlight inFlight) {
+        Entry e = inFlight.repeatEntry;
+        if (e == null || !inFlight.id.equals(e.owner)) {
+            return List.of();
+        }
+        List<InFlight> taken = List.copyOf(e.waiting);
+        e.waiting.clear();
+        waitingCount -= taken.size();
+        return taken;
+    }
+
     /** A run has ended; returns the queries that waited for its result. */
     List<InFlight> ended(InFlight inFlight, byte[] result, long now) {
         Entry e = inFlight.repeatEntry;
@@ -129,10 +141,7 @@
         if (e.expiry == null) {
             remove(e);
         }
-        List<InFlight> served = List.copyOf(e.waiting);
-        e.waiting.clear();
-        waitingCount -= served.size();
-        return served;
+        return takeWaiting(inFlight);
     }
 
     /** Whether the earlier query's run has ended; if not, enqueues this query to wait for it. */
--- a/daemon/src/main/java/tallyweir/backend/RetainedResults.java
+++ b/daemon/src/main/java/tallyweir/backend/RetainedResults.java
@@ -116,6 +116,11 @@
         keys.onRunEnded(runId(inFlight), known, result);
     }
 
+    /** The run has not begun and never will: its key is free again once its intent has been deleted. */
+    void runNeverBegan(InFlight inFlight) {
+        keys.onNeverBegan(runId(inFlight));
+    }
+
     /** Settles a run of the previous process; returns false if the job isn't one. */
     boolean previousRunEnded(JobId job, Known known, byte[] result) {
         RunId run = previousRuns.remove(job);
--- a/daemon/src/test/java/tallyweir/BackendTest.java
+++ b/daemon/src/test/java/tallyweir/BackendTest.java
@@ -391,12 +391,17 @@
         Request c = sim.request(a.conn, "k", "b", 20_000, "m");
         sim.endRun(a.job, "good", "made");
         advanceWithGauges(100_000);
-        assertEquals(1, logged("KERNEL {\"type\":\"SCHED\""));
+        assertEquals(List.of(1, 0, 0), List.of(a.runCount, b.runCount, c.runCount));
+        assertEquals(0, logged(runCommand(b)) + logged(runCommand(c)), "only the first may be requested, also again");
         assertEquals("made", onlyAnswer(c).body());
         assertEquals(1, b.answers);
         assertEquals(0, sim.counter("now_entries"));
     }
 
+    private static String runCommand(Request query) {
+        return "KERNEL {\"type\":\"SCHED\",\"job\":\"" + query.job;
+    }
+
     /** Guards against repeats of a cut stamped run that wait until their own deadline. */
     @Test
     void repeatsOfACutRunAreErroredAtOnce() {
--- a/daemon/src/test/java/tallyweir/RetainedResultsTest.java
+++ b/daemon/src/test/java/tallyweir/RetainedResultsTest.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import tallyweir.Simulation.Request;
+import tallyweir.backend.Peer;
 import tallyweir.ids.JobId;
 import tallyweir.results.IdempotencyKey;
 import tallyweir.results.Known;
@@ -100,7 +101,7 @@
         sim.updateClock();
         sim.backend.start();
         sim.kernelConnected = true;
-        sim.openLink(tallyweir.backend.Peer.KERNEL);
+        sim.openLink(Peer.KERNEL);
         sim.sendFromKernel("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":" + (sameKernel ? 60_000 : 1) + "}");
         sim.sendFromKernel("{\"type\":\"INFO\",\"ref\":\"resumed\",\"gauges\":[]}");
         if (sameKernel) {
@@ -324,4 +325,29 @@
         assertTrue(sim.jobs.containsKey(a.job));
         assertEquals(1, disk.intentsAtStart().size());
     }
+
+    /** Guards against a key that counts as used for its whole window though its run was lost and has never begun. */
+    @Test
+    void lostRunLeavesNoRecordAndALaterQueryRuns() {
+        sim.boot();
+        sim.kernelReadsLate = true;
+        Request a = ask("m", "b");
+        completeDisk(true);
+        sim.breakLink(Peer.KERNEL);
+        sim.connectKernel();
+        sim.advance(10_000);
+        Request b = ask("m", "b");
+        for (int i = 0; i < 16; i++) {
+            sim.advance(1_000);
+            sim.sendGauges();
+        }
+        completeDisk(true);
+        assertEquals(List.of(500, 503, 0), List.of(status(a), status(b), a.runCount));
+        assertEquals(List.of(0, 0L), List.of(disk.written.size(), sim.counter("now_queries")));
+        Request c = ask("m", "b");
+        completeDisk(true);
+        sim.readCommands();
+        assertTrue(sim.jobs.containsKey(c.job), "the later query does not run");
+        assertEquals(List.of(), sim.violations);
+    }
 }
--- a/daemon/src/test/java/tallyweir/Simulation.java
+++ b/daemon/src/test/java/tallyweir/Simulation.java
@@ -99,16 +99,26 @@
     LinkId gaugesLink; // the link on which the gauges were last requested
     boolean kernelReadsLate; // commands stay unread until readCommands
     final ArrayDeque<String> unreadCommands = new ArrayDeque<>();
+    private final ArrayDeque<String> refusedRuns = new ArrayDeque<>(); // not started as their requests are over
 
     Simulation() {
-        this(null, 1_000_000);
+        this(CONFIG, null, 1_000_000);
+    }
+
+    /** Stops runs in the given way, by the word of the settings. */
+    Simulation(String halt) {
+        this(CONFIG.replace("\"Halt\":\"abort\"", "\"Halt\":\"" + halt + "\""), null, 1_000_000);
     }
 
     /** Retains results over restarts in the given store; the process starts at the given time. */
     Simulation(ResultStore resultStore, long startAt) {
+        this(CONFIG, resultStore, startAt);
+    }
+
+    private Simulation(String config, ResultStore resultStore, long startAt) {
         now = startAt;
         backend = new Backend(
-                this, Config.parse(CONFIG.getBytes(UTF_8), Map.of()), startAt, startAt + wallOffset, resultStore);
+                this, Config.parse(config.getBytes(UTF_8), Map.of()), startAt, startAt + wallOffset, resultStore);
     }
 
     void updateClock() {
@@ -221,6 +231,7 @@
 
     void sendGauges() {
         readCommands();
+        reportRefusedRuns();
         sendFromKernel("{\"type\":\"INFO\",\"ref\":\"" + gaugesTag + "\",\"gauges\":[0.1,1]}");
     }
 
@@ -321,6 +332,14 @@
             backend.runDue();
             check();
             closePending();
+            reportRefusedRuns();
+        }
+    }
+
+    /** The kernel tells of the runs that it has not started; without a link it does so on the next one. */
+    private void reportRefusedRuns() {
+        while (openLinks.containsValue(Peer.KERNEL) && !refusedRuns.isEmpty()) {
+            sendNotice("REAP", refusedRuns.remove(), "gone", "");
         }
     }
 
@@ -468,7 +487,9 @@
         String job = field(text, "job");
         String data = new String(Base64.getDecoder().decode(field(text, "data")), UTF_8);
         Request a = requestOf(job);
-        if (text.contains("SCHED") && !jobs.containsKey(job)) {
+        if (text.contains("SCHED") && !jobs.containsKey(job) && (a.answers > 0 || a.aborted)) {
+            refusedRuns.add(job);
+        } else if (text.contains("SCHED") && !jobs.containsKey(job)) {
             violationIf(
                     !field(text, "kind").equals(a.workload) || !data.equals(a.body),
                     "run with another workload or body " + job);
--- a/results/src/main/java/tallyweir/results/Explorer.java
+++ b/results/src/main/java/tallyweir/results/Explorer.java
@@ -139,6 +139,7 @@
             running.forEach(r -> all.add("kernel ends " + r));
             if (up) {
                 ended.stream().filter(startedRuns::contains).forEach(r -> all.add("notice " + r));
+                sent.stream().filter(startedRuns::contains).forEach(r -> all.add("never " + r));
                 found.forEach(r -> all.add("nobody knows " + r));
             }
             if (up && !crashed) {
@@ -198,6 +199,11 @@
                     found.remove((long) i);
                     tracker.onRunEnded(new RunId(i), Known.GOOD, new byte[] {(byte) i});
                 }
+                case "never" -> {
+                    sent.remove((long) i); // lost on its way, and reported so by the kernel
+                    startedRuns.remove((long) i);
+                    tracker.onNeverBegan(new RunId(i));
+                }
                 case "nobody" -> {
                     long run = Long.parseLong(a[2]);
                     found.remove(run);
--- a/results/src/main/java/tallyweir/results/IdempotencyTracker.java
+++ b/results/src/main/java/tallyweir/results/IdempotencyTracker.java
@@ -62,6 +62,7 @@
         private boolean startRequested; // the scheduler has asked for its start
         private boolean givenUp; // the scheduler has given it up
         private boolean runEnded; // the run has ended, or its end can't be determined
+        private boolean neverBegan; // its start was requested, but it is proven that it has not begun and never will
         private boolean ioDone; // the current write or read has finished,
         private boolean ioFailed; // and failed
         private boolean dropped; // removed from memory
@@ -106,6 +107,7 @@
                 () -> (current.stage == Stage.RECORDING_INTENT && current.ioDone || current.stage == Stage.READY)
                         && current.givenUp,
                 this::deleteIntent);
+        rules.add(() -> current.stage == Stage.STARTED && current.neverBegan, this::deleteIntent);
         rules.add(() -> current.stage == Stage.STARTED && current.givenUp && !isOn(Guard.PROOF), this::deleteIntent);
         rules.add(
                 () -> current.stage == Stage.RECORDING_INTENT
@@ -242,6 +244,11 @@
         });
     }
 
+    /** It is proven that a run whose start was requested has not begun and never will. */
+    public void onNeverBegan(RunId run) {
+        update(run, entry -> entry.neverBegan = !entry.runEnded);
+    }
+
     // ---- the disk
 
     /** @param success whether the intent is on the disk; if false, it may still be found there after a restart */
@@ -416,6 +423,7 @@
                 + entry.startRequested
                 + entry.givenUp
                 + entry.runEnded
+                + entry.neverBegan
                 + entry.ioDone
                 + entry.ioFailed
                 + entry.known
--- a/results/src/test/java/tallyweir/results/IdempotencyTrackerModelTest.java
+++ b/results/src/test/java/tallyweir/results/IdempotencyTrackerModelTest.java
@@ -173,6 +173,12 @@
             }
         }
 
+        void neverBegan(ModelEntry x) {
+            x.deletingIntent = true;
+            actions.add("withdraw " + x.run);
+            notBegun(x);
+        }
+
         private void notBegun(ModelEntry x) {
             x.waiters.forEach(a -> actions.add("not begun " + a.copy));
             x.waiters.clear();
@@ -308,6 +314,9 @@
                 }
                 tracker.onOutcomeRecorded(run, good);
                 model.recorded(x, good);
+            } else if (x.started && x.known == null && random.nextInt(5) == 0) {
+                tracker.onNeverBegan(run);
+                model.neverBegan(x);
             } else if (x.started && x.known == null) {
                 Known known = Known.values()[random.nextInt(3)];
                 byte result = (byte) random.nextInt(100);
