One run that never ends no longer has every query refused

Cause: Choice takes for the duration of a run at least the mean age of the runs on the cores, and that age had no bound. Past the expected times nothing seemed to be in time, so nothing was run and nothing corrected the estimate.

Change: the age of a run counts up to twice its hard limit, and that of a run that may be lost (its start, the reply to its call, or its end among missed notices) not from when that is known: Choice.onRunUncertain. Each still counts as on the cores. If the gauges show all cores taken and none of the runs counts, all their ages do, so that a stall of the cores shows as before.

Evidence: on the text before, FailuresTest.oneRunThatNeverEndsDoesNotHaveOthersRefused and runThatMayBeLostDoesNotHaveOthersRefused fail with "expected: <running> but was: <over>" (the latter with an empty onRunUncertain added), LostRunTest.othersAreServedBesideARunWithoutEnd with "expected: <[200, 200]> but was: <[503, 503]>" for each effect, othersAreServedWhileARunMayBeLost for one-shot runs with <[200, 503]>. The other new tests pass there too: they guard what the change must not break.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -452,6 +452,17 @@
         applyRules();
     }
 
+    /**
+     * It isn't known whether a run that was started is on the cores: its start, the reply to its call or its end may be
+     * lost.
+     */
+    public void onRunUncertain(QueryId id) {
+        Query q = liveQueries.get(id);
+        if (q != null && q.state == RUNNING) {
+            concurrency.disregardAge(q);
+        }
+    }
+
     /** A run has reached its call to the store and is blocked until the call is made. */
     public void onBlockedOnCall(QueryId id) {
         Query q = liveQueries.get(id);
@@ -775,7 +786,7 @@
 
     /** Mean duration of a run; no less than the mean age of the runs on the cores, so that a stall shows at once. */
     private long meanRunDuration() {
-        return Math.max((long) runDurations.mean(now), concurrency.meanAge(now));
+        return Math.max((long) runDurations.mean(now), concurrency.meanAge(now, runQueue >= cores));
     }
 
     /** Estimated time that an incoming query of this revenue waits for a core. */
--- a/core/src/main/java/tallyweir/Query.java
+++ b/core/src/main/java/tallyweir/Query.java
@@ -44,6 +44,7 @@
     boolean wasBlocked; // was blocked on a call at least once
     long startedAt;
     long coreStartAt; // when the query would have started, had it stayed on the cores without a break
+    long ageTellsUntil; // while on the cores: when its age there no longer tells how long runs take
     long coreTime; // time spent on the cores up to the last break
     long calledAt;
     long callDeadline;
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import tallyweir.Model.ModelQuery;
+import tallyweir.ids.QueryId;
 
 /** Regression tests: one for each fault found in simulations or by the generated tests. */
 class FailuresTest {
@@ -471,4 +472,58 @@
         }
         assertEquals(List.of(), model.violations);
     }
+
+    /** One run that never ended had every query refused: the mean age of the runs on the cores grew without bound. */
+    @Test
+    void oneRunThatNeverEndsDoesNotHaveOthersRefused() {
+        model.read(2, 0, 40_000, 10, false, null);
+        model.pass(2 * Model.HARD_LIMIT_TENTHS_MS + 100, 0.25, 1);
+        assertRuns(0);
+        assertRuns(2);
+        assertRuns(3);
+    }
+
+    /** A run whose start was lost had others refused from the expected time on, as its age counted. */
+    @Test
+    void runThatMayBeLostDoesNotHaveOthersRefused() {
+        ModelQuery lost = model.read(2, 0, 40_000, 10, false, null);
+        model.choice.onRunUncertain(new QueryId(lost.id));
+        model.pass(20_000, 0, 0);
+        assertRuns(0);
+        assertRuns(2);
+        assertRuns(3);
+    }
+
+    private void assertRuns(int workload) {
+        ModelQuery q = model.read(workload, 0, 40_000, 10, false, null);
+        assertEquals("running", q.state, Model.WORKLOADS[workload]);
+        model.runEnded(q, Outcome.COMPLETED);
+    }
+
+    /** While the cores stand still, runs that are stuck on all of them must not pass for an idle server. */
+    @Test
+    void stallShowsWhenAllRunsAreStuck() {
+        for (int i = 0; i < Model.CORES; i++) {
+            assertEquals("running", model.read(2, 0, 40_000, 10, false, null).state);
+        }
+        model.pass(2 * Model.HARD_LIMIT_TENTHS_MS + 100, 1, Model.CORES);
+        long before = count("defer");
+        model.read(3, 0, 40_000, 10, false, null);
+        model.read(0, 0, 40_000, 10, false, null);
+        assertEquals(2, count("defer") - before);
+    }
+
+    /** Runs that may be lost hold all cores of the books, but the kernel's own cores are free: others run all the same. */
+    @Test
+    void asManyRunsAsCoresMayBeLostWithoutAStall() {
+        for (int i = 0; i < Model.CORES; i++) {
+            ModelQuery lost = model.read(2, 0, 40_000, 10, false, null);
+            model.choice.onRunUncertain(new QueryId(lost.id));
+        }
+        model.pass(4_000, 0, 0);
+        ModelQuery next = model.read(3, 0, 40_000, 10, false, null);
+        assertEquals("held", next.state);
+        model.pass(1_100, 0, 0);
+        assertEquals("running", next.state);
+    }
 }
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -229,12 +229,11 @@
      */
     private void recoverUncertainCommands() {
         for (InFlight inFlight : queries.runningQueries()) {
-            if (Delivery.isUncertain(inFlight.runDelivery)
-                    && inFlight.pendingCall == null
-                    && queries.isHarmless(inFlight)) {
-                commands.run(inFlight);
+            if (Delivery.isUncertain(inFlight.runDelivery) && inFlight.pendingCall == null) {
+                recoverRun(inFlight);
             }
             if (Delivery.isUncertain(inFlight.replyDelivery)) {
+                queries.runUncertain(inFlight);
                 awaitProgress(inFlight);
             }
             if (Delivery.isUncertain(inFlight.stopDelivery)) {
@@ -243,6 +242,14 @@
         }
     }
 
+    private void recoverRun(InFlight inFlight) {
+        if (queries.isHarmless(inFlight)) {
+            commands.run(inFlight);
+        } else {
+            queries.runUncertain(inFlight);
+        }
+    }
+
     /**
      * Gives a run time to show that it got the reply to its call. The reply is never sent again: it names only the job, so
      * a run that did get it would take a copy for the reply to its next call.
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -378,6 +378,11 @@
         }
     }
 
+    /** It isn't known whether the run is on the cores: its start, the reply to its call or its end may be lost. */
+    void runUncertain(InFlight inFlight) {
+        choice.onRunUncertain(inFlight.id);
+    }
+
     /** Stops a run that makes no progress, so that its query runs again; only if the query is harmless. */
     void stopStuckRun(InFlight inFlight) {
         if (inFlight.stopDelivery == null && canCancelRuns && isHarmless(inFlight)) {
@@ -387,7 +392,10 @@
 
     /** Notices of the kernel are lost for good: any of the runs may have ended. */
     void noticesMissed() {
-        runningQueries().forEach(inFlight -> inFlight.endMayBeMissed = true);
+        for (InFlight inFlight : runningQueries()) {
+            inFlight.endMayBeMissed = true;
+            runUncertain(inFlight);
+        }
     }
 
     List<InFlight> runningQueries() {
--- a/daemon/src/main/java/tallyweir/backend/ShadowedChoice.java
+++ b/daemon/src/main/java/tallyweir/backend/ShadowedChoice.java
@@ -240,6 +240,11 @@
         });
     }
 
+    @Override
+    public void onRunUncertain(QueryId id) {
+        dispatch(() -> super.onRunUncertain(id), () -> shadow.onRunUncertain(id));
+    }
+
     @Override
     public void onBlockedOnCall(QueryId id) {
         dispatch(() -> super.onBlockedOnCall(id), () -> shadow.onBlockedOnCall(id));
--- a/daemon/src/test/java/tallyweir/LostRunTest.java
+++ b/daemon/src/test/java/tallyweir/LostRunTest.java
@@ -20,6 +20,7 @@
 /** Runs whose start or end is lost on the way to or from the kernel, which therefore never tells of their end by itself. */
 class LostRunTest {
     private static final long CALLER_TIMEOUT_TENTHS_MS = 20_000;
+    private static final long HARD_LIMIT_TENTHS_MS = 46_000; // of each workload of the simulation
     private static final long UNTIL_RELEASED_TENTHS_MS = CALLER_TIMEOUT_TENTHS_MS + 6_000;
     private static final long GAUGE_INTERVAL_TENTHS_MS = 1_000;
     private static final String RUN_COMMAND = "KERNEL {\"type\":\"SCHED\"";
@@ -234,6 +235,53 @@
         assertNothingLeft();
     }
 
+    /** Guards against refusals of other queries while it isn't known whether a run has begun. */
+    @ParameterizedTest
+    @ValueSource(strings = {"k", "u"})
+    void othersAreServedWhileARunMayBeLost(String workload) {
+        boot();
+        sim.request(sim.openCaller(), workload, "b", HARD_LIMIT_TENTHS_MS, "m");
+        breakLink();
+        advanceWithGauges(30_000);
+        assertEquals(List.of(200, 200), List.of(served("c"), served("u")));
+        advanceWithGauges(30_000);
+        assertNothingLeft();
+    }
+
+    /** Guards against refusals of everything for as long as one run does not end. */
+    @ParameterizedTest
+    @ValueSource(strings = {"c", "k", "u"})
+    void othersAreServedBesideARunWithoutEnd(String workload) {
+        boot();
+        request(workload, "m");
+        sim.readCommands();
+        advanceWithGauges(2 * HARD_LIMIT_TENTHS_MS + GAUGE_INTERVAL_TENTHS_MS);
+        for (int i = 0; i < 40; i++) {
+            advanceWithGauges(GAUGE_INTERVAL_TENTHS_MS);
+            assertEquals(List.of(200, 200), List.of(served("c"), served("u")), "after " + i + " intervals");
+        }
+    }
+
+    /** Guards against a core that is given away while the run of a query that is over is on it. */
+    @Test
+    void coresOfRunsWithoutEndAreNotGivenAway() {
+        boot();
+        List<Request> runs = List.of(request("k", "m"), request("u", null));
+        breakLink();
+        for (Request query : runs) {
+            sim.jobs.put(query.job, "runs"); // they had begun, though the kernel has not confirmed it
+        }
+        for (int i = 0; i < 300; i++) {
+            sim.advance(GAUGE_INTERVAL_TENTHS_MS);
+            sim.readCommands();
+            sim.sendFromKernel("{\"type\":\"INFO\",\"ref\":\"" + sim.gaugesTag + "\",\"gauges\":[1.0,2]}");
+            Request other = request("c", null);
+            sim.readCommands();
+            assertEquals(0, other.runCount, "after " + i + " intervals");
+        }
+        assertEquals(List.of(), sim.violations);
+    }
+
     /** Guards against a run whose end is among notices that the kernel no longer keeps. */
     @ParameterizedTest
     @ValueSource(strings = {"c", "k", "u"})
