A kernel's report that is read late is no longer taken for a restart of the kernel

What callers saw: with a pause of over a second of the process right after the kernel's link broke, queries with an effect were answered with 500 and forgotten while their runs went on.

Cause: BOOTED tells how long ago the kernel started, counted when it was written; the backend counted from when it was read, so that a late reading looked like a later start.

Change: the report can't be older than its link. Only if the start is too late counted from the link's opening has the kernel restarted, and a late reading no longer moves the known start.

Evidence: KernelLinkTest.aReportThatIsReadLateIsNotTakenForARestart failed before with "expected: <[0, 1]> but was: <[500, 0]>".

--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -41,7 +41,8 @@
     private LinkHandover handover; // to a link that is open and is about to replace it, or null
     private boolean booted; // whether the kernel has reported its boot on the link that is in use
     private int linkGeneration; // number of links that have been in use so far
-    private long kernelStartedAt = Long.MAX_VALUE / 2; // start time reported by the kernel
+    private long openedAt; // when the link that is in use was opened
+    private long kernelStartedAt = Long.MAX_VALUE / 2; // the kernel did not start later than this
     private long lastNoticeNumber;
     private long lastGaugesTag;
     private long lastHandoverTag;
@@ -140,6 +141,7 @@
         unansweredGaugeRequests = 0;
         booted = false;
         notices = new NoticeReader(this);
+        openedAt = queries.now();
         links.sendToPeer(link, Commands.open(lastNoticeNumber));
     }
 
@@ -208,13 +210,14 @@
                 .addKeyValue("since_ms", before / 10)
                 .addKeyValue("at_start", fresh ? "cold" : "warm")
                 .log("the kernel is up");
-        if (queries.now() - before > kernelStartedAt + START_TOLERANCE_TENTHS_MS) {
-            // The kernel has restarted: its notice numbers start again and none of the earlier runs is left.
+        if (hasRestarted(before)) {
+            // Its notice numbers start again and none of the earlier runs is left.
             lastNoticeNumber = 0;
             commands.discardWaiting();
             queries.kernelLost();
+            kernelStartedAt = Long.MAX_VALUE / 2;
         }
-        kernelStartedAt = queries.now() - before;
+        kernelStartedAt = Math.min(kernelStartedAt, queries.now() - before);
         commands.sendOn(link);
         if (linkGeneration > 1) {
             commands.requestGauges(RESUMED_TAG); // its reply comes after all repeated notices
@@ -222,6 +225,15 @@
         queries.kernelBooted(fresh, before);
     }
 
+    /**
+     * Whether another kernel answers than before. The report may lie unread while this process is paused, so its time of reading
+     * tells only that the kernel did not start later. It was written after the link was opened, so it did not start earlier
+     * than by that time.
+     */
+    private boolean hasRestarted(long before) {
+        return openedAt - before > kernelStartedAt + START_TOLERANCE_TENTHS_MS;
+    }
+
     /**
      * Recovers the commands that may be lost, once all notices of the time without a link have been read. Runs of harmless
      * queries and stops are sent again, which has no effect on a run that has already got them. A run with an effect could
--- a/daemon/src/test/java/tallyweir/KernelLinkTest.java
+++ b/daemon/src/test/java/tallyweir/KernelLinkTest.java
@@ -245,6 +245,20 @@
         assertEquals(0, logged("KERNEL {\"type\":\"PREEMPT\""), sim.log.toString());
     }
 
+    /** Guards against runs that are forgotten, as the kernel's report on a new link lies unread while the process is paused. */
+    @Test
+    void aReportThatIsReadLateIsNotTakenForARestart() {
+        Request a = running("u");
+        sim.breakLink(Peer.KERNEL);
+        sim.openLink(Peer.KERNEL);
+        String report = "{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":" + (sim.now / 10 - 99_999) + "}";
+        sim.now += 15_000;
+        sim.sendFromKernel(report);
+        assertEquals(List.of(0, 1L), List.of(status(a), sim.counter("now_queries")));
+        sim.endRun(a.job, "good", "made");
+        assertEquals(200, status(a));
+    }
+
     /** Guards against a one-shot query whose start was lost with the link and that keeps its place among the runs for ever. */
     @Test
     void oneShotRunWhoseStartWasLostIsReleasedAfterItsDueTime() {
