A run whose end was missed is recorded as unknown, and its key stays taken

What callers saw: after a gap in the kernel's notices a stamped query whose run may have ended well was recorded as failed (with results kept), or its key was free again if the kernel answered with EINVAL, so that a repeat ran.

Cause: gone and EINVAL prove that nothing ran only if no notice was missed since the start.

Change: with missed notices the outcome is recorded as unknown, and EINVAL does not free the key.

--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -462,7 +462,8 @@
             answerErrored(inFlight);
         }
         finishRun(inFlight, good ? Outcome.COMPLETED : Outcome.ERRORED, null);
-        retainedResults.runEnded(inFlight, good ? Known.GOOD : Known.BAD, result);
+        boolean mayHaveEnded = state.equals("gone"); // among notices that were missed
+        retainedResults.runEnded(inFlight, good ? Known.GOOD : mayHaveEnded ? Known.UNKNOWN : Known.BAD, result);
     }
 
     /**
@@ -493,7 +494,9 @@
         InFlight inFlight = queriesByJob.get(job);
         if (inFlight != null && inFlight.running) {
             answerErrored(inFlight);
-            repeats.forget(inFlight);
+            if (!inFlight.endMayBeMissed) {
+                repeats.forget(inFlight);
+            }
             finishRun(inFlight, Outcome.SUPERSEDED, null);
             if (inFlight.resultKey != null) {
                 retainedResults.runEnded(inFlight, Known.BAD, null);
--- a/daemon/src/test/java/tallyweir/LostRunTest.java
+++ b/daemon/src/test/java/tallyweir/LostRunTest.java
@@ -70,13 +70,6 @@
                 .count();
     }
 
-    /** The run has ended, and the notice of it is not among those that the backend reads. */
-    private static void missEnd(Simulation sim, String job) {
-        sim.jobs.remove(job);
-        sim.lastNotice++;
-        sim.sendFromKernel("{\"type\":\"DMESG\",\"n\":" + ++sim.lastNotice + ",\"state\":\"after a gap\"}");
-    }
-
     private int served(String workload) {
         Request query = request(workload, null);
         sim.readCommands();
@@ -289,7 +282,7 @@
         boot();
         Request query = request(workload, "m");
         sim.readCommands();
-        missEnd(sim, query.job);
+        sim.missEnd(query.job);
         advanceWithGauges(UNTIL_RELEASED_TENTHS_MS);
         assertEquals(1, sim.counter("kernel_notices_missed"));
         assertEquals(1, query.runCount);
@@ -297,12 +290,17 @@
     }
 
     /** Guards against a key that is free though what ran under it may have had its effect: its end was missed. */
-    @Test
-    void keyOfARunWhoseEndWasMissedStaysTaken() {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void keyOfARunWhoseEndWasMissedStaysTaken(boolean kernelForgets) {
         boot();
         Request query = request("k", "m");
         sim.readCommands();
-        missEnd(sim, query.job);
+        sim.missEnd(query.job);
+        if (kernelForgets) {
+            advanceWithGauges(CALLER_TIMEOUT_TENTHS_MS);
+            sim.sendFromKernel("{\"type\":\"EINVAL\",\"state\":\"SCHED\",\"job\":\"" + query.job + "\"}");
+        }
         advanceWithGauges(UNTIL_RELEASED_TENTHS_MS);
         Request repeat = request("k", "m");
         sim.readCommands();
@@ -388,7 +386,7 @@
         } else if (kind < 10) {
             sim.readCommands();
         } else if (kind == 10 && sim.kernelConnected && !sim.jobs.isEmpty()) {
-            missEnd(sim, sim.jobs.keySet().iterator().next());
+            sim.missEnd(sim.jobs.keySet().iterator().next());
         }
     }
 }
--- a/daemon/src/test/java/tallyweir/RetainedResultsTest.java
+++ b/daemon/src/test/java/tallyweir/RetainedResultsTest.java
@@ -350,4 +350,19 @@
         assertTrue(sim.jobs.containsKey(c.job), "the later query does not run");
         assertEquals(List.of(), sim.violations);
     }
+
+    /** Guards against a record that a query has failed, though nobody can tell: its end is among notices that were missed. */
+    @Test
+    void runWhoseEndWasMissedIsRecordedAsUnknown() {
+        sim.boot();
+        Request a = ask("m", "b");
+        completeDisk(true);
+        sim.missEnd(a.job);
+        sim.advance(26_000);
+        completeDisk(true);
+        assertEquals(
+                List.of(Known.UNKNOWN),
+                disk.written.values().stream().map(record -> record.known()).toList());
+        assertEquals(0L, sim.counter("now_queries"));
+    }
 }
--- a/daemon/src/test/java/tallyweir/Simulation.java
+++ b/daemon/src/test/java/tallyweir/Simulation.java
@@ -244,6 +244,13 @@
         sendNotice("REAP", job, state, result);
     }
 
+    /** The run has ended, and the notice of it is not among those that the backend reads. */
+    void missEnd(String job) {
+        jobs.remove(job);
+        lastNotice++;
+        sendFromKernel("{\"type\":\"DMESG\",\"n\":" + ++lastNotice + ",\"state\":\"after a gap\"}");
+    }
+
     void sendNotice(String type, String job, String state, String data) {
         if (type.equals("IOREQ")) {
             callBodies.put(job, data);
