Queries split up: table of queries, answers, runs and gauges are classes of their own

How a run has ended is a type, RunEnd, in place of the kernel's word; ParsersTest names its value where it named the word.

No behaviour is changed.

--- a/daemon/src/main/java/tallyweir/backend/FleetMembership.java
+++ b/daemon/src/main/java/tallyweir/backend/FleetMembership.java
@@ -201,7 +201,8 @@
 
     @Override
     public QueryCounts endedQueries() {
-        return new QueryCounts(queries.finishedCount(), queries.erroredOrLateCount());
+        return new QueryCounts(
+                queries.answers().finishedCount(), queries.answers().erroredOrLateCount());
     }
 
     @Override
--- a/daemon/src/main/java/tallyweir/backend/InFlight.java
+++ b/daemon/src/main/java/tallyweir/backend/InFlight.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32C;
+import tallyweir.Effect;
 import tallyweir.ids.JobId;
 import tallyweir.ids.LinkId;
 import tallyweir.ids.QueryId;
@@ -15,10 +16,11 @@
 final class InFlight {
     final JobId job; // its id on the links, as the caller sent it
     final WorkloadId workload;
+    final Effect effect;
     final byte[] body; // as the caller sent it
     final QueryResponder responder;
     QueryId id;
-    int slot;
+    boolean knownByIdOnly; // its result is not kept, so that only its id tells that it has run
     boolean answered; // answered here, or its caller has disconnected
     boolean running; // handed to the kernel, or waiting for its intent to be written first
     boolean released;
@@ -36,13 +38,18 @@
     IdempotencyKey resultKey; // key of its retained result; null if none is retained
     boolean recordingResult; // its run has ended and its answer waits until the result is on the disk
 
-    InFlight(JobId job, WorkloadId workload, byte[] body, QueryResponder responder) {
+    InFlight(JobId job, WorkloadId workload, Effect effect, byte[] body, QueryResponder responder) {
         this.job = job;
         this.workload = workload;
+        this.effect = effect;
         this.body = body;
         this.responder = responder;
     }
 
+    boolean isHarmless() {
+        return effect == Effect.HARMLESS;
+    }
+
     /** Digest by which two bodies under the same key are told apart. */
     long bodyDigest() {
         CRC32C crc = new CRC32C();
--- a/daemon/src/main/java/tallyweir/backend/Kernel.java
+++ b/daemon/src/main/java/tallyweir/backend/Kernel.java
@@ -9,6 +9,7 @@
 import tallyweir.ids.LinkId;
 import tallyweir.kernel.Commands;
 import tallyweir.kernel.NoticeReader;
+import tallyweir.kernel.RunEnd;
 
 /**
  * The link to the kernel. Checks the numbers of notices, reconnects after a break and recovers what may be lost with a
@@ -32,6 +33,7 @@
     private final Deadlines deadlines;
     private final Counters counters;
     private final Queries queries;
+    private final Runs runs;
     private final KernelCommands commands;
     private final RateLimitedLog warnings;
     private final PeerMonitor monitor;
@@ -48,12 +50,13 @@
     private long lastHandoverTag;
     private int unansweredGaugeRequests;
 
-    Kernel(Links links, LongSupplier numbers, Deadlines deadlines, Counters counters, Queries queries) {
+    Kernel(Links links, LongSupplier numbers, Deadlines deadlines, Counters counters, Queries queries, Runs runs) {
         this.links = links;
         this.linkNumbers = numbers;
         this.deadlines = deadlines;
         this.counters = counters;
         this.queries = queries;
+        this.runs = runs;
         warnings = new RateLimitedLog(Kernel.class, queries::now);
         commands = new KernelCommands(links, warnings);
         monitor = new PeerMonitor(links, deadlines, counters, Peer.KERNEL);
@@ -214,7 +217,7 @@
             // Its notice numbers start again and none of the earlier runs is left.
             lastNoticeNumber = 0;
             commands.discardWaiting();
-            queries.kernelLost();
+            runs.kernelLost();
             kernelStartedAt = Long.MAX_VALUE / 2;
         }
         kernelStartedAt = Math.min(kernelStartedAt, queries.now() - before);
@@ -240,12 +243,12 @@
      * end just before it is requested again, and would run twice: it is left to {@link OverdueRuns}.
      */
     private void recoverUncertainCommands() {
-        for (InFlight inFlight : queries.runningQueries()) {
+        for (InFlight inFlight : runs.inProgress()) {
             if (Delivery.isUncertain(inFlight.runDelivery) && inFlight.pendingCall == null) {
                 recoverRun(inFlight);
             }
             if (Delivery.isUncertain(inFlight.replyDelivery)) {
-                queries.runUncertain(inFlight);
+                runs.uncertain(inFlight);
                 awaitProgress(inFlight);
             }
             if (Delivery.isUncertain(inFlight.stopDelivery)) {
@@ -255,10 +258,10 @@
     }
 
     private void recoverRun(InFlight inFlight) {
-        if (queries.isHarmless(inFlight)) {
+        if (inFlight.isHarmless()) {
             commands.run(inFlight);
         } else {
-            queries.runUncertain(inFlight);
+            runs.uncertain(inFlight);
         }
     }
 
@@ -286,7 +289,7 @@
         }
         if (n > lastNoticeNumber + 1) {
             counters.add(Count.KERNEL_NOTICES_MISSED);
-            queries.noticesMissed();
+            runs.noticesMissed();
         }
         lastNoticeNumber = n;
         counters.add(Count.KERNEL_NOTICES);
@@ -294,16 +297,16 @@
     }
 
     @Override
-    public void onRunEnded(long n, JobId job, String state, byte[] result) {
+    public void onRunEnded(long n, JobId job, RunEnd end, byte[] result) {
         if (countNotice(n)) {
-            queries.runEnded(job, state, result);
+            runs.ended(job, end, result);
         }
     }
 
     @Override
     public void onCall(long n, JobId job, byte[] body) {
         if (countNotice(n)) {
-            queries.runBlockedOnCall(job, body);
+            runs.blockedOnCall(job, body);
         }
     }
 
@@ -326,7 +329,7 @@
         counters.add(Count.RUNS_NOT_DONE);
         warnings.warn("kernel: " + command + " of " + job.value() + " was not carried out");
         if (command.equals("SCHED")) {
-            queries.runRejected(job);
+            runs.rejected(job);
         }
     }
 
--- a/daemon/src/main/java/tallyweir/backend/Queries.java
+++ b/daemon/src/main/java/tallyweir/backend/Queries.java
@@ -1,7 +1,5 @@
 package tallyweir.backend;
 
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -20,16 +18,14 @@
 import tallyweir.ids.TenantId;
 import tallyweir.ids.TimerId;
 import tallyweir.ids.WorkloadId;
-import tallyweir.results.Known;
 import tallyweir.results.ResultStore;
 
 /**
  * The queries in flight at one backend. Connects the caller connections, the decision logic ({@link Choice}), the
- * kernel and the store. Each query is answered exactly once ({@link #markAnswered}) and released exactly once
- * ({@link #releaseIfDone}). All methods run on the backend's thread; all times are in tenths of a millisecond.
+ * kernel and the store. Each query is answered and released exactly once ({@link Answers}), and each of its runs ends exactly
+ * once ({@link Runs}). All methods run on the backend's thread; all times are in tenths of a millisecond.
  */
 final class Queries implements Outgoing {
-    private static final int SLOT_BITS = 20;
     // Stands for a query of the previous process.
     private static final QueryId PREVIOUS_PROCESS = new QueryId(0);
     // Separate random stream: routing must not shift the decisions' stream.
@@ -49,26 +45,21 @@
     private final RetainedResults retainedResults; // null if results are not retained over restarts
     private final long seed;
     private final boolean canCancelRuns;
-    private final int coreUseGaugeIndex;
-    private final int runQueueGaugeIndex;
     private final RateLimitedLog warnings = new RateLimitedLog(Queries.class, this::now);
-    private final Slots<InFlight> slots = new Slots<>();
+    private final QueryTable queries = new QueryTable();
+    private final Answers answers;
+    private final Runs runs;
+    private final GaugePolling gauges;
     private final RecentRuns recentOneShotRuns;
     private final OverdueRuns overdueRuns;
-    private final Map<JobId, InFlight> queriesByJob = new HashMap<>();
     // Null until the kernel first reports that it has booted.
     private ShadowedChoice choice;
     // Shadow settings, compared beside those in force; null for none.
     private Settings shadowSettings;
-    private long lastSerial;
     private long now;
     private long wall;
     private long noticeAt; // when the notice to shut down came, if it has
     private long stopAt = Long.MAX_VALUE;
-    private Deadlines.Deadline gaugesDeadline;
-    private long gaugesRequestedAt;
-    private long finishedCount;
-    private long erroredOrLateCount;
     private final Map<WorkloadId, Long> expectedTimes;
     private final SplittableRandom routingRandom;
     private Routes routes; // null if this server is in no fleet
@@ -93,16 +84,27 @@
         expectedTimes = settings.expectedTimes();
         routingRandom = new SplittableRandom(seed ^ ROUTING_SEED_MASK);
         canCancelRuns = settings.canCancelRuns();
-        coreUseGaugeIndex = settings.gaugeIndex("core_use");
-        runQueueGaugeIndex = settings.gaugeIndex("on_cores");
         repeats = new Repeats(deadlines, settings.resultCacheDuration());
         recentOneShotRuns = new RecentRuns(settings.maxHardLimit());
         LongSupplier linkNumbers = new AtomicLong()::incrementAndGet;
-        kernel = new Kernel(links, linkNumbers, deadlines, counters, this);
-        overdueRuns = new OverdueRuns(deadlines, counters, kernel.commands(), this::now);
+        answers = new Answers(queries, repeats, deadlines, counters, this::now);
+        retainedResults = resultStore == null ? null : new RetainedResults(this, resultStore);
         store = new Store(links, linkNumbers, deadlines, counters, this, storeLinks);
+        runs = new Runs(
+                queries,
+                answers,
+                repeats,
+                recentOneShotRuns,
+                retainedResults,
+                store,
+                () -> choice,
+                counters,
+                this::now,
+                settings.maxRetryAfter());
+        kernel = new Kernel(links, linkNumbers, deadlines, counters, this, runs);
+        overdueRuns = new OverdueRuns(deadlines, counters, kernel.commands(), this::now);
+        gauges = new GaugePolling(kernel, deadlines, counters, settings);
         connections = new Connections(links, deadlines, counters, this, settings, connectionLimits);
-        retainedResults = resultStore == null ? null : new RetainedResults(this, resultStore);
         if (retainedResults != null) {
             counters.addGauge("unsettled", retainedResults::unsettledCount);
             counters.addGauge("results_refused_by_disk", retainedResults::unwrittenCount);
@@ -110,7 +112,7 @@
         counters.addSource("watch_", () -> choice == null ? Map.of() : choice.counts());
         counters.addGauge("connections", connections::size);
         counters.addSource("connections_now_", connections::countsByState);
-        counters.addGauge("queries", slots::size);
+        counters.addGauge("queries", queries::size);
         counters.addGauge("entries", repeats::size);
         counters.addGauge("repeats_waiting", repeats::waitingCount);
         counters.addGauge("recent_one_shot_runs", recentOneShotRuns::size);
@@ -126,6 +128,10 @@
         return store;
     }
 
+    Answers answers() {
+        return answers;
+    }
+
     Connections connections() {
         return connections;
     }
@@ -153,6 +159,7 @@
     void joinFleet(FleetMembership membership) {
         fleet = membership;
         routes = Routes.empty(workloads.keySet());
+        answers.countFinished();
         counters.addSource("fleet_", membership::counts);
     }
 
@@ -192,12 +199,8 @@
         return time - wall > DAY_TENTHS_MS;
     }
 
-    boolean isHarmless(InFlight inFlight) {
-        return workloads.get(inFlight.workload) == Effect.HARMLESS;
-    }
-
     /** Whether queries of the workload are known only by their ids once they have run. */
-    private boolean isRetainedByIdOnly(WorkloadId workload) {
+    private boolean isKnownByIdOnly(WorkloadId workload) {
         return effect(workload) == Effect.ONE_SHOT && retainedResults == null;
     }
 
@@ -248,22 +251,21 @@
             responder.deferred(0, false);
             return null;
         }
-        if (queriesByJob.containsKey(job)) {
+        if (queries.find(job) != null) {
             // Two queries with the same job id cannot be told apart on the links.
             counters.add(Count.QUERIES_MALFORMED);
             responder.errored();
             return null;
         }
-        if (isRetainedByIdOnly(workload) && recentOneShotRuns.contains(job, now)) {
+        if (isKnownByIdOnly(workload) && recentOneShotRuns.contains(job, now)) {
             // Its result is not kept, and it must not run again.
             counters.add(Count.QUERIES_RUN_BEFORE);
             responder.errored();
             return null;
         }
-        InFlight inFlight = new InFlight(job, workload, body, responder);
-        inFlight.slot = slots.add(inFlight);
-        inFlight.id = new QueryId(++lastSerial << SLOT_BITS | inFlight.slot);
-        queriesByJob.put(job, inFlight);
+        InFlight inFlight = new InFlight(job, workload, effect(workload), body, responder);
+        inFlight.knownByIdOnly = isKnownByIdOnly(workload);
+        queries.add(inFlight);
         if (fleet != null) {
             inFlight.storeAddress = routes.pickStore(workload, routingRandom);
             fleet.onQueryRead(now);
@@ -282,10 +284,10 @@
             answerBodyMismatch(inFlight.id);
             return null;
         }
-        QueryId earlier = key != null && (stamped || settings.resultCacheDuration() > 0 && isHarmless(inFlight))
+        QueryId earlier = key != null && (stamped || settings.resultCacheDuration() > 0 && inFlight.isHarmless())
                 ? repeats.findEarlier(inFlight, key, stamped, now - age, now)
                 : null;
-        if (retainedResults != null && !isHarmless(inFlight)) {
+        if (retainedResults != null && !inFlight.isHarmless()) {
             switch (retainedResults.lookUp(inFlight, stamped ? key : new SubjectId(job.value()))) {
                 case OTHER_BODY -> {
                     counters.add(Count.MARKS_OTHER_BODY);
@@ -294,9 +296,7 @@
                 }
                 case NO_ROOM -> {
                     counters.add(Count.MARKS_NO_ROOM);
-                    if (markAnswered(inFlight, Count.ANSWERED_DEFERRED)) {
-                        responder.deferred(settings.maxRetryAfter(), false);
-                    }
+                    answers.deferred(inFlight, settings.maxRetryAfter(), false);
                     return null;
                 }
                 case REPEAT -> {
@@ -322,7 +322,7 @@
             retainedResults.detach(inFlight);
         }
         choice.onCallerDisconnected(inFlight.id);
-        releaseIfDone(inFlight);
+        answers.releaseIfDone(inFlight);
     }
 
     /** The query is over: nobody waits for its answer any more, but its run may go on. */
@@ -336,12 +336,12 @@
     /** Guards against a fault in the decisions: a query still unanswered at its deadline is failed. */
     private void failIfUnanswered(InFlight inFlight) {
         if (!inFlight.answered && inFlight.recordingResult) {
-            answerErrored(inFlight); // the disk is too slow: the query has run, and a retry will get its outcome
+            answers.errored(inFlight); // the disk is too slow: the query has run, and a retry will get its outcome
             retainedResults.detach(inFlight);
         } else if (!inFlight.answered) {
             counters.add(Count.ANSWERED_BY_THE_LAST_GUARD);
             warnings.warn("a query was not decided by its deadline; it was answered as errored");
-            answerErrored(inFlight);
+            answers.errored(inFlight);
             choice.onCallerDisconnected(inFlight.id);
         }
     }
@@ -365,145 +365,13 @@
         }
     }
 
-    /** All runs are lost: harmless queries go back to be run again; the effect of the others is unknown. */
-    void kernelLost() {
-        for (InFlight inFlight : runningQueries()) {
-            if (inFlight.resultKey == null) {
-                finishRun(inFlight, Outcome.RECALLED, null);
-            } else {
-                answerErrored(inFlight);
-                retainedResults.runEnded(inFlight, Known.UNKNOWN, null);
-                finishRun(inFlight, Outcome.ERRORED, null);
-            }
-        }
-    }
-
-    /** It isn't known whether the run is on the cores: its start, the reply to its call or its end may be lost. */
-    void runUncertain(InFlight inFlight) {
-        choice.onRunUncertain(inFlight.id);
-    }
-
     /** Stops a run that makes no progress, so that its query runs again; only if the query is harmless. */
     void stopStuckRun(InFlight inFlight) {
-        if (inFlight.stopDelivery == null && canCancelRuns && isHarmless(inFlight)) {
+        if (inFlight.stopDelivery == null && canCancelRuns && inFlight.isHarmless()) {
             cancel(inFlight.id);
         }
     }
 
-    /** Notices of the kernel are lost for good: any of the runs may have ended. */
-    void noticesMissed() {
-        for (InFlight inFlight : runningQueries()) {
-            inFlight.endMayBeMissed = true;
-            runUncertain(inFlight);
-        }
-    }
-
-    List<InFlight> runningQueries() {
-        return slots.all().stream().filter(inFlight -> inFlight.running).toList();
-    }
-
-    void runEnded(JobId job, String state, byte[] result) {
-        InFlight inFlight = queriesByJob.get(job);
-        if (inFlight == null || !inFlight.running) {
-            if (retainedResults != null
-                    && retainedResults.previousRunEnded(job, state.equals("good") ? Known.GOOD : Known.BAD, result)) {
-                counters.add(Count.MARKS_SETTLED);
-            }
-            return;
-        }
-        if (state.equals("gone") && !inFlight.endMayBeMissed) {
-            counters.add(Count.RUNS_GONE);
-            runNeverBegan(inFlight);
-            return;
-        }
-        if (inFlight.resultKey != null) {
-            recordedRunEnded(inFlight, state, result);
-            return;
-        }
-        Outcome outcome;
-        switch (state) {
-            case "good" -> {
-                counters.add(Count.RUNS_GOOD);
-                answerHandled(inFlight, result);
-                outcome = Outcome.COMPLETED;
-            }
-            case "cut" -> {
-                counters.add(Count.RUNS_CUT);
-                outcome = Outcome.RECALLED;
-            }
-            case "gone" -> {
-                counters.add(Count.RUNS_GONE);
-                answerErrored(inFlight);
-                outcome = Outcome.SUPERSEDED;
-            }
-            default -> {
-                counters.add(Count.RUNS_BAD);
-                answerErrored(inFlight);
-                outcome = Outcome.ERRORED;
-            }
-        }
-        finishRun(inFlight, outcome, state.equals("good") ? result : null);
-    }
-
-    /**
-     * Handles the end of a run whose outcome is recorded. A good result is answered only once it is on the disk; a
-     * failure is answered at once.
-     */
-    private void recordedRunEnded(InFlight inFlight, String state, byte[] result) {
-        boolean good = state.equals("good");
-        counters.add(
-                good
-                        ? Count.RUNS_GOOD
-                        : state.equals("cut")
-                                ? Count.RUNS_CUT
-                                : state.equals("gone") ? Count.RUNS_GONE : Count.RUNS_BAD);
-        inFlight.recordingResult = good && !inFlight.answered;
-        if (!good) {
-            answerErrored(inFlight);
-        }
-        finishRun(inFlight, good ? Outcome.COMPLETED : Outcome.ERRORED, null);
-        boolean mayHaveEnded = state.equals("gone"); // among notices that were missed
-        retainedResults.runEnded(inFlight, good ? Known.GOOD : mayHaveEnded ? Known.UNKNOWN : Known.BAD, result);
-    }
-
-    /**
-     * The query is over and the kernel has not begun its run, nor will it. Its key is free again, and queries that waited for
-     * its result may come again.
-     */
-    private void runNeverBegan(InFlight inFlight) {
-        warnings.warn("a run had not begun when its query was over; it is released");
-        answerErrored(inFlight);
-        List<InFlight> repeatsWaiting = repeats.takeWaiting(inFlight);
-        repeats.forget(inFlight);
-        finishRun(inFlight, Outcome.SUPERSEDED, null);
-        if (inFlight.resultKey != null) {
-            retainedResults.runNeverBegan(inFlight);
-        }
-        repeatsWaiting.forEach(this::deferRepeat);
-    }
-
-    private void deferRepeat(InFlight inFlight) {
-        if (markAnswered(inFlight, Count.ANSWERED_DEFERRED)) {
-            inFlight.responder.deferred(settings.maxRetryAfter(), false);
-            choice.onRunEnded(inFlight.id, Outcome.ERRORED);
-        }
-    }
-
-    /** The kernel rejected the run command: the query did not run, and would not if sent again. */
-    void runRejected(JobId job) {
-        InFlight inFlight = queriesByJob.get(job);
-        if (inFlight != null && inFlight.running) {
-            answerErrored(inFlight);
-            if (!inFlight.endMayBeMissed) {
-                repeats.forget(inFlight);
-            }
-            finishRun(inFlight, Outcome.SUPERSEDED, null);
-            if (inFlight.resultKey != null) {
-                retainedResults.runEnded(inFlight, Known.BAD, null);
-            }
-        }
-    }
-
     // ---- from the retained results
 
     /** Retries writes that the disk refused after the longest time that any caller waits for an answer. */
@@ -513,7 +381,7 @@
 
     /** The intent is on the disk: sends the run to the kernel. */
     void intentWritten(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null && inFlight.running) {
             kernel.commands().run(inFlight);
         }
@@ -521,87 +389,52 @@
 
     /** Answers a query with its recorded result; null if the run failed or its outcome is unknown. */
     void answerRecorded(QueryId query, byte[] result) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight == null || inFlight.answered) {
             return;
         }
         if (inFlight.recordingResult) {
             inFlight.recordingResult = false;
             if (result != null) {
-                answerHandled(inFlight, result);
+                answers.handled(inFlight, result);
             } else {
-                answerErrored(inFlight);
+                answers.errored(inFlight);
             }
         } else {
             deadlines.set(
-                    now, () -> answerRepeat(inFlight, result)); // deferred: the decisions are still handling this input
+                    now,
+                    () -> runs.answerRepeat(inFlight, result)); // deferred: the decisions are still handling this input
         }
     }
 
     /** Answers a query whose idempotency key belongs to a query with another body. */
     void answerBodyMismatch(QueryId query) {
-        InFlight inFlight = find(query);
-        if (inFlight != null && markAnswered(inFlight, Count.ANSWERED_ERRORED)) {
-            inFlight.responder.bodyMismatch();
+        InFlight inFlight = queries.find(query);
+        if (inFlight != null && answers.bodyMismatch(inFlight)) {
             choice.onCallerDisconnected(inFlight.id);
         }
     }
 
     /** The run was requested but never started and never will: defers the query, so that its caller may retry. */
     void runNeverStarted(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight == null) {
             return;
         }
         counters.add(Count.MARKS_NOT_BEGUN);
         repeats.forget(inFlight);
         deadlines.set(now, () -> {
-            if (markAnswered(inFlight, Count.ANSWERED_DEFERRED)) {
-                inFlight.responder.deferred(settings.maxRetryAfter(), false);
-            }
+            answers.deferred(inFlight, settings.maxRetryAfter(), false);
             if (inFlight.running) {
-                finishRun(inFlight, Outcome.SUPERSEDED, null);
+                runs.finish(inFlight, Outcome.SUPERSEDED, null);
             } else {
                 choice.onCallerDisconnected(inFlight.id);
             }
         });
     }
 
-    /** Ends the run: closes its call, tells the decisions, and answers queries that waited for its result. */
-    private void finishRun(InFlight inFlight, Outcome outcome, byte[] result) {
-        store.cancel(inFlight);
-        noteOneShotRun(inFlight);
-        inFlight.pendingCall = null;
-        inFlight.running = false;
-        boolean runsAgain = outcome == Outcome.RECALLED && !inFlight.answered && isHarmless(inFlight);
-        List<InFlight> served = runsAgain ? List.of() : repeats.ended(inFlight, result, now);
-        choice.onRunEnded(inFlight.id, outcome);
-        releaseIfDone(inFlight);
-        served.forEach(this::answerRepeatFromEntry);
-    }
-
-    /** The run is blocked on a call to the store with this body. */
-    void runBlockedOnCall(JobId job, byte[] body) {
-        InFlight inFlight = queriesByJob.get(job);
-        if (inFlight != null && inFlight.running) {
-            inFlight.pendingCall = body;
-            inFlight.replyDelivery = null;
-            if (inFlight.runDelivery != null) {
-                inFlight.runDelivery.markRead();
-            }
-            choice.onBlockedOnCall(inFlight.id);
-        }
-    }
-
     void gaugesReceived(double[] values) {
-        if (gaugesDeadline != null) {
-            choice.setGauges(valueAt(values, coreUseGaugeIndex), valueAt(values, runQueueGaugeIndex));
-            gaugesDone();
-        }
-    }
-
-    private static double valueAt(double[] values, int index) {
-        return index >= 0 && index < values.length ? values[index] : 0;
+        gauges.received(choice, values);
     }
 
     // ---- from the store
@@ -614,74 +447,14 @@
         choice.onCallEnded(inFlight.id, outcome, duration);
     }
 
-    // ---- answers
-
-    private void answerHandled(InFlight inFlight, byte[] result) {
-        if (markAnswered(inFlight, Count.ANSWERED_HANDLED)) {
-            inFlight.responder.handled(result);
-        }
-    }
-
-    private void answerErrored(InFlight inFlight) {
-        if (markAnswered(inFlight, Count.ANSWERED_ERRORED)) {
-            inFlight.responder.errored();
-        }
-    }
-
-    /** How many queries have been handled or errored; counted only in a fleet. */
-    long finishedCount() {
-        return finishedCount;
-    }
-
-    /** How many queries have been errored, or handled after their expected time; counted only in a fleet. */
-    long erroredOrLateCount() {
-        return erroredOrLateCount;
-    }
-
-    /** Marks the query as answered and counts it. Returns true only the first time for each query. */
-    private boolean markAnswered(InFlight inFlight, Count count) {
-        if (inFlight.answered) {
-            return false;
-        }
-        if (fleet != null && count != Count.ANSWERED_DEFERRED) {
-            finishedCount++;
-            erroredOrLateCount += count == Count.ANSWERED_ERRORED || now > inFlight.expectedDeadline ? 1 : 0;
-        }
-        inFlight.answered = true;
-        counters.add(count);
-        releaseIfDone(inFlight);
-        return true;
-    }
-
-    private void releaseIfDone(InFlight inFlight) {
-        if (inFlight.answered && !inFlight.running && !inFlight.released) {
-            inFlight.released = true;
-            deadlines.cancel(inFlight.deadline);
-            repeats.stopWaiting(inFlight);
-            queriesByJob.remove(inFlight.job);
-            slots.free(inFlight.slot);
-        }
-    }
-
-    /** The query with this id, or null if it has been released. */
-    private InFlight find(QueryId id) {
-        InFlight inFlight = slots.get((int) (id.value() & (1 << SLOT_BITS) - 1));
-        return inFlight != null && inFlight.id.equals(id) ? inFlight : null;
-    }
-
     // ---- requests of the decisions
 
     @Override
     public void run(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null) {
             counters.add(Count.RUNS_ASKED);
-            inFlight.running = true;
-            inFlight.endMayBeMissed = false;
-            inFlight.replyDelivery = null;
-            inFlight.stopDelivery = null;
-            repeats.runStarted(inFlight);
-            noteOneShotRun(inFlight);
+            runs.started(inFlight);
             if (inFlight.resultKey == null) {
                 kernel.commands().run(inFlight);
             } else {
@@ -691,17 +464,10 @@
         }
     }
 
-    private void noteOneShotRun(InFlight inFlight) {
-        if (isRetainedByIdOnly(inFlight.workload)) {
-            recentOneShotRuns.add(inFlight.job, now);
-        }
-    }
-
     @Override
     public void defer(QueryId query, long retryAfter, boolean nowhereElse) {
-        InFlight inFlight = find(query);
-        if (inFlight != null && markAnswered(inFlight, Count.ANSWERED_DEFERRED)) {
-            inFlight.responder.deferred(retryAfter, nowhereElse);
+        InFlight inFlight = queries.find(query);
+        if (inFlight != null && answers.deferred(inFlight, retryAfter, nowhereElse)) {
             // It never ran, so its key is free again. The decisions report that only after the query is released here.
             repeats.forget(inFlight);
             if (inFlight.resultKey != null) {
@@ -712,9 +478,9 @@
 
     @Override
     public void fail(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null) {
-            answerErrored(inFlight);
+            answers.errored(inFlight);
             if (inFlight.resultKey != null) {
                 retainedResults.cancel(inFlight);
             }
@@ -723,7 +489,7 @@
 
     @Override
     public void cancel(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null && inFlight.running) {
             counters.add(Count.RUNS_STOPPED);
             kernel.commands().stop(inFlight);
@@ -732,7 +498,7 @@
 
     @Override
     public void call(QueryId query, long timeout) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null && inFlight.pendingCall != null) {
             if (fleet != null && !fleet.pinsRoutes()) {
                 inFlight.storeAddress =
@@ -750,9 +516,9 @@
 
     @Override
     public void retain(QueryId query, long window) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null) {
-            repeats.retain(inFlight, now + window, isHarmless(inFlight) ? 0 : settings.maxHardLimit());
+            repeats.retain(inFlight, now + window, inFlight.isHarmless() ? 0 : settings.maxHardLimit());
             if (inFlight.resultKey != null) {
                 retainedResults.admit(inFlight, wall + window);
             }
@@ -761,7 +527,7 @@
 
     @Override
     public void discardRetained(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null) {
             repeats.forget(inFlight);
             if (inFlight.resultKey != null) {
@@ -772,32 +538,17 @@
 
     @Override
     public void replay(QueryId query) {
-        InFlight inFlight = find(query);
+        InFlight inFlight = queries.find(query);
         if (inFlight != null && inFlight.resultKey != null) {
             retainedResults.awaitOutcome(inFlight);
         } else if (inFlight != null && repeats.endedOrEnqueue(inFlight)) {
             deadlines.set(
                     now,
-                    () -> answerRepeatFromEntry(inFlight)); // deferred: the decisions are still handling this input
+                    () -> runs.answerRepeatFromEntry(
+                            inFlight)); // deferred: the decisions are still handling this input
         }
     }
 
-    private void answerRepeatFromEntry(InFlight inFlight) {
-        answerRepeat(inFlight, repeats.result(inFlight));
-    }
-
-    private void answerRepeat(InFlight inFlight, byte[] result) {
-        if (inFlight.answered) {
-            return;
-        }
-        if (result != null) {
-            answerHandled(inFlight, result);
-        } else {
-            answerErrored(inFlight);
-        }
-        choice.onRunEnded(inFlight.id, result != null ? Outcome.COMPLETED : Outcome.ERRORED);
-    }
-
     @Override
     public void setHealth(boolean good, boolean stored) {
         connections.setHealthy(good);
@@ -816,27 +567,12 @@
     public void setTimer(long at, TimerId timer) {
         if (timer.equals(Choice.GAUGES_TIMER)) {
             long interval = at - now;
-            deadlines.set(at, () -> requestGauges(interval));
+            deadlines.set(at, () -> gauges.request(choice, now + interval));
         } else {
             deadlines.set(at, () -> choice.onTimer(timer));
         }
     }
 
-    /** Requests the gauges. If they do not arrive within the timeout, the decisions go on without them. */
-    private void requestGauges(long timeout) {
-        kernel.requestGauges();
-        gaugesDeadline = deadlines.set(now + timeout, () -> {
-            counters.add(Count.GAUGES_MISSED);
-            gaugesDone();
-        });
-    }
-
-    private void gaugesDone() {
-        deadlines.cancel(gaugesDeadline);
-        gaugesDeadline = null;
-        choice.onTimer(Choice.GAUGES_TIMER);
-    }
-
     // ---- shutdown
 
     /**
--- a/daemon/src/main/java/tallyweir/kernel/NoticeReader.java
+++ b/daemon/src/main/java/tallyweir/kernel/NoticeReader.java
@@ -29,9 +29,8 @@
          * A run has ended.
          *
          * @param n the number of the notice
-         * @param state how the run ended, in the kernel's word
          */
-        void onRunEnded(long n, JobId job, String state, byte[] result);
+        void onRunEnded(long n, JobId job, RunEnd end, byte[] result);
 
         /** A run is blocked on a call to the store with the given body. */
         void onCall(long n, JobId job, byte[] body);
@@ -112,7 +111,7 @@
         }
         switch (type) {
             case "BOOTED" -> sink.onBooted(state.equals("new"), (long) Math.ceil(uptimeMs * 10));
-            case "REAP" -> sink.onRunEnded(n, job, state, data);
+            case "REAP" -> sink.onRunEnded(n, job, RunEnd.of(state), data);
             case "IOREQ" -> sink.onCall(n, job, data);
             case "INFO" -> sink.onGauges(ref, gauges);
             case "EINVAL" -> sink.onCommandFailed(state, job);
--- a/daemon/src/test/java/tallyweir/ParsersTest.java
+++ b/daemon/src/test/java/tallyweir/ParsersTest.java
@@ -25,6 +25,7 @@
 import tallyweir.ids.RequestId;
 import tallyweir.kernel.Commands;
 import tallyweir.kernel.NoticeReader;
+import tallyweir.kernel.RunEnd;
 import tallyweir.store.Calls;
 import tallyweir.store.ReplyReader;
 
@@ -279,8 +280,8 @@
         }
 
         @Override
-        public void onRunEnded(long n, JobId job, String state, byte[] result) {
-            out.add("ended " + n + " " + job.value() + " " + state + " " + new String(result, UTF_8));
+        public void onRunEnded(long n, JobId job, RunEnd end, byte[] result) {
+            out.add("ended " + n + " " + job.value() + " " + end + " " + new String(result, UTF_8));
         }
 
         @Override
@@ -329,7 +330,7 @@
         assertEquals(
                 List.of(
                         "booted true 124",
-                        "ended 1 j good made",
+                        "ended 1 j GOOD made",
                         "needs 2 k made",
                         "gauges t [0.5, 3.0, 0.1]",
                         "not done SCHED j",
