Stuck runs do not pass for an idle server while the kernel's gauges are missing

What callers would see: with a kernel silent for over twice the hard limit, and stuck runs in all places, queries were admitted, waited for their expected time and were refused then, in place of at once.

Cause: the ages of stuck runs counted only if the last gauges showed all cores taken, however old these were.

Change: they count as well if the gauges asked for last did not arrive.

--- a/core/src/main/java/tallyweir/Choice.java
+++ b/core/src/main/java/tallyweir/Choice.java
@@ -118,6 +118,7 @@
     private long nextSequence;
     private long deadlineTimerAt = Long.MAX_VALUE;
     private boolean gaugesPending;
+    private boolean gaugesMissed; // the last ones asked for did not arrive
     private double coresBusy;
     private double runQueue;
     private final Concurrency concurrency = new Concurrency();
@@ -566,6 +567,7 @@
     /** A timer set through {@link Outgoing#setTimer} has expired. */
     public void onTimer(TimerId timer) {
         if (timer.equals(GAUGES_TIMER)) {
+            gaugesMissed = !gaugesPending;
             out.setTimer(now + GAUGE_INTERVAL_TENTHS_MS, GAUGES_TIMER);
         } else {
             gaugesPending = false;
@@ -786,7 +788,7 @@
 
     /** Mean duration of a run; no less than the mean age of the runs on the cores, so that a stall shows at once. */
     private long meanRunDuration() {
-        return Math.max((long) runDurations.mean(now), concurrency.meanAge(now, runQueue >= cores));
+        return Math.max((long) runDurations.mean(now), concurrency.meanAge(now, gaugesMissed || runQueue >= cores));
     }
 
     /** Estimated time that an incoming query of this revenue waits for a core. */
--- a/core/src/test/java/tallyweir/FailuresTest.java
+++ b/core/src/test/java/tallyweir/FailuresTest.java
@@ -513,6 +513,20 @@
         assertEquals(2, count("defer") - before);
     }
 
+    /** While the kernel is silent, runs that are stuck on all cores must not pass for an idle server either. */
+    @Test
+    void stallShowsWhenAllRunsAreStuckAndTheGaugesAreMissing() {
+        for (int i = 0; i < Model.CORES; i++) {
+            assertEquals("running", model.read(2, 0, 40_000, 10, false, null).state);
+        }
+        model.pass(2 * Model.HARD_LIMIT_TENTHS_MS + 100, 0, 0);
+        model.choice.onTimer(Choice.GAUGES_TIMER);
+        long before = count("defer");
+        model.read(3, 0, 40_000, 10, false, null);
+        model.read(0, 0, 40_000, 10, false, null);
+        assertEquals(2, count("defer") - before);
+    }
+
     /** Runs that may be lost hold all cores of the books, but the kernel's own cores are free: others run all the same. */
     @Test
     void asManyRunsAsCoresMayBeLostWithoutAStall() {
