Test of a run lost with one link while the next breaks before it is confirmed

Guards against a loss that is forgotten when the link that would show it breaks before the kernel's notices have been read on it. It passes for each effect.

--- a/daemon/src/test/java/tallyweir/LostRunTest.java
+++ b/daemon/src/test/java/tallyweir/LostRunTest.java
@@ -151,6 +151,25 @@
         assertNothingLeft();
     }
 
+    /** Guards against a loss that is forgotten, as the next link breaks before the kernel's notices have been read on it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"c", "k", "u"})
+    void aSecondBreakBeforeTheNewLinkIsConfirmedForgetsNothing(String workload) {
+        boot();
+        Request query = request(workload, "m");
+        sim.breakLink(Peer.KERNEL);
+        sim.openLink(Peer.KERNEL);
+        sim.sendFromKernel("{\"type\":\"BOOTED\",\"state\":\"old\",\"took\":" + (sim.now / 10 - 99_999) + "}");
+        breakLink();
+        sim.readCommands();
+        if (workload.equals("c")) {
+            sim.endRun(query.job, "good", "made");
+        }
+        advanceWithGauges(UNTIL_RELEASED_TENTHS_MS);
+        assertEquals(workload.equals("c") ? List.of(200, 1) : List.of(500, 0), List.of(status(query), query.runCount));
+        assertNothingLeft();
+    }
+
     /** Guards against a query that is over while there is no link and whose run is forgotten, or requested many times. */
     @Test
     void whileThereIsNoLinkALostRunIsRequestedOnce() {
